Lay out the package, typed values, interfaces and checks

Cause: nothing existed. The typed documents, messages, outcomes and the store interface are fixed first, so that the cores can grow side by side. Conclusion: the interfaces stand; no request is served yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format types features fuzz model bench-requests \
+	bench-nodes bench-policy capacity soak binary clean
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(STAMP)
+	$(BIN)/python -m standins.demo
+
+test: $(STAMP)
+	$(BIN)/python -m tools.runtests
+
+lint: $(STAMP)
+	$(BIN)/python -m tools.runtests lint
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix src standins features tests bench tools
+	$(BIN)/ruff format src standins features tests bench tools
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+features: $(STAMP)
+	$(BIN)/python -m tools.runtests features
+
+fuzz: $(STAMP)
+	$(BIN)/python -m tools.runtests unit
+
+clean:
+	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/src/primroseledge/messages.py
@@ -0,0 +1,216 @@
+"""The messages between entry instances, and their codec.
+
+Durations are in seconds and relative, since clocks differ. Every
+message names its sender's run; the receiver drops one of an older run.
+"""
+
+from enum import Enum
+
+from msgspec import DecodeError
+from msgspec import field
+from msgspec import msgpack
+from msgspec import Struct
+from msgspec import ValidationError
+
+from primroseledge.errors import MessageError
+from primroseledge.ids import CellId
+from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
+from primroseledge.ids import GrantId
+from primroseledge.ids import Incarnation
+from primroseledge.ids import InstanceId
+from primroseledge.ids import RequestId
+from primroseledge.ids import Revision
+from primroseledge.ids import ServiceId
+from primroseledge.ids import TeamId
+from primroseledge.outcomes import Reason
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 4_000_000
+
+
+class EndState(Enum):
+    """How an attempt ended, as its entry instance can prove."""
+
+    ENDED = 'ended'
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+
+
+class Message(Struct, frozen=True, tag=True, array_like=True):
+    """Base of the messages between entry instances."""
+
+
+class Heartbeat(Message, frozen=True):
+    """Sent to every peer at a fixed interval.
+
+    ``store_read_age_s`` is how long ago the sender began the newest
+    read of the store that it knows of, its own or a peer's; -1 when
+    it knows of none. ``epochs`` are the owners that the sender obeys.
+    """
+
+    revision: Revision
+    store_read_age_s: float
+    is_leaving: bool = False
+    epochs: dict[CellId, Epoch] = field(default_factory=dict)
+
+
+class ConfigChange(Struct, frozen=True, array_like=True):
+    """One changed document; ``value`` is None when it was deleted."""
+
+    key: str
+    value: str | None
+    revision: Revision
+
+
+class ConfigDelta(Message, frozen=True):
+    """All changes after one revision up to another.
+
+    ``is_whole`` marks a full copy: documents not in it do not exist.
+    """
+
+    after: Revision
+    upto: Revision
+    changes: tuple[ConfigChange, ...]
+    is_whole: bool = False
+
+
+class ConfigPull(Message, frozen=True):
+    """Asks a peer for all changes after a revision."""
+
+    after: Revision
+
+
+class Ask(Message, frozen=True):
+    """Asks a cell's owner to let one request run.
+
+    ``issued_at`` is the wall-clock time in the request's id, 0 when it
+    has none; ``excluded`` are upstreams on which it just failed.
+    """
+
+    cell: CellId
+    ask_id: str
+    request_id: RequestId
+    team: TeamId
+    service: ServiceId
+    is_idempotent: bool
+    is_urgent: bool
+    remaining_s: float
+    issued_at: float = 0.0
+    attempt: int = 1
+    excluded: tuple[InstanceId, ...] = ()
+    zone: str = ''
+
+
+class Grant(Message, frozen=True):
+    """Lets one attempt run on one upstream."""
+
+    cell: CellId
+    epoch: Epoch
+    ask_id: str
+    grant_id: GrantId
+    upstream: InstanceId
+    address: str
+    run_limit_s: float
+
+
+class Refuse(Message, frozen=True):
+    """Ends a request that is not to run now."""
+
+    cell: CellId
+    ask_id: str
+    reason: Reason
+    retry_after_s: float = 1.0
+
+
+class Done(Message, frozen=True):
+    """Tells the owner how a granted attempt ended."""
+
+    cell: CellId
+    grant_id: GrantId
+    end: EndState
+    has_upstream_failed: bool = False
+
+
+class Cancel(Message, frozen=True):
+    """Withdraws a request that has not been granted."""
+
+    cell: CellId
+    ask_id: str
+
+
+class Carried(Struct, frozen=True, array_like=True):
+    """A request that an entry instance carries or has carried."""
+
+    grant_id: GrantId
+    request_id: RequestId
+    team: TeamId
+    service: ServiceId
+    upstream: InstanceId
+    is_idempotent: bool
+    end: EndState | None
+    remaining_s: float
+
+
+class ReportRequest(Message, frozen=True):
+    """A new owner asks what each instance carries for the cell."""
+
+    cell: CellId
+    epoch: Epoch
+
+
+class Report(Message, frozen=True):
+    """Answers a ReportRequest; from then on the epoch is obeyed."""
+
+    cell: CellId
+    epoch: Epoch
+    carried: tuple[Carried, ...]
+
+
+AnyMessage = (
+    Heartbeat
+    | ConfigDelta
+    | ConfigPull
+    | Ask
+    | Grant
+    | Refuse
+    | Done
+    | Cancel
+    | ReportRequest
+    | Report
+)
+
+
+class Envelope(Struct, frozen=True, array_like=True):
+    """A message with its sender and the sender's run."""
+
+    version: int
+    sender: EntryId
+    incarnation: Incarnation
+    body: AnyMessage
+
+
+_encoder = msgpack.Encoder()
+_decoder = msgpack.Decoder(Envelope)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the bytes of an envelope."""
+    return _encoder.encode(envelope)
+
+
+def decode(data: bytes) -> Envelope:
+    """Decode and check an envelope.
+
+    Raises MessageError when it is too long, malformed, of unknown
+    type or of another protocol version.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise MessageError(f'message of {len(data)} bytes is too long')
+    try:
+        envelope = _decoder.decode(data)
+    except (ValidationError, DecodeError) as error:
+        raise MessageError(f'malformed message: {error}') from error
+    if envelope.version != PROTOCOL_VERSION:
+        raise MessageError(f'protocol version {envelope.version}')
+    return envelope
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that primroseledge works with."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers of primroseledge."""
--- /dev/null
+++ b/tools/runtests.py
@@ -0,0 +1,132 @@
+"""Run every check and test, and end with one line that counts them.
+
+Usage: ``python -m tools.runtests [SUITE ...]``; without a suite all run.
+"""
+
+from collections.abc import Callable
+from pathlib import Path
+import re
+import subprocess
+import sys
+
+BIN: Path = Path(sys.executable).parent
+SOURCES: tuple[str, ...] = (
+    'src',
+    'standins',
+    'features',
+    'tests',
+    'bench',
+    'tools',
+)
+KNOWN_RED: Path = Path('KNOWN-RED.txt')
+
+Suite = Callable[[], tuple[int, int]]
+SUITES: dict[str, Suite] = {}
+
+
+def suite(name: str) -> Callable[[Suite], Suite]:
+    """Register a suite under a name, in the order in which they run."""
+
+    def register(function: Suite) -> Suite:
+        SUITES[name] = function
+        return function
+
+    return register
+
+
+def run(*command: str) -> subprocess.CompletedProcess[str]:
+    """Run a command, print what it prints, and return its result."""
+    print('$', *command, flush=True)
+    result = subprocess.run(
+        command,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        check=False,
+    )
+    print(result.stdout, flush=True)
+    return result
+
+
+def check(*command: str) -> tuple[int, int]:
+    """Count a command as one test that passes when it exits with 0."""
+    return (1, 0) if run(*command).returncode == 0 else (0, 1)
+
+
+@suite('lint')
+def run_lint() -> tuple[int, int]:
+    """Check formatting, lint rules and types."""
+    counts = [
+        check(str(BIN / 'ruff'), 'format', '--check', *SOURCES),
+        check(str(BIN / 'ruff'), 'check', *SOURCES),
+        check(str(BIN / 'flake8'), *SOURCES),
+        check(str(BIN / 'mypy')),
+    ]
+    return sum(c[0] for c in counts), sum(c[1] for c in counts)
+
+
+@suite('unit')
+def run_unit() -> tuple[int, int]:
+    """Run the tests under tests/ with unittest's discovery."""
+    result = run(
+        sys.executable,
+        '-W',
+        'error::ResourceWarning',
+        '-m',
+        'unittest',
+        'discover',
+        '-s',
+        'tests',
+        '-t',
+        '.',
+    )
+    ran = re.search(r'^Ran (\d+) tests?', result.stdout, re.MULTILINE)
+    total = int(ran.group(1)) if ran else 0
+    failed = sum(
+        int(count)
+        for count in re.findall(
+            r'(?:failures|errors|unexpected successes)=(\d+)', result.stdout
+        )
+    )
+    if result.returncode != 0 and failed == 0:
+        failed = 1
+    return max(total - failed, 0), failed
+
+
+@suite('features')
+def run_features() -> tuple[int, int]:
+    """Run the behave scenarios."""
+    result = run(str(BIN / 'behave'), '--format', 'progress')
+    line = re.search(r'^.*scenarios? passed.*$', result.stdout, re.MULTILINE)
+    counts = dict[str, int]()
+    if line:
+        for number, word in re.findall(
+            r'(\d+) (?:scenarios? )?(\w+)', line.group(0)
+        ):
+            counts[word] = int(number)
+    failed = sum(
+        number
+        for word, number in counts.items()
+        if word not in ('passed', 'skipped')
+    )
+    if result.returncode != 0 and failed == 0:
+        failed = 1
+    return counts.get('passed', 0), failed
+
+
+def main(names: list[str]) -> int:
+    """Run the named suites, or all, and return the exit code."""
+    passed = failed = 0
+    for name in names or list(SUITES):
+        suite_passed, suite_failed = SUITES[name]()
+        print(f'{name}: {suite_passed} passed, {suite_failed} failed')
+        passed += suite_passed
+        failed += suite_failed
+    if KNOWN_RED.exists():
+        print(KNOWN_RED.read_text())
+    print(f'tests: {passed} passed, {failed} failed', flush=True)
+    return 0 if failed == 0 else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
