--- /dev/null
+++ b/src/primroseledge/events.py
@@ -0,0 +1,257 @@
+"""The catalogue of numbered log events.
+
+``docs/EVENTS.md`` is generated from it. A number is never given to
+another event later, so that operators may search for it.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from enum import unique
+from logging import ERROR
+from logging import getLevelName
+from logging import INFO
+from logging import WARNING
+from string import Formatter
+
+
+@dataclass(frozen=True, slots=True)
+class EventInfo:
+    """What one event says, means and asks of an operator."""
+
+    number: int
+    level: int
+    template: str
+    meaning: str
+    advice: str
+
+    @property
+    def level_name(self) -> str:
+        """Return the name of the level, such as ``INFO``."""
+        return str(getLevelName(self.level))
+
+    @property
+    def fields(self) -> tuple[str, ...]:
+        """Return the names of the fields in the template."""
+        parsed = Formatter().parse(self.template)
+        return tuple(name for _, name, _, _ in parsed if name)
+
+
+def info(number: int, template: str, meaning: str, advice: str) -> EventInfo:
+    """Describe an event of level INFO."""
+    return EventInfo(number, INFO, template, meaning, advice)
+
+
+def warning(
+    number: int, template: str, meaning: str, advice: str
+) -> EventInfo:
+    """Describe an event of level WARNING."""
+    return EventInfo(number, WARNING, template, meaning, advice)
+
+
+def error(number: int, template: str, meaning: str, advice: str) -> EventInfo:
+    """Describe an event of level ERROR."""
+    return EventInfo(number, ERROR, template, meaning, advice)
+
+
+@unique
+class Event(Enum):
+    """All events; 1xx process, 2xx store, 3xx peers, 4xx requests."""
+
+    STARTED = info(
+        101,
+        'entry instance {entry} of zone {zone} serves on {address}',
+        'The process has its sockets and begins to listen.',
+        'Nothing.',
+    )
+    READY = info(
+        102,
+        'ready at revision {revision}',
+        'The view is fresh; the balancer may send requests.',
+        'Nothing.',
+    )
+    NOT_READY = warning(
+        103,
+        'not ready: {reason}',
+        'The balancer is told to send requests elsewhere.',
+        'Look for the events before it that give the cause.',
+    )
+    STOPPING = info(
+        104,
+        'stopping with {running} running and {queued} queued',
+        'A graceful shutdown began.',
+        'Nothing; wait for event 105.',
+    )
+    STOPPED = info(
+        105,
+        'stopped after {seconds} s with {left} left',
+        'The shutdown ended; `left` requests were still running.',
+        'When `left` is not 0, raise `graceful_timeout_s`.',
+    )
+    SETTINGS_REFUSED = error(
+        106,
+        'settings refused: {problem}',
+        'The process ends with code 2 before it opens a socket.',
+        'Mend the named field; try `primroseledge config check`.',
+    )
+    LOOP_FAILED = error(
+        107,
+        'the loop failed: {problem}',
+        'An error that nobody expected ended the loop; the process ends.',
+        'Keep the log and report it; the platform starts it again.',
+    )
+    STORE_READ = info(
+        201,
+        'configuration read at revision {revision}: {documents} documents',
+        'A full copy of the configuration was read.',
+        'Nothing.',
+    )
+    STORE_UNAVAILABLE = warning(
+        202,
+        'store unavailable: {problem}',
+        'A call of the store failed; work goes on while views are fresh.',
+        'Look at the platform; change no documents until event 203.',
+    )
+    STORE_AVAILABLE = info(
+        203,
+        'store available again after {seconds} s',
+        'A call of the store succeeded after failures.',
+        'Nothing.',
+    )
+    DOCUMENT_REFUSED = error(
+        204,
+        'document {key} refused: {problem}',
+        'A document in the store is invalid; the last good one stands.',
+        'Apply a right one with `primroseledge service apply`.',
+    )
+    CONFIG_IN_FORCE = info(
+        205,
+        'revision {revision} in force',
+        'This entry instance acts on a newer configuration.',
+        'Nothing.',
+    )
+    STALE = warning(
+        206,
+        'view not fresh for {seconds} s; requests are refused as not run',
+        'There is neither a recent read nor a majority of peers.',
+        'Check the store, then the network between entry instances.',
+    )
+    FRESH = info(
+        207,
+        'view fresh again at revision {revision}',
+        'Requests are taken again.',
+        'Nothing.',
+    )
+    LEASE_LOST = warning(
+        208,
+        'membership lease lost: {problem}',
+        'The lease of this entry instance lapsed; it registers anew.',
+        'Look for pauses of the process or an outage of the store.',
+    )
+    PEER_UP = info(
+        301,
+        'peer {peer} is alive',
+        'Heartbeats of a peer arrive.',
+        'Nothing.',
+    )
+    PEER_DOWN = warning(
+        302,
+        'peer {peer} silent for {seconds} s',
+        'Heartbeats of a peer have stopped.',
+        'Nothing if it was stopped; else look at its log.',
+    )
+    MESSAGE_REFUSED = warning(
+        303,
+        'message from {peer} refused: {problem}',
+        'A message was malformed, too long or of another version.',
+        'Check that all entry instances run versions that fit.',
+    )
+    OWNER_TAKEN = info(
+        304,
+        'owner of cell {cell} at epoch {epoch}',
+        "This entry instance now dispatches the cell's requests.",
+        'Nothing.',
+    )
+    OWNER_LOST = warning(
+        305,
+        'no longer owner of cell {cell}: {reason}',
+        'Another owner takes over, or its evidence lapsed.',
+        'Nothing if it was stopped; else look for events 202 and 206.',
+    )
+    REPORTS_MISSING = warning(
+        306,
+        'cell {cell} epoch {epoch}: reports of {missing} missing',
+        'A new owner waits for a majority of reports.',
+        'Start the missing entry instances.',
+    )
+    REQUEST_REFUSED = info(
+        401,
+        'request {request} refused: {reason}',
+        'A caller was told that the request did not run or is unknown.',
+        'Run `primroseledge explain REQUEST` for the reason.',
+    )
+    ATTEMPT_UNKNOWN = warning(
+        402,
+        'request {request} on {upstream}: outcome unknown: {problem}',
+        'The connection broke after the request was sent.',
+        'Look at the upstream when it happens often.',
+    )
+    ANSWER_DISCARDED = warning(
+        403,
+        'answer for request {request} from {upstream} discarded: {problem}',
+        'An answer was cut short or belongs to another attempt.',
+        'Look at the upstream.',
+    )
+    UPSTREAM_FAILING = warning(
+        404,
+        'upstream {upstream} gets no requests for {seconds} s',
+        'It failed many attempts in a row.',
+        'Drain it: `primroseledge pool drain INSTANCE`.',
+    )
+    UPSTREAM_BACK = info(
+        405,
+        'upstream {upstream} gets requests again',
+        'A trial request succeeded.',
+        'Nothing.',
+    )
+    KEY_REFUSED = warning(
+        406,
+        'key id {key_id} refused for service {service}',
+        'A key is unknown, withdrawn, wrong or of another team.',
+        'Check with `primroseledge key list TEAM`.',
+    )
+    OPERATOR_REFUSED = warning(
+        407,
+        'operator request for {path} refused',
+        'An operator key was missing or wrong.',
+        'Check `operator_keys` in the settings.',
+    )
+    INSTANCE_DRAINING = info(
+        501,
+        'instance {instance} is draining',
+        'It gets no new requests; running ones finish.',
+        'Nothing.',
+    )
+    INSTANCE_RETURNED = info(
+        502,
+        'instance {instance} takes requests',
+        'It is back in its pool.',
+        'Nothing.',
+    )
+    WAVE_CHANGED = info(
+        503,
+        'wave {wave} is {state}: {reason}',
+        'A maintenance wave started, halted, resumed or ended.',
+        'See `primroseledge wave status`.',
+    )
+    WAVE_HELD = warning(
+        504,
+        'wave {wave} waits: {reason}',
+        'An availability budget leaves nothing to take away now.',
+        'Wait, or mend the instances that failed.',
+    )
+    TRACE_DROPPED = warning(
+        601,
+        '{dropped} spans dropped',
+        'Spans came faster than they could be exported.',
+        'Lower `trace.sample` or look at the endpoint.',
+    )
--- /dev/null
+++ b/src/primroseledge/logs.py
@@ -0,0 +1,76 @@
+"""Log events as JSON lines through the standard ``logging``."""
+
+from datetime import datetime
+from datetime import UTC
+from logging import Formatter
+from logging import getLogger
+from logging import Handler
+from logging import INFO
+from logging import LogRecord
+from logging import StreamHandler
+import sys
+from typing import Final
+from typing import TextIO
+
+from msgspec import json
+
+from primroseledge.events import Event
+
+LOGGER: Final = getLogger('primroseledge')
+FieldValue = str | int | float | bool | None
+
+
+def log(event: Event, **fields: FieldValue) -> None:
+    """Log an event with the fields that its template names.
+
+    A key or a body never goes into a field.
+    """
+    info = event.value
+    if not LOGGER.isEnabledFor(info.level):
+        return
+    message = info.template.format(**fields)
+    LOGGER.log(
+        info.level,
+        '%s',
+        message,
+        extra={
+            'event': info.number,
+            'event_name': event.name.lower(),
+            'event_fields': fields,
+        },
+    )
+
+
+class JsonFormatter(Formatter):
+    """Writes a record as one line of JSON."""
+
+    def format(self, record: LogRecord) -> str:
+        """Return the line; records of libraries have event 0."""
+        when = datetime.fromtimestamp(record.created, tz=UTC)
+        line = {
+            'time': when.isoformat(timespec='milliseconds'),
+            'level': record.levelname,
+            'event': getattr(record, 'event', 0),
+            'name': getattr(record, 'event_name', record.name),
+            'message': record.getMessage(),
+            'fields': getattr(record, 'event_fields', {}),
+        }
+        if record.exc_info:
+            line['error'] = self.formatException(record.exc_info)
+        return json.encode(line).decode()
+
+
+def create_handler(stream: TextIO | None = None) -> Handler:
+    """Return a handler that writes JSON lines, by default to stderr."""
+    handler = StreamHandler(stream or sys.stderr)
+    handler.setFormatter(JsonFormatter())
+    return handler
+
+
+def configure(stream: TextIO | None = None, level: int = INFO) -> Handler:
+    """Send this package's log lines to a stream; return the handler."""
+    handler = create_handler(stream)
+    LOGGER.handlers[:] = [handler]
+    LOGGER.setLevel(level)
+    LOGGER.propagate = False
+    return handler
