Keep configuration, freshness and membership as pure cores

A node needs to know which documents are in force, whether its view is new enough to act on, and which peers answer. Evidence from peers is dated by the echo of our own heartbeat, since a message may lie in a buffer for any time; only a node whose view includes a store read begun after its own start counts toward a majority, since a restarted one has forgotten what it acknowledged.

--- a/src/primroseledge/documents.py
+++ b/src/primroseledge/documents.py
@@ -17,6 +17,7 @@
 
 from primroseledge.errors import DocumentError
 from primroseledge.ids import CellId
+from primroseledge.ids import EntryId
 from primroseledge.ids import InstanceId
 from primroseledge.ids import KeyId
 from primroseledge.ids import PoolId
@@ -162,7 +163,19 @@
     instances: dict[str, Instance] = field(default_factory=dict)
 
 
-AnyDocument = Team | Service | Pool | Placement
+class Members(Document, frozen=True):
+    """The entry instances whose majority counts in a store outage."""
+
+    id: Name
+    entries: tuple[str, ...] = ()
+
+    @property
+    def entry_ids(self) -> tuple[EntryId, ...]:
+        """Return the entry instances, typed."""
+        return tuple(EntryId(entry) for entry in self.entries)
+
+
+AnyDocument = Team | Service | Pool | Placement | Members
 DocumentT = TypeVar('DocumentT', bound=Document)
 
 KINDS: dict[str, type[Document]] = {}
@@ -178,6 +191,7 @@
 kind('service', Service)
 kind('pool', Pool)
 kind('placement', Placement)
+kind('members', Members)
 
 
 def document_key(kind_name: str, document_id: str) -> str:
--- /dev/null
+++ b/src/primroseledge/membership.py
@@ -0,0 +1,267 @@
+"""Which entry instances are alive, as one of them sees it.
+
+A peer is alive while it sends heartbeats that echo one of ours not
+older than ``suspect_s``. The age of that echo grows alike when a peer
+crashed, is paused or slow, or when either direction of the link fails.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from primroseledge.freshness import NEVER
+from primroseledge.ids import CellId
+from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
+from primroseledge.ids import Incarnation
+from primroseledge.ids import Revision
+from primroseledge.messages import Echo
+from primroseledge.messages import Heartbeat
+
+HEARTBEAT_S: Final = 0.5
+SUSPECT_S: Final = 1.5
+DEAD_S: Final = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Intervals of membership, in seconds."""
+
+    heartbeat_s: float = HEARTBEAT_S
+    suspect_s: float = SUSPECT_S
+    dead_s: float = DEAD_S
+
+
+class PeerState(Enum):
+    """What a peer is to us."""
+
+    JOINING = 'joining'
+    ALIVE = 'alive'
+    SUSPECT = 'suspect'
+    DEAD = 'dead'
+    LEAVING = 'leaving'
+
+
+class ChangeKind(Enum):
+    """What happened to a peer."""
+
+    ALIVE = 'alive'
+    SUSPECTED = 'suspected'
+    DEAD = 'dead'
+    LEAVING = 'leaving'
+    NEW_INCARNATION = 'new_incarnation'
+
+
+@dataclass(frozen=True, slots=True)
+class PeerChange:
+    """One change of a peer's state, in the run that it is about."""
+
+    kind: ChangeKind
+    peer: EntryId
+    incarnation: Incarnation
+
+
+@dataclass(slots=True)
+class Peer:
+    """A peer's run as known here; times are of our own clock."""
+
+    id: EntryId
+    known_at: float
+    incarnation: Incarnation = Incarnation(0)
+    state: PeerState = PeerState.JOINING
+    last_heard: float = NEVER
+    echoed_at: float = NEVER
+    sent_at: float = NEVER
+    is_leaving: bool = False
+
+
+class Membership:
+    """The peers of one entry instance and how they are."""
+
+    def __init__(
+        self,
+        me: EntryId,
+        incarnation: Incarnation,
+        peers: Iterable[EntryId],
+        timing: Timing,
+        now: float,
+    ) -> None:
+        self.me = me
+        self.incarnation = incarnation
+        self.timing = timing
+        self.is_leaving = False
+        self.peers: dict[EntryId, Peer] = {}
+        self.changes: list[PeerChange] = []
+        self.last_tick = now
+        self.blind_until = now
+        self.set_peers(peers, now)
+
+    def set_peers(self, peers: Iterable[EntryId], now: float) -> None:
+        """Follow a new list of peers; keep what is known of the rest."""
+        wanted = {peer for peer in peers if peer != self.me}
+        for gone in self.peers.keys() - wanted:
+            del self.peers[gone]
+        for peer in sorted(wanted - self.peers.keys()):
+            self.peers[peer] = Peer(peer, now)
+
+    def hear(
+        self,
+        peer_id: EntryId,
+        incarnation: Incarnation,
+        heartbeat: Heartbeat,
+        now: float,
+    ) -> bool:
+        """Take a heartbeat; return False when it is to be dropped.
+
+        It is dropped when it is of a stranger, of an earlier run, or
+        overtaken by a later one. ``tick`` returns what changed.
+        """
+        peer = self.peers.get(peer_id)
+        if peer is None or incarnation < peer.incarnation:
+            return False
+        if incarnation > peer.incarnation:
+            self.start_run(peer, incarnation, now)
+        if heartbeat.sent_at < peer.sent_at:
+            return False
+        peer.last_heard = now
+        peer.sent_at = heartbeat.sent_at
+        peer.is_leaving = heartbeat.is_leaving
+        echo = heartbeat.echoes.get(self.me)
+        # An echo from the future is of an earlier run's clock.
+        if (
+            echo is not None
+            and echo.incarnation == self.incarnation
+            and peer.echoed_at < echo.sent_at <= now
+        ):
+            peer.echoed_at = echo.sent_at
+        self.judge(peer, now)
+        return True
+
+    def tick(self, now: float) -> list[PeerChange]:
+        """Judge all peers and return the changes since the last tick."""
+        if now - self.last_tick > self.timing.suspect_s:
+            # We were paused, so the peers' silence may be our own.
+            self.blind_until = now + self.timing.suspect_s
+        self.last_tick = now
+        for peer in self.peers.values():
+            self.judge(peer, now)
+        changes, self.changes = self.changes, []
+        return changes
+
+    def alive(self, now: float) -> tuple[EntryId, ...]:
+        """Return the live entry instances, in order of id.
+
+        This node is among them unless it is leaving, as are no peers
+        that are.
+        """
+        alive = [
+            peer.id
+            for peer in self.peers.values()
+            if peer.state is PeerState.ALIVE and self.is_in_touch(peer, now)
+        ]
+        if not self.is_leaving:
+            alive.append(self.me)
+        return tuple(sorted(alive))
+
+    def is_alive(self, peer_id: EntryId) -> bool:
+        """Return whether a peer, leaving or not, answers; we do."""
+        if peer_id == self.me:
+            return True
+        peer = self.peers.get(peer_id)
+        live_states = (PeerState.ALIVE, PeerState.LEAVING)
+        return peer is not None and peer.state in live_states
+
+    def last_heard(self, peer_id: EntryId) -> float:
+        """Return when a peer was last heard, or NEVER."""
+        peer = self.peers.get(peer_id)
+        return NEVER if peer is None else peer.last_heard
+
+    def echoed_at(self, peer_id: EntryId) -> float:
+        """Return when we sent what a peer last proved to have heard."""
+        peer = self.peers.get(peer_id)
+        return NEVER if peer is None else peer.echoed_at
+
+    def incarnation_of(self, peer_id: EntryId) -> Incarnation:
+        """Return the newest known run of a peer, 0 when unknown."""
+        peer = self.peers.get(peer_id)
+        return Incarnation(0) if peer is None else peer.incarnation
+
+    def heartbeat(
+        self,
+        now: float,
+        revision: Revision,
+        store_read_age_s: float,
+        epochs: dict[CellId, Epoch],
+        is_witness: bool,
+    ) -> Heartbeat:
+        """Return the heartbeat to send to every peer now."""
+        echoes = {
+            peer.id: Echo(peer.incarnation, peer.sent_at)
+            for peer in self.peers.values()
+            if now - peer.last_heard <= self.timing.dead_s
+        }
+        return Heartbeat(
+            revision=revision,
+            store_read_age_s=store_read_age_s,
+            is_leaving=self.is_leaving,
+            epochs=epochs,
+            sent_at=now,
+            echoes=echoes,
+            is_witness=is_witness,
+        )
+
+    def start_run(
+        self, peer: Peer, incarnation: Incarnation, now: float
+    ) -> None:
+        """Forget a peer's earlier run."""
+        is_first = peer.incarnation == 0
+        self.peers[peer.id] = peer
+        peer.known_at = now
+        peer.incarnation = incarnation
+        peer.state = PeerState.JOINING
+        peer.last_heard = peer.echoed_at = peer.sent_at = NEVER
+        if not is_first:
+            self.note(ChangeKind.NEW_INCARNATION, peer)
+
+    def judge(self, peer: Peer, now: float) -> None:
+        """Move a peer to the state that its echoes call for."""
+        if self.is_in_touch(peer, now):
+            if peer.is_leaving:
+                self.move(peer, PeerState.LEAVING, ChangeKind.LEAVING)
+            else:
+                self.move(peer, PeerState.ALIVE, ChangeKind.ALIVE)
+            return
+        if now < self.blind_until:
+            return
+        silence_s = now - max(peer.echoed_at, peer.known_at)
+        if silence_s > self.timing.dead_s:
+            self.move(peer, PeerState.DEAD, ChangeKind.DEAD)
+        elif peer.state in (PeerState.ALIVE, PeerState.LEAVING):
+            self.move(peer, PeerState.SUSPECT, ChangeKind.SUSPECTED)
+
+    def is_in_touch(self, peer: Peer, now: float) -> bool:
+        """Return whether a peer proved lately that it hears us."""
+        return now - peer.echoed_at <= self.timing.suspect_s
+
+    def move(self, peer: Peer, state: PeerState, kind: ChangeKind) -> None:
+        """Set a peer's state and note the change, if it is one."""
+        if peer.state is state:
+            return
+        peer.state = state
+        self.note(kind, peer)
+
+    def note(self, kind: ChangeKind, peer: Peer) -> None:
+        """Keep a change for the next tick."""
+        self.changes.append(PeerChange(kind, peer.id, peer.incarnation))
+
+
+def create_membership(
+    me: EntryId,
+    incarnation: Incarnation,
+    peers: Iterable[EntryId],
+    now: float,
+    timing: Timing | None = None,
+) -> Membership:
+    """Create the membership of one run of an entry instance."""
+    return Membership(me, incarnation, peers, timing or Timing(), now)
--- a/src/primroseledge/messages.py
+++ b/src/primroseledge/messages.py
@@ -41,18 +41,34 @@
     """Base of the messages between entry instances."""
 
 
+class Echo(Struct, frozen=True, array_like=True):
+    """The newest heartbeat that the sender has heard of one peer."""
+
+    incarnation: Incarnation
+    sent_at: float
+
+
 class Heartbeat(Message, frozen=True):
-    """Sent to every peer at a fixed interval.
+    """Sent to peers at a fixed interval.
 
     ``store_read_age_s`` is how long ago the sender began the newest
-    read of the store that it knows of, its own or a peer's; -1 when
-    it knows of none. ``epochs`` are the owners that the sender obeys.
+    read of the store that its revision covers, its own or a peer's;
+    -1 when it knows of none. ``epochs`` are the owners that the sender
+    obeys; a cell is left out until the sender has read its record in
+    this run. ``sent_at`` is the sender's own clock, of no meaning to
+    others but to be returned in ``echoes``: an echo proves that all
+    else in the heartbeat was said after the echoed one was sent.
+    ``is_witness`` says that the sender's view includes a read of the
+    store that began after this run of it did.
     """
 
     revision: Revision
     store_read_age_s: float
     is_leaving: bool = False
     epochs: dict[CellId, Epoch] = field(default_factory=dict)
+    sent_at: float = 0.0
+    echoes: dict[EntryId, Echo] = field(default_factory=dict)
+    is_witness: bool = False
 
 
 class ConfigChange(Struct, frozen=True, array_like=True):
