--- a/src/primroseledge/errors.py
+++ b/src/primroseledge/errors.py
@@ -35,3 +35,7 @@
 
 class OperatorError(PrimroseledgeError):
     """An operator's command cannot be carried out as given."""
+
+
+class ChartError(PrimroseledgeError):
+    """A state chart has no such state or transition."""
--- a/src/primroseledge/membership.py
+++ b/src/primroseledge/membership.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import Final
 
+from primroseledge.chart import load_chart
 from primroseledge.freshness import NEVER
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
@@ -53,6 +54,14 @@
     NEW_INCARNATION = 'new_incarnation'
 
 
+KINDS: Final = {
+    PeerState.ALIVE: ChangeKind.ALIVE,
+    PeerState.SUSPECT: ChangeKind.SUSPECTED,
+    PeerState.DEAD: ChangeKind.DEAD,
+    PeerState.LEAVING: ChangeKind.LEAVING,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class PeerChange:
     """One change of a peer's state, in the run that it is about."""
@@ -73,6 +82,7 @@
     last_heard: float = NEVER
     echoed_at: float = NEVER
     sent_at: float = NEVER
+    started_at: float = NEVER
     is_leaving: bool = False
 
 
@@ -89,7 +99,9 @@
     ) -> None:
         self.me = me
         self.incarnation = incarnation
+        self.started_at = now
         self.timing = timing
+        self.chart = load_chart('membership')
         self.is_leaving = False
         self.peers: dict[EntryId, Peer] = {}
         self.changes: list[PeerChange] = []
@@ -127,6 +139,7 @@
         peer.last_heard = now
         peer.sent_at = heartbeat.sent_at
         peer.is_leaving = heartbeat.is_leaving
+        peer.started_at = now - heartbeat.uptime_s
         echo = heartbeat.echoes.get(self.me)
         # An echo from the future is of an earlier run's clock.
         if (
@@ -182,6 +195,13 @@
         peer = self.peers.get(peer_id)
         return NEVER if peer is None else peer.echoed_at
 
+    def run_began_at(self, peer_id: EntryId) -> float:
+        """Return the latest time at which a peer's run, or ours, began."""
+        if peer_id == self.me:
+            return self.started_at
+        peer = self.peers.get(peer_id)
+        return NEVER if peer is None else peer.started_at
+
     def incarnation_of(self, peer_id: EntryId) -> Incarnation:
         """Return the newest known run of a peer, 0 when unknown."""
         peer = self.peers.get(peer_id)
@@ -194,6 +214,7 @@
         store_read_age_s: float,
         epochs: dict[CellId, Epoch],
         is_witness: bool,
+        vacant: tuple[CellId, ...] = (),
     ) -> Heartbeat:
         """Return the heartbeat to send to every peer now."""
         echoes = {
@@ -209,6 +230,8 @@
             sent_at=now,
             echoes=echoes,
             is_witness=is_witness,
+            vacant=vacant,
+            uptime_s=int(now - self.started_at),
         )
 
     def start_run(
@@ -216,10 +239,9 @@
     ) -> None:
         """Forget a peer's earlier run."""
         is_first = peer.incarnation == 0
-        self.peers[peer.id] = peer
         peer.known_at = now
         peer.incarnation = incarnation
-        peer.state = PeerState.JOINING
+        self.fire(peer, 'restarted')
         peer.last_heard = peer.echoed_at = peer.sent_at = NEVER
         if not is_first:
             self.note(ChangeKind.NEW_INCARNATION, peer)
@@ -227,29 +249,27 @@
     def judge(self, peer: Peer, now: float) -> None:
         """Move a peer to the state that its echoes call for."""
         if self.is_in_touch(peer, now):
-            if peer.is_leaving:
-                self.move(peer, PeerState.LEAVING, ChangeKind.LEAVING)
-            else:
-                self.move(peer, PeerState.ALIVE, ChangeKind.ALIVE)
+            self.move(peer, 'parting' if peer.is_leaving else 'in_touch')
             return
         if now < self.blind_until:
             return
         silence_s = now - max(peer.echoed_at, peer.known_at)
-        if silence_s > self.timing.dead_s:
-            self.move(peer, PeerState.DEAD, ChangeKind.DEAD)
-        elif peer.state in (PeerState.ALIVE, PeerState.LEAVING):
-            self.move(peer, PeerState.SUSPECT, ChangeKind.SUSPECTED)
+        self.move(peer, 'gone' if silence_s > self.timing.dead_s else 'silent')
 
     def is_in_touch(self, peer: Peer, now: float) -> bool:
         """Return whether a peer proved lately that it hears us."""
         return now - peer.echoed_at <= self.timing.suspect_s
 
-    def move(self, peer: Peer, state: PeerState, kind: ChangeKind) -> None:
-        """Set a peer's state and note the change, if it is one."""
-        if peer.state is state:
-            return
-        peer.state = state
-        self.note(kind, peer)
+    def move(self, peer: Peer, trigger: str) -> None:
+        """Move a peer along the chart and note the change, if any."""
+        before = peer.state
+        self.fire(peer, trigger)
+        if peer.state is not before:
+            self.note(KINDS[peer.state], peer)
+
+    def fire(self, peer: Peer, trigger: str) -> None:
+        """Move a peer along the chart."""
+        peer.state = PeerState(self.chart.advance(peer.state.value, trigger))
 
     def note(self, kind: ChangeKind, peer: Peer) -> None:
         """Keep a change for the next tick."""
--- a/src/primroseledge/messages.py
+++ b/src/primroseledge/messages.py
@@ -59,7 +59,9 @@
     others but to be returned in ``echoes``: an echo proves that all
     else in the heartbeat was said after the echoed one was sent.
     ``is_witness`` says that the sender's view includes a read of the
-    store that began after this run of it did.
+    store that began after this run of it did. ``vacant`` are the cells
+    whose owner the sender does not hear. ``uptime_s`` is how long this
+    run has lasted, rounded down.
     """
 
     revision: Revision
@@ -69,6 +71,8 @@
     sent_at: float = 0.0
     echoes: dict[EntryId, Echo] = field(default_factory=dict)
     is_witness: bool = False
+    vacant: tuple[CellId, ...] = ()
+    uptime_s: int = 0
 
 
 class ConfigChange(Struct, frozen=True, array_like=True):
