--- a/src/primroseledge/ownership.py
+++ b/src/primroseledge/ownership.py
@@ -34,7 +34,7 @@
 from primroseledge.ownerstate import OwnerState
 from primroseledge.recordaccess import parse_owner
 from primroseledge.recordaccess import RecordAccess
-from primroseledge.recordaccess import RETRY_S
+from primroseledge.recordaccess import RELEASE_POLL_S
 from primroseledge.store import Record
 from primroseledge.succession import Succession
 from primroseledge.takeover import INFINITY
@@ -224,7 +224,7 @@
         waits_until = self.stands_since + self.settings.release_wait_s
         is_parting = self.succession.is_leaving(self.record)
         if is_parting and not is_released and now < waits_until:
-            access.next_at = now + RETRY_S
+            access.next_at = now + RELEASE_POLL_S
             return []
         epoch = Epoch(self.epoch + 1)
         record = OwnerRecord(self.me, self.incarnation, epoch)
--- a/src/primroseledge/recordaccess.py
+++ b/src/primroseledge/recordaccess.py
@@ -20,6 +20,7 @@
 from primroseledge.store import Record
 
 RETRY_S: Final = 0.05
+RELEASE_POLL_S: Final = 0.01
 
 
 class RecordAccess:
--- a/src/primroseledge/succession.py
+++ b/src/primroseledge/succession.py
@@ -50,10 +50,15 @@
     def is_lost(
         self, record: OwnerRecord, members: tuple[EntryId, ...], now: float
     ) -> bool:
-        """Return whether a majority does not hear the owner either."""
+        """Return whether the owner is gone, and not for us alone.
+
+        That it was released or leaves is known at first hand; that it
+        is silent, a majority must find.
+        """
         if not self.is_unheard(record, now):
             return False
-        if not record.owner or record.is_released:
+        is_vacant = not record.owner or record.is_released
+        if is_vacant or self.is_leaving(record):
             return self.has_majority(members, now)
         alive = set(self.membership.alive(now))
         deaf = (self.vacancies & alive) | {self.membership.me}
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests of primroseledge."""
--- /dev/null
+++ b/tests/test_agreement_fuzz.py
@@ -0,0 +1,221 @@
+"""Stateful fuzzing of the agreement's cores against simple oracles."""
+
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import strategies
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from primroseledge.configuration import MEMBERS_KEY
+from primroseledge.documents import decode_document
+from primroseledge.errors import DocumentError
+from primroseledge.ids import EntryId
+from tests.agreement_fleet import Fleet
+from tests.agreement_node import Node
+from tests.agreement_node import RATE_SPREAD
+
+SIZE = 5
+RUNS = 200
+STEPS = 100
+RECOVERY_S = 20.0
+
+entries = strategies.integers(0, SIZE - 1).map(lambda n: EntryId(f'e{n}'))
+sides = strategies.sets(entries, min_size=1, max_size=SIZE - 1)
+teams = strategies.sampled_from(['sales', 'yard', 'berths'])
+
+
+class AgreementMachine(RuleBasedStateMachine):
+    """Faults in any order; a node's view is compared with the store's."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet(SIZE, 0)
+        self.revisions: dict[tuple[EntryId, int], int] = {}
+        self.accepted: dict[int, float] = {}
+
+    @initialize(seed=strategies.integers(0, 1000))
+    def start(self, seed: int) -> None:
+        """Begin with a fleet that has an owner."""
+        self.fleet = Fleet(SIZE, seed)
+        self.fleet.run(5.0)
+
+    @rule(seconds=strategies.sampled_from([0.01, 0.1, 0.3, 1.0]))
+    def wait(self, seconds: float) -> None:
+        self.fleet.run(seconds)
+
+    @rule(count=strategies.integers(1, 3))
+    def ask(self, count: int) -> None:
+        for node in self.fleet.nodes.values():
+            for _ in range(count):
+                node.later(0.0, node.ask)
+        self.fleet.run(0.02)
+
+    @rule(team=teams, limit=strategies.integers(-1, 9))
+    def edit(self, team: str, limit: int) -> None:
+        value = f'{{"id": "{team}", "share": 1, "limit": {limit}}}'
+        self.fleet.put(f'config/team/{team}', value)
+
+    @rule(team=teams)
+    def delete(self, team: str) -> None:
+        self.fleet.put(f'config/team/{team}', None)
+
+    @rule(cut=strategies.sets(entries), lost=strategies.booleans())
+    def fail_store(self, cut: set[EntryId], lost: bool) -> None:
+        self.fleet.faults.store_cut = cut
+        self.fleet.faults.lost_answers = 0.5 if lost else 0.0
+
+    @rule()
+    def fail_store_for_all(self) -> None:
+        self.fleet.faults.store_cut = set(self.fleet.entries)
+
+    @rule(side=sides, one_way=strategies.booleans())
+    def split(self, side: set[EntryId], one_way: bool) -> None:
+        self.fleet.split(side, one_way)
+
+    @rule()
+    def heal_network(self) -> None:
+        self.fleet.faults.cut.clear()
+
+    @rule(
+        drop=strategies.sampled_from([0.0, 0.1, 0.5]),
+        duplicate=strategies.sampled_from([0.0, 0.3]),
+        delay_s=strategies.sampled_from([0.0, 0.05, 4.0]),
+    )
+    def disturb(self, drop: float, duplicate: float, delay_s: float) -> None:
+        faults = self.fleet.faults
+        faults.drop, faults.duplicate = drop, duplicate
+        faults.delay_s = delay_s
+
+    @rule(entry=entries, seconds=strategies.sampled_from([0.2, 1.0, 3.2, 8.0]))
+    def pause(self, entry: EntryId, seconds: float) -> None:
+        self.fleet.pause(entry, seconds)
+
+    @rule(seconds=strategies.sampled_from([1.0, 3.2, 8.0]))
+    def pause_owner(self, seconds: float) -> None:
+        for node in self.fleet.owners():
+            self.fleet.pause(node.id, seconds)
+
+    @rule(entry=entries)
+    def restart(self, entry: EntryId) -> None:
+        self.fleet.restart(entry)
+
+    @rule(entry=entries)
+    def leave(self, entry: EntryId) -> None:
+        node = self.fleet.nodes[entry]
+        node.later(0.0, node.leave)
+        self.fleet.at(0.5, lambda: self.replace(node))
+
+    def replace(self, node: Node) -> None:
+        """Start the next run of a node that left."""
+        if self.fleet.nodes[node.id] is node:
+            self.fleet.restart(node.id)
+
+    @invariant()
+    def views_move_up(self) -> None:
+        for node in self.fleet.nodes.values():
+            run = (node.id, node.incarnation)
+            revision = node.configuration.revision
+            assert revision >= self.revisions.get(run, 0)
+            self.revisions[run] = revision
+
+    @invariant()
+    def views_are_the_stores(self) -> None:
+        for node in self.fleet.nodes.values():
+            check_view(self.fleet, node)
+
+    @invariant()
+    def accepted_changes_hold(self) -> None:
+        now = self.fleet.now
+        for node in self.fleet.nodes.values():
+            revision = node.configuration.revision
+            if node.is_dead or not node.is_fresh():
+                continue
+            members = node.configuration.members
+            if node.freshness.is_accepted(revision, members):
+                self.accepted.setdefault(revision, now)
+            bound = node.freshness.freshness_s * (1 + 2 * RATE_SPREAD)
+            late = [
+                accepted
+                for accepted, since in self.accepted.items()
+                if accepted > revision and now > since + bound
+            ]
+            is_awake = now >= node.paused_until
+            assert not (late and is_awake), (node.id, revision, late)
+
+    def teardown(self) -> None:
+        """Mend everything; the fleet must work again."""
+        fleet = self.fleet
+        faults = fleet.faults
+        faults.cut.clear()
+        faults.store_cut = set()
+        faults.drop = faults.duplicate = faults.delay_s = 0.0
+        faults.lost_answers = 0.0
+        for node in [*fleet.nodes.values()]:
+            node.paused_until = 0.0
+            if node.membership.is_leaving:
+                fleet.restart(node.id)
+        deadline = fleet.now + RECOVERY_S
+        while fleet.now < deadline and not self.has_recovered():
+            fleet.run(0.5)
+        assert self.has_recovered(), describe(fleet)
+
+    def has_recovered(self) -> bool:
+        """Return whether one owner acts and all have the same view."""
+        nodes = self.fleet.nodes.values()
+        revisions = {node.configuration.revision for node in nodes}
+        owners = {node.ownership.owner for node in nodes}
+        return (
+            len(self.fleet.owners()) == 1
+            and len(revisions) == len(owners) == 1
+            and all(node.is_fresh() for node in nodes)
+        )
+
+
+def check_view(fleet: Fleet, node: Node) -> None:
+    """Compare a node's documents with the store's at its revision."""
+    view = node.configuration
+    state = fleet.store.state_at('config/', view.revision)
+    assert view.good.keys() <= state.keys(), (node.id, view.good)
+    for key, value in state.items():
+        if key == MEMBERS_KEY or is_valid(key, value):
+            assert view.good[key].value == value, (node.id, key)
+            assert key not in view.rejected
+        else:
+            assert key in view.rejected, (node.id, key)
+
+
+def is_valid(key: str, value: str) -> bool:
+    """Return whether a document is one that nodes accept."""
+    try:
+        decode_document(key, value)
+    except DocumentError:
+        return False
+    return True
+
+
+def describe(fleet: Fleet) -> list[tuple[object, ...]]:
+    """Return what is to be known of a fleet that did not recover."""
+    return [
+        (
+            node.id,
+            node.ownership.state,
+            node.ownership.record,
+            node.configuration.revision,
+            node.is_fresh(),
+        )
+        for node in fleet.nodes.values()
+    ]
+
+
+TestAgreement = AgreementMachine.TestCase
+TestAgreement.settings = settings(
+    max_examples=RUNS,
+    stateful_step_count=STEPS,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    print_blob=True,
+    suppress_health_check=list(HealthCheck),
+)
