--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -114,6 +114,12 @@
     return counts.get('passed', 0), failed
 
 
+@suite('catalogue')
+def run_catalogue() -> tuple[int, int]:
+    """Check the generated pages and the words of the glossary."""
+    return check(sys.executable, '-m', 'tools.catalogue')
+
+
 def main(names: list[str]) -> int:
     """Run the named suites, or all, and return the exit code."""
     passed = failed = 0
