Order the imports of the catalogue as both linters ask

The two linters order names of a package and of its modules in different ways; importing the modules by name satisfies both.

--- a/tools/catalogue.py
+++ b/tools/catalogue.py
@@ -11,13 +11,11 @@
 from typing import Any
 from typing import Final
 
+from msgspec import inspect
 from msgspec import json
 from msgspec import NODEFAULT
 from msgspec import Struct
-from msgspec.inspect import Metadata
-from msgspec.inspect import type_info
-from msgspec.structs import FieldInfo
-from msgspec.structs import fields
+from msgspec import structs
 
 from primroseledge.events import Event
 from primroseledge.settings import Curve
@@ -113,8 +111,8 @@
         '| setting | unit | default | range | meaning |',
         '| --- | --- | --- | --- | --- |',
     ]
-    for item in fields(section):
-        info = type_info(item.type)
+    for item in structs.fields(section):
+        info = inspect.type_info(item.type)
         lines.append(
             f'| `{item.name}` | {describe_unit(item.name)} '
             f'| {describe_default(item)} | {describe_range(info)} '
@@ -125,7 +123,9 @@
 
 def describe(info: Any) -> str:
     """Return the description in a type's annotation."""
-    schema = info.extra_json_schema if isinstance(info, Metadata) else None
+    schema = (
+        info.extra_json_schema if isinstance(info, inspect.Metadata) else None
+    )
     return str((schema or {}).get('description', ''))
 
 
@@ -139,7 +139,7 @@
     return ''
 
 
-def describe_default(item: FieldInfo) -> str:
+def describe_default(item: structs.FieldInfo) -> str:
     """Return a setting's default as JSON, or that it is required."""
     if item.default is NODEFAULT:
         return '**required**'
@@ -150,7 +150,7 @@
 
 def describe_range(info: Any) -> str:
     """Return the limits of a number, length or pattern."""
-    base = info.type if isinstance(info, Metadata) else info
+    base = info.type if isinstance(info, inspect.Metadata) else info
     parts = []
     for name, text in (
         ('ge', '≥ {}'),
