--- a/src/primroseledge/errors.py
+++ b/src/primroseledge/errors.py
@@ -13,6 +13,10 @@
     """A configuration document is invalid; the text says where."""
 
 
+class UnreachableError(PrimroseledgeError):
+    """Nothing that a command asked gave an answer."""
+
+
 class StoreError(PrimroseledgeError):
     """The platform's key-value service could not do what was asked."""
 
