--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,72 @@
+"""The metrics page shows what was recorded."""
+
+from threading import Thread
+import unittest
+
+from primroseledge.ids import PoolId
+from primroseledge.ids import ServiceId
+from primroseledge.ids import TeamId
+from primroseledge.metrics import create_metrics
+from primroseledge.metrics import Direction
+from primroseledge.outcomes import Outcome
+from primroseledge.outcomes import Reason
+
+COPPER = ServiceId('copper')
+
+
+class MetricsTest(unittest.TestCase):
+    def test_page_shows_each_measure(self) -> None:
+        metrics = create_metrics()
+        metrics.request_ended(COPPER, Outcome.RAN)
+        metrics.request_ended(COPPER, Outcome.RAN)
+        metrics.request_refused(Reason.QUEUE_FULL)
+        metrics.queue_left(COPPER, 0.02)
+        metrics.store_called('read', True, 0.003)
+        metrics.peer_transferred(Direction.SENT, 120)
+        metrics.peer_transferred(Direction.SENT, 30)
+        metrics.view_changed(7, True, 2)
+        metrics.spans_lost(4)
+        metrics.buffer_held(PoolId('spare'), 3)
+        metrics.wave_ended(PoolId('copper'), 250.0)
+        metrics.instance_moved(PoolId('copper'))
+        metrics.share_measured(TeamId('sales'), 0.25)
+        page = metrics.page().decode()
+        for line in (
+            'requests_total{outcome="ran",service="copper"} 2',
+            'refusals_total{reason="queue_full"} 1',
+            'queue_wait_seconds_bucket{le="0.01",service="copper"} 0.0',
+            'queue_wait_seconds_bucket{le="0.025",service="copper"} 1.0',
+            'store_call_seconds_count{operation="read",result="ok"} 1.0',
+            'peer_bytes_total{direction="sent"} 150',
+            'revision 7',
+            'fresh 1',
+            'open_calls 2',
+            'spans_dropped 4',
+            'buffer_instances{pool="spare"} 3',
+            'rollout_seconds_sum{pool="copper"} 250.0',
+            'moves_total{pool="copper"} 1',
+            'share_distance{team="sales"} 0.25',
+        ):
+            self.assertIn(f'primroseledge_{line}\n', page)
+
+    def test_two_instances_in_one_process_do_not_share(self) -> None:
+        first, second = create_metrics(), create_metrics()
+        first.request_refused(Reason.DEADLINE)
+        self.assertNotIn('deadline', second.page().decode())
+
+    def test_page_is_whole_while_threads_record(self) -> None:
+        metrics = create_metrics()
+
+        def record(part: int) -> None:
+            for number in range(300):
+                service = ServiceId(f's{part}-{number}')
+                metrics.request_ended(service, Outcome.RAN)
+
+        threads = [Thread(target=record, args=(part,)) for part in range(3)]
+        for thread in threads:
+            thread.start()
+        for _ in range(20):
+            metrics.page()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(metrics.page().decode().count('outcome="ran"'), 900)
