Test that metrics are recorded and read under the lock

The former test raced threads and passed without the lock, so it could not fail here. The new one watches the collectors' methods and asks whether the lock is held. Seen: it fails when the lock is taken out.

--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,6 +1,6 @@
 """The metrics page shows what was recorded."""
 
-from threading import Thread
+from typing import Any
 import unittest
 
 from primroseledge.ids import PoolId
@@ -54,19 +54,39 @@
         first.request_refused(Reason.DEADLINE)
         self.assertNotIn('deadline', second.page().decode())
 
-    def test_page_is_whole_while_threads_record(self) -> None:
+    def test_threads_record_and_read_one_at_a_time(self) -> None:
         metrics = create_metrics()
+        lock = CountingLock()
+        metrics.lock = lock  # type: ignore[assignment]
+        inside = list[bool]()
+        watch(metrics.requests, 'inc', lock, inside)
+        watch(metrics.registry, 'get_all', lock, inside)
+        metrics.request_ended(COPPER, Outcome.RAN)
+        metrics.page()
+        self.assertEqual(inside, [True, True])
+
+
+class CountingLock:
+    """A lock that says whether it is held."""
+
+    def __init__(self) -> None:
+        self.is_held = False
+
+    def __enter__(self) -> None:
+        self.is_held = True
+
+    def __exit__(self, *_: object) -> None:
+        self.is_held = False
+
+
+def watch(
+    target: Any, name: str, lock: CountingLock, inside: list[bool]
+) -> None:
+    """Note on each call of a method whether the lock is held."""
+    method = getattr(target, name)
+
+    def call(*args: Any, **kwargs: Any) -> Any:
+        inside.append(lock.is_held)
+        return method(*args, **kwargs)
 
-        def record(part: int) -> None:
-            for number in range(300):
-                service = ServiceId(f's{part}-{number}')
-                metrics.request_ended(service, Outcome.RAN)
-
-        threads = [Thread(target=record, args=(part,)) for part in range(3)]
-        for thread in threads:
-            thread.start()
-        for _ in range(20):
-            metrics.page()
-        for thread in threads:
-            thread.join()
-        self.assertEqual(metrics.page().decode().count('outcome="ran"'), 900)
+    setattr(target, name, call)
