Ship one file that starts no other process

PyInstaller's one-file mode forks a child, which is not allowed. The suite 'binary' builds it and checks version, settings checks, trust and, where strace is present, that nothing is forked; without gcc it says that it did not run.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
+
+binary: $(STAMP)
+	$(BIN)/python -m tools.binary
--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -20,6 +20,8 @@
 )
 KNOWN_RED: Path = Path('KNOWN-RED.txt')
 
+BINARY_NOT_RUN: int = 77
+
 Suite = Callable[[], tuple[int, int]]
 SUITES: dict[str, Suite] = {}
 
@@ -120,6 +122,15 @@
     return check(sys.executable, '-m', 'tools.catalogue')
 
 
+@suite('binary')
+def run_binary() -> tuple[int, int]:
+    """Build the one file that ships, and check it; needs gcc."""
+    code = run(sys.executable, '-m', 'tools.binary').returncode
+    if code == BINARY_NOT_RUN:
+        return 0, 0
+    return (1, 0) if code == 0 else (0, 1)
+
+
 def main(names: list[str]) -> int:
     """Run the named suites, or all, and return the exit code."""
     passed = failed = 0
