--- a/src/primroseledge/cli_fleet.py
+++ b/src/primroseledge/cli_fleet.py
@@ -16,6 +16,7 @@
 from primroseledge.console import ENTRIES_VARIABLE
 from primroseledge.console import operator_command
 from primroseledge.errors import OperatorError
+from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import UnreachableError
 from primroseledge.exitcodes import ExitCode
 from primroseledge.rendering import Row
@@ -54,7 +55,7 @@
         try:
             page = console.fetch(url, f'/-/explain/{quote(name, safe="")}')
             rows += read_explanations(url, page)
-        except OperatorError as error:
+        except PrimroseledgeError as error:
             problems.append(str(error))
     if not rows and problems:
         raise UnreachableError('; '.join(problems))
--- a/src/primroseledge/console.py
+++ b/src/primroseledge/console.py
@@ -31,7 +31,6 @@
 from primroseledge.connections import NetworkConnections
 from primroseledge.diffs import diff_documents
 from primroseledge.documents import CONFIG_PREFIX
-from primroseledge.errors import OperatorError
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.exitcodes import code_of
 from primroseledge.exitcodes import ExitCode
@@ -141,7 +140,7 @@
         """Return an entry instance's status, None without an answer."""
         try:
             return decode_status(entry_url, self.fetch(entry_url, '/-/status'))
-        except OperatorError:
+        except PrimroseledgeError:
             return None
 
     def fetch(self, entry_url: str, path: str) -> bytes:
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -16,6 +16,7 @@
     '| --- | --- | --- |\n'
     '| team | who submits | tenant, back end |\n'
     '\nAllowed phrases: `tenant farmer`.\n'
+    'Allowed names: `Tenant`.\n'
 )
 
 
@@ -44,6 +45,14 @@
         (problem,) = find_problems(self.root)
         self.assertIn("code.py:2: 'back end' is forbidden", problem)
 
+    def test_an_allowed_name_is_no_allowed_comment(self) -> None:
+        code = self.root / 'src/primroseledge/code.py'
+        code.write_text('Tenant = 1\n# Tenant\nTenantId = 2\n')
+        self.assertEqual(
+            [line.split(' ')[0] for line in find_problems(self.root)],
+            ['code.py:2:', 'code.py:3:'],
+        )
+
     def test_names_comments_and_plurals(self) -> None:
         words = read_forbidden_words(GLOSSARY)
         for text in ('tenant_id', 'TenantId', '# two tenants', "'''Tenant'''"):
--- a/tools/glossary.py
+++ b/tools/glossary.py
@@ -14,12 +14,13 @@
 def find_forbidden_words(glossary: Path, source: Path) -> Iterator[str]:
     """Yield a line for each use of a word that the glossary forbids."""
     forbidden = read_forbidden_words(glossary.read_text())
-    allowed = read_allowed_phrases(glossary.read_text())
+    allowed = read_allowed(glossary.read_text(), 'phrases')
+    names = read_allowed(glossary.read_text(), 'names')
     for path in sorted(source.rglob('*.py')):
         with path.open('rb') as file:
             tokens = list(tokenize.tokenize(file.readline))
         for token in tokens:
-            if token.type not in CHECKED_TOKENS:
+            if token.type not in CHECKED_TOKENS or token.string in names:
                 continue
             for word, right in find_uses(token.string, forbidden, allowed):
                 yield (
@@ -41,9 +42,12 @@
     return words
 
 
-def read_allowed_phrases(text: str) -> list[str]:
-    """Return the phrases in which a forbidden word may stand."""
-    match = re.search(r'^Allowed phrases: (.*)\.$', text, re.MULTILINE)
+def read_allowed(text: str, what: str) -> list[str]:
+    """Return the phrases or names in which a forbidden word may stand.
+
+    A phrase may be part of a comment; a name is a whole identifier.
+    """
+    match = re.search(rf'^Allowed {what}: (.*)\.$', text, re.MULTILINE)
     return re.findall(r'`([^`]+)`', match[1]) if match else []
 
 
