Set the members whose majority counts from the command line

The members document decides which majority may act in an outage of the store, and nothing wrote it. 'fleet members' sets it, and refuses a change after which a majority of the old members need not meet one of the new.

--- a/src/primroseledge/cli_fleet.py
+++ b/src/primroseledge/cli_fleet.py
@@ -11,14 +11,18 @@
 from msgspec import DecodeError
 from msgspec import json
 
+from primroseledge.changes import require
 from primroseledge.connections import EntryStatus
 from primroseledge.console import Console
 from primroseledge.console import ENTRIES_VARIABLE
 from primroseledge.console import operator_command
+from primroseledge.documents import Members
 from primroseledge.errors import OperatorError
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import UnreachableError
 from primroseledge.exitcodes import ExitCode
+from primroseledge.membershipchanges import MEMBERS_ID
+from primroseledge.membershipchanges import set_members
 from primroseledge.rendering import Row
 
 
@@ -43,6 +47,18 @@
         get_current_context().exit(ExitCode.UNREACHABLE)
 
 
+@fleet.command()
+@argument('entry_ids', metavar='[ENTRY]...', nargs=-1)
+@operator_command
+def members(console: Console, entry_ids: tuple[str, ...]) -> None:
+    """Set the entry instances whose majority counts, or show them."""
+    if entry_ids:
+        console.apply(lambda fleet: set_members(fleet, entry_ids))
+    document = require(console.read_fleet(), Members, 'members', MEMBERS_ID)
+    rows = [{'entry': name} for name in document.entries]
+    console.show_table(rows, 'entry')
+
+
 @command()
 @argument('name', metavar='REQUEST_OR_JOB')
 @operator_command
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -1,6 +1,7 @@
 """Changes are checked against the whole fleet before they are written."""
 
 from collections.abc import Callable
+from itertools import combinations
 import unittest
 
 from msgspec.structs import replace
@@ -30,6 +31,9 @@
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
 from primroseledge.keys import generate_key
+from primroseledge.membershipchanges import do_majorities_meet
+from primroseledge.membershipchanges import majority
+from primroseledge.membershipchanges import set_members
 from primroseledge.placementchanges import add_instance
 from primroseledge.placementchanges import move_instance
 from primroseledge.placementchanges import set_draining
@@ -201,6 +205,30 @@
             ['mode: "run" -> "halt"'],
         )
 
+    def test_members_change_so_that_majorities_meet(self) -> None:
+        self.do(set_members(self.fleet(), ['a', 'b', 'c']))
+        self.assert_refused('one at a time', set_members, ['a', 'd', 'e'])
+        self.assert_refused('one at a time', set_members, ['a'])
+        self.do(set_members(self.fleet(), ['a', 'b', 'c', 'd']))
+        self.do(set_members(self.fleet(), ['b', 'c', 'd']))
+        self.assert_refused('twice', set_members, ['b', 'b', 'c'])
+
+    def test_majorities_that_meet_by_count_meet_by_trial(self) -> None:
+        names = 'abcde'
+        groups = [
+            set(group)
+            for size in (1, 2, 3, 4)
+            for group in combinations(names, size)
+        ]
+        for old in groups[:20]:
+            for new in groups:
+                by_trial = all(
+                    set(left) & set(right)
+                    for left in combinations(sorted(old), majority(old))
+                    for right in combinations(sorted(new), majority(new))
+                )
+                self.assertEqual(do_majorities_meet(old, new), by_trial)
+
     def test_invalid_document_in_the_store_is_told(self) -> None:
         key = 'config/team/yard'
         self.records[key] = Record(key, '{"id": 1}', Revision(1))
