--- a/src/primroseledge/keys.py
+++ b/src/primroseledge/keys.py
@@ -22,6 +22,7 @@
 SALT_BYTES: Final = 16
 DIGEST_BYTES: Final = 32
 MAX_KEY_CHARACTERS: Final = 200
+BEARER: Final = 'bearer'
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +86,14 @@
     return None
 
 
+def is_operator(records: tuple[KeyRecord, ...], authorization: str) -> bool:
+    """Say whether an ``Authorization`` header holds an operator's key."""
+    scheme, _, text = authorization.strip().partition(' ')
+    if scheme.lower() != BEARER:
+        return False
+    return find_valid_key(records, text.strip()) is not None
+
+
 def hash_secret(salt: bytes, secret: str) -> bytes:
     """Return the salted hash of a secret."""
     return blake2b(
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -10,6 +10,7 @@
 from primroseledge.keys import find_valid_key
 from primroseledge.keys import generate_key
 from primroseledge.keys import is_key_valid
+from primroseledge.keys import is_operator
 from primroseledge.keys import parse_key
 
 
@@ -22,6 +23,20 @@
         forged = f'{record.id}.{other_text.partition(".")[2]}'
         self.assertIsNone(find_valid_key((record,), forged))
 
+    def test_operator_shows_a_key_as_a_bearer(self) -> None:
+        text, record = generate_key()
+        other, _ = generate_key()
+        for header, is_allowed in (
+            (f'Bearer {text}', True),
+            (f'bearer  {text} ', True),
+            (f'Bearer {other}', False),
+            (f'Basic {text}', False),
+            (text, False),
+            ('', False),
+        ):
+            self.assertIs(is_operator((record,), header), is_allowed, header)
+        self.assertFalse(is_operator((), f'Bearer {text}'))
+
     def test_salt_makes_equal_secrets_differ(self) -> None:
         with patch('primroseledge.keys.token_hex', return_value='ab'):
             _, first = generate_key()
