Serve a request from caller to upstream through real processes

Cause: no request was served. The entry core, the dispatcher, the node, the HTTP, peer and store rims, stand-ins for store and upstream, and the demo are added. Owner choice is still the lowest live instance without an epoch, and a new owner grants before all reports are in. Conclusion: the path stands; the memory of ids has to survive the owner, which the ownership core and the dispatcher's adoption must bring.

--- /dev/null
+++ b/src/primroseledge/actions.py
@@ -0,0 +1,70 @@
+"""What the cores ask the rim to do."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from primroseledge.ids import CellId
+from primroseledge.ids import EntryId
+from primroseledge.ids import GrantId
+from primroseledge.ids import InstanceId
+from primroseledge.ids import RequestId
+from primroseledge.ids import TeamId
+from primroseledge.messages import AnyMessage
+from primroseledge.outcomes import Reason
+
+
+@dataclass(frozen=True, slots=True)
+class SendToOwner:
+    """Send a message to the owner of a cell."""
+
+    cell: CellId
+    message: AnyMessage
+
+
+@dataclass(frozen=True, slots=True)
+class SendToEntry:
+    """Send a message to one entry instance."""
+
+    entry: EntryId
+    message: AnyMessage
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """Carry a request to an upstream.
+
+    The carrier checks ``start_by``, in monotonic seconds, right before
+    it sends, and gives up ``timeout_s`` seconds after that.
+    """
+
+    handle: int
+    request_id: RequestId
+    team: TeamId
+    grant_id: GrantId
+    upstream: InstanceId
+    address: str
+    timeout_s: float
+    start_by: float
+    is_last: ClassVar[bool] = False
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Give the caller the answer that the carrier holds."""
+
+    handle: int
+    is_last: ClassVar[bool] = True
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseCall:
+    """Give the caller a refusal."""
+
+    handle: int
+    reason: Reason
+    retry_after_s: float = 1.0
+    is_last: ClassVar[bool] = True
+
+
+EntryAction = SendToOwner | StartAttempt | Deliver | RefuseCall
+Action = EntryAction | SendToEntry
--- /dev/null
+++ b/src/primroseledge/carrier.py
@@ -0,0 +1,127 @@
+"""Carries one attempt to an upstream and judges how it ended.
+
+Runs on server threads. It decides nothing: it sends what it is told
+to send and reports what it can prove.
+"""
+
+from collections.abc import Mapping
+from contextlib import ExitStack
+from dataclasses import dataclass
+from time import monotonic
+from typing import Final
+
+from urllib3._collections import HTTPHeaderDict
+from urllib3.exceptions import ConnectTimeoutError
+from urllib3.exceptions import HTTPError
+from urllib3.exceptions import NewConnectionError
+from urllib3.poolmanager import PoolManager
+from urllib3.response import BaseHTTPResponse
+from urllib3.util import Timeout
+
+from primroseledge.actions import StartAttempt
+from primroseledge.entry import AttemptEnd
+
+CONNECT_TIMEOUT_S: Final = 0.5
+REQUEST_ID_HEADER: Final = 'X-Request-Id'
+ATTEMPT_ID_HEADER: Final = 'X-Attempt-Id'
+TEAM_HEADER: Final = 'X-Team'
+EXECUTION_HEADER: Final = 'X-Execution'
+NOT_RUN_VALUE: Final = 'not-run'
+
+
+@dataclass(frozen=True, slots=True)
+class Outbound:
+    """A caller's request as it goes to an upstream."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer of an upstream."""
+
+    status: int
+    reason: str
+    headers: HTTPHeaderDict
+    body: bytes
+
+
+class Carrier:
+    """Keeps connections to upstreams and carries attempts over them."""
+
+    def __init__(self, connections: int, max_answer_bytes: int) -> None:
+        self.max_answer_bytes = max_answer_bytes
+        self.resources = ExitStack()
+        self.pool = PoolManager(
+            num_pools=256, maxsize=connections, block=False, retries=False
+        )
+        self.resources.callback(self.pool.clear)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.resources.close()
+
+    def carry(
+        self, start: StartAttempt, outbound: Outbound
+    ) -> tuple[AttemptEnd, Answer | None]:
+        """Make an attempt; return how it ended, and the answer if whole.
+
+        NOT_SENT means that no byte of the request left. REFUSED means
+        that the upstream says that it did not run it.
+        """
+        if monotonic() >= start.start_by:
+            return AttemptEnd.NOT_SENT, None
+        try:
+            response = self.send(start, outbound)
+        except (NewConnectionError, ConnectTimeoutError):
+            return AttemptEnd.NOT_SENT, None
+        except HTTPError:
+            return AttemptEnd.LOST, None
+        return self.judge(start, response)
+
+    def send(
+        self, start: StartAttempt, outbound: Outbound
+    ) -> BaseHTTPResponse:
+        """Send the request and read the whole answer."""
+        headers = dict(outbound.headers)
+        headers[REQUEST_ID_HEADER] = start.request_id
+        headers[ATTEMPT_ID_HEADER] = start.grant_id
+        headers[TEAM_HEADER] = start.team
+        return self.pool.request(
+            outbound.method,
+            f'http://{start.address}{outbound.target}',
+            body=outbound.body or None,
+            headers=headers,
+            redirect=False,
+            preload_content=False,
+            decode_content=False,
+            enforce_content_length=True,
+            timeout=Timeout(
+                connect=min(CONNECT_TIMEOUT_S, start.timeout_s),
+                total=start.timeout_s,
+            ),
+        )
+
+    def judge(
+        self, start: StartAttempt, response: BaseHTTPResponse
+    ) -> tuple[AttemptEnd, Answer | None]:
+        """Read the answer and check that it is whole and ours."""
+        try:
+            body = response.read(self.max_answer_bytes + 1)
+            is_long = len(body) > self.max_answer_bytes
+        except HTTPError:
+            response.close()
+            return AttemptEnd.LOST, None
+        is_ours = response.headers.get(ATTEMPT_ID_HEADER) == start.grant_id
+        if is_long or not is_ours:
+            response.close()
+            return AttemptEnd.BAD_ANSWER, None
+        response.release_conn()
+        if response.headers.get(EXECUTION_HEADER) == NOT_RUN_VALUE:
+            return AttemptEnd.REFUSED, None
+        return AttemptEnd.ANSWERED, Answer(
+            response.status, response.reason or '', response.headers, body
+        )
--- /dev/null
+++ b/src/primroseledge/httpserver.py
@@ -0,0 +1,249 @@
+"""The HTTP side towards callers: a WSGI application on server threads.
+
+A server thread reads a request, hands its head to the loop, and then
+does what the loop says until the caller has an answer.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+from queue import SimpleQueue
+from typing import Any
+from typing import Final
+from typing import Protocol
+
+from cheroot.wsgi import Server
+from cherrypy.process.servers import ServerAdapter
+from cherrypy.process.wspbus import Bus
+from msgspec import json
+
+from primroseledge.actions import Deliver
+from primroseledge.actions import RefuseCall
+from primroseledge.actions import StartAttempt
+from primroseledge.carrier import Answer
+from primroseledge.carrier import Carrier
+from primroseledge.carrier import Outbound
+from primroseledge.carrier import REQUEST_ID_HEADER
+from primroseledge.entry import AttemptEnd
+from primroseledge.httprequest import BadRequest
+from primroseledge.httprequest import filter_headers
+from primroseledge.httprequest import parse_head
+from primroseledge.httprequest import read_body
+from primroseledge.httprequest import RequestLimits
+from primroseledge.ids import RequestId
+from primroseledge.node import RequestHead
+from primroseledge.outcomes import Reason
+from primroseledge.outcomes import VERDICTS
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Command = StartAttempt | Deliver | RefuseCall
+PageBody = tuple[str, str, bytes]
+"""A status, a content type and a body."""
+
+OUTCOME_HEADER: Final = 'X-Outcome'
+REASON_HEADER: Final = 'X-Reason'
+
+
+@dataclass(slots=True, eq=False)
+class ServerCall:
+    """A request on a server thread, and the loop's commands to it."""
+
+    head: RequestHead
+    commands: 'SimpleQueue[Command]' = field(default_factory=SimpleQueue)
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptReport:
+    """How an attempt ended, as a server thread tells the loop."""
+
+    handle: int
+    end: AttemptEnd
+
+
+class LoopPort(Protocol):
+    """What server threads may say to the loop; safe from any thread."""
+
+    def next_handle(self) -> int:
+        """Return a number for a new call."""
+
+    def post(self, item: ServerCall | AttemptReport) -> None:
+        """Hand something to the loop."""
+
+    def page(self, path: str) -> PageBody | None:
+        """Return one of the loop's pages, None for an unknown one."""
+
+
+class Application:
+    """The WSGI application of an entry instance."""
+
+    def __init__(
+        self, loop: LoopPort, carrier: Carrier, limits: RequestLimits
+    ) -> None:
+        self.loop = loop
+        self.carrier = carrier
+        self.limits = limits
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        path = str(environ.get('PATH_INFO', ''))
+        if path.startswith('/-/'):
+            return self.serve_page(path, start_response)
+        try:
+            head = parse_head(environ, self.loop.next_handle(), self.limits)
+            body = read_body(environ, self.limits)
+        except BadRequest as error:
+            return refuse(
+                start_response,
+                RequestId(''),
+                RefuseCall(0, error.reason),
+                str(error),
+            )
+        outbound = Outbound(
+            str(environ['REQUEST_METHOD']),
+            target_of(environ, head),
+            filter_headers(environ),
+            body,
+        )
+        call = ServerCall(head)
+        self.loop.post(call)
+        return self.obey(call, outbound, start_response)
+
+    def obey(
+        self,
+        call: ServerCall,
+        outbound: Outbound,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Carry out the loop's commands until the last one."""
+        answer: Answer | None = None
+        while True:
+            command = call.commands.get()
+            if isinstance(command, StartAttempt):
+                end, answer = self.carrier.carry(command, outbound)
+                self.loop.post(AttemptReport(call.head.handle, end))
+            elif isinstance(command, RefuseCall) or answer is None:
+                refusal = (
+                    command
+                    if isinstance(command, RefuseCall)
+                    else RefuseCall(call.head.handle, Reason.BAD_ANSWER)
+                )
+                return refuse(start_response, call.head.request_id, refusal)
+            else:
+                return deliver(start_response, call.head.request_id, answer)
+
+    def serve_page(
+        self, path: str, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer with one of the loop's pages."""
+        page = self.loop.page(path)
+        if page is None:
+            page = ('404 Not Found', 'text/plain', b'no such page\n')
+        status, content_type, body = page
+        start_response(
+            status,
+            [
+                ('Content-Type', content_type),
+                ('Content-Length', str(len(body))),
+            ],
+        )
+        return [body]
+
+
+def target_of(environ: Environ, head: RequestHead) -> str:
+    """Return path and query as the upstream is to see them."""
+    raw = str(environ.get('REQUEST_URI') or environ['PATH_INFO'])
+    prefix = f'/services/{head.service}'
+    target = raw.removeprefix(prefix) or '/'
+    return target if target.startswith('/') else f'/{target}'
+
+
+def deliver(
+    start_response: StartResponse, request_id: RequestId, answer: Answer
+) -> Iterable[bytes]:
+    """Give the caller an upstream's whole answer."""
+    headers = [
+        (name, value)
+        for name, value in answer.headers.items()
+        if name.lower() not in DROPPED_ANSWER_HEADERS
+    ]
+    headers.append((REQUEST_ID_HEADER, request_id))
+    headers.append(('Content-Length', str(len(answer.body))))
+    headers.append((OUTCOME_HEADER, 'ran'))
+    start_response(f'{answer.status} {answer.reason}', headers)
+    return [answer.body]
+
+
+DROPPED_ANSWER_HEADERS: Final = frozenset(
+    {
+        'connection',
+        'content-length',
+        'keep-alive',
+        'proxy-authenticate',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-attempt-id',
+        'x-request-id',
+    }
+)
+
+
+def refuse(
+    start_response: StartResponse,
+    request_id: RequestId,
+    refusal: RefuseCall,
+    detail: str = '',
+) -> Iterable[bytes]:
+    """Tell the caller why there is no answer, and whether it ran."""
+    verdict = VERDICTS[refusal.reason]
+    body = json.encode(
+        {
+            'outcome': verdict.outcome.value,
+            'reason': refusal.reason.value,
+            'request_id': request_id,
+            'detail': detail,
+        }
+    )
+    headers = [
+        ('Content-Type', 'application/json'),
+        ('Content-Length', str(len(body))),
+        (OUTCOME_HEADER, verdict.outcome.value),
+        (REASON_HEADER, refusal.reason.value),
+        (REQUEST_ID_HEADER, request_id),
+    ]
+    if verdict.has_retry_after:
+        seconds = max(1, round(refusal.retry_after_s))
+        headers.append(('Retry-After', str(seconds)))
+    start_response(verdict.status, headers)
+    return [body]
+
+
+def create_server(
+    host: str,
+    port: int,
+    threads: int,
+    max_header_bytes: int,
+    application: Application,
+) -> Server:
+    """Return a server that listens when its adapter starts."""
+    server = Server(
+        (host, port),
+        application,
+        numthreads=threads,
+        max=threads,
+        request_queue_size=1024,
+        timeout=10,
+        shutdown_timeout=1,
+    )
+    server.max_request_header_size = max_header_bytes
+    return server
+
+
+def adapt(bus: Bus, server: Server) -> ServerAdapter:
+    """Return an adapter that runs the server under a cherrypy bus."""
+    return ServerAdapter(bus, server, server.bind_addr)
--- a/src/primroseledge/messages.py
+++ b/src/primroseledge/messages.py
@@ -123,7 +123,13 @@
 
 
 class Grant(Message, frozen=True):
-    """Lets one attempt run on one upstream."""
+    """Lets one attempt run on one upstream.
+
+    ``echo`` is ``sent_at`` of the newest heartbeat that the owner had
+    from the receiver. It bounds the grant's age by the receiver's own
+    clock, so that a receiver that was paused does not use a grant that
+    the owner has already counted as ended.
+    """
 
     cell: CellId
     epoch: Epoch
@@ -132,6 +138,7 @@
     upstream: InstanceId
     address: str
     run_limit_s: float
+    echo: float = float('-inf')
 
 
 class Refuse(Message, frozen=True):
@@ -152,6 +159,13 @@
     has_upstream_failed: bool = False
 
 
+class DoneAck(Message, frozen=True):
+    """Tells an entry instance that the owner has its Done messages."""
+
+    cell: CellId
+    grants: tuple[GrantId, ...]
+
+
 class Cancel(Message, frozen=True):
     """Withdraws a request that has not been granted."""
 
@@ -195,6 +209,7 @@
     | Grant
     | Refuse
     | Done
+    | DoneAck
     | Cancel
     | ReportRequest
     | Report
--- /dev/null
+++ b/src/primroseledge/storeclient.py
@@ -0,0 +1,167 @@
+"""The key-value service over HTTP, as a ``Store``."""
+
+from collections.abc import Sequence
+from contextlib import ExitStack
+from typing import Any
+
+from msgspec import DecodeError
+from msgspec import json
+from urllib3.exceptions import ConnectTimeoutError
+from urllib3.exceptions import HTTPError
+from urllib3.exceptions import NewConnectionError
+from urllib3.poolmanager import PoolManager
+from urllib3.util import make_headers
+from urllib3.util import Timeout
+
+from primroseledge.errors import ConflictError
+from primroseledge.errors import StoreError
+from primroseledge.errors import StoreOutcomeUnknownError
+from primroseledge.errors import StoreUnavailableError
+from primroseledge.ids import Revision
+from primroseledge.ids import WriteId
+from primroseledge.store import Record
+from primroseledge.store import Snapshot
+
+
+class HttpStore:
+    """Calls the key-value service; each call is one HTTP request.
+
+    The URLs are tried in turn for reads. A write goes to one URL, and
+    to the next only when the first could not be reached at all.
+    """
+
+    def __init__(
+        self, urls: Sequence[str], timeout_s: float, credentials: str = ''
+    ) -> None:
+        self.urls = tuple(url.rstrip('/') for url in urls)
+        self.timeout_s = timeout_s
+        self.calls = 0
+        self.resources = ExitStack()
+        headers = make_headers(basic_auth=credentials) if credentials else None
+        self.pool = PoolManager(retries=False, headers=headers)
+        self.resources.callback(self.pool.clear)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.resources.close()
+
+    def read(self, prefix: str) -> Snapshot:
+        """Return the records under a prefix."""
+        return to_snapshot(self.call('GET', 'kv', {'prefix': prefix}))
+
+    def write(
+        self,
+        key: str,
+        value: str | None,
+        expected: Revision | None,
+        write_id: WriteId,
+        lease: str | None = None,
+    ) -> Revision:
+        """Write or delete a key; see ``Store.write``."""
+        answer = self.call(
+            'POST',
+            'cas',
+            {
+                'key': key,
+                'value': value,
+                'expected': expected,
+                'write_id': write_id,
+                'lease': lease,
+            },
+        )
+        return Revision(answer['revision'])
+
+    def watch(self, prefix: str, after: Revision, wait_s: float) -> Snapshot:
+        """Wait for changes; see ``Store.watch``."""
+        fields = {'prefix': prefix, 'after': after, 'wait_s': wait_s}
+        return to_snapshot(self.call('GET', 'watch', fields, wait_s))
+
+    def grant_lease(self, ttl_s: float) -> str:
+        """Create a lease."""
+        return str(self.call('POST', 'lease', {'ttl_s': ttl_s})['lease'])
+
+    def keep_alive(self, lease: str) -> None:
+        """Renew a lease."""
+        self.call('POST', 'keepalive', {'lease': lease})
+
+    def call(
+        self,
+        method: str,
+        operation: str,
+        fields: dict[str, Any],
+        wait_s: float = 0.0,
+    ) -> Any:
+        """Make one call and return its decoded answer."""
+        self.calls += 1
+        for url in self.urls:
+            try:
+                return self.call_url(url, method, operation, fields, wait_s)
+            except StoreUnavailableError as error:
+                last = error
+        raise last
+
+    def call_url(
+        self,
+        url: str,
+        method: str,
+        operation: str,
+        fields: dict[str, Any],
+        wait_s: float,
+    ) -> Any:
+        """Make one call to one URL."""
+        is_get = method == 'GET'
+        try:
+            response = self.pool.request(
+                method,
+                f'{url}/v1/{operation}',
+                fields=fields if is_get else None,
+                body=None if is_get else json.encode(fields),
+                timeout=Timeout(
+                    connect=self.timeout_s, read=self.timeout_s + wait_s
+                ),
+            )
+            data = response.data
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise StoreUnavailableError(f'{operation}: {error}') from error
+        except HTTPError as error:
+            raise lost_answer(is_get, f'{operation}: {error}') from error
+        if response.status == 409:
+            raise ConflictError(data.decode(errors='replace'))
+        if response.status == 503:
+            raise StoreUnavailableError(f'{operation}: the store is down')
+        if response.status != 200:
+            raise StoreError(f'{operation}: status {response.status}')
+        try:
+            return json.decode(data)
+        except DecodeError as error:
+            raise lost_answer(is_get, f'{operation}: {error}') from error
+
+
+def lost_answer(is_read: bool, text: str) -> StoreError:
+    """Return the error for a call whose answer did not come whole."""
+    if is_read:
+        return StoreUnavailableError(text)
+    return StoreOutcomeUnknownError(text)
+
+
+def to_snapshot(answer: dict[str, Any]) -> Snapshot:
+    """Return the typed form of an answer with records."""
+    return Snapshot(
+        Revision(answer['revision']),
+        tuple(
+            Record(
+                record['key'],
+                record['value'],
+                Revision(record['revision']),
+                WriteId(record.get('write_id', '')),
+            )
+            for record in answer['records']
+        ),
+    )
+
+
+def open_store(
+    urls: Sequence[str], timeout_s: float, credentials: str = ''
+) -> HttpStore:
+    """Return a store client; the caller closes it."""
+    return HttpStore(urls, timeout_s, credentials)
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,170 @@
+"""A whole deployment on loopback: stand-ins and entry instances."""
+
+from contextlib import ExitStack
+from pathlib import Path
+from time import monotonic
+from time import sleep
+from typing import Any
+from typing import Final
+
+from msgspec import json
+from msgspec import structs
+from urllib3.exceptions import HTTPError
+from urllib3.poolmanager import PoolManager
+
+from primroseledge.documents import document_key
+from primroseledge.documents import encode_document
+from primroseledge.documents import Instance
+from primroseledge.documents import Members
+from primroseledge.documents import Placement
+from primroseledge.documents import Pool
+from primroseledge.documents import Service
+from primroseledge.documents import Team
+from primroseledge.ids import WriteId
+from primroseledge.keys import generate_key
+from primroseledge.storeclient import HttpStore
+from primroseledge.storeclient import open_store
+from standins.caller import Balancer
+from standins.caller import Caller
+from standins.processes import entry_settings
+from standins.processes import start_entry
+from standins.processes import start_standin
+
+SLOTS: Final = 8
+WORK_S: Final = 0.2
+ZONES: Final = ['north-1', 'north-2', 'north-3']
+READY_TIMEOUT_S: Final = 15.0
+SERVER_THREADS: Final = 100
+
+
+class Deployment:
+    """The processes of one deployment with one service."""
+
+    def __init__(
+        self,
+        resources: ExitStack,
+        folder: Path,
+        entries: int,
+        upstreams: int,
+        work_s: float = WORK_S,
+    ) -> None:
+        self.pool = PoolManager(retries=False)
+        _, self.store_port = start_standin(resources, 'standins.kvstore')
+        self.upstream_ports = [
+            start_standin(
+                resources, 'standins.upstream', str(SLOTS), str(work_s)
+            )[1]
+            for _ in range(upstreams)
+        ]
+        store_url = f'http://127.0.0.1:{self.store_port}'
+        self.store = open_store([store_url], 2.0)
+        resources.callback(self.store.close)
+        self.settings = entry_settings(
+            entries, ZONES, self.store_port, server_threads=SERVER_THREADS
+        )
+        self.entries = [
+            start_entry(resources, settings, folder)
+            for settings in self.settings
+        ]
+        self.ports = [settings['http_port'] for settings in self.settings]
+        self.caller = Caller(Balancer(self.ports), 'bulletin', 1, work_s)
+        self.key_a, record_a = generate_key()
+        self.key_b, record_b = generate_key()
+        self.key_old, record_old = generate_key()
+        self.teams = [
+            Team(id='dealers', share=2, limit=24, keys=(record_a,)),
+            Team(id='yards', share=1, limit=24, keys=(record_b, record_old)),
+        ]
+
+    def configure(self) -> None:
+        """Write the documents of the deployment."""
+        members = Members('all', tuple(s['entry_id'] for s in self.settings))
+        instances = {
+            f'yard-{number}': Instance(
+                id=f'yard-{number}',
+                pool='copper',
+                zone=ZONES[number % len(ZONES)],
+                rack=f'rack-{number}',
+                address=f'127.0.0.1:{port}',
+                slots=SLOTS,
+            )
+            for number, port in enumerate(self.upstream_ports)
+        }
+        documents: list[tuple[str, Any]] = [
+            ('members', members),
+            ('pool', Pool('copper')),
+            ('placement', Placement('0', instances)),
+            ('service', Service('bulletin', 'dealers', 'copper')),
+        ]
+        documents += [('team', team) for team in self.teams]
+        for kind, document in documents:
+            put(self.store, kind, document)
+
+    def wait_ready(self) -> None:
+        """Wait until every entry instance serves with all documents."""
+        deadline = monotonic() + READY_TIMEOUT_S
+        waiting = set(self.ports)
+        while waiting:
+            if monotonic() > deadline:
+                raise SystemExit(f'not ready in time: {waiting}')
+            waiting -= {port for port in waiting if self.is_ready(port)}
+            sleep(0.05)
+
+    def is_ready(self, port: int) -> bool:
+        """Tell whether an entry instance is ready and has its peers."""
+        try:
+            ready = self.pool.request('GET', url_of(port, '/-/ready'))
+            status = self.pool.request('GET', url_of(port, '/-/status'))
+        except HTTPError:
+            return False
+        members = json.decode(status.data).get('members', [])
+        return ready.status == 200 and len(members) == len(self.ports)
+
+    def drain(self, name: str) -> None:
+        """Mark an upstream as draining."""
+        key = document_key('placement', '0')
+        record = self.store.read(key).records[0]
+        assert record.value is not None
+        placement = json.decode(record.value, type=Placement)
+        instances = dict(placement.instances)
+        instances[name] = structs.replace(instances[name], is_draining=True)
+        put(self.store, 'placement', Placement('0', instances))
+
+    def ledgers(self) -> list[dict[str, Any]]:
+        """Return the upstreams' ledgers."""
+        return [self.ledger(port) for port in self.upstream_ports]
+
+    def ledger(self, port: int) -> dict[str, Any]:
+        """Return an upstream's ledger."""
+        response = self.pool.request('GET', url_of(port, '/ledger'))
+        ledger: dict[str, Any] = json.decode(response.data)
+        return ledger
+
+    def set_upstream_faults(self, port: int, **faults: Any) -> None:
+        """Set what is wrong with an upstream."""
+        self.pool.request(
+            'POST', url_of(port, '/faults'), body=json.encode(faults)
+        )
+
+    def set_store_faults(self, **faults: Any) -> None:
+        """Set what is wrong with the key-value service."""
+        self.pool.request(
+            'POST',
+            url_of(self.store_port, '/faults'),
+            body=json.encode(faults),
+        )
+
+    def url(self, number: int, path: str) -> str:
+        """Return a URL of an entry instance."""
+        return url_of(self.ports[number], path)
+
+
+def put(store: HttpStore, kind: str, document: Any) -> None:
+    """Write a document whatever its present revision is."""
+    key = document_key(kind, document.id)
+    store.write(key, encode_document(document), None, WriteId('demo'))
+
+
+def url_of(port: int, path: str) -> str:
+    """Return a URL on this machine."""
+    return f'http://127.0.0.1:{port}{path}'
