Take ownership by epochs into the node and split the loop from the rim

Cause: a new owner was chosen by the lowest live id, without an epoch, and watches passed the store's own counter on, so that after another key was written every later change was refused as not following. Change: the node drives the ownership cores; store calls run on threads of their own; pages, metrics and log notes are published by the loop.

--- a/src/primroseledge/actions.py
+++ b/src/primroseledge/actions.py
@@ -3,14 +3,18 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
+from primroseledge.events import Event
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import GrantId
 from primroseledge.ids import InstanceId
 from primroseledge.ids import RequestId
 from primroseledge.ids import TeamId
+from primroseledge.logs import FieldValue
 from primroseledge.messages import AnyMessage
 from primroseledge.outcomes import Reason
+from primroseledge.ownershipactions import ReadRecord
+from primroseledge.ownershipactions import WriteRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,5 +70,13 @@
     is_last: ClassVar[bool] = True
 
 
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Log an event with the fields that its template names."""
+
+    event: Event
+    fields: dict[str, FieldValue]
+
+
 EntryAction = SendToOwner | StartAttempt | Deliver | RefuseCall
-Action = EntryAction | SendToEntry
+Action = EntryAction | SendToEntry | ReadRecord | WriteRecord | Note
--- a/src/primroseledge/entry.py
+++ b/src/primroseledge/entry.py
@@ -316,6 +316,11 @@
                 actions.append(SendToOwner(done.cell, done))
         return actions
 
+    def count_calls(self) -> tuple[int, int]:
+        """Return how many calls run and how many wait."""
+        running = sum(call.grant is not None for call in self.calls.values())
+        return running, len(self.calls) - running
+
     def carried(self, cell: CellId, now: float) -> tuple[Carried, ...]:
         """Return what this instance carries for a cell, for a Report."""
         return tuple(
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -38,6 +38,7 @@
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+WsgiApplication = Callable[[Environ, StartResponse], Iterable[bytes]]
 Command = StartAttempt | Deliver | RefuseCall
 PageBody = tuple[str, str, bytes]
 """A status, a content type and a body."""
@@ -71,19 +72,24 @@
     def post(self, item: ServerCall | AttemptReport) -> None:
         """Hand something to the loop."""
 
-    def page(self, path: str) -> PageBody | None:
-        """Return one of the loop's pages, None for an unknown one."""
+
+PageFinder = Callable[[str], PageBody | None]
 
 
 class Application:
     """The WSGI application of an entry instance."""
 
     def __init__(
-        self, loop: LoopPort, carrier: Carrier, limits: RequestLimits
+        self,
+        loop: LoopPort,
+        carrier: Carrier,
+        limits: RequestLimits,
+        find_page: PageFinder,
     ) -> None:
         self.loop = loop
         self.carrier = carrier
         self.limits = limits
+        self.find_page = find_page
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -139,7 +145,7 @@
         self, path: str, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer with one of the loop's pages."""
-        page = self.loop.page(path)
+        page = self.find_page(path)
         if page is None:
             page = ('404 Not Found', 'text/plain', b'no such page\n')
         status, content_type, body = page
@@ -228,7 +234,7 @@
     port: int,
     threads: int,
     max_header_bytes: int,
-    application: Application,
+    application: WsgiApplication,
 ) -> Server:
     """Return a server that listens when its adapter starts."""
     server = Server(
--- /dev/null
+++ b/src/primroseledge/loop.py
@@ -0,0 +1,214 @@
+"""The loop: one thread that holds the node and all state.
+
+Other threads post items to it and get commands back; it alone calls
+the cores. Pages are published as whole values, so that server threads
+may read them without a lock.
+"""
+
+from collections import deque
+from itertools import count
+from math import ceil
+from os import eventfd_read
+from os import eventfd_write
+from time import monotonic
+from typing import Final
+from typing import Protocol
+
+from msgspec import json
+from zmq import Poller
+from zmq import POLLIN
+
+from primroseledge.actions import Action
+from primroseledge.actions import Deliver
+from primroseledge.actions import Note
+from primroseledge.actions import RefuseCall
+from primroseledge.actions import SendToEntry
+from primroseledge.actions import SendToOwner
+from primroseledge.actions import StartAttempt
+from primroseledge.events import Event
+from primroseledge.httpserver import AttemptReport
+from primroseledge.httpserver import ServerCall
+from primroseledge.logs import log
+from primroseledge.metrics import Direction
+from primroseledge.metrics import Metrics
+from primroseledge.node import Node
+from primroseledge.outcomes import Outcome
+from primroseledge.outcomes import VERDICTS
+from primroseledge.ownershipactions import ReadRecord
+from primroseledge.ownershipactions import WriteRecord
+from primroseledge.peerlink import PeerLink
+
+TICK_S: Final = 0.05
+
+
+class Result(Protocol):
+    """What another thread found out, to be taken by the node."""
+
+    def deliver(self, node: Node, now: float) -> list[Action]:
+        """Give the result to the node."""
+
+
+class RecordWorker(Protocol):
+    """Carries out reads and writes of the store on its own thread."""
+
+    def submit(self, step: ReadRecord | WriteRecord) -> None:
+        """Queue a call; its result is posted to the loop."""
+
+
+Item = ServerCall | AttemptReport | Result
+
+
+class Loop:
+    """Runs the node: events in, actions out."""
+
+    def __init__(
+        self, node: Node, link: PeerLink, wake_fd: int, metrics: Metrics
+    ) -> None:
+        self.node = node
+        self.link = link
+        self.wake_fd = wake_fd
+        self.metrics = metrics
+        self.worker: RecordWorker | None = None
+        self.inbox: deque[Item] = deque()
+        self.calls: dict[int, ServerCall] = {}
+        self.handles = count(1)
+        self.is_running = True
+        self.stop_requested_s: float | None = None
+        self.stop_at: float | None = None
+        self.status = b'{}'
+        self.is_ready = False
+        self.is_watcher = True
+        self.was_fresh = False
+        self.stale_since = monotonic()
+        self.counted_bytes = (0, 0)
+
+    def next_handle(self) -> int:
+        """Return a number for a new call; any thread may call it."""
+        return next(self.handles)
+
+    def post(self, item: Item) -> None:
+        """Hand an item to the loop; any thread may call it."""
+        self.inbox.append(item)
+        eventfd_write(self.wake_fd, 1)
+
+    def request_stop(self, grace_s: float) -> None:
+        """Ask for a graceful shutdown; a signal handler may call it."""
+        self.stop_requested_s = grace_s
+        eventfd_write(self.wake_fd, 1)
+
+    def run(self) -> None:
+        """Run until the shutdown is complete."""
+        poller = Poller()
+        poller.register(self.link.router, POLLIN)
+        poller.register(self.wake_fd, POLLIN)
+        next_tick = 0.0
+        while self.is_running:
+            wait_s = max(0.0, next_tick - monotonic())
+            ready = dict(poller.poll(ceil(wait_s * 1000)))
+            if self.wake_fd in ready:
+                eventfd_read(self.wake_fd)
+            self.take_messages()
+            self.take_items()
+            if monotonic() >= next_tick:
+                self.tick()
+                next_tick = monotonic() + TICK_S
+
+    def take_messages(self) -> None:
+        """Take what peers have sent."""
+        for envelope in self.link.receive():
+            self.perform(self.node.received(envelope, monotonic()))
+
+    def take_items(self) -> None:
+        """Take what other threads have posted."""
+        while self.inbox:
+            item = self.inbox.popleft()
+            now = monotonic()
+            if isinstance(item, ServerCall):
+                self.calls[item.head.handle] = item
+                self.perform(self.node.request(item.head, now))
+            elif isinstance(item, AttemptReport):
+                self.perform(
+                    self.node.attempt_ended(item.handle, item.end, now)
+                )
+            else:
+                self.perform(item.deliver(self.node, now))
+
+    def tick(self) -> None:
+        """Let the node do what the time asks for, and publish its state."""
+        now = monotonic()
+        self.begin_stop(now)
+        self.perform(self.node.tick(now))
+        self.publish(now)
+        if self.stop_at is not None and (
+            not self.node.has_work() or now >= self.stop_at
+        ):
+            self.is_running = False
+
+    def begin_stop(self, now: float) -> None:
+        """Begin a graceful shutdown when one was asked for."""
+        if self.stop_requested_s is None or self.stop_at is not None:
+            return
+        self.stop_at = now + self.stop_requested_s
+        running, queued = self.node.entry.count_calls()
+        log(Event.STOPPING, running=running, queued=queued)
+        self.perform(self.node.leave(now))
+
+    def publish(self, now: float) -> None:
+        """Publish pages and metrics."""
+        node = self.node
+        is_fresh = node.is_fresh(now)
+        self.note_freshness(is_fresh, now)
+        self.is_ready = is_fresh and not node.is_leaving
+        self.is_watcher = node.is_watcher(now)
+        self.status = json.encode(node.status(now))
+        self.metrics.view_changed(
+            node.configuration.revision, is_fresh, len(self.calls)
+        )
+        sent, received = self.link.total_bytes()
+        sent_before, received_before = self.counted_bytes
+        self.metrics.peer_transferred(Direction.SENT, sent - sent_before)
+        self.metrics.peer_transferred(
+            Direction.RECEIVED, received - received_before
+        )
+        self.counted_bytes = (sent, received)
+
+    def note_freshness(self, is_fresh: bool, now: float) -> None:
+        """Log when the view stops or begins to be fresh."""
+        if is_fresh == self.was_fresh:
+            return
+        self.was_fresh = is_fresh
+        if is_fresh:
+            revision = self.node.configuration.revision
+            log(Event.FRESH, revision=revision)
+            return
+        log(Event.STALE, seconds=round(now - self.stale_since, 1))
+
+    def perform(self, actions: list[Action]) -> None:
+        """Carry out the node's actions."""
+        for action in actions:
+            if isinstance(action, SendToEntry):
+                self.link.send(
+                    action.entry, self.node.envelope(action.message)
+                )
+            elif isinstance(action, ReadRecord | WriteRecord):
+                if self.worker is not None:
+                    self.worker.submit(action)
+            elif isinstance(action, Note):
+                log(action.event, **action.fields)
+            elif not isinstance(action, SendToOwner):
+                self.command(action)
+
+    def command(self, action: StartAttempt | Deliver | RefuseCall) -> None:
+        """Tell a server thread what to do next."""
+        call = self.calls.get(action.handle)
+        if call is None:
+            return
+        if isinstance(action, RefuseCall):
+            self.metrics.request_refused(action.reason)
+            outcome = VERDICTS[action.reason].outcome
+            self.metrics.request_ended(call.head.service, outcome)
+        elif isinstance(action, Deliver):
+            self.metrics.request_ended(call.head.service, Outcome.RAN)
+        if action.is_last:
+            del self.calls[action.handle]
+        call.commands.put(action)
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -6,9 +6,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
-from typing import TypeVar
+from typing import Any
+from typing import Final
 
 from msgspec import Struct
 
@@ -17,8 +19,8 @@
 from primroseledge.actions import SendToEntry
 from primroseledge.actions import SendToOwner
 from primroseledge.configuration import Configuration
+from primroseledge.constants import RUN_MARGIN_S
 from primroseledge.dispatcher import Dispatcher
-from primroseledge.documents import DEFAULT_CELL
 from primroseledge.documents import Service
 from primroseledge.entry import Arrival
 from primroseledge.entry import AttemptEnd
@@ -34,26 +36,26 @@
 from primroseledge.ids import Revision
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
+from primroseledge.ids import ZoneId
 from primroseledge.keyring import Keyring
 from primroseledge.membership import create_membership
 from primroseledge.membership import Membership
 from primroseledge.membership import Timing
 from primroseledge.messages import AnyMessage
-from primroseledge.messages import Ask
-from primroseledge.messages import Cancel
 from primroseledge.messages import ConfigDelta
-from primroseledge.messages import ConfigPull
-from primroseledge.messages import Done
-from primroseledge.messages import DoneAck
 from primroseledge.messages import Envelope
-from primroseledge.messages import Grant
-from primroseledge.messages import Heartbeat
 from primroseledge.messages import Message
 from primroseledge.messages import PROTOCOL_VERSION
-from primroseledge.messages import Refuse
-from primroseledge.messages import Report
-from primroseledge.messages import ReportRequest
 from primroseledge.outcomes import Reason
+from primroseledge.ownership import create_ownership
+from primroseledge.ownership import Ownership
+from primroseledge.ownershipactions import OwnershipAction
+from primroseledge.ownershipactions import WriteRecord
+from primroseledge.ownershipactions import WriteResult
+from primroseledge.ownershipsettings import OwnershipSettings
+from primroseledge.store import Record
+
+WATCHERS_PER_ZONE: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,8 +98,11 @@
     entry: EntryCore
     membership: Membership
     freshness: Freshness
+    zone: ZoneId
+    peer_zones: dict[EntryId, ZoneId]
+    ownership_settings: OwnershipSettings
+    ownerships: dict[CellId, Ownership] = field(default_factory=dict)
     dispatchers: dict[CellId, Dispatcher] = field(default_factory=dict)
-    owners: dict[CellId, EntryId] = field(default_factory=dict)
     heartbeat_due: float = 0.0
     is_leaving: bool = False
 
@@ -158,15 +163,27 @@
         self.freshness.note_read(
             begun_at, delta.upto, self.configuration.revision
         )
-        return self.dispatch_all(now) if applied.is_applied else []
+        if not applied.is_applied:
+            return []
+        pushed = [] if delta.is_whole else self.to_peers(delta)
+        return pushed + self.dispatch_all(now)
 
     def dispatch_all(self, now: float) -> list[Action]:
-        """Let each dispatcher act on what may have changed."""
+        """Let each dispatcher that may act do what is due."""
         actions: list[Action] = []
-        for dispatcher in self.dispatchers.values():
-            actions += self.settle(dispatcher.tick(now), now)
+        for cell in self.dispatchers:
+            dispatcher = self.acting_dispatcher(cell, now)
+            if dispatcher is not None:
+                actions += self.settle(dispatcher.tick(now), now)
         return actions
 
+    def acting_dispatcher(self, cell: CellId, now: float) -> Dispatcher | None:
+        """Return a cell's dispatcher if this node may act as its owner."""
+        ownership = self.ownerships.get(cell)
+        if ownership is None or not ownership.may_act(now):
+            return None
+        return self.dispatchers.get(cell) if self.is_fresh(now) else None
+
     def received(self, envelope: Envelope, now: float) -> list[Action]:
         """Take a message of another entry instance."""
         known = self.membership.incarnation_of(envelope.sender)
@@ -176,7 +193,7 @@
 
     def handle(self, envelope: Envelope, now: float) -> list[Action]:
         """Give a message to the core that it is for."""
-        handler = HANDLERS.get(type(envelope.body))
+        handler = MESSAGE_HANDLERS.get(type(envelope.body))
         return [] if handler is None else handler(self, envelope, now)
 
     def settle(self, actions: Iterable[Action], now: float) -> list[Action]:
@@ -186,8 +203,8 @@
         while queue:
             action = queue.pop(0)
             if isinstance(action, SendToOwner):
-                owner = self.owners.get(action.cell)
-                if owner is None:
+                owner = self.owner_of(action.cell)
+                if not owner:
                     continue
                 action = SendToEntry(owner, action.message)
             if not isinstance(action, SendToEntry):
@@ -204,30 +221,143 @@
             PROTOCOL_VERSION, self.entry_id, self.incarnation, message
         )
 
+    def owner_of(self, cell: CellId) -> EntryId:
+        """Return whom this node takes for a cell's owner, or an empty id."""
+        ownership = self.ownerships.get(cell)
+        return EntryId('') if ownership is None else ownership.owner
+
     def tick(self, now: float) -> list[Action]:
         """Do what the time asks for."""
-        self.membership.is_leaving = self.is_leaving
         self.membership.tick(now)
-        actions = self.heartbeat(now)
-        actions += self.choose_owner(now)
+        actions = self.tick_ownerships(now)
+        if now >= self.heartbeat_due:
+            actions += self.heartbeat(now)
         actions += self.settle(self.entry.tick(now), now)
         return actions + self.dispatch_all(now)
 
+    def tick_ownerships(self, now: float) -> list[Action]:
+        """Let the core of each cell do what is due."""
+        cells = {
+            CellId(service.cell)
+            for service in self.configuration.services.values()
+        }
+        for cell in cells - self.ownerships.keys():
+            self.ownerships[cell] = create_ownership(
+                cell, self.membership, self.ownership_settings
+            )
+        actions: list[Action] = []
+        for cell, ownership in self.ownerships.items():
+            ownership.longest_run_s = self.longest_run_s(cell)
+            steps = ownership.tick(now, self.configuration.members)
+            actions += self.follow(steps, now)
+        return actions
+
+    def longest_run_s(self, cell: CellId) -> float:
+        """Return the longest run limit of a cell's services, in seconds."""
+        limits = [
+            service.run_limit_s
+            for service in self.configuration.services.values()
+            if service.cell == cell
+        ]
+        return max(limits, default=0.0) + RUN_MARGIN_S
+
+    def follow(
+        self, steps: Iterable[OwnershipAction], now: float
+    ) -> list[Action]:
+        """Carry out what the ownership cores ask for."""
+        actions: list[Action] = []
+        for step in steps:
+            handler = OWNERSHIP_HANDLERS.get(type(step))
+            if handler is not None:
+                actions += self.settle(handler(self, step, now), now)
+        return actions
+
+    def record_read(
+        self,
+        cell: CellId,
+        record: Record | None,
+        began_at: float,
+        now: float,
+    ) -> list[Action]:
+        """Take a cell's record as the store thread read it."""
+        steps = self.ownerships[cell].on_read(record, began_at, now)
+        return self.follow(steps, now)
+
+    def record_read_failed(self, cell: CellId) -> None:
+        """Take a failed read of a cell's record."""
+        self.ownerships[cell].on_read_failed()
+
+    def record_written(
+        self,
+        write: WriteRecord,
+        result: WriteResult,
+        revision: Revision,
+        now: float,
+    ) -> list[Action]:
+        """Take the result of a write of a cell's record."""
+        steps = self.ownerships[write.cell].on_write(
+            write.write_id, result, revision, now
+        )
+        return self.follow(steps, now)
+
+    def leave(self, now: float) -> list[Action]:
+        """Begin a graceful shutdown: take nothing new, hand cells on."""
+        self.is_leaving = self.membership.is_leaving = True
+        self.entry.is_stopping = True
+        actions: list[Action] = []
+        for ownership in self.ownerships.values():
+            actions += self.follow(ownership.leave(now), now)
+        return actions + self.heartbeat(now)
+
     def heartbeat(self, now: float) -> list[Action]:
-        """Return the heartbeats that are due."""
-        if now < self.heartbeat_due:
-            return []
+        """Return a heartbeat to every peer."""
         self.heartbeat_due = now + self.membership.timing.heartbeat_s
+        epochs: dict[CellId, Epoch] = {}
+        vacant: tuple[CellId, ...] = ()
+        for ownership in self.ownerships.values():
+            epochs |= ownership.stated_epochs
+            vacant += ownership.stated_vacant(now)
         heartbeat = self.membership.heartbeat(
             now,
             self.configuration.revision,
             self.freshness.store_read_age_s(now),
-            {},
+            epochs,
             self.freshness.is_witness,
+            vacant,
         )
         for dispatcher in self.dispatchers.values():
             dispatcher.heard(self.entry_id, now)
-        return [SendToEntry(peer, heartbeat) for peer in self.membership.peers]
+        return self.to_peers(heartbeat)
+
+    def has_work(self) -> bool:
+        """Tell whether a graceful shutdown has something to wait for.
+
+        That is a call in hand, or a cell whose release is not written.
+        """
+        return bool(self.entry.calls) or any(
+            ownership.access.pending is not None
+            for ownership in self.ownerships.values()
+        )
+
+    def to_peers(self, message: AnyMessage) -> list[Action]:
+        """Return the sending of a message to every peer."""
+        return [SendToEntry(peer, message) for peer in self.membership.peers]
+
+    def is_watcher(self, now: float) -> bool:
+        """Tell whether this node is to watch the store for its zone.
+
+        The first two live entry instances of an availability zone do;
+        so does a node that is alone or has no configuration yet.
+        """
+        if not self.configuration.revision:
+            return True
+        neighbours = [
+            entry
+            for entry in self.membership.alive(now)
+            if entry == self.entry_id
+            or self.peer_zones.get(entry) == self.zone
+        ]
+        return self.entry_id in neighbours[:WATCHERS_PER_ZONE]
 
     def status(self, now: float) -> Status:
         """Return what the status page shows."""
@@ -236,193 +366,25 @@
             revision=self.configuration.revision,
             members=list(self.membership.alive(now)),
             fresh=self.is_fresh(now),
-            owners=dict(self.owners),
+            owners={
+                cell: ownership.owner
+                for cell, ownership in self.ownerships.items()
+            },
             open_calls=len(self.entry.calls),
         )
 
-    def choose_owner(self, now: float) -> list[Action]:
-        """Follow the lowest live entry instance as the owner."""
-        owner = min(self.membership.alive(now), default=None)
-        if owner is None or owner == self.owners.get(DEFAULT_CELL):
-            return []
-        self.owners[DEFAULT_CELL] = owner
-        if owner == self.entry_id:
-            return self.take_cell(DEFAULT_CELL, now)
-        self.dispatchers.pop(DEFAULT_CELL, None)
-        return self.settle(self.entry.owner_changed(DEFAULT_CELL, now), now)
-
-    def take_cell(self, cell: CellId, now: float) -> list[Action]:
-        """Begin to own a cell."""
-        epoch = Epoch(self.incarnation)
-        dispatcher = Dispatcher(cell, epoch, self.configuration)
-        dispatcher.heard(self.entry_id, now)
-        for peer in self.membership.peers.values():
-            dispatcher.heard(peer.id, peer.sent_at)
-        dispatcher.adopt(self.entry_id, self.entry.carried(cell, now), now)
-        self.dispatchers[cell] = dispatcher
-        request = ReportRequest(cell, epoch)
-        actions: list[Action] = [
-            SendToEntry(peer, request) for peer in self.membership.peers
-        ]
-        actions += self.entry.owner_changed(cell, now)
-        return self.settle(actions, now)
-
-
-Handler = Callable[[Node, Envelope, float], list[Action]]
-HANDLERS: dict[type[Message], Handler] = {}
-MessageT = TypeVar('MessageT', bound=Message)
-TypedHandler = Callable[[Node, Envelope, MessageT, float], list[Action]]
-
-
-def handles(
-    message_type: type[MessageT],
-) -> Callable[[TypedHandler[MessageT]], TypedHandler[MessageT]]:
-    """Register what a node does with a type of message."""
-
-    def register(handler: TypedHandler[MessageT]) -> TypedHandler[MessageT]:
-        def handle(node: Node, envelope: Envelope, now: float) -> list[Action]:
-            assert isinstance(envelope.body, message_type)
-            return handler(node, envelope, envelope.body, now)
-
-        HANDLERS[message_type] = handle
-        return handler
-
-    return register
-
-
-@handles(Heartbeat)
-def handle_heartbeat(
-    node: Node, envelope: Envelope, message: Heartbeat, now: float
-) -> list[Action]:
-    """Note what a peer knows, and pull what it knows more."""
-    peer = envelope.sender
-    if not node.membership.hear(peer, envelope.incarnation, message, now):
-        return []
-    node.freshness.note_heartbeat(
-        peer,
-        envelope.incarnation,
-        message,
-        node.membership.echoed_at(peer),
-    )
-    for dispatcher in node.dispatchers.values():
-        dispatcher.heard(peer, message.sent_at)
-    if message.revision > node.configuration.revision:
-        pull = ConfigPull(node.configuration.revision)
-        return [SendToEntry(peer, pull)]
-    return []
-
-
-@handles(ConfigPull)
-def handle_pull(
-    node: Node, envelope: Envelope, message: ConfigPull, now: float
-) -> list[Action]:
-    """Send a peer the changes that it lacks."""
-    delta = node.configuration.delta_after(message.after)
-    return [SendToEntry(envelope.sender, delta)]
-
-
-@handles(ConfigDelta)
-def handle_delta(
-    node: Node, envelope: Envelope, message: ConfigDelta, now: float
-) -> list[Action]:
-    """Apply a peer's changes."""
-    applied = node.configuration.apply(message)
-    node.freshness.note_revision(node.configuration.revision)
-    if applied.needs_pull:
-        pull = ConfigPull(node.configuration.revision)
-        return [SendToEntry(envelope.sender, pull)]
-    return node.dispatch_all(now) if applied.is_applied else []
-
-
-@handles(Ask)
-def handle_ask(
-    node: Node, envelope: Envelope, message: Ask, now: float
-) -> list[Action]:
-    """Queue a request when this node owns its cell."""
-    dispatcher = node.dispatchers.get(message.cell)
-    if dispatcher is None:
-        return []
-    return [*dispatcher.asked(envelope.sender, message, now)]
-
-
-@handles(Done)
-def handle_done(
-    node: Node, envelope: Envelope, message: Done, now: float
-) -> list[Action]:
-    """Count an attempt's end when this node owns its cell."""
-    dispatcher = node.dispatchers.get(message.cell)
-    if dispatcher is None:
-        return []
-    return [*dispatcher.done(envelope.sender, message, now)]
-
-
-@handles(Cancel)
-def handle_cancel(
-    node: Node, envelope: Envelope, message: Cancel, now: float
-) -> list[Action]:
-    """Take a request out of the queue."""
-    dispatcher = node.dispatchers.get(message.cell)
-    if dispatcher is not None:
-        dispatcher.cancelled(message)
-    return []
-
-
-@handles(ReportRequest)
-def handle_report_request(
-    node: Node, envelope: Envelope, message: ReportRequest, now: float
-) -> list[Action]:
-    """Tell a new owner what is carried here, and ask it from now on."""
-    node.owners[message.cell] = envelope.sender
-    report = Report(
-        message.cell, message.epoch, node.entry.carried(message.cell, now)
-    )
-    return [
-        SendToEntry(envelope.sender, report),
-        *node.entry.owner_changed(message.cell, now),
-    ]
-
-
-@handles(Report)
-def handle_report(
-    node: Node, envelope: Envelope, message: Report, now: float
-) -> list[Action]:
-    """Count what another instance carries."""
-    dispatcher = node.dispatchers.get(message.cell)
-    if dispatcher is not None and dispatcher.epoch == message.epoch:
-        dispatcher.adopt(envelope.sender, message.carried, now)
-    return []
-
-
-@handles(Grant)
-def handle_grant(
-    node: Node, envelope: Envelope, message: Grant, now: float
-) -> list[Action]:
-    """Start the attempt that a grant allows."""
-    return [*node.entry.granted(message, now)]
-
-
-@handles(Refuse)
-def handle_refuse(
-    node: Node, envelope: Envelope, message: Refuse, now: float
-) -> list[Action]:
-    """Refuse a call as the owner says."""
-    return [*node.entry.refused(message, now)]
-
 
-@handles(DoneAck)
-def handle_done_ack(
-    node: Node, envelope: Envelope, message: DoneAck, now: float
-) -> list[Action]:
-    """Forget what the owner has."""
-    node.entry.acknowledged(message)
-    return []
+MessageHandler = Callable[[Node, Envelope, float], list[Action]]
+StepHandler = Callable[[Node, Any, float], list[Action]]
+OWNERSHIP_HANDLERS: dict[type[OwnershipAction], StepHandler] = {}
+MESSAGE_HANDLERS: dict[type[Message], MessageHandler] = {}
 
 
 def create_node(
     entry_id: EntryId,
     incarnation: Incarnation,
-    zone: str,
-    peers: Iterable[EntryId],
+    zone: ZoneId,
+    peer_zones: Mapping[EntryId, ZoneId],
     timing: Timing,
     freshness_s: float,
     retry_ratio: float,
@@ -437,7 +399,10 @@
         keyring=Keyring(configuration),
         entry=EntryCore(entry_id, incarnation, zone, RetryBudget(retry_ratio)),
         membership=create_membership(
-            entry_id, incarnation, peers, now, timing
+            entry_id, incarnation, peer_zones, now, timing
         ),
+        zone=zone,
+        peer_zones=dict(peer_zones),
+        ownership_settings=OwnershipSettings(freshness_s=freshness_s),
         freshness=create_freshness(entry_id, now, freshness_s),
     )
--- a/src/primroseledge/peerlink.py
+++ b/src/primroseledge/peerlink.py
@@ -93,6 +93,14 @@
             counts.received_bytes += len(frames[-1])
             yield envelope
 
+    def total_bytes(self) -> tuple[int, int]:
+        """Return the bytes sent and received over all links."""
+        counts = [*self.counts.values(), self.strangers]
+        return (
+            sum(count.sent_bytes for count in counts),
+            sum(count.received_bytes for count in counts),
+        )
+
     def close(self) -> None:
         """Close all sockets."""
         self.resources.close()
