Encrypt peer links, end a failed loop truthfully, drive the demo by CLI

Cause: links between entry instances were open to any sender, a defect in the loop left callers waiting without an answer, and the demo wrote documents past the command line.

--- a/src/primroseledge/daemon.py
+++ b/src/primroseledge/daemon.py
@@ -39,6 +39,7 @@
 
 MAX_ANSWER_BYTES: Final = 16_000_000
 PAGE_THREADS: Final = 2
+EXIT_LOOP_FAILED: Final = 70
 SUSPECT_HEARTBEATS: Final = 4
 DEAD_HEARTBEATS: Final = 8
 
@@ -59,13 +60,26 @@
                 number,
                 lambda *_: loop.request_stop(settings.graceful_timeout_s),
             )
-        loop.run()
+        left = run_loop(loop)
     log(
         Event.STOPPED,
         seconds=round(monotonic() - began_at, 1),
-        left=len(loop.calls),
+        left=left,
     )
-    return 0
+    return 0 if loop.has_ended_well else EXIT_LOOP_FAILED
+
+
+def run_loop(loop: Loop) -> int:
+    """Run the loop to its end; return how many calls were left."""
+    try:
+        loop.run()
+    except Exception as error:
+        # Callers get a true answer even when the loop has a defect.
+        log(Event.LOOP_FAILED, problem=f'{type(error).__name__}: {error}')
+        loop.has_ended_well = False
+    left = len(loop.calls)
+    loop.abandon()
+    return left
 
 
 def create_loop(
@@ -74,7 +88,7 @@
     """Create the loop with its node and its links to peers."""
     wake_fd = eventfd(0)
     resources.callback(close, wake_fd)
-    link = open_link(settings.peer_host, settings.peer_port)
+    link = open_link(settings.peer_host, settings.peer_port, settings.curve)
     resources.callback(link.close)
     for peer in settings.peers:
         if peer.id != settings.entry_id:
--- a/src/primroseledge/loop.py
+++ b/src/primroseledge/loop.py
@@ -33,6 +33,7 @@
 from primroseledge.metrics import Metrics
 from primroseledge.node import Node
 from primroseledge.outcomes import Outcome
+from primroseledge.outcomes import Reason
 from primroseledge.outcomes import VERDICTS
 from primroseledge.ownershipactions import ReadRecord
 from primroseledge.ownershipactions import WriteRecord
@@ -73,6 +74,7 @@
         self.calls: dict[int, ServerCall] = {}
         self.handles = count(1)
         self.is_running = True
+        self.has_ended_well = True
         self.stop_requested_s: float | None = None
         self.stop_at: float | None = None
         self.status = b'{}'
@@ -113,6 +115,21 @@
                 self.tick()
                 next_tick = monotonic() + TICK_S
 
+    def abandon(self) -> None:
+        """Refuse every call in hand, since the loop has ended.
+
+        What was handed to an upstream may have run; the rest did not.
+        """
+        running = {
+            call.arrival.handle
+            for call in self.node.entry.calls.values()
+            if call.grant is not None
+        }
+        for handle in list(self.calls):
+            is_running = handle in running
+            reason = Reason.ANSWER_LOST if is_running else Reason.STOPPING
+            self.command(RefuseCall(handle, reason))
+
     def take_messages(self) -> None:
         """Take what peers have sent."""
         for envelope in self.link.receive():
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -23,12 +23,11 @@
 from typing import Any
 
 from msgspec import json
-from msgspec import structs
 
 from standins.caller import Sent
 from standins.caller import Told
 from standins.deployment import Deployment
-from standins.deployment import put
+from standins.operator import Operator
 
 ENTRIES = 3
 UPSTREAMS = 5
@@ -70,7 +69,7 @@
 
     def run(self) -> dict[str, Any]:
         """Run the whole demo and return its result."""
-        self.deployment.configure()
+        Operator(self.deployment).configure()
         self.deployment.wait_ready()
         say(f'{ENTRIES} entry instances are ready; {REQUESTS} requests')
         with ThreadPoolExecutor(CALLERS + 1) as executor:
@@ -117,16 +116,13 @@
         """Withdraw a key, drain an upstream and kill an instance."""
         self.wait_for(WITHDRAW_AT)
         say('withdrawing a key of team yards')
-        yards = self.deployment.teams[1]
-        put(
-            self.deployment.store,
-            'team',
-            structs.replace(yards, keys=yards.keys[:1]),
-        )
+        key_id = self.deployment.key_old.partition('.')[0]
+        operator = Operator(self.deployment)
+        operator.run('key', 'withdraw', 'yards', key_id)
         self.withdrawn_at = monotonic()
         self.wait_for(DRAIN_AT)
         say('draining upstream yard-4')
-        self.deployment.drain('yard-4')
+        operator.run('pool', 'drain', 'yard-4')
         self.drained_at = monotonic()
         self.wait_for(KILL_AT)
         say('killing entry-0')
