Run the whole command line with python -m primroseledge

The module's entry point ran the daemon only, whatever was asked. It now runs the command line, which checks the settings first and exits with code 2 when they are wrong.

--- a/src/primroseledge/__main__.py
+++ b/src/primroseledge/__main__.py
@@ -1,11 +1,6 @@
 """Run the command line with ``python -m primroseledge``."""
 
-import sys
-
-from primroseledge.daemon import run
-from primroseledge.logs import configure
-from primroseledge.settings import load
+from primroseledge.cli import main
 
 if __name__ == '__main__':
-    configure()
-    sys.exit(run(load(sys.argv[3])))
+    main(prog_name='primroseledge')
