Say that nothing was written, and show nested fields by path

Tried against real daemons, a store that is down gave no word on the write, and a service's budget was shown as raw text. Errors of the store now say that nothing was written, tables show nested fields by their paths, and a scenario runs the commands against the stand-in in another process, with lost answers and an outage.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -43,3 +43,13 @@
     When the operator withdraws that key
     Then the operator is told "accepted" with exit code 0
     And the store holds nothing of the operator's key
+
+  Scenario: The command line over the network
+    Given the operator uses a store in another process
+    And the operator's store loses its next 2 answers after the writes
+    When the operator sets team "yard" with share 3 and limit 4
+    Then the operator is told "accepted" with exit code 0
+    And the operator's store holds team "yard" with share 3
+    Given the operator's store is down
+    When the operator sets team "yard" with share 5 and limit 4
+    Then the operator is refused with "nothing was written" and exit code 4
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -7,10 +7,14 @@
 from behave import given
 from behave import then
 from behave import when
+from click.testing import CliRunner
 from msgspec import json
+from urllib3 import PoolManager
 
+from primroseledge.cli import main
 from primroseledge.documents import encode_document
 from primroseledge.documents import Service
+from standins.processes import start_standin
 from tests.fakeconnections import FakeConnections
 from tests.fakestore import LOST_AFTER
 from tests.fakestore import LOST_BEFORE
@@ -22,6 +26,18 @@
     context.result = context.fleet.run(*arguments, '--output', 'json')
 
 
+def run_over_network(context: Any, *arguments: str) -> None:
+    store = ('--store', context.store_url, '--output', 'json')
+    context.result = CliRunner().invoke(main, [*arguments, *store])
+
+
+def set_store_faults(context: Any, **faults: Any) -> None:
+    with PoolManager(retries=False) as pool:
+        url = f'{context.store_url}/faults'
+        answer = pool.request('POST', url, body=json.encode(faults))
+        assert answer.status == 200, answer.status
+
+
 def write_document(context: Any, queue_limit: int) -> None:
     service = Service(
         id='copper', team='sales', pool='copper', queue_limit=queue_limit
@@ -134,3 +150,31 @@
     team = context.fleet.store.records['config/team/sales'].value
     for part in context.key.split('.'):
         assert part not in team, team
+
+
+@given('the operator uses a store in another process')
+def step_network(context: Any) -> None:
+    _, port = start_standin(context.resources, 'standins.kvstore')
+    context.store_url = f'http://127.0.0.1:{port}'
+
+
+@given("the operator's store loses its next {n:d} answers after the writes")
+def step_store_loses(context: Any, n: int) -> None:
+    set_store_faults(context, lose_answers=n)
+
+
+@given("the operator's store is down")
+def step_store_down(context: Any) -> None:
+    set_store_faults(context, is_down=True)
+
+
+@when('the operator sets team "{team}" with share {n:d} and limit {m:d}')
+def step_set_team(context: Any, team: str, n: int, m: int) -> None:
+    numbers = ('--share', str(n), '--limit', str(m))
+    run_over_network(context, 'team', 'set', team, *numbers)
+
+
+@then('the operator\'s store holds team "{team}" with share {n:d}')
+def step_holds_team(context: Any, team: str, n: int) -> None:
+    run_over_network(context, 'team', 'show', team)
+    assert json.decode(context.result.stdout)['share'] == n
--- a/src/primroseledge/cli_service.py
+++ b/src/primroseledge/cli_service.py
@@ -81,7 +81,8 @@
     fleet = console.read_fleet()
     document = require(fleet, Service, 'service', service_id)
     key = document_key('service', service_id)
-    console.show({**to_builtins(document), 'revision': fleet.revision_of(key)})
+    row = {**to_builtins(document), 'revision': fleet.revision_of(key)}
+    console.show(row)
 
 
 @service.command('list')
--- a/src/primroseledge/console.py
+++ b/src/primroseledge/console.py
@@ -32,6 +32,7 @@
 from primroseledge.diffs import diff_documents
 from primroseledge.documents import CONFIG_PREFIX
 from primroseledge.errors import PrimroseledgeError
+from primroseledge.errors import StoreError
 from primroseledge.exitcodes import code_of
 from primroseledge.exitcodes import ExitCode
 from primroseledge.exitcodes import RESULT_CODES
@@ -53,6 +54,8 @@
 STORE_VARIABLE: Final = 'PRIMROSELEDGE_STORE'
 ENTRIES_VARIABLE: Final = 'PRIMROSELEDGE_ENTRIES'
 CREDENTIALS_VARIABLE: Final = 'PRIMROSELEDGE_STORE_CREDENTIALS'
+USER_VARIABLE: Final = 'USER'
+UNKNOWN_USER: Final = 'unknown'
 OPERATOR_KEY_VARIABLE: Final = 'PRIMROSELEDGE_OPERATOR_KEY'
 
 NEXT_STEPS: Final = {
@@ -104,7 +107,8 @@
         with self.open_store() as store:
             change = build(read_fleet(store.read(CONFIG_PREFIX)))
             author = Author(
-                environ.get('USER', ''), self.connections.wall_clock()
+                environ.get(USER_VARIABLE, UNKNOWN_USER),
+                self.connections.wall_clock(),
             )
             write_id = WriteId(token_hex(16))
             applied = apply_change(store, change, write_id, author, self.pause)
@@ -253,6 +257,9 @@
     """Print an error of this package in one line and exit."""
     try:
         yield
+    except StoreError as error:
+        echo(f'primroseledge: {error}; nothing was written', err=True)
+        get_current_context().exit(ExitCode.UNREACHABLE)
     except PrimroseledgeError as error:
         echo(f'primroseledge: {error}', err=True)
         get_current_context().exit(code_of(error))
--- a/src/primroseledge/exitcodes.py
+++ b/src/primroseledge/exitcodes.py
@@ -7,7 +7,6 @@
 from primroseledge.errors import DocumentError
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import SettingsError
-from primroseledge.errors import StoreError
 from primroseledge.errors import UnreachableError
 
 
@@ -33,7 +32,6 @@
 ERROR_CODES: Final[dict[type[PrimroseledgeError], ExitCode]] = {
     SettingsError: ExitCode.USAGE,
     DocumentError: ExitCode.USAGE,
-    StoreError: ExitCode.UNREACHABLE,
     UnreachableError: ExitCode.UNREACHABLE,
 }
 
--- a/src/primroseledge/rendering.py
+++ b/src/primroseledge/rendering.py
@@ -1,5 +1,6 @@
 """Results of commands as text: a table for people, or JSON."""
 
+from collections.abc import Iterator
 from collections.abc import Sequence
 from enum import Enum
 from typing import Any
@@ -17,9 +18,13 @@
 
 
 def render_row(row: Row, output: Output) -> str:
-    """Return one result; a list takes one line for each item."""
+    """Return one result; a list takes one line for each item.
+
+    A table shows the fields of a nested value by their paths.
+    """
     if output is Output.JSON:
         return json.encode(row).decode()
+    row = dict(flatten_row(row))
     width = max(len(name) for name in row)
     lines = []
     for name, value in row.items():
@@ -30,6 +35,16 @@
     return '\n'.join(lines)
 
 
+def flatten_row(row: Row) -> Iterator[tuple[str, Any]]:
+    """Yield fields, those of nested values by their paths."""
+    for name, value in row.items():
+        if isinstance(value, dict):
+            for inner, item in flatten_row(value):
+                yield f'{name}.{inner}', item
+        else:
+            yield name, value
+
+
 def render_table(
     rows: Sequence[Row], columns: Sequence[str], output: Output
 ) -> str:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -50,6 +50,13 @@
         self.assertEqual(first['by'], 'ann')
         self.assertIn('pool: absent -> "copper"', first['changes'])
 
+    def test_nested_fields_are_shown_by_path(self) -> None:
+        self.run_json('service', 'apply', self.write_service())
+        shown = self.run_json('service', 'show', 'copper')
+        self.assertEqual(shown['budget']['unavailable'], 1)
+        result = self.fleet.run('service', 'show', 'copper')
+        self.assertRegex(result.stdout, r'budget\.unavailable: +1\n')
+
     def test_wrong_document_writes_nothing(self) -> None:
         before = self.fleet.store.revision
         for changes, code, text in (
