--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,7 @@
 
 binary: $(STAMP)
 	$(BIN)/python -m tools.binary
+
+.PHONY: tour
+tour: $(STAMP)
+	$(BIN)/python -m tools.tour
