Take secrets of keys out of every log line and span

Keys must never be logged or traced, and a library's error may quote a header. Explanations are a typed message.

--- a/src/primroseledge/cli_fleet.py
+++ b/src/primroseledge/cli_fleet.py
@@ -1,6 +1,5 @@
 """Commands about the fleet as the entry instances see it."""
 
-from typing import Any
 from urllib.parse import quote
 
 from click import argument
@@ -8,10 +7,10 @@
 from click import get_current_context
 from click import group
 from click import UsageError
-from msgspec import DecodeError
-from msgspec import json
+from msgspec import to_builtins
 
 from primroseledge.changes import require
+from primroseledge.connections import decode_explanations
 from primroseledge.connections import EntryStatus
 from primroseledge.console import Console
 from primroseledge.console import ENTRIES_VARIABLE
@@ -70,7 +69,10 @@
     for url in console.entries:
         try:
             page = console.fetch(url, f'/-/explain/{quote(name, safe="")}')
-            rows += read_explanations(url, page)
+            rows += [
+                {'entry': url, **to_builtins(item)}
+                for item in decode_explanations(url, page)
+            ]
         except PrimroseledgeError as error:
             problems.append(str(error))
     if not rows and problems:
@@ -105,12 +107,3 @@
         'owners': [f'{cell}={name}' for cell, name in item.owners.items()],
         'calls': item.open_calls,
     }
-
-
-def read_explanations(url: str, page: bytes) -> list[Row]:
-    """Decode a list of explanations; raises OperatorError."""
-    try:
-        found: Any = json.decode(page, type=list[dict[str, Any]])
-    except DecodeError as error:
-        raise OperatorError(f'{url}: {error}') from error
-    return [{'entry': url, **item} for item in found]
--- a/src/primroseledge/connections.py
+++ b/src/primroseledge/connections.py
@@ -29,6 +29,13 @@
     open_calls: int = 0
 
 
+class RequestExplanation(Struct, frozen=True):
+    """What ``/-/explain/ID`` says of a request or job, one of a list."""
+
+    state: str
+    explanation: str
+
+
 class Connections(Protocol):
     """Opens what a command needs; tests hand in their own."""
 
@@ -102,3 +109,11 @@
         return json.decode(data, type=EntryStatus)
     except (ValidationError, DecodeError) as error:
         raise OperatorError(f'{url}: {error}') from error
+
+
+def decode_explanations(url: str, data: bytes) -> list[RequestExplanation]:
+    """Decode a page of explanations; raises OperatorError."""
+    try:
+        return json.decode(data, type=list[RequestExplanation])
+    except (ValidationError, DecodeError) as error:
+        raise OperatorError(f'{url}: {error}') from error
--- a/src/primroseledge/keys.py
+++ b/src/primroseledge/keys.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 from hashlib import blake2b
 from hmac import compare_digest
+import re
 from secrets import token_bytes
 from secrets import token_hex
 from typing import Final
@@ -23,6 +24,9 @@
 DIGEST_BYTES: Final = 32
 MAX_KEY_CHARACTERS: Final = 200
 BEARER: Final = 'bearer'
+KEY_PATTERN: Final = re.compile(
+    rf'\b([0-9a-f]{{{2 * KEY_ID_BYTES}}})\.[0-9a-f]{{{2 * SECRET_BYTES}}}\b'
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +98,11 @@
     return find_valid_key(records, text.strip()) is not None
 
 
+def redact_keys(text: str) -> str:
+    """Replace the secret of each key in a text that leaves the process."""
+    return KEY_PATTERN.sub(r'\1.<hidden>', text)
+
+
 def hash_secret(salt: bytes, secret: str) -> bytes:
     """Return the salted hash of a secret."""
     return blake2b(
--- a/src/primroseledge/logs.py
+++ b/src/primroseledge/logs.py
@@ -15,6 +15,7 @@
 from msgspec import json
 
 from primroseledge.events import Event
+from primroseledge.keys import redact_keys
 
 LOGGER: Final = getLogger('primroseledge')
 FieldValue = str | int | float | bool | None
@@ -42,7 +43,7 @@
 
 
 class JsonFormatter(Formatter):
-    """Writes a record as one line of JSON."""
+    """Writes a record as one line of JSON, without secrets of keys."""
 
     def format(self, record: LogRecord) -> str:
         """Return the line; records of libraries have event 0."""
@@ -57,7 +58,7 @@
         }
         if record.exc_info:
             line['error'] = self.formatException(record.exc_info)
-        return json.encode(line).decode()
+        return redact_keys(json.encode(line).decode())
 
 
 def create_handler(stream: TextIO | None = None) -> Handler:
--- a/src/primroseledge/spanexport.py
+++ b/src/primroseledge/spanexport.py
@@ -18,6 +18,7 @@
 from urllib3 import PoolManager
 
 from primroseledge import __version__
+from primroseledge.keys import redact_keys
 from primroseledge.settings import Trace
 
 BATCH_SPANS: Final = 256
@@ -140,7 +141,8 @@
     def export_batch(self, spans: list[ReadableSpan]) -> None:
         """Export one batch; one that fails is dropped and counted."""
         try:
-            self.exporter.export(encode_batch(self.resource, spans))
+            batch = encode_batch(self.resource, spans).decode()
+            self.exporter.export(redact_keys(batch).encode())
         except Exception:
             # No fault of an exporter may end the thread.
             self.dropped += len(spans)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -6,6 +6,7 @@
 from msgspec import json
 
 from primroseledge.events import Event
+from primroseledge.keys import generate_key
 from primroseledge.logs import configure
 from primroseledge.logs import log
 from primroseledge.logs import LOGGER
@@ -40,6 +41,17 @@
         (text,) = self.stream.getvalue().splitlines()
         self.assertIn('ValueError', json.decode(text)['error'])
 
+    def test_secret_of_a_key_is_in_no_line(self) -> None:
+        text, record = generate_key()
+        log(Event.KEY_REFUSED, key_id=text, service='copper')
+        try:
+            raise ValueError(f'Authorization: Bearer {text}')
+        except ValueError:
+            LOGGER.exception('failed with %s', text)
+        shown = self.stream.getvalue()
+        self.assertNotIn(text.partition('.')[2], shown)
+        self.assertEqual(shown.count(f'{record.id}.<hidden>'), 4)
+
     def test_missing_field_is_an_error(self) -> None:
         with self.assertRaises(KeyError):
             log(Event.READY)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -8,6 +8,7 @@
 from msgspec import json
 from msgspec.structs import replace
 
+from primroseledge.keys import generate_key
 from primroseledge.settings import Trace
 from primroseledge.spanexport import FileExporter
 from primroseledge.trace import create_tracing
@@ -112,6 +113,14 @@
         tracing.close()
         self.assertEqual(tracing.dropped, 1)
 
+    def test_secret_of_a_key_is_in_no_span(self) -> None:
+        tracing = self.open()
+        text, _ = generate_key()
+        tracing.begin(Hop.CALLER_EDGE, SAMPLED, path=f'/x?key={text}').end()
+        tracing.close()
+        self.assertIn('<hidden>', self.path.read_text())
+        self.assertNotIn(text.partition('.')[2], self.path.read_text())
+
     def test_file_is_bounded(self) -> None:
         exporter = FileExporter(str(self.path), max_bytes=100)
         for _ in range(50):
