--- a/src/primroseledge/__main__.py
+++ b/src/primroseledge/__main__.py
@@ -3,4 +3,4 @@
 from primroseledge.cli import main
 
 if __name__ == '__main__':
-    main(prog_name='primroseledge')
+    main()
