Split the owner's work and count each attempt until its end is proved

Cause: the dispatcher scanned every instance for a grant, forgot ids and the work of dead entry instances at a takeover, and returned the refusal of a full upstream to the caller. Change: grants, limits, slots, queue, memory of ids and the health of upstreams are modules of their own, indexed; a new epoch is opened with reports, a hand-over and what unreported instances may carry; a refused attempt is asked again with pauses.

--- a/src/primroseledge/carrier.py
+++ b/src/primroseledge/carrier.py
@@ -19,7 +19,7 @@
 from urllib3.util import Timeout
 
 from primroseledge.actions import StartAttempt
-from primroseledge.entry import AttemptEnd
+from primroseledge.attemptend import AttemptEnd
 
 CONNECT_TIMEOUT_S: Final = 0.5
 REQUEST_ID_HEADER: Final = 'X-Request-Id'
@@ -27,6 +27,7 @@
 TEAM_HEADER: Final = 'X-Team'
 EXECUTION_HEADER: Final = 'X-Execution'
 NOT_RUN_VALUE: Final = 'not-run'
+FIRST_FAILURE_STATUS: Final = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,11 +70,11 @@
     ) -> tuple[AttemptEnd, Answer | None]:
         """Make an attempt; return how it ended, and the answer if whole.
 
-        NOT_SENT means that no byte of the request left. REFUSED means
-        that the upstream says that it did not run it.
+        NOT_SENT and TOO_LATE mean that no byte of the request left,
+        REFUSED that the upstream says that it did not run it.
         """
         if monotonic() >= start.start_by:
-            return AttemptEnd.NOT_SENT, None
+            return AttemptEnd.TOO_LATE, None
         try:
             response = self.send(start, outbound)
         except (NewConnectionError, ConnectTimeoutError):
@@ -122,6 +123,9 @@
         response.release_conn()
         if response.headers.get(EXECUTION_HEADER) == NOT_RUN_VALUE:
             return AttemptEnd.REFUSED, None
-        return AttemptEnd.ANSWERED, Answer(
+        end = AttemptEnd.ANSWERED
+        if response.status >= FIRST_FAILURE_STATUS:
+            end = AttemptEnd.FAILED
+        return end, Answer(
             response.status, response.reason or '', response.headers, body
         )
--- a/src/primroseledge/dispatcher.py
+++ b/src/primroseledge/dispatcher.py
@@ -5,23 +5,27 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Final
 
 from primroseledge.actions import SendToEntry
+from primroseledge.admission import Admission
 from primroseledge.configuration import Configuration
 from primroseledge.constants import GRANT_VALID_S
-from primroseledge.constants import MIN_ATTEMPT_S
 from primroseledge.constants import RUN_MARGIN_S
 from primroseledge.documents import Instance
+from primroseledge.documents import Service
+from primroseledge.fairqueue import Waiting
+from primroseledge.grantledger import Running
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import GrantId
-from primroseledge.ids import InstanceId
-from primroseledge.ids import RequestId
-from primroseledge.ids import ServiceId
+from primroseledge.ids import PoolId
 from primroseledge.ids import TeamId
+from primroseledge.limits import TeamLimits
 from primroseledge.messages import Ask
 from primroseledge.messages import Cancel
 from primroseledge.messages import Carried
@@ -29,189 +33,237 @@
 from primroseledge.messages import DoneAck
 from primroseledge.messages import EndState
 from primroseledge.messages import Grant
-from primroseledge.messages import Refuse
-from primroseledge.outcomes import Reason
+from primroseledge.messages import Handover
+from primroseledge.messages import Report
+from primroseledge.requestmemory import RequestMemory
+from primroseledge.runningwork import RunningWork
+from primroseledge.slots import Slots
+from primroseledge.upstreamhealth import UpstreamHealth
 
-
-@dataclass(slots=True)
-class Waiting:
-    """A request in the queue."""
-
-    entry: EntryId
-    ask: Ask
-    deadline: float
-
-
-@dataclass(slots=True)
-class Running:
-    """A granted attempt; it counts until it is proved ended."""
-
-    entry: EntryId
-    ask_id: str
-    request_id: RequestId
-    team: TeamId
-    service: ServiceId
-    upstream: InstanceId
-    is_idempotent: bool
-    expires_at: float
+MAX_ECHO_AGE_S: Final = 1.0
+"""An entry instance not heard for so long gets no grant."""
 
 
 @dataclass(slots=True)
 class Dispatcher:
-    """Decides, for one cell and one epoch, which request runs where."""
+    """Decides, for one cell and one epoch, which request runs where.
+
+    While it is not open it queues and grants nothing.
+    """
 
     cell: CellId
     epoch: Epoch
     configuration: Configuration
-    waiting: dict[ServiceId, dict[TeamId, dict[str, Waiting]]] = field(
+    work: RunningWork
+    admission: Admission
+    health: UpstreamHealth
+    is_open: bool = True
+    echoes: dict[EntryId, float] = field(default_factory=dict)
+    heard_at: dict[EntryId, float] = field(default_factory=dict)
+    pending: dict[str, tuple[EntryId, Ask, float]] = field(
         default_factory=dict
     )
-    grants: dict[GrantId, Running] = field(default_factory=dict)
-    granted_asks: dict[str, Grant] = field(default_factory=dict)
-    running: dict[TeamId, int] = field(default_factory=dict)
-    used: dict[InstanceId, int] = field(default_factory=dict)
-    leaving: set[InstanceId] = field(default_factory=set)
-    executed: dict[RequestId, Reason] = field(default_factory=dict)
-    echoes: dict[EntryId, float] = field(default_factory=dict)
     counter: int = 0
+    now: float = 0.0
+
+    def begin(
+        self,
+        reports: Mapping[EntryId, Report],
+        unreported: Iterable[EntryId],
+        quarantine_until: float,
+        now: float,
+        wall: float,
+    ) -> list[SendToEntry]:
+        """Start to grant, with what the entry instances reported.
+
+        ``unreported`` may carry more than is reported, until
+        ``quarantine_until``. ``wall`` is the wall-clock time of ``now``.
+        """
+        self.now = now
+        self.work.wall_offset_s = wall - now
+        for entry, report in reports.items():
+            self.adopt(entry, report.carried, now)
+        if not self.work.take_over(self.epoch, reports.values(), now):
+            self.work.memory.lose(wall)
+        self.work.limits.hold_back(len(set(unreported)), quarantine_until)
+        return self.open(now)
+
+    def open(self, now: float) -> list[SendToEntry]:
+        """Start to grant, and take what was asked until now."""
+        self.is_open = True
+        pending, self.pending = self.pending, {}
+        actions: list[SendToEntry] = []
+        for entry, ask, asked_at in pending.values():
+            remaining_s = ask.remaining_s - (now - asked_at)
+            actions += self.admission.enqueue(entry, ask, remaining_s, now)
+        return actions + self.dispatch_all(now)
+
+    def close(self) -> None:
+        """Stop granting for good; only ``hand_over`` is of use then."""
+        self.is_open = False
+
+    def hand_over(self, now: float) -> Handover:
+        """Return all that the next owner needs; stop granting."""
+        self.close()
+        return self.work.hand_over(self.epoch, now)
 
     def adopt(
         self, entry: EntryId, carried: Iterable[Carried], now: float
     ) -> None:
         """Count what an entry instance reports that it carries."""
-        for item in carried:
-            running = Running(
-                entry=entry,
-                ask_id='',
-                request_id=item.request_id,
-                team=item.team,
-                service=item.service,
-                upstream=item.upstream,
-                is_idempotent=item.is_idempotent,
-                expires_at=now + item.remaining_s + RUN_MARGIN_S,
-            )
-            self.start(item.grant_id, running)
+        self.work.adopt(entry, carried, now)
 
     def asked(self, entry: EntryId, ask: Ask, now: float) -> list[SendToEntry]:
         """Queue a request, or answer at once what is already known."""
-        if ask.ask_id in self.granted_asks:
-            return [SendToEntry(entry, self.granted_asks[ask.ask_id])]
+        self.now = max(self.now, now)
+        if not self.is_open:
+            self.pending[ask.ask_id] = entry, ask, now
+            return []
+        granted = self.work.ledger.by_ask.get(ask.ask_id)
+        if granted is not None:
+            return [SendToEntry(entry, granted)]
+        actions = self.admission.enqueue(entry, ask, ask.remaining_s, now)
         service = self.configuration.services.get(ask.service)
         if service is None:
-            return [self.refuse(entry, ask, Reason.NO_SERVICE)]
-        if not ask.is_idempotent and ask.request_id in self.executed:
-            reason = self.executed[ask.request_id]
-            return [self.refuse(entry, ask, reason)]
-        queue = self.waiting.setdefault(ask.service, {})
-        team_queue = queue.setdefault(ask.team, {})
-        is_known = ask.ask_id in team_queue
-        length = sum(len(asks) for asks in queue.values())
-        if not is_known and length >= service.queue_limit:
-            return [self.refuse(entry, ask, Reason.QUEUE_FULL)]
-        remaining = min(ask.remaining_s, service.queue_wait_s)
-        if not is_known:
-            team_queue[ask.ask_id] = Waiting(entry, ask, now + remaining)
-        return self.dispatch(ask.service, now)
-
-    def refuse(self, entry: EntryId, ask: Ask, reason: Reason) -> SendToEntry:
-        """Return a refusal of a request."""
-        return SendToEntry(entry, Refuse(self.cell, ask.ask_id, reason))
+            return actions
+        return actions + self.dispatch(PoolId(service.pool), now)
 
     def cancelled(self, cancel: Cancel) -> None:
         """Take a request out of the queue."""
-        for queue in self.waiting.values():
-            for team_queue in queue.values():
-                team_queue.pop(cancel.ask_id, None)
+        self.admission.queue.remove(cancel.ask_id)
+        self.pending.pop(cancel.ask_id, None)
 
     def done(
         self, entry: EntryId, done: Done, now: float
     ) -> list[SendToEntry]:
-        """Count an attempt's end and fill its slot."""
+        """Count an attempt's end and fill its slot.
+
+        Before it is open the end is not acknowledged, since the report
+        that names the attempt may not have been counted.
+        """
+        self.now = max(self.now, now)
+        if not self.is_open:
+            return []
         ack = DoneAck(self.cell, (done.grant_id,))
         actions = [SendToEntry(entry, ack)]
-        running = self.grants.get(done.grant_id)
-        if running is None:
+        running = self.work.ledger.grants.get(done.grant_id)
+        if running is None or running.is_unknown:
             return actions
-        if done.end is EndState.UNKNOWN:
-            self.remember(running, Reason.MEMORY_LOST)
+        self.health.judge(running, done, now)
+        if not self.work.end(done.grant_id, done.end, now):
             return actions
-        self.stop(done.grant_id)
-        if done.end is EndState.ENDED:
-            self.remember(running, Reason.ALREADY_RAN)
-        else:
-            self.executed.pop(running.request_id, None)
-        for service in list(self.waiting):
-            actions += self.dispatch(service, now)
+        if done.end is EndState.ENDED and running.granted_at is not None:
+            self.admission.note_run(running.service, now - running.granted_at)
+        return actions + self.dispatch_after(running, now)
+
+    def dispatch_after(self, ended: Running, now: float) -> list[SendToEntry]:
+        """Fill the slot that an attempt left, and its team's room."""
+        instance = self.configuration.instances.get(ended.upstream)
+        if instance is None or self.is_pinched(ended):
+            return self.dispatch_all(now)
+        return self.dispatch(PoolId(instance.pool), now)
+
+    def is_pinched(self, ended: Running) -> bool:
+        """Tell whether a limit, not slots, may have held the team up."""
+        document = self.configuration.teams.get(ended.team)
+        if document is None:
+            return True
+        limits = self.work.limits
+        counted = limits.running.get(ended.team, 0)
+        counted += limits.hidden.get(ended.team, 0)
+        # Another service of the team can have waited for this room or
+        # for that of the entry instance.
+        was_full = counted + 1 >= document.limit
+        carried = limits.carried.get((ended.team, ended.entry), 0)
+        return was_full or carried + 1 >= limits.cap(ended.team)
+
+    def dispatch_all(self, now: float) -> list[SendToEntry]:
+        """Grant what waits, in all pools."""
+        services = self.configuration.services
+        pools = {
+            PoolId(services[service].pool): None
+            for service in self.admission.queue.services
+            if service in services
+        }
+        actions: list[SendToEntry] = []
+        for pool in pools:
+            actions += self.dispatch(pool, now)
         return actions
 
-    def remember(self, running: Running, reason: Reason) -> None:
-        """Remember what became of a non-idempotent request."""
-        if not running.is_idempotent:
-            self.executed[running.request_id] = reason
-
-    def start(self, grant_id: GrantId, running: Running) -> None:
-        """Count a granted attempt."""
-        self.grants[grant_id] = running
-        self.running[running.team] = self.running.get(running.team, 0) + 1
-        self.used[running.upstream] = self.used.get(running.upstream, 0) + 1
-        self.remember(running, Reason.IN_PROGRESS)
-
-    def stop(self, grant_id: GrantId) -> None:
-        """Count an attempt as ended."""
-        running = self.grants.pop(grant_id)
-        self.granted_asks.pop(running.ask_id, None)
-        self.running[running.team] -= 1
-        self.used[running.upstream] -= 1
-
-    def dispatch(self, service: ServiceId, now: float) -> list[SendToEntry]:
-        """Grant waiting requests of a service while there is room."""
+    def dispatch(self, pool: PoolId, now: float) -> list[SendToEntry]:
+        """Grant waiting requests of a pool's services while it has room."""
         actions: list[SendToEntry] = []
-        while True:
-            team = self.next_team(service)
-            if team is None:
-                return actions
-            team_queue = self.waiting[service][team]
-            ask_id, waiting = next(iter(team_queue.items()))
-            upstream = self.choose_upstream(service, waiting.ask)
+        if not self.is_open:
+            return actions
+        self.work.slots.refresh()
+        while self.admission.queue.services:
+            waiting = self.next_waiting(pool, now)
+            if waiting is None:
+                break
+            upstream = self.work.slots.choose(
+                pool, waiting.ask.zone, waiting.ask.excluded
+            )
             if upstream is None:
-                return actions
-            del team_queue[ask_id]
+                break
+            self.admission.queue.remove(waiting.ask.ask_id)
             actions.append(self.grant(waiting, upstream, now))
+        return actions
 
-    def next_team(self, service: ServiceId) -> TeamId | None:
-        """Return the waiting team that is furthest below its share."""
-        candidates = [
-            (self.running.get(team, 0) / document.share, team)
-            for team, asks in self.waiting.get(service, {}).items()
-            if asks
-            and (document := self.configuration.teams.get(team)) is not None
-            and self.running.get(team, 0) < document.limit
-        ]
-        return min(candidates)[1] if candidates else None
+    def next_waiting(self, pool: PoolId, now: float) -> Waiting | None:
+        """Return the request whose turn it is in a pool.
 
-    def choose_upstream(self, service: ServiceId, ask: Ask) -> Instance | None:
-        """Return the upstream with the most free slots, near first."""
-        document = self.configuration.services.get(service)
-        if document is None:
+        Its team is the one furthest below its share.
+        """
+        if not self.work.slots.has_free(pool, is_urgent=True):
             return None
-        free = [
-            instance
-            for instance in self.configuration.instances.values()
-            if instance.pool == document.pool
-            and not instance.is_draining
-            and instance.id not in self.leaving
-            and self.used.get(instance.instance_id, 0) < instance.slots
-        ]
-        preferred = [i for i in free if i.id not in ask.excluded] or free
-        return min(
-            preferred,
-            key=lambda i: (
-                self.used.get(i.instance_id, 0),
-                i.zone != ask.zone,
-                i.id,
-            ),
-            default=None,
+        is_full = not self.work.slots.has_free(pool, is_urgent=False)
+        services = self.services_of(pool)
+        loads = sorted(
+            {
+                (self.work.limits.load(team), team)
+                for service in services
+                for team in self.admission.queue.services[service.service_id]
+                if self.work.limits.has_room(team)
+            }
         )
+        for _, team in loads:
+            heads = [
+                head
+                for service in services
+                if (head := self.head(service, team, is_full, now))
+            ]
+            if heads:
+                return min(heads, key=lambda waiting: waiting.sequence)
+        return None
+
+    def services_of(self, pool: PoolId) -> list[Service]:
+        """Return the services of a pool for which requests wait."""
+        documents = self.configuration.services
+        return [
+            documents[service]
+            for service in self.admission.queue.services
+            if service in documents and documents[service].pool == pool
+        ]
+
+    def head(
+        self, service: Service, team: TeamId, only_urgent: bool, now: float
+    ) -> Waiting | None:
+        """Return a team's next request for a service, if one may run."""
+        queue = self.admission.queue.services[service.service_id].get(team)
+        if queue is None:
+            return None
+
+        def is_eligible(entry: EntryId) -> bool:
+            return self.is_heard(entry, now) and (
+                self.work.limits.has_entry_room(team, entry)
+            )
+
+        return queue.head(is_eligible, only_urgent)
+
+    def is_heard(self, entry: EntryId, now: float) -> bool:
+        """Tell whether a grant would reach an entry instance in time."""
+        heard_at = self.heard_at.get(entry)
+        return heard_at is not None and now - heard_at <= MAX_ECHO_AGE_S
 
     def grant(
         self, waiting: Waiting, upstream: Instance, now: float
@@ -221,7 +273,6 @@
         ask = waiting.ask
         grant_id = GrantId(f'{self.cell}.{self.epoch}.{self.counter}')
         run_limit_s = self.configuration.services[ask.service].run_limit_s
-        expires_at = now + GRANT_VALID_S + run_limit_s + RUN_MARGIN_S
         running = Running(
             entry=waiting.entry,
             ask_id=ask.ask_id,
@@ -230,9 +281,11 @@
             service=ask.service,
             upstream=upstream.instance_id,
             is_idempotent=ask.is_idempotent,
-            expires_at=expires_at,
+            expires_at=now + GRANT_VALID_S + run_limit_s + RUN_MARGIN_S,
+            issued_at=ask.issued_at,
+            granted_at=now,
         )
-        self.start(grant_id, running)
+        self.work.start(grant_id, running, now)
         message = Grant(
             cell=self.cell,
             epoch=self.epoch,
@@ -243,34 +296,51 @@
             run_limit_s=run_limit_s,
             echo=self.echoes.get(waiting.entry, float('-inf')),
         )
-        self.granted_asks[ask.ask_id] = message
+        self.work.ledger.by_ask[ask.ask_id] = message
         return SendToEntry(waiting.entry, message)
 
-    def heard(self, entry: EntryId, sent_at: float) -> None:
-        """Note when an entry instance sent its newest heartbeat."""
+    def heard(
+        self, entry: EntryId, sent_at: float, now: float | None = None
+    ) -> None:
+        """Note when an entry instance sent its newest heartbeat.
+
+        ``sent_at`` is by its own clock; ``now`` is when it was heard.
+        """
         self.echoes[entry] = sent_at
+        self.heard_at[entry] = self.now if now is None else now
 
     def tick(self, now: float) -> list[SendToEntry]:
         """Refuse what waited too long and count expired attempts ended."""
-        actions: list[SendToEntry] = []
-        for queue in self.waiting.values():
-            for team_queue in queue.values():
-                late = [
-                    waiting
-                    for waiting in team_queue.values()
-                    if waiting.deadline - now < MIN_ATTEMPT_S
-                ]
-                for waiting in late:
-                    del team_queue[waiting.ask.ask_id]
-                    actions.append(
-                        self.refuse(
-                            waiting.entry, waiting.ask, Reason.DEADLINE
-                        )
-                    )
-        expired = [g for g, r in self.grants.items() if r.expires_at <= now]
-        for grant_id in expired:
-            self.remember(self.grants[grant_id], Reason.MEMORY_LOST)
-            self.stop(grant_id)
-        for service in list(self.waiting):
-            actions += self.dispatch(service, now)
-        return actions
+        self.now = max(self.now, now)
+        if not self.is_open:
+            return []
+        self.work.limits.tick(now)
+        self.health.tick(now)
+        actions = self.admission.refuse_late(now)
+        self.work.expire(now)
+        return actions + self.dispatch_all(now)
+
+
+def create_dispatcher(
+    cell: CellId,
+    epoch: Epoch,
+    configuration: Configuration,
+    id_window_s: float = 600.0,
+    id_clock_skew_s: float = 2.0,
+    is_open: bool = False,
+) -> Dispatcher:
+    """Create the dispatcher of an epoch; ``begin`` opens it."""
+    work = RunningWork(
+        RequestMemory(id_window_s, id_clock_skew_s),
+        TeamLimits(configuration),
+        Slots(configuration),
+    )
+    return Dispatcher(
+        cell,
+        epoch,
+        configuration,
+        work,
+        Admission(cell, configuration, work),
+        UpstreamHealth(configuration, work.slots),
+        is_open=is_open,
+    )
--- a/src/primroseledge/entry.py
+++ b/src/primroseledge/entry.py
@@ -6,13 +6,20 @@
 
 from dataclasses import dataclass
 from dataclasses import field
-from enum import Enum
+from typing import Final
 
 from primroseledge.actions import Deliver
 from primroseledge.actions import EntryAction
 from primroseledge.actions import RefuseCall
 from primroseledge.actions import SendToOwner
 from primroseledge.actions import StartAttempt
+from primroseledge.attemptend import AttemptEnd
+from primroseledge.attemptend import DELIVERED
+from primroseledge.attemptend import END_STATES
+from primroseledge.attemptend import FAILURE_REASONS
+from primroseledge.attemptend import UPSTREAM_FAILURES
+from primroseledge.attempthistory import AttemptHistory
+from primroseledge.attempthistory import with_remaining
 from primroseledge.constants import ASK_RESEND_S
 from primroseledge.constants import DONE_RESEND_S
 from primroseledge.constants import GRANT_VALID_S
@@ -20,6 +27,7 @@
 from primroseledge.constants import STALE_GRANT_PAUSE_S
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
 from primroseledge.ids import GrantId
 from primroseledge.ids import Incarnation
 from primroseledge.ids import InstanceId
@@ -35,25 +43,12 @@
 from primroseledge.messages import Grant
 from primroseledge.messages import Refuse
 from primroseledge.outcomes import Reason
+from primroseledge.retrybudget import RetryBudget
 
-
-class AttemptEnd(Enum):
-    """How an attempt ended, as the carrier saw it."""
-
-    ANSWERED = 'answered'
-    REFUSED = 'refused'
-    NOT_SENT = 'not_sent'
-    BAD_ANSWER = 'bad_answer'
-    LOST = 'lost'
-
-
-END_STATES = {
-    AttemptEnd.ANSWERED: EndState.ENDED,
-    AttemptEnd.REFUSED: EndState.NOT_RUN,
-    AttemptEnd.NOT_SENT: EndState.NOT_RUN,
-    AttemptEnd.BAD_ANSWER: EndState.UNKNOWN,
-    AttemptEnd.LOST: EndState.UNKNOWN,
-}
+FIRST_RETRY_PAUSE_S: Final = 0.05
+MAX_RETRY_PAUSE_S: Final = 1.0
+MAX_EXCLUDED: Final = 4
+NO_EPOCH: Final = Epoch(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,15 +68,20 @@
 
 @dataclass(slots=True)
 class Call:
-    """An arrival and what has become of it."""
+    """An arrival and what has become of it.
+
+    ``ask_at`` is when to ask next, unless an answer comes before.
+    ``not_run`` is its last grant if that is proved not run.
+    """
 
     arrival: Arrival
     ask_id: str
-    asked_at: float
+    ask_at: float
     attempt: int = 1
     excluded: tuple[InstanceId, ...] = ()
     grant: Grant | None = None
     granted_at: float = 0.0
+    not_run: GrantId = GrantId('')
 
 
 @dataclass(slots=True)
@@ -92,30 +92,6 @@
     sent_at: float
 
 
-@dataclass(slots=True)
-class RetryBudget:
-    """Allows retries as a fraction of the calls that arrived.
-
-    ``ratio`` tokens are earned by an arrival, a retry spends one, and
-    at most ``burst`` are kept.
-    """
-
-    ratio: float
-    burst: float = 10.0
-    tokens: float = 10.0
-
-    def earn(self) -> None:
-        """Count an arrival."""
-        self.tokens = min(self.burst, self.tokens + self.ratio)
-
-    def spend(self) -> bool:
-        """Take one retry out of the budget; return whether there was."""
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
 @dataclass(slots=True)
 class EntryCore:
     """The calls that one entry instance has open."""
@@ -127,7 +103,8 @@
     calls: dict[str, Call] = field(default_factory=dict)
     by_handle: dict[int, Call] = field(default_factory=dict)
     unacked: dict[GrantId, Unacked] = field(default_factory=dict)
-    finished: dict[GrantId, Carried] = field(default_factory=dict)
+    history: AttemptHistory = field(default_factory=AttemptHistory)
+    epochs: dict[CellId, Epoch] = field(default_factory=dict)
     is_stopping: bool = False
     counter: int = 0
 
@@ -137,16 +114,20 @@
             return [RefuseCall(arrival.handle, Reason.STOPPING)]
         self.budget.earn()
         self.counter += 1
-        ask_id = f'{self.entry}.{self.incarnation}.{self.counter}'
-        call = Call(arrival, ask_id, now)
-        self.calls[ask_id] = call
+        call = Call(arrival, f'{self.prefix}{self.counter}', now)
+        self.calls[call.ask_id] = call
         self.by_handle[arrival.handle] = call
         return [self.ask(call, now)]
 
+    @property
+    def prefix(self) -> str:
+        """Return how the ask ids of this run begin."""
+        return f'{self.entry}.{self.incarnation}.'
+
     def ask(self, call: Call, now: float) -> SendToOwner:
         """Return the Ask for a call as it stands."""
         arrival = call.arrival
-        call.asked_at = now
+        call.ask_at = now + ASK_RESEND_S
         return SendToOwner(
             arrival.cell,
             Ask(
@@ -162,20 +143,22 @@
                 attempt=call.attempt,
                 excluded=call.excluded,
                 zone=self.zone,
+                not_run=call.not_run,
             ),
         )
 
     def granted(self, grant: Grant, now: float) -> list[EntryAction]:
         """Start the attempt that a grant allows, unless it is too old."""
+        if self.has_ended(grant):
+            return []
         call = self.calls.get(grant.ask_id)
         if call is not None and call.grant is not None:
             if call.grant.grant_id == grant.grant_id:
                 return []
-            return [self.finish(grant, EndState.NOT_RUN, now)]
-        if call is None:
-            if grant.grant_id in self.unacked:
-                return []
-            return [self.finish(grant, EndState.NOT_RUN, now)]
+            return [self.finish(grant, AttemptEnd.TOO_LATE, now)]
+        is_old = grant.epoch < self.epochs.get(grant.cell, 0)
+        if call is None or is_old:
+            return [self.finish(grant, AttemptEnd.TOO_LATE, now)]
         start_by = grant.echo + GRANT_VALID_S
         left = call.arrival.deadline - now
         if now >= start_by or left < MIN_ATTEMPT_S:
@@ -195,18 +178,29 @@
             )
         ]
 
+    def has_ended(self, grant: Grant) -> bool:
+        """Tell whether a grant was used before, as far as is known.
+
+        The copy of a grant for an earlier run of this entry instance
+        may have been used by that run.
+        """
+        return (
+            grant.grant_id in self.unacked
+            or grant.grant_id in self.history
+            or not grant.ask_id.startswith(self.prefix)
+        )
+
     def return_grant(
         self, call: Call, grant: Grant, now: float
     ) -> list[EntryAction]:
         """Give an unusable grant back and ask again or give up."""
         actions: list[EntryAction] = [
-            self.finish(grant, EndState.NOT_RUN, now)
+            self.finish(grant, AttemptEnd.TOO_LATE, now)
         ]
         if call.arrival.deadline - now < MIN_ATTEMPT_S:
             return actions + self.close(call, Reason.DEADLINE)
-        self.renew(call)
         # Asking at once could go round for ever between two cores.
-        call.asked_at = now - ASK_RESEND_S + STALE_GRANT_PAUSE_S
+        self.renew(call, grant.grant_id, now + STALE_GRANT_PAUSE_S)
         return actions
 
     def refused(self, refuse: Refuse, now: float) -> list[EntryAction]:
@@ -224,51 +218,67 @@
         if call is None or call.grant is None:
             return []
         grant = call.grant
-        failed = end is not AttemptEnd.ANSWERED
-        actions: list[EntryAction] = [
-            self.finish(grant, END_STATES[end], now, failed)
-        ]
-        if end is AttemptEnd.ANSWERED:
+        self.remember(call, end, now)
+        actions: list[EntryAction] = [self.finish(grant, end, now)]
+        call.grant = None
+        if end in DELIVERED:
             self.forget(call)
             return [*actions, Deliver(handle)]
-        call.grant = None
-        if self.may_retry(call, end, now):
-            call.excluded = (*call.excluded, grant.upstream)[-4:]
-            return actions + self.ask_again(call, now)
-        return actions + self.close(call, FAILURE_REASONS[end])
+        if not self.may_retry(call, end, now):
+            return actions + self.close(call, FAILURE_REASONS[end])
+        if end is not AttemptEnd.TOO_LATE:
+            excluded = (*call.excluded, grant.upstream)
+            call.excluded = excluded[-MAX_EXCLUDED:]
+        if END_STATES[end] is EndState.NOT_RUN:
+            pause_s = FIRST_RETRY_PAUSE_S * 2 ** min(call.attempt - 1, 10)
+            pause_s = min(pause_s, MAX_RETRY_PAUSE_S)
+            self.renew(call, grant.grant_id, now + pause_s)
+            return actions
+        self.renew(call, GrantId(''), now)
+        return [*actions, self.ask(call, now)]
 
     def may_retry(self, call: Call, end: AttemptEnd, now: float) -> bool:
-        """Tell whether a failed call may be attempted again."""
-        if self.is_stopping:
-            return False
+        """Tell whether a failed call may be attempted again.
+
+        An attempt that did not run costs an upstream next to nothing
+        and is repeated with pauses until the deadline. One that may
+        have run is repeated only within the budget.
+        """
         if call.arrival.deadline - now < MIN_ATTEMPT_S:
             return False
-        is_proved_not_run = END_STATES[end] is EndState.NOT_RUN
-        if not is_proved_not_run and not call.arrival.is_idempotent:
+        if END_STATES[end] is EndState.NOT_RUN:
+            return True
+        if self.is_stopping or not call.arrival.is_idempotent:
             return False
         return self.budget.spend()
 
-    def ask_again(self, call: Call, now: float) -> list[EntryAction]:
-        """Ask for another attempt."""
-        self.renew(call)
-        return [self.ask(call, now)]
-
-    def renew(self, call: Call) -> None:
+    def renew(self, call: Call, not_run: GrantId, ask_at: float) -> None:
         """Give a call the ask id of its next attempt."""
         del self.calls[call.ask_id]
         call.attempt += 1
         call.ask_id = call.ask_id.split('+')[0] + f'+{call.attempt}'
+        call.not_run = not_run
+        call.ask_at = ask_at
         self.calls[call.ask_id] = call
 
-    def finish(
-        self,
-        grant: Grant,
-        end: EndState,
-        now: float,
-        has_upstream_failed: bool = False,
-    ) -> SendToOwner:
+    def remember(self, call: Call, end: AttemptEnd, now: float) -> None:
+        """Keep what an owner may have to know of an ended attempt."""
+        state = END_STATES[end]
+        is_known = state is EndState.NOT_RUN or (
+            state is EndState.ENDED and call.arrival.is_idempotent
+        )
+        if not is_known:
+            self.history.add(carried_of(call, state), now, run_ends_at(call))
+
+    def finish(self, grant: Grant, end: AttemptEnd, now: float) -> SendToOwner:
         """Return the Done for a grant and keep it until acknowledged."""
-        done = Done(grant.cell, grant.grant_id, end, has_upstream_failed)
+        done = Done(
+            cell=grant.cell,
+            grant_id=grant.grant_id,
+            end=END_STATES[end],
+            has_upstream_failed=end in UPSTREAM_FAILURES,
+            was_refused=end is AttemptEnd.REFUSED,
+        )
         self.unacked[grant.grant_id] = Unacked(done, now)
         return SendToOwner(grant.cell, done)
 
@@ -289,8 +299,14 @@
         self.calls.pop(call.ask_id, None)
         self.by_handle.pop(call.arrival.handle, None)
 
-    def owner_changed(self, cell: CellId, now: float) -> list[EntryAction]:
-        """Ask the new owner of a cell for every call that waits."""
+    def owner_changed(
+        self, cell: CellId, now: float, epoch: Epoch = NO_EPOCH
+    ) -> list[EntryAction]:
+        """Ask the new owner of a cell for every call that waits.
+
+        Grants of earlier epochs are not used from now on.
+        """
+        self.epochs[cell] = max(epoch, self.epochs.get(cell, NO_EPOCH))
         return [
             self.ask(call, now)
             for call in self.calls.values()
@@ -299,6 +315,7 @@
 
     def tick(self, now: float) -> list[EntryAction]:
         """Refuse calls past their deadline and send lost messages again."""
+        self.history.expire(now)
         actions: list[EntryAction] = []
         waiting = [c for c in self.calls.values() if c.grant is None]
         for call in waiting:
@@ -307,7 +324,7 @@
                 cancel = Cancel(arrival.cell, call.ask_id)
                 actions.append(SendToOwner(arrival.cell, cancel))
                 actions += self.close(call, Reason.DEADLINE)
-            elif now - call.asked_at >= ASK_RESEND_S:
+            elif now >= call.ask_at:
                 actions.append(self.ask(call, now))
         for unacked in self.unacked.values():
             if now - unacked.sent_at >= DONE_RESEND_S:
@@ -317,26 +334,35 @@
         return actions
 
     def carried(self, cell: CellId, now: float) -> tuple[Carried, ...]:
-        """Return what this instance carries for a cell, for a Report."""
-        return tuple(
-            Carried(
-                grant_id=call.grant.grant_id,
-                request_id=call.arrival.request_id,
-                team=call.arrival.team,
-                service=call.arrival.service,
-                upstream=call.grant.upstream,
-                is_idempotent=call.arrival.is_idempotent,
-                end=None,
-                remaining_s=call.granted_at + call.grant.run_limit_s - now,
-            )
+        """Return what this instance carries or carried, for a Report."""
+        running = tuple(
+            with_remaining(carried_of(call, None), run_ends_at(call) - now)
             for call in self.calls.values()
             if call.grant is not None and call.arrival.cell == cell
         )
+        return running + self.history.carried(now)
 
 
-FAILURE_REASONS = {
-    AttemptEnd.REFUSED: Reason.UPSTREAM_REFUSED,
-    AttemptEnd.NOT_SENT: Reason.NO_UPSTREAM,
-    AttemptEnd.BAD_ANSWER: Reason.BAD_ANSWER,
-    AttemptEnd.LOST: Reason.ANSWER_LOST,
-}
+def run_ends_at(call: Call) -> float:
+    """Return when the attempt of a call has ended in any case.
+
+    It may start as late as the grant is valid.
+    """
+    assert call.grant is not None
+    return call.granted_at + GRANT_VALID_S + call.grant.run_limit_s
+
+
+def carried_of(call: Call, end: EndState | None) -> Carried:
+    """Return what is to be reported of a call's attempt."""
+    assert call.grant is not None
+    return Carried(
+        grant_id=call.grant.grant_id,
+        request_id=call.arrival.request_id,
+        team=call.arrival.team,
+        service=call.arrival.service,
+        upstream=call.grant.upstream,
+        is_idempotent=call.arrival.is_idempotent,
+        end=end,
+        remaining_s=0.0,
+        issued_at=call.arrival.issued_at,
+    )
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -21,11 +21,11 @@
 from primroseledge.actions import Deliver
 from primroseledge.actions import RefuseCall
 from primroseledge.actions import StartAttempt
+from primroseledge.attemptend import AttemptEnd
 from primroseledge.carrier import Answer
 from primroseledge.carrier import Carrier
 from primroseledge.carrier import Outbound
 from primroseledge.carrier import REQUEST_ID_HEADER
-from primroseledge.entry import AttemptEnd
 from primroseledge.httprequest import BadRequest
 from primroseledge.httprequest import filter_headers
 from primroseledge.httprequest import parse_head
--- a/src/primroseledge/messages.py
+++ b/src/primroseledge/messages.py
@@ -106,6 +106,8 @@
 
     ``issued_at`` is the wall-clock time in the request's id, 0 when it
     has none; ``excluded`` are upstreams on which it just failed.
+    ``not_run`` is the earlier grant of the same call that is proved not
+    run; it ends that grant even when its Done comes later.
     """
 
     cell: CellId
@@ -120,6 +122,7 @@
     attempt: int = 1
     excluded: tuple[InstanceId, ...] = ()
     zone: str = ''
+    not_run: GrantId = GrantId('')
 
 
 class Grant(Message, frozen=True):
@@ -151,12 +154,16 @@
 
 
 class Done(Message, frozen=True):
-    """Tells the owner how a granted attempt ended."""
+    """Tells the owner how a granted attempt ended.
+
+    ``was_refused`` says that the upstream refused before it ran.
+    """
 
     cell: CellId
     grant_id: GrantId
     end: EndState
     has_upstream_failed: bool = False
+    was_refused: bool = False
 
 
 class DoneAck(Message, frozen=True):
@@ -174,7 +181,11 @@
 
 
 class Carried(Struct, frozen=True, array_like=True):
-    """A request that an entry instance carries or has carried."""
+    """A request that an entry instance carries or has carried.
+
+    ``entry`` is who carries it, empty for the sender. ``issued_at`` is
+    the wall-clock time in the request's id, 0 when it has none.
+    """
 
     grant_id: GrantId
     request_id: RequestId
@@ -184,6 +195,31 @@
     is_idempotent: bool
     end: EndState | None
     remaining_s: float
+    entry: EntryId = EntryId('')
+    issued_at: float = 0.0
+
+
+class Remembered(Struct, frozen=True, array_like=True):
+    """What became of one request that is not idempotent."""
+
+    request_id: RequestId
+    reason: Reason
+    issued_at: float
+
+
+class Handover(Struct, frozen=True, array_like=True):
+    """What an earlier owner of a cell knows, for the next one.
+
+    Ids issued before ``lost_before``, in wall-clock seconds, may be
+    missing in ``remembered``; so may ids without a time until
+    ``untimed_lost_until``.
+    """
+
+    epoch: Epoch
+    remembered: tuple[Remembered, ...]
+    granted: tuple[Carried, ...]
+    lost_before: float
+    untimed_lost_until: float
 
 
 class ReportRequest(Message, frozen=True):
@@ -199,6 +235,7 @@
     cell: CellId
     epoch: Epoch
     carried: tuple[Carried, ...]
+    handover: Handover | None = None
 
 
 AnyMessage = (
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -16,14 +16,14 @@
 from primroseledge.actions import RefuseCall
 from primroseledge.actions import SendToEntry
 from primroseledge.actions import SendToOwner
+from primroseledge.attemptend import AttemptEnd
 from primroseledge.configuration import Configuration
+from primroseledge.dispatcher import create_dispatcher
 from primroseledge.dispatcher import Dispatcher
 from primroseledge.documents import DEFAULT_CELL
 from primroseledge.documents import Service
 from primroseledge.entry import Arrival
-from primroseledge.entry import AttemptEnd
 from primroseledge.entry import EntryCore
-from primroseledge.entry import RetryBudget
 from primroseledge.freshness import create_freshness
 from primroseledge.freshness import Freshness
 from primroseledge.ids import CellId
@@ -54,6 +54,7 @@
 from primroseledge.messages import Report
 from primroseledge.messages import ReportRequest
 from primroseledge.outcomes import Reason
+from primroseledge.retrybudget import RetryBudget
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,7 +255,9 @@
     def take_cell(self, cell: CellId, now: float) -> list[Action]:
         """Begin to own a cell."""
         epoch = Epoch(self.incarnation)
-        dispatcher = Dispatcher(cell, epoch, self.configuration)
+        dispatcher = create_dispatcher(
+            cell, epoch, self.configuration, is_open=True
+        )
         dispatcher.heard(self.entry_id, now)
         for peer in self.membership.peers.values():
             dispatcher.heard(peer.id, peer.sent_at)
