--- a/src/primroseledge/actions.py
+++ b/src/primroseledge/actions.py
@@ -58,11 +58,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RefuseCall:
-    """Give the caller a refusal."""
+    """Give the caller a refusal.
+
+    ``is_checked`` says that the owner of the cell had looked the
+    request's id up, so that what the reason says holds for whatever
+    was sent under that id, by any way.
+    """
 
     handle: int
     reason: Reason
     retry_after_s: float = 1.0
+    is_checked: bool = False
     is_last: ClassVar[bool] = True
 
 
--- a/src/primroseledge/admission.py
+++ b/src/primroseledge/admission.py
@@ -44,12 +44,10 @@
         if ask.ask_id in self.queue.by_ask:
             return []
         self.work.end(ask.not_run, EndState.NOT_RUN, now)
-        service = self.configuration.services.get(ask.service)
-        if service is None:
-            return [self.refuse(entry, ask, Reason.NO_SERVICE)]
         reason = self.objection(ask, now)
         if reason is not None:
             return [self.refuse(entry, ask, reason)]
+        service = self.configuration.services[ask.service]
         deadline = now + min(remaining_s, service.queue_wait_s)
         actions: list[SendToEntry] = []
         if self.queue.length(ask.service) >= service.queue_limit:
@@ -64,13 +62,19 @@
 
     def objection(self, ask: Ask, now: float) -> Reason | None:
         """Return why a request must not run, None when it may."""
+        if not ask.is_idempotent:
+            # What is known of the id comes first: another sending of it
+            # may have run before the service or the team was deleted.
+            if ask.request_id in self.queue.guarded:
+                return Reason.IN_PROGRESS
+            reason = self.work.objection(ask, now)
+            if reason is not None:
+                return reason
+        if ask.service not in self.configuration.services:
+            return Reason.NO_SERVICE
         if ask.team not in self.configuration.teams:
             return Reason.BAD_KEY
-        if ask.is_idempotent:
-            return None
-        if ask.request_id in self.queue.guarded:
-            return Reason.IN_PROGRESS
-        return self.work.objection(ask, now)
+        return None
 
     def displaced(self, ask: Ask) -> Waiting | None:
         """Return whom a request displaces from a full queue, if any.
--- a/src/primroseledge/dispatcher.py
+++ b/src/primroseledge/dispatcher.py
@@ -102,9 +102,14 @@
         """Stop granting for good; only ``hand_over`` is of use then."""
         self.is_open = False
 
-    def hand_over(self, now: float) -> Handover:
-        """Return all that the next owner needs; stop granting."""
+    def hand_over(self, now: float) -> Handover | None:
+        """Return all that the next owner needs; stop granting.
+
+        None when this epoch never began: then it knows of no ids.
+        """
         self.close()
+        if self.work.wall_offset_s is None:
+            return None
         return self.work.hand_over(self.epoch, now)
 
     def adopt(
--- a/src/primroseledge/entry.py
+++ b/src/primroseledge/entry.py
@@ -42,7 +42,9 @@
 from primroseledge.messages import EndState
 from primroseledge.messages import Grant
 from primroseledge.messages import Refuse
+from primroseledge.outcomes import Outcome
 from primroseledge.outcomes import Reason
+from primroseledge.outcomes import VERDICTS
 from primroseledge.retrybudget import RetryBudget
 
 FIRST_RETRY_PAUSE_S: Final = 0.05
@@ -71,7 +73,8 @@
     """An arrival and what has become of it.
 
     ``ask_at`` is when to ask next, unless an answer comes before.
-    ``not_run`` is its last grant if that is proved not run.
+    ``not_run`` is its last grant if that is proved not run;
+    ``may_have_run`` that the end of an earlier attempt is not known.
     """
 
     arrival: Arrival
@@ -82,6 +85,7 @@
     grant: Grant | None = None
     granted_at: float = 0.0
     not_run: GrantId = GrantId('')
+    may_have_run: bool = False
 
 
 @dataclass(slots=True)
@@ -208,7 +212,9 @@
         call = self.calls.get(refuse.ask_id)
         if call is None or call.grant is not None:
             return []
-        return self.close(call, refuse.reason, refuse.retry_after_s)
+        return self.close(
+            call, refuse.reason, refuse.retry_after_s, is_checked=True
+        )
 
     def attempt_ended(
         self, handle: int, end: AttemptEnd, now: float
@@ -221,11 +227,14 @@
         self.remember(call, end, now)
         actions: list[EntryAction] = [self.finish(grant, end, now)]
         call.grant = None
+        call.may_have_run |= END_STATES[end] is EndState.UNKNOWN
         if end in DELIVERED:
             self.forget(call)
             return [*actions, Deliver(handle)]
         if not self.may_retry(call, end, now):
-            return actions + self.close(call, FAILURE_REASONS[end])
+            return actions + self.close(
+                call, FAILURE_REASONS[end], is_checked=True
+            )
         if end is not AttemptEnd.TOO_LATE:
             excluded = (*call.excluded, grant.upstream)
             call.excluded = excluded[-MAX_EXCLUDED:]
@@ -288,11 +297,19 @@
             self.unacked.pop(grant_id, None)
 
     def close(
-        self, call: Call, reason: Reason, retry_after_s: float = 1.0
+        self,
+        call: Call,
+        reason: Reason,
+        retry_after_s: float = 1.0,
+        is_checked: bool = False,
     ) -> list[EntryAction]:
-        """End a call with a refusal."""
+        """End a call with a refusal that is true for all its attempts."""
         self.forget(call)
-        return [RefuseCall(call.arrival.handle, reason, retry_after_s)]
+        is_not_run = VERDICTS[reason].outcome is Outcome.NOT_RUN
+        if call.may_have_run and is_not_run:
+            reason = Reason.ANSWER_LOST
+        handle = call.arrival.handle
+        return [RefuseCall(handle, reason, retry_after_s, is_checked)]
 
     def forget(self, call: Call) -> None:
         """Drop a call that has its final answer."""
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -34,6 +34,7 @@
 from primroseledge.ids import RequestId
 from primroseledge.node import RequestHead
 from primroseledge.outcomes import Reason
+from primroseledge.outcomes import told_outcome
 from primroseledge.outcomes import VERDICTS
 
 Environ = dict[str, Any]
@@ -51,6 +52,7 @@
     """A request on a server thread, and the loop's commands to it."""
 
     head: RequestHead
+    has_own_id: bool = True
     commands: 'SimpleQueue[Command]' = field(default_factory=SimpleQueue)
 
 
@@ -108,7 +110,7 @@
             filter_headers(environ),
             body,
         )
-        call = ServerCall(head)
+        call = ServerCall(head, 'HTTP_IDEMPOTENCY_KEY' in environ)
         self.loop.post(call)
         return self.obey(call, outbound, start_response)
 
@@ -131,7 +133,13 @@
                     if isinstance(command, RefuseCall)
                     else RefuseCall(call.head.handle, Reason.BAD_ANSWER)
                 )
-                return refuse(start_response, call.head.request_id, refusal)
+                is_guarded = not call.head.is_idempotent and call.has_own_id
+                return refuse(
+                    start_response,
+                    call.head.request_id,
+                    refusal,
+                    is_guarded=is_guarded,
+                )
             else:
                 return deliver(start_response, call.head.request_id, answer)
 
@@ -198,12 +206,14 @@
     request_id: RequestId,
     refusal: RefuseCall,
     detail: str = '',
+    is_guarded: bool = False,
 ) -> Iterable[bytes]:
     """Tell the caller why there is no answer, and whether it ran."""
     verdict = VERDICTS[refusal.reason]
+    outcome = told_outcome(refusal.reason, is_guarded, refusal.is_checked)
     body = json.encode(
         {
-            'outcome': verdict.outcome.value,
+            'outcome': outcome.value,
             'reason': refusal.reason.value,
             'request_id': request_id,
             'detail': detail,
@@ -212,7 +222,7 @@
     headers = [
         ('Content-Type', 'application/json'),
         ('Content-Length', str(len(body))),
-        (OUTCOME_HEADER, verdict.outcome.value),
+        (OUTCOME_HEADER, outcome.value),
         (REASON_HEADER, refusal.reason.value),
         (REQUEST_ID_HEADER, request_id),
     ]
--- a/src/primroseledge/outcomes.py
+++ b/src/primroseledge/outcomes.py
@@ -46,6 +46,22 @@
     has_retry_after: bool = False
 
 
+def told_outcome(
+    reason: Reason, is_guarded: bool, is_checked: bool
+) -> Outcome:
+    """Return what a refusal may say of the request.
+
+    ``is_guarded`` marks a request that must not run twice and whose id
+    the caller chose, so that it may have been sent before, by another
+    way. Unless the owner of the cell has looked the id up, nobody here
+    can prove that the request did not run.
+    """
+    outcome = VERDICTS[reason].outcome
+    if outcome is Outcome.NOT_RUN and is_guarded and not is_checked:
+        return Outcome.UNKNOWN
+    return outcome
+
+
 VERDICTS: Final[dict[Reason, Verdict]] = {
     Reason.BAD_REQUEST: Verdict('400 Bad Request', Outcome.NOT_RUN),
     Reason.NO_KEY: Verdict('401 Unauthorized', Outcome.NOT_RUN),
