Open each epoch with reports and hand-over, and begin the first one clean

Change: the node queues while it waits, begins the dispatcher with reports, what unreported instances may carry and the last owner's hand-over. The demo's service states a run limit of 2 s.

--- a/src/primroseledge/loop.py
+++ b/src/primroseledge/loop.py
@@ -11,6 +11,7 @@
 from os import eventfd_read
 from os import eventfd_write
 from time import monotonic
+from time import time
 from typing import Final
 from typing import Protocol
 
@@ -153,6 +154,7 @@
     def tick(self) -> None:
         """Let the node do what the time asks for, and publish its state."""
         now = monotonic()
+        self.node.wall_offset_s = time() - now
         self.begin_stop(now)
         self.perform(self.node.tick(now))
         self.publish(now)
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -18,14 +18,13 @@
 from primroseledge.actions import RefuseCall
 from primroseledge.actions import SendToEntry
 from primroseledge.actions import SendToOwner
+from primroseledge.attemptend import AttemptEnd
 from primroseledge.configuration import Configuration
 from primroseledge.constants import RUN_MARGIN_S
 from primroseledge.dispatcher import Dispatcher
 from primroseledge.documents import Service
 from primroseledge.entry import Arrival
-from primroseledge.entry import AttemptEnd
 from primroseledge.entry import EntryCore
-from primroseledge.entry import RetryBudget
 from primroseledge.freshness import create_freshness
 from primroseledge.freshness import Freshness
 from primroseledge.ids import CellId
@@ -44,6 +43,7 @@
 from primroseledge.messages import AnyMessage
 from primroseledge.messages import ConfigDelta
 from primroseledge.messages import Envelope
+from primroseledge.messages import Handover
 from primroseledge.messages import Message
 from primroseledge.messages import PROTOCOL_VERSION
 from primroseledge.outcomes import Reason
@@ -53,6 +53,7 @@
 from primroseledge.ownershipactions import WriteRecord
 from primroseledge.ownershipactions import WriteResult
 from primroseledge.ownershipsettings import OwnershipSettings
+from primroseledge.retrybudget import RetryBudget
 from primroseledge.store import Record
 
 WATCHERS_PER_ZONE: Final = 2
@@ -89,7 +90,11 @@
 
 @dataclass(slots=True)
 class Node:
-    """The cores of one entry instance."""
+    """The cores of one entry instance.
+
+    ``wall_offset_s`` is what to add to monotonic time to get wall-clock
+    time; the rim keeps it up to date.
+    """
 
     entry_id: EntryId
     incarnation: Incarnation
@@ -103,6 +108,8 @@
     ownership_settings: OwnershipSettings
     ownerships: dict[CellId, Ownership] = field(default_factory=dict)
     dispatchers: dict[CellId, Dispatcher] = field(default_factory=dict)
+    handovers: dict[CellId, Handover] = field(default_factory=dict)
+    wall_offset_s: float = 0.0
     heartbeat_due: float = 0.0
     is_leaving: bool = False
 
@@ -326,7 +333,7 @@
             vacant,
         )
         for dispatcher in self.dispatchers.values():
-            dispatcher.heard(self.entry_id, now)
+            dispatcher.heard(self.entry_id, now, now)
         return self.to_peers(heartbeat)
 
     def has_work(self) -> bool:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -35,6 +35,7 @@
 ZONES: Final = ['north-1', 'north-2', 'north-3']
 READY_TIMEOUT_S: Final = 15.0
 SERVER_THREADS: Final = 100
+SERVICE: Final = Service('bulletin', 'dealers', 'copper', run_limit_s=2.0)
 
 
 class Deployment:
@@ -94,7 +95,7 @@
             ('members', members),
             ('pool', Pool('copper')),
             ('placement', Placement('0', instances)),
-            ('service', Service('bulletin', 'dealers', 'copper')),
+            ('service', SERVICE),
         ]
         documents += [('team', team) for team in self.teams]
         for kind, document in documents:
