Check that the binary runs an entry instance

The suite tried only commands that end at once, so a module that the packager misses in the daemon went unseen. It now starts an entry instance without a store, asks for its live page and looks for children in /proc.

--- a/tools/binary.py
+++ b/tools/binary.py
@@ -7,17 +7,25 @@
 """
 
 from collections.abc import Iterator
+from contextlib import ExitStack
 from hashlib import sha256
 from os import environ
 from pathlib import Path
 import re
 from shutil import rmtree
 from shutil import which
+from socket import socket
 import stat
 from struct import pack
 import subprocess
 import sys
 from tempfile import TemporaryDirectory
+from time import monotonic
+from time import sleep
+
+from msgspec import json
+from urllib3 import exceptions
+from urllib3 import PoolManager
 
 ROOT: Path = Path(__file__).resolve().parent.parent
 BUILD: Path = ROOT / 'build' / 'binary'
@@ -30,6 +38,8 @@
     *('tkinter', 'setuptools', 'pip', 'pydantic', 'typer', 'rich'),
     *('hypothesis', 'unittest', 'lib2to3', 'pydoc', 'sqlite3', 'curses'),
 )
+START_TIMEOUT_S: float = 30.0
+STOP_TIMEOUT_S: float = 60.0
 EXIT_NOT_RUN: int = 77
 GOOD_SETTINGS: str = (
     '{"entry_id": "a", "zone": "z", "http_host": "127.0.0.1",'
@@ -118,6 +128,7 @@
             ('zone: 3', 2, ('entry', '--settings', str(wrong))),
         ):
             yield from expect(text, code, directory, *arguments)
+        yield from check_entry(directory)
         yield from find_started_processes(directory)
         yield from check_trust(directory)
 
@@ -143,6 +154,51 @@
         yield f'{arguments}: code {result.returncode}: {shown}'
 
 
+def check_entry(directory: Path) -> Iterator[str]:
+    """Run an entry instance without a store; it starts no process."""
+    ports = free_ports(3)
+    names = ('http_port', 'peer_port', 'metrics_port')
+    settings = json.decode(GOOD_SETTINGS)
+    settings.update(zip(names, ports, strict=True))
+    path = directory / 'entry.json'
+    path.write_bytes(json.encode(settings))
+    process = subprocess.Popen(
+        [str(BINARY), 'entry', '--settings', str(path)],
+        env={**environ, UNPACK_VARIABLE: str(directory)},
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        if not wait_live(f'http://127.0.0.1:{ports[0]}/-/live', process):
+            yield 'entry: it does not answer'
+        for path in Path(f'/proc/{process.pid}/task').glob('*/children'):
+            if path.read_text():
+                yield f'entry: it has started {path.read_text()}'
+    finally:
+        process.terminate()
+        process.wait(STOP_TIMEOUT_S)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free just now."""
+    with ExitStack() as resources:
+        sockets = [resources.enter_context(socket()) for _ in range(count)]
+        for item in sockets:
+            item.bind(('127.0.0.1', 0))
+        return [int(item.getsockname()[1]) for item in sockets]
+
+
+def wait_live(url: str, process: subprocess.Popen[bytes]) -> bool:
+    """Wait until a page answers; return whether it did."""
+    deadline = monotonic() + START_TIMEOUT_S
+    with PoolManager(retries=False) as pool:
+        while monotonic() < deadline and process.poll() is None:
+            try:
+                return pool.request('GET', url).status == 200
+            except exceptions.HTTPError:
+                sleep(0.05)
+    return False
+
+
 def check_trust(directory: Path) -> Iterator[str]:
     """Check that a directory that others may write is refused."""
     for path in directory.glob('primroseledge-*'):
