Install signal handlers before the servers answer

SIGTERM right after the first live answer killed an entry instance, since its servers listened before the handlers stood: a planned stop could cut a request. The handlers are now installed first, and the binary's check asks for exit code 0 after SIGTERM.

--- a/src/primroseledge/daemon.py
+++ b/src/primroseledge/daemon.py
@@ -53,13 +53,13 @@
     with ExitStack() as resources:
         metrics = create_metrics()
         loop = create_loop(settings, metrics, resources)
-        start_store_threads(settings, loop, metrics, resources)
-        start_servers(settings, loop, metrics, resources)
         for number in (SIGTERM, SIGINT):
             signal(
                 number,
                 lambda *_: loop.request_stop(settings.graceful_timeout_s),
             )
+        start_store_threads(settings, loop, metrics, resources)
+        start_servers(settings, loop, metrics, resources)
         left = run_loop(loop)
     log(
         Event.STOPPED,
--- a/tools/binary.py
+++ b/tools/binary.py
@@ -173,9 +173,12 @@
         for path in Path(f'/proc/{process.pid}/task').glob('*/children'):
             if path.read_text():
                 yield f'entry: it has started {path.read_text()}'
-    finally:
         process.terminate()
-        process.wait(STOP_TIMEOUT_S)
+        if process.wait(STOP_TIMEOUT_S) != 0:
+            yield f'entry: code {process.returncode} after SIGTERM'
+    finally:
+        process.kill()
+        process.wait()
 
 
 def free_ports(count: int) -> list[int]:
