Take a drain back when two at once overspend a budget

Two operators who drain different instances write different shards, so both could pass the budget's check. After an accepted drain the command reads the fleet again and takes its drain back when a budget is overspent, and says so; when it cannot read, it says that too. Seen: the race is tested with a rival's write between check and write; without the review, without handling an outage, or counting the instance itself, tests fail.

--- a/src/primroseledge/cli_pool.py
+++ b/src/primroseledge/cli_pool.py
@@ -18,6 +18,7 @@
 from primroseledge.fleet import Fleet
 from primroseledge.placementchanges import add_instance
 from primroseledge.placementchanges import move_instance
+from primroseledge.placementchanges import review_drain
 from primroseledge.placementchanges import set_draining
 from primroseledge.rendering import Row
 
@@ -92,7 +93,10 @@
 @operator_command
 def drain(console: Console, instance_id: str) -> None:
     """Give an instance no new requests; running ones finish."""
-    console.apply(lambda fleet: set_draining(fleet, instance_id, True))
+    console.apply(
+        lambda fleet: set_draining(fleet, instance_id, True),
+        lambda fleet: review_drain(fleet, instance_id),
+    )
 
 
 @pool.command('return')
--- a/src/primroseledge/console.py
+++ b/src/primroseledge/console.py
@@ -31,6 +31,7 @@
 from primroseledge.connections import NetworkConnections
 from primroseledge.diffs import diff_documents
 from primroseledge.documents import CONFIG_PREFIX
+from primroseledge.errors import OperatorError
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import StoreError
 from primroseledge.exitcodes import code_of
@@ -51,6 +52,7 @@
 
 POLL_S: Final = 0.1
 PAUSE_S: Final = 0.2
+MAX_TAKE_BACKS: Final = 5
 STORE_VARIABLE: Final = 'PRIMROSELEDGE_STORE'
 ENTRIES_VARIABLE: Final = 'PRIMROSELEDGE_ENTRIES'
 CREDENTIALS_VARIABLE: Final = 'PRIMROSELEDGE_STORE_CREDENTIALS'
@@ -98,20 +100,22 @@
             return read_fleet(store.read(CONFIG_PREFIX))
 
     def apply(
-        self, build: Callable[[Fleet], Change], **extra: Any
+        self,
+        build: Callable[[Fleet], Change],
+        review: Callable[[Fleet], Change | None] | None = None,
+        **extra: Any,
     ) -> NoReturn:
         """Build a change, write it, say what became of it, and exit.
 
-        ``extra`` is shown unless the change was certainly not made.
+        ``review`` reads the fleet after the write and may return a
+        change that takes it back. ``extra`` is shown unless the change
+        was certainly not made.
         """
         with self.open_store() as store:
             change = build(read_fleet(store.read(CONFIG_PREFIX)))
-            author = Author(
-                environ.get(USER_VARIABLE, UNKNOWN_USER),
-                self.connections.wall_clock(),
-            )
-            write_id = WriteId(token_hex(16))
-            applied = apply_change(store, change, write_id, author, self.pause)
+            applied = self.write(store, change)
+            if review is not None and applied.result is Result.ACCEPTED:
+                self.take_back(store, review)
         row = describe_result(change, applied)
         code = RESULT_CODES[applied.result]
         if applied.result in (Result.ACCEPTED, Result.UNKNOWN):
@@ -125,6 +129,43 @@
         self.show(row)
         get_current_context().exit(code)
 
+    def write(self, store: Store, change: Change) -> Applied:
+        """Write a change in the name of this operator."""
+        user = environ.get(USER_VARIABLE, UNKNOWN_USER)
+        author = Author(user, self.connections.wall_clock())
+        write_id = WriteId(token_hex(16))
+        return apply_change(store, change, write_id, author, self.pause)
+
+    def take_back(
+        self, store: Store, review: Callable[[Fleet], Change | None]
+    ) -> None:
+        """Take a change back when its review asks for that.
+
+        Raises OperatorError that says what became of it.
+        """
+        problem = ''
+        for _ in range(MAX_TAKE_BACKS):
+            try:
+                change = review(read_fleet(store.read(CONFIG_PREFIX)))
+            except StoreError as error:
+                problem = str(error)
+                self.pause()
+                continue
+            if change is None:
+                return
+            applied = self.write(store, change)
+            if applied.result is Result.ACCEPTED:
+                raise OperatorError(
+                    'another change at the same time left no budget; this '
+                    'one was accepted and taken back; run it again'
+                )
+            problem = applied.result.value
+        raise OperatorError(
+            'the change was accepted, but whether it overspends a budget '
+            f'could not be checked or mended ({problem}); return the '
+            'instance, or run this again'
+        )
+
     def pause(self) -> None:
         """Wait before a write is sent again."""
         self.connections.sleep(PAUSE_S)
--- a/src/primroseledge/placementchanges.py
+++ b/src/primroseledge/placementchanges.py
@@ -66,32 +66,56 @@
     return plan(fleet, key, replace(placement, instances=instances))
 
 
+def review_drain(fleet: Fleet, instance_id: str) -> Change | None:
+    """Return the change that takes a drain back, if a budget is overspent.
+
+    Two drains of different instances are written to different shards,
+    so each may pass its check before the other is written. Whoever
+    reads both afterwards takes its own back.
+    """
+    placement, instance = require_instance(fleet, instance_id)
+    if not instance.is_draining or not find_excess(fleet, instance):
+        return None
+    return place(fleet, placement, replace(instance, is_draining=False))
+
+
 def check_budgets(fleet: Fleet, instance: Instance) -> None:
-    """Check that each service's budget lets an instance be drained.
+    """Check that each service's budget lets an instance be drained."""
+    draining = replace(instance, is_draining=True)
+    excess = find_excess(fleet, draining)
+    if excess:
+        raise OperatorError(f'{excess}; return one first')
+
+
+def find_excess(fleet: Fleet, instance: Instance) -> str:
+    """Say which budget a draining instance overspends, or nothing.
 
-    Instances that drain already count; failures that only the entry
+    Other instances that drain count; failures that only the entry
     instances see do not.
     """
-    draining = [
+    others = [
         other
         for other in fleet.instances()
-        if other.pool == instance.pool and other.is_draining
+        if other.pool == instance.pool
+        and other.is_draining
+        and other.id != instance.id
     ]
-    in_zone = [other for other in draining if other.zone == instance.zone]
+    in_zone = [other for other in others if other.zone == instance.zone]
     for service in fleet.each(Service):
         if service.pool != instance.pool:
             continue
         budget = service.budget
         for name, used, allowed in (
-            ('unavailable', draining, budget.unavailable),
+            ('unavailable', others, budget.unavailable),
             ('unavailable_per_zone', in_zone, budget.unavailable_per_zone),
         ):
             if len(used) + 1 > allowed:
                 ids = ', '.join(other.id for other in used) or 'none'
-                raise OperatorError(
+                return (
                     f'budget.{name} of service {service.id!r} is {allowed}; '
-                    f'draining already: {ids}; return one first'
+                    f'draining already: {ids}'
                 )
+    return ''
 
 
 def require_instance(
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -36,6 +36,7 @@
 from primroseledge.membershipchanges import set_members
 from primroseledge.placementchanges import add_instance
 from primroseledge.placementchanges import move_instance
+from primroseledge.placementchanges import review_drain
 from primroseledge.placementchanges import set_draining
 from primroseledge.store import Record
 from primroseledge.store import Snapshot
@@ -174,6 +175,16 @@
         self.do(set_draining(self.fleet(), 'i0', False))
         self.do(set_draining(self.fleet(), 'i1', True))
 
+    def test_drain_is_taken_back_only_when_others_overspend(self) -> None:
+        self.do(set_draining(self.fleet(), 'i0', True))
+        self.assertIsNone(review_drain(self.fleet(), 'i0'))
+        rival = replace(make_instance(1), is_draining=True)
+        shard = Placement(id=shard_of('i1'), instances={'i1': rival})
+        self.put(f'config/placement/{shard.id}', shard)
+        change = review_drain(self.fleet(), 'i0')
+        assert change and isinstance(change.after, Placement)
+        self.assertFalse(change.after.instances['i0'].is_draining)
+
     def test_drain_within_the_budget_of_the_zone(self) -> None:
         budget = replace(SERVICE.budget, unavailable=3)
         self.do(self.apply(replace(SERVICE, budget=budget)))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,6 +14,7 @@
 from primroseledge.documents import Team
 from primroseledge.fleet import read_fleet
 from primroseledge.keys import find_valid_key
+from primroseledge.placementchanges import set_draining
 from tests.fakeconnections import FakeConnections
 from tests.fakestore import LOST_AFTER
 from tests.fakestore import LOST_BEFORE
@@ -113,6 +114,58 @@
             shown['changed_meanwhile'], ['queue_limit: 1000 -> 5']
         )
 
+    def add_two_instances(self) -> None:
+        self.run_json('service', 'apply', self.write_service())
+        for name in ('i1', 'i2'):
+            self.run_json(
+                *('pool', 'add-instance', name, '--pool', 'copper'),
+                *(
+                    '--zone',
+                    'z',
+                    '--rack',
+                    'r',
+                    '--address',
+                    f'127.0.0.1:{name}',
+                ),
+            )
+
+    def drain_while_rival_drains(self, goes_down: bool = False) -> Any:
+        """Drain i1 while another drain is written between check and write."""
+        self.add_two_instances()
+        store = self.fleet.store
+        rival = set_draining(read_fleet(store.read('config/')), 'i2', True)
+        assert rival.after
+        value, put = encode_document(rival.after), store.put
+
+        def put_rival_first(
+            key: str, new: str | None, expected: Any, write_id: str
+        ) -> Any:
+            if not key.startswith('config/'):
+                return put(key, new, expected, write_id)
+            store.put = put  # type: ignore[method-assign]
+            put(rival.key, value, None, 'rival')
+            store.is_down = goes_down
+            return put(key, new, expected, write_id)
+
+        store.put = put_rival_first  # type: ignore[method-assign]
+        return self.fleet.run('pool', 'drain', 'i1')
+
+    def draining(self) -> list[str]:
+        rows = self.run_json('pool', 'instances', 'copper')
+        return [row['instance'] for row in rows if row['draining']]
+
+    def test_drains_that_race_do_not_overspend_a_budget(self) -> None:
+        result = self.drain_while_rival_drains()
+        self.assertEqual(result.exit_code, 1, result.output)
+        self.assertIn('accepted and taken back', result.stderr)
+        self.assertEqual(self.draining(), ['i2'])
+
+    def test_drain_that_cannot_be_reviewed_is_said(self) -> None:
+        result = self.drain_while_rival_drains(goes_down=True)
+        self.assertEqual(result.exit_code, 1, result.output)
+        self.assertIn('was accepted, but', result.stderr)
+        self.assertNotIn('nothing was written', result.stderr)
+
     def test_key_is_shown_once_and_only_its_hash_is_stored(self) -> None:
         shown = self.run_json('key', 'give', 'sales')
         secret = shown['key'].partition('.')[2]
