--- a/src/primroseledge/platform.py
+++ b/src/primroseledge/platform.py
@@ -91,6 +91,7 @@
     usage_age_s: float = 0.0
     checkpoint: str = ''
     result: str = ''
+    has_started: bool = True
 
 
 class TaskService(Protocol):
@@ -112,7 +113,7 @@
         """Let the task grow and compute at this fraction of its speed."""
 
     def stop(self, task_id: str) -> None:
-        """Stop a task; no error when it has ended."""
+        """Stop a task for good; an id not seen yet never starts."""
 
 
 class InstanceService(Protocol):
--- a/src/primroseledge/records.py
+++ b/src/primroseledge/records.py
@@ -72,6 +72,10 @@
                     raise ConflictError(f'{key}: changed meanwhile') from error
         raise StoreOutcomeUnknownError(f'{key}: no answer to the write')
 
+    def remove(self, key: str, expected: Revision) -> None:
+        """Delete a key if it still has the expected revision."""
+        self.store.write(key, None, expected, self.next_write_id())
+
     def _read_back(self, key: str) -> Record | None:
         try:
             return self.find(key)
--- a/src/primroseledge/wave.py
+++ b/src/primroseledge/wave.py
@@ -57,14 +57,18 @@
     return decision
 
 
-def allowed_failures(attempted: int, rate: float) -> int:
+def allowed_failures(
+    attempted: int, rate: float, has_canary_passed: bool
+) -> int:
     """Return how many of the attempts may fail before a wave halts.
 
-    The expectation plus two standard deviations, rounded down; the
-    canary may not fail at all.
+    The expectation plus two standard deviations, rounded down. The
+    canary may not fail at all; after it, one failure is no pattern.
     """
+    if not has_canary_passed:
+        return 0
     expected = rate * attempted
-    return floor(expected + 2 * sqrt(expected))
+    return max(floor(expected + 2 * sqrt(expected)), 1)
 
 
 def count_success(wave: Wave) -> Wave:
@@ -106,7 +110,9 @@
     if wave.state is WaveState.PLANNED:
         return move_wave(wave, 'start')
     allowed = allowed_failures(
-        wave.attempted, situation.settings.expected_failure_rate
+        wave.attempted,
+        situation.settings.expected_failure_rate,
+        wave.state is WaveState.WIDENING,
     )
     counted = wave.failed - wave.excused
     if wave.state in FORWARD and counted > allowed:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -63,6 +63,7 @@
     saved_s: float = 0.0
     speed: float = 1.0
     throttled_mb: float | None = None
+    has_started: bool = True
 
 
 @dataclass
@@ -162,6 +163,7 @@
             is_ready = machine is not None and machine.is_up
             state = TaskState.RUNNING if is_ready else TaskState.LOST
             task = Task(spec, state, self.now + spec.lease_s)
+            task.has_started = is_ready
             if spec.checkpoint:
                 task.progress_s = float(spec.checkpoint)
                 task.saved_s = task.progress_s
@@ -205,7 +207,13 @@
         """Stop a task, or refuse it for good when it isn't known."""
         self._check()
         task = self.task_by_id.get(task_id)
-        if task is not None and task.state is TaskState.RUNNING:
+        if task is None:
+            spec = TaskSpec(
+                task_id, JobId(''), InstanceId(''), 0.0, 0.0, 0, 0.0
+            )
+            self.task_by_id[task_id] = Task(spec, TaskState.STOPPED, 0.0)
+            self.task_by_id[task_id].has_started = False
+        elif task.state is TaskState.RUNNING:
             task.state = TaskState.STOPPED
         self._answer()
 
@@ -252,6 +260,7 @@
             self.now - at,
             str(task.saved_s) if task.saved_s else '',
             'ok' if task.state is TaskState.SUCCEEDED else '',
+            task.has_started,
         )
 
     def _run(self, task: Task, elapsed: float) -> None:
