--- a/src/primroseledge/admission.py
+++ b/src/primroseledge/admission.py
@@ -11,6 +11,8 @@
 from dataclasses import field
 from typing import Final
 
+from msgspec.structs import replace
+
 from primroseledge.documents import Instance
 from primroseledge.documents import Team
 from primroseledge.explain import Explanation
@@ -124,8 +126,9 @@
     if refusal is not None:
         admission.held.append(refusal)
         return False
-    avoided = situation.suspects | {InstanceId(n) for n in job.failed_on}
-    memory_mb = _size(job, workers, situation.estimator)
+    avoided = situation.suspects | _tried(job, given.fleet)
+    left = [w for w in given.fleet if w.instance_id not in avoided]
+    memory_mb = _size(job, left, situation.estimator)
     chosen = place(job, workers, memory_mb, avoided)
     if isinstance(chosen, Explanation):
         admission.held.append(chosen)
@@ -137,14 +140,28 @@
     return True
 
 
-def _size(job: Job, workers: Sequence[Worker], estimator: Estimator) -> float:
-    """Return the estimate, capped at what the largest worker has.
+def _tried(job: Job, fleet: Sequence[Instance]) -> set[InstanceId]:
+    """Return workers on which the job failed, while others are left.
+
+    When none is left that could take it, it may try those again; the
+    count of attempts is bounded all the same.
+    """
+    tried = {InstanceId(name) for name in job.failed_on}
+    left = [worker for worker in fleet if worker.instance_id not in tried]
+    return tried if find_impossible(job, left) is None else set()
+
+
+def _size(job: Job, fleet: Sequence[Instance], estimator: Estimator) -> float:
+    """Return the estimate, or less when nothing could ever hold it.
 
     So a wild estimate delays a job, but can't keep it out for good.
     """
-    largest = max((w.instance.memory_mb for w in workers), default=0)
+    largest = max((worker.memory_mb for worker in fleet), default=0)
     part = 1.0 if job.is_urgent else 1.0 - URGENT_PART
-    return min(estimator.memory_mb(job), max(largest * part, job.memory_mb))
+    estimate_mb = min(estimator.memory_mb(job), largest * part)
+    sized = replace(job, memory_mb=estimate_mb)
+    is_possible = find_impossible(sized, fleet) is None
+    return estimate_mb if is_possible else job.memory_mb
 
 
 def _refusal(
--- a/src/primroseledge/jobcontroller.py
+++ b/src/primroseledge/jobcontroller.py
@@ -72,7 +72,6 @@
         self.statuses: dict[str, TaskStatus] = {}
         self.retry_at: dict[str, float] = {}
         self.first_seen: dict[tuple[str, str], float] = {}
-        self.throttled: set[str] = set()
         self.report = JobReport()
         self.now = 0.0
 
@@ -300,15 +299,15 @@
         statuses: Sequence[TaskStatus],
         suspects: set[InstanceId],
     ) -> None:
-        failed = [
+        failed = {
             status.worker
             for status in statuses
             if status.state is TaskState.FAILED
-        ]
+        }
         losses = sum(status.state is TaskState.LOST for status in statuses)
         tried = replace(
             job,
-            failed_on=job.failed_on + tuple(failed),
+            failed_on=job.failed_on + tuple(sorted(failed)),
             losses=job.losses + min(losses, 1),
             checkpoint=statuses[0].checkpoint or job.checkpoint,
         )
@@ -332,10 +331,14 @@
         )
         for order in orders:
             if order.relief is Relief.MOVE:
+                self.watch.learn(order.job)
                 self._record(move_job(order.job, 'stop', 'memory'))
-            elif order.task_id not in self.throttled:
+            elif order.relief is Relief.THROTTLE:
                 self.tasks.throttle(order.task_id, THROTTLED_SPEED)
-                self.throttled.add(order.task_id)
+                self.watch.throttled[order.task_id] = self.now
+            else:
+                self.tasks.throttle(order.task_id, 1.0)
+                self.watch.throttled.pop(order.task_id, None)
 
     def _start(self, suspects: set[InstanceId], given: JobInput) -> None:
         admission = admit(
--- a/src/primroseledge/memorywatch.py
+++ b/src/primroseledge/memorywatch.py
@@ -9,6 +9,7 @@
 from primroseledge.documents import Instance
 from primroseledge.job import Job
 from primroseledge.job import JobState
+from primroseledge.placing import can_restore
 from primroseledge.placing import Estimator
 from primroseledge.placing import Relief
 from primroseledge.placing import relieve
@@ -18,6 +19,7 @@
 
 REPORT_AHEAD_S: Final = 5.0
 MIN_REPORT_GAP_S: Final = 0.5
+MAX_THROTTLE_S: Final = 30.0
 
 
 @dataclass(slots=True)
@@ -44,6 +46,7 @@
 
     estimator: Estimator = field(default_factory=Estimator)
     reports: dict[str, Report] = field(default_factory=dict)
+    throttled: dict[str, float] = field(default_factory=dict)
 
     @property
     def peaks(self) -> dict[str, float]:
@@ -74,14 +77,37 @@
         for task_id in gone:
             if task_id not in statuses:
                 del self.reports[task_id]
+        self.throttled = {
+            name: since
+            for name, since in self.throttled.items()
+            if name in owners
+        }
         return [
             ReliefOrder(owners[task_id], task_id, relief)
             for worker in fleet
-            for task_id, relief in relieve(
-                worker, uses.get(worker.id, []), REPORT_AHEAD_S
+            for task_id, relief in self._choose(
+                now, worker, uses.get(worker.id, [])
             ).items()
         ]
 
+    def _choose(
+        self, now: float, worker: Instance, uses: Sequence[TaskUse]
+    ) -> dict[str, Relief]:
+        """Return what changes: a task throttled for long is moved."""
+        reliefs = dict(relieve(worker, uses, REPORT_AHEAD_S))
+        is_roomy = can_restore(worker, uses, REPORT_AHEAD_S)
+        for use in uses:
+            name = use.task_id
+            if name in self.throttled:
+                is_late = now - self.throttled[name] > MAX_THROTTLE_S
+                if is_roomy:
+                    reliefs[name] = Relief.RESTORE
+                elif is_late and use.is_movable:
+                    reliefs[name] = Relief.MOVE
+                elif reliefs.get(name) is Relief.THROTTLE:
+                    del reliefs[name]
+        return reliefs
+
     def _collect(
         self,
         now: float,
@@ -109,7 +135,7 @@
     def _growth(self, now: float, status: TaskStatus) -> float:
         at = now - status.usage_age_s
         last = self.reports.get(status.task_id)
-        if last is None:
+        if last is None or last.memory_mb <= 0:
             self.reports[status.task_id] = Report(at, status.memory_mb)
             return 0.0
         gap_s = at - last.at
--- a/src/primroseledge/placing.py
+++ b/src/primroseledge/placing.py
@@ -32,6 +32,7 @@
 URGENT_PART: Final = 0.1
 THROTTLE_PART: Final = 0.85
 MOVE_PART: Final = 0.93
+RESTORE_PART: Final = 0.7
 
 
 @dataclass(slots=True)
@@ -192,6 +193,7 @@
     """What is done with a task on a worker that fills up."""
 
     THROTTLE = 'throttle'
+    RESTORE = 'restore'
     MOVE = 'move'
 
 
@@ -212,13 +214,25 @@
         return self.memory_mb + growth * (self.age_s + ahead_s)
 
 
+def can_restore(
+    instance: Instance, uses: Sequence[TaskUse], ahead_s: float
+) -> bool:
+    """Tell whether throttled tasks may go on at full speed.
+
+    The gap to the throttling limit is hysteresis.
+    """
+    total = sum(use.projected_mb(ahead_s) for use in uses)
+    return total < instance.memory_mb * RESTORE_PART
+
+
 def relieve(
     instance: Instance, uses: Sequence[TaskUse], ahead_s: float
 ) -> Mapping[str, Relief]:
     """Return which tasks to throttle or move before memory runs out.
 
     The fastest-growing task that isn't urgent goes first; it is moved
-    when even the next report may come too late.
+    when even the next report may come too late. One that is alone on
+    its worker is only throttled: it would need as much elsewhere.
     """
     total = sum(use.projected_mb(ahead_s) for use in uses)
     reliefs = dict[str, Relief]()
@@ -230,7 +244,7 @@
         part = total / max(instance.memory_mb, 1)
         if part < THROTTLE_PART:
             break
-        is_last = part >= MOVE_PART and use.is_movable
+        is_last = part >= MOVE_PART and use.is_movable and len(uses) > 1
         reliefs[use.task_id] = Relief.MOVE if is_last else Relief.THROTTLE
         present = use.memory_mb if not is_last else 0.0
         total -= use.projected_mb(ahead_s) - present
--- a/src/primroseledge/wave.py
+++ b/src/primroseledge/wave.py
@@ -4,7 +4,6 @@
 to actions; the controller records each before it carries it out.
 """
 
-from collections import Counter
 from collections.abc import Callable
 from math import ceil
 from math import floor
@@ -322,7 +321,9 @@
         if _is_due(wave, situation.plan.steps.get(name, Step()), item)
     ]
     waiting.sort(key=lambda item: (-item.boot_age_s, item.instance.id))
-    left = Counter(item.instance.zone for item in waiting)
+    left = dict[str, int]()
+    for item in waiting:
+        left[item.instance.zone] = left.get(item.instance.zone, 0) + 1
     keyed = list[tuple[bool, int, str, InstanceView]]()
     for item in waiting:
         zone = item.instance.zone
--- a/tests/test_pool_fuzz.py
+++ b/tests/test_pool_fuzz.py
@@ -3,10 +3,12 @@
 import unittest
 
 from hypothesis import settings
-from hypothesis import strategies as st
 from hypothesis.stateful import initialize
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.strategies import booleans
+from hypothesis.strategies import integers
+from hypothesis.strategies import sampled_from
 
 from primroseledge.errors import OperatorError
 from primroseledge.errors import StoreError
@@ -22,16 +24,16 @@
 from tests.policyworld import POOL
 from tests.policyworld import SERVICES
 
-INSTANCES = st.sampled_from([f'i{z}{n}' for z in range(3) for n in range(3)])
-ZONES = st.integers(0, 2)
-SECONDS = st.sampled_from([0.5, 1.0, 2.0, 4.0, 8.0])
+INSTANCES = sampled_from([f'i{z}{n}' for z in range(3) for n in range(3)])
+ZONES = integers(0, 2)
+SECONDS = sampled_from([0.5, 1.0, 2.0, 4.0, 8.0])
 SETTLE_STEPS = 900
 
 
 class PoolMachine(RuleBasedStateMachine):
     """Two controllers of one pool, operators, and what fails."""
 
-    @initialize(steps=st.integers(0, 40))
+    @initialize(steps=integers(0, 40))
     def begin(self, steps: int) -> None:
         self.world = PolicyWorld()
         self.controllers = [self.world.controller() for _ in range(2)]
@@ -50,12 +52,12 @@
         finally:
             self.world.store.writes_left = None
 
-    @rule(seconds=SECONDS, number=st.integers(0, 1))
+    @rule(seconds=SECONDS, number=integers(0, 1))
     def go_on(self, seconds: float, number: int) -> None:
         self.world.advance(seconds)
         self.run_controller(number)
 
-    @rule(count=st.integers(3, 12), is_ending=st.booleans())
+    @rule(count=integers(3, 12), is_ending=booleans())
     def go_on_long(self, count: int, is_ending: bool) -> None:
         for _ in range(count):
             if is_ending:
@@ -63,15 +65,15 @@
             self.world.advance(2.0)
             self.run_controller(0)
 
-    @rule(writes=st.integers(0, 8))
+    @rule(writes=integers(0, 8))
     def crash(self, writes: int) -> None:
         self.world.store.writes_left = writes
         self.run_controller(0)
 
     @rule(
-        writes=st.integers(0, 25),
+        writes=integers(0, 25),
         seconds=SECONDS,
-        steps=st.sampled_from([3, 20]),
+        steps=sampled_from([3, 20]),
     )
     def pause_while_another_acts(
         self, writes: int, seconds: float, steps: int
@@ -86,7 +88,7 @@
         self.world.interruption = None
         self.world.was_interrupted = False
 
-    @rule(writes=st.integers(0, 25), trigger=st.sampled_from(['halt', 'undo']))
+    @rule(writes=integers(0, 25), trigger=sampled_from(['halt', 'undo']))
     def pause_while_undone(self, writes: int, trigger: str) -> None:
         def other() -> None:
             self.operate('halt')
@@ -101,7 +103,7 @@
         self.world.interruption = None
         self.world.was_interrupted = False
 
-    @rule(trigger=st.sampled_from(['halt', 'resume', 'resume', 'roll_back']))
+    @rule(trigger=sampled_from(['halt', 'resume', 'resume', 'roll_back']))
     def operate(self, trigger: str) -> None:
         try:
             command_wave(self.world.records(), POOL, trigger)
@@ -137,7 +139,7 @@
     def restart(self, instance: str) -> None:
         self.world.replace(InstanceId(instance))
 
-    @rule(zone=ZONES, is_whole=st.booleans())
+    @rule(zone=ZONES, is_whole=booleans())
     def lose_rack_or_zone(self, zone: int, is_whole: bool) -> None:
         for number in range(3):
             if is_whole or number % 2 == 0:
@@ -151,14 +153,14 @@
     def take_store_down(self, seconds: float) -> None:
         self.world.take_store_down(5 * seconds)
 
-    @rule(count=st.integers(1, 3), is_before=st.booleans())
+    @rule(count=integers(1, 3), is_before=booleans())
     def lose_store_answers(self, count: int, is_before: bool) -> None:
         if is_before:
             self.world.store.lost_before = count
         else:
             self.world.store.lost_after = count
 
-    @rule(seconds=SECONDS, count=st.integers(0, 2))
+    @rule(seconds=SECONDS, count=integers(0, 2))
     def harm_platform(self, seconds: float, count: int) -> None:
         self.world.take_platform_down(seconds)
         self.world.platform.answers_to_lose = count
