--- a/bench/policy.py
+++ b/bench/policy.py
@@ -28,12 +28,12 @@
 from primroseledge.ids import Revision
 from primroseledge.operators import start_pool_wave
 from primroseledge.plan import InstanceView
+from primroseledge.plan import MoveRequest
 from primroseledge.plan import Plan
 from primroseledge.plan import Situation
 from primroseledge.plan import Wave
 from primroseledge.plan import WaveSettings
 from primroseledge.plan import WaveState
-from primroseledge.poolcontroller import MoveRequest
 from primroseledge.sizing import choose_instance
 from primroseledge.sizing import decide_size
 from primroseledge.sizing import DemandHistory
--- a/bench/policyfleet.py
+++ b/bench/policyfleet.py
@@ -25,11 +25,11 @@
 from primroseledge.ids import WriteId
 from primroseledge.plan import ENDED
 from primroseledge.plan import InstanceView
+from primroseledge.plan import MoveRequest
+from primroseledge.plan import PoolInput
+from primroseledge.plan import StepReport
 from primroseledge.plan import WaveSettings
-from primroseledge.poolcontroller import MoveRequest
 from primroseledge.poolcontroller import PoolController
-from primroseledge.poolcontroller import PoolInput
-from primroseledge.poolcontroller import StepReport
 from primroseledge.records import Records
 from standins.platform import Machine
 from standins.platform import PlatformCore
--- a/src/primroseledge/claimbook.py
+++ b/src/primroseledge/claimbook.py
@@ -102,6 +102,15 @@
         for key, held in list(self.ledgers.items()):
             self._swap(key, release_claim(held.value, instance, operation))
 
+    def transfer(self, instance: InstanceId, before: str, after: str) -> None:
+        """Hand an operation's claims over, without a gap, to another."""
+        for key, held in list(self.ledgers.items()):
+            claim = held.value.claims.get(instance)
+            if claim is not None and claim.operation == before:
+                zone = ZoneId(claim.zone)
+                ledger = add_claim(held.value, instance, zone, after)
+                self._swap(key, ledger)
+
     def fail(self, instance: InstanceId, zone: ZoneId, operation: str) -> None:
         """Turn claims on an instance into a failure, which lapses."""
         for key, held in list(self.ledgers.items()):
--- a/src/primroseledge/explain.py
+++ b/src/primroseledge/explain.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -72,6 +73,14 @@
     )
 
 
+def explain_subject(held: Iterable[Explanation], subject: str) -> list[str]:
+    """Return the lines about one job, instance, wave or pool.
+
+    Empty when nothing holds the subject.
+    """
+    return [explain(item) for item in held if item.subject == subject]
+
+
 @remedy(Rule.BUDGET, Rule.BUDGET_ZONE)
 def _budget_remedy(explanation: Explanation) -> str:
     numbers = explanation.numbers
--- a/src/primroseledge/plan.py
+++ b/src/primroseledge/plan.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
@@ -15,6 +16,7 @@
 from msgspec.structs import replace
 
 from primroseledge.documents import Instance
+from primroseledge.documents import Service
 from primroseledge.errors import OperatorError
 from primroseledge.explain import Explanation
 from primroseledge.ids import InstanceId
@@ -147,6 +149,7 @@
     """What is to be done with an instance, or with the wave."""
 
     CLAIM = 'claim'
+    CLAIM_FAILED = 'claim_failed'
     DRAIN = 'drain'
     EVICT = 'evict'
     REBOOT = 'reboot'
@@ -192,6 +195,35 @@
     settings: WaveSettings
 
 
+@dataclass(frozen=True, slots=True)
+class MoveRequest:
+    """Asks to move an instance of this pool to another pool."""
+
+    instance: InstanceId
+    pool: PoolId
+
+
+@dataclass(frozen=True, slots=True)
+class PoolInput:
+    """What a controller is given for one step.
+
+    ``shards`` names the placement shard of each instance.
+    """
+
+    services: tuple[Service, ...]
+    view: PoolView
+    shards: Mapping[InstanceId, str]
+    moves: Sequence[MoveRequest] = ()
+
+
+@dataclass(slots=True)
+class StepReport:
+    """What a step did, and why the rest waits."""
+
+    done: list[Action] = field(default_factory=list)
+    held: list[Explanation] = field(default_factory=list)
+
+
 def plan_key(pool: PoolId) -> str:
     """Return the store key of a pool's plan."""
     return f'{PLANS_PREFIX}{pool}'
--- a/src/primroseledge/poolcontroller.py
+++ b/src/primroseledge/poolcontroller.py
@@ -11,15 +11,11 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
-from collections.abc import Sequence
-from dataclasses import dataclass
-from dataclasses import field
 from typing import Final
 
 from msgspec.structs import replace
 
 from primroseledge.claimbook import ClaimBook
-from primroseledge.documents import Service
 from primroseledge.errors import ConflictError
 from primroseledge.errors import StoreError
 from primroseledge.explain import Explanation
@@ -37,9 +33,10 @@
 from primroseledge.plan import operation_id
 from primroseledge.plan import Plan
 from primroseledge.plan import plan_key
-from primroseledge.plan import PoolView
+from primroseledge.plan import PoolInput
 from primroseledge.plan import Situation
 from primroseledge.plan import Step
+from primroseledge.plan import StepReport
 from primroseledge.plan import StepState
 from primroseledge.plan import Wave
 from primroseledge.plan import WaveSettings
@@ -56,35 +53,6 @@
 HELD_STATES: Final = IN_FLIGHT | {StepState.FAILED}
 
 
-@dataclass(frozen=True, slots=True)
-class MoveRequest:
-    """Asks to move an instance of this pool to another pool."""
-
-    instance: InstanceId
-    pool: PoolId
-
-
-@dataclass(frozen=True, slots=True)
-class PoolInput:
-    """What a controller is given for one step.
-
-    ``shards`` names the placement shard of each instance.
-    """
-
-    services: tuple[Service, ...]
-    view: PoolView
-    shards: Mapping[InstanceId, str]
-    moves: Sequence[MoveRequest] = ()
-
-
-@dataclass(slots=True)
-class StepReport:
-    """What a step did, and why the rest waits."""
-
-    done: list[Action] = field(default_factory=list)
-    held: list[Explanation] = field(default_factory=list)
-
-
 class PoolController:
     """Moves one pool's plan on; ``step`` is called again and again.
 
@@ -272,6 +240,15 @@
             self._record(instance, _claimed(item, operation))
             self.drain(instance)
 
+    def claim_failed(self, instance: InstanceId) -> None:
+        """Claim a failed instance anew, so that it is rolled back."""
+        step = self.plan.value.steps[instance]
+        wave = self.plan.value.wave
+        if wave is not None:
+            operation = operation_id(wave)
+            self.book.transfer(instance, step.operation, operation)
+            self.claim(instance)
+
     def drain(self, instance: InstanceId) -> None:
         """Record the drain, then mark the instance in its placement."""
         item = self.input.view[instance]
@@ -382,6 +359,7 @@
 Handler = Callable[[PoolController, InstanceId], None]
 HANDLERS: Final[Mapping[Kind, Handler]] = {
     Kind.CLAIM: PoolController.claim,
+    Kind.CLAIM_FAILED: PoolController.claim_failed,
     Kind.DRAIN: PoolController.drain,
     Kind.EVICT: PoolController.evict,
     Kind.REBOOT: PoolController.reboot,
--- a/src/primroseledge/statechart.py
+++ b/src/primroseledge/statechart.py
@@ -6,6 +6,8 @@
 
 from functools import lru_cache
 from importlib.resources import files
+from logging import getLogger
+from logging import WARNING
 from typing import Any
 
 from msgspec import json
@@ -13,6 +15,8 @@
 
 from primroseledge.errors import PrimroseledgeError
 
+getLogger('transitions').setLevel(WARNING)
+
 
 class TransitionError(PrimroseledgeError):
     """A trigger is not allowed in the present state."""
--- a/src/primroseledge/wave.py
+++ b/src/primroseledge/wave.py
@@ -239,7 +239,13 @@
 ) -> Kind | None:
     if _is_proved(step, item, situation.settings):
         return Kind.PROVE
-    return Kind.REPEAT_REBOOT if item.boot_id == step.boot_id else None
+    if item.boot_id == step.boot_id:
+        return Kind.REPEAT_REBOOT
+    wave = situation.plan.wave
+    if wave is None or wave.state is not WaveState.ROLLING_BACK:
+        return None
+    is_old = item.image == wave.previous_image
+    return None if is_old else Kind.CLAIM_FAILED
 
 
 @step_rule(StepState.RETURNED)
@@ -287,6 +293,13 @@
         instance = item.instance.instance_id
         if _is_replaced(wave, item, situation.settings):
             decision.actions.append(Action(Kind.SKIP, instance))
+            ages = {
+                'boot_age_s': item.boot_age_s,
+                'window_s': situation.settings.window_s,
+            }
+            decision.held.append(
+                Explanation(instance, Rule.RECENTLY_REPLACED, ages)
+            )
         elif room > 0:
             decision.actions.append(Action(Kind.CLAIM, instance))
             room -= 1
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -12,6 +12,8 @@
 from primroseledge.placing import Relief
 from primroseledge.placing import relieve
 from primroseledge.placing import TaskUse
+from primroseledge.platform import PlatformUnavailableError
+from primroseledge.platform import TaskSpec
 from primroseledge.statechart import load_chart
 from standins.platform import Program
 from tests.jobworld import JobWorld
@@ -50,6 +52,26 @@
         self.assertIs(JobState.SUCCEEDED, self.state('a'))
         self.assertEqual(1, len(self.world.starts('a')))
 
+    def test_attempt_given_up_before_it_started_never_starts(self) -> None:
+        self.world.submit(Job('a', 'big', is_idempotent=False))
+        platform = self.world.platform
+        submit = platform.submit
+        late = list[TaskSpec]()
+
+        def fail(spec: TaskSpec) -> None:
+            late.append(spec)
+            raise PlatformUnavailableError('not reached')
+
+        platform.submit = fail  # type: ignore[method-assign]
+        self.run_for(2)
+        platform.submit = submit  # type: ignore[method-assign]
+        self.world.break_worker(int(late[0].worker[1:]))
+        self.run_for(4)
+        submit(late[0])
+        self.run_for(20)
+        self.assertIs(JobState.SUCCEEDED, self.state('a'))
+        self.assertEqual(['a/2/0'], self.world.starts('a'))
+
     def test_lost_worker_idempotent_runs_again(self) -> None:
         self.world.submit(Job('a', 'big'), Program(run_s=20.0))
         self.run_for(6)
--- a/tests/test_pool_fuzz.py
+++ b/tests/test_pool_fuzz.py
@@ -16,8 +16,8 @@
 from primroseledge.operators import command_wave
 from primroseledge.operators import start_pool_wave
 from primroseledge.plan import ENDED
+from primroseledge.plan import MoveRequest
 from primroseledge.plan import WaveState
-from primroseledge.poolcontroller import MoveRequest
 from tests.policyfake import CrashError
 from tests.policyworld import OTHER
 from tests.policyworld import PolicyWorld
