--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,6 @@
 .PHONY: tour
 tour: $(STAMP)
 	$(BIN)/python -m tools.tour
+
+bench-policy: $(STAMP)
+	$(BIN)/python -m bench.policy
