--- a/src/primroseledge/loop.py
+++ b/src/primroseledge/loop.py
@@ -40,7 +40,8 @@
 from primroseledge.ownershipactions import WriteRecord
 from primroseledge.peerlink import PeerLink
 
-TICK_S: Final = 0.05
+TICK_S: Final = 0.1
+PUBLISH_S: Final = 0.5
 
 
 class Result(Protocol):
@@ -83,6 +84,7 @@
         self.is_watcher = True
         self.was_fresh = False
         self.stale_since = monotonic()
+        self.publish_at = 0.0
         self.counted_bytes = (0, 0)
 
     def next_handle(self) -> int:
@@ -157,7 +159,9 @@
         self.node.wall_offset_s = time() - now
         self.begin_stop(now)
         self.perform(self.node.tick(now))
-        self.publish(now)
+        if now >= self.publish_at:
+            self.publish_at = now + PUBLISH_S
+            self.publish(now)
         if self.stop_at is not None and (
             not self.node.has_work() or now >= self.stop_at
         ):
@@ -171,6 +175,7 @@
         running, queued = self.node.entry.count_calls()
         log(Event.STOPPING, running=running, queued=queued)
         self.perform(self.node.leave(now))
+        self.publish_at = now
 
     def publish(self, now: float) -> None:
         """Publish pages and metrics."""
--- a/src/primroseledge/messages.py
+++ b/src/primroseledge/messages.py
@@ -26,7 +26,7 @@
 from primroseledge.outcomes import Reason
 
 PROTOCOL_VERSION = 1
-MAX_MESSAGE_BYTES = 4_000_000
+MAX_MESSAGE_BYTES = 16_000_000
 
 
 class EndState(Enum):
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -110,6 +110,7 @@
     dispatchers: dict[CellId, Dispatcher] = field(default_factory=dict)
     handovers: dict[CellId, Handover] = field(default_factory=dict)
     wall_offset_s: float = 0.0
+    cells_revision: Revision = Revision(-1)
     heartbeat_due: float = 0.0
     is_leaving: bool = False
 
@@ -244,29 +245,29 @@
 
     def tick_ownerships(self, now: float) -> list[Action]:
         """Let the core of each cell do what is due."""
-        cells = {
-            CellId(service.cell)
-            for service in self.configuration.services.values()
-        }
-        for cell in cells - self.ownerships.keys():
-            self.ownerships[cell] = create_ownership(
-                cell, self.membership, self.ownership_settings
-            )
+        if self.cells_revision != self.configuration.revision:
+            self.follow_cells()
         actions: list[Action] = []
-        for cell, ownership in self.ownerships.items():
-            ownership.longest_run_s = self.longest_run_s(cell)
+        for ownership in self.ownerships.values():
             steps = ownership.tick(now, self.configuration.members)
-            actions += self.follow(steps, now)
+            if steps:
+                actions += self.follow(steps, now)
         return actions
 
-    def longest_run_s(self, cell: CellId) -> float:
-        """Return the longest run limit of a cell's services, in seconds."""
-        limits = [
-            service.run_limit_s
-            for service in self.configuration.services.values()
-            if service.cell == cell
-        ]
-        return max(limits, default=0.0) + RUN_MARGIN_S
+    def follow_cells(self) -> None:
+        """Keep an ownership core for each cell of the configuration."""
+        self.cells_revision = self.configuration.revision
+        longest_run_s: dict[CellId, float] = {}
+        for service in self.configuration.services.values():
+            cell = CellId(service.cell)
+            known_s = longest_run_s.get(cell, 0.0)
+            longest_run_s[cell] = max(known_s, service.run_limit_s)
+        for cell, run_s in longest_run_s.items():
+            if cell not in self.ownerships:
+                self.ownerships[cell] = create_ownership(
+                    cell, self.membership, self.ownership_settings
+                )
+            self.ownerships[cell].longest_run_s = run_s + RUN_MARGIN_S
 
     def follow(
         self, steps: Iterable[OwnershipAction], now: float
--- a/src/primroseledge/peerlink.py
+++ b/src/primroseledge/peerlink.py
@@ -14,6 +14,8 @@
 
 from zmq.auth.thread import ThreadAuthenticator
 from zmq.constants import Flag
+from zmq.constants import PollEvent
+from zmq.constants import SocketOption
 from zmq.constants import SocketType
 from zmq.error import Again
 from zmq.sugar.context import Context
@@ -112,10 +114,10 @@
     def receive(self, limit: int = 1000) -> Iterable[Envelope]:
         """Yield the messages that have arrived, at most ``limit``."""
         for _ in range(limit):
-            try:
-                frames = self.router.recv_multipart(Flag.DONTWAIT, copy=False)
-            except Again:
+            events = self.router.get(SocketOption.EVENTS)
+            if not int(events) & PollEvent.POLLIN:
                 return
+            frames = self.router.recv_multipart(Flag.DONTWAIT, copy=False)
             envelope = self.check(frames[-1])
             if envelope is not None:
                 yield envelope
--- a/src/primroseledge/storeclient.py
+++ b/src/primroseledge/storeclient.py
@@ -3,9 +3,11 @@
 from collections.abc import Sequence
 from contextlib import ExitStack
 from typing import Any
+from typing import TypeVar
 
 from msgspec import DecodeError
 from msgspec import json
+from msgspec import Struct
 from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
@@ -23,6 +25,28 @@
 from primroseledge.store import Snapshot
 
 
+class Found(Struct, frozen=True):
+    """The answer to a read or a watch."""
+
+    revision: Revision
+    records: tuple[Record, ...]
+
+
+class Written(Struct, frozen=True):
+    """The answer to a write."""
+
+    revision: Revision
+
+
+class Leased(Struct, frozen=True):
+    """The answer to a request for a lease."""
+
+    lease: str
+
+
+AnswerT = TypeVar('AnswerT', Written, Leased)
+
+
 class HttpStore:
     """Calls the key-value service; each call is one HTTP request.
 
@@ -47,7 +71,8 @@
 
     def read(self, prefix: str) -> Snapshot:
         """Return the records under a prefix."""
-        return to_snapshot(self.call('GET', 'kv', {'prefix': prefix}))
+        data = self.call('GET', 'kv', {'prefix': prefix})
+        return decode_snapshot(data)
 
     def write(
         self,
@@ -69,16 +94,17 @@
                 'lease': lease,
             },
         )
-        return Revision(answer['revision'])
+        return decode_answer(answer, Written).revision
 
     def watch(self, prefix: str, after: Revision, wait_s: float) -> Snapshot:
         """Wait for changes; see ``Store.watch``."""
         fields = {'prefix': prefix, 'after': after, 'wait_s': wait_s}
-        return to_snapshot(self.call('GET', 'watch', fields, wait_s))
+        return decode_snapshot(self.call('GET', 'watch', fields, wait_s))
 
     def grant_lease(self, ttl_s: float) -> str:
         """Create a lease."""
-        return str(self.call('POST', 'lease', {'ttl_s': ttl_s})['lease'])
+        answer = self.call('POST', 'lease', {'ttl_s': ttl_s})
+        return decode_answer(answer, Leased).lease
 
     def keep_alive(self, lease: str) -> None:
         """Renew a lease."""
@@ -90,8 +116,8 @@
         operation: str,
         fields: dict[str, Any],
         wait_s: float = 0.0,
-    ) -> Any:
-        """Make one call and return its decoded answer."""
+    ) -> bytes:
+        """Make one call and return its answer."""
         self.calls += 1
         for url in self.urls:
             try:
@@ -107,7 +133,7 @@
         operation: str,
         fields: dict[str, Any],
         wait_s: float,
-    ) -> Any:
+    ) -> bytes:
         """Make one call to one URL."""
         is_get = method == 'GET'
         try:
@@ -131,10 +157,7 @@
             raise StoreUnavailableError(f'{operation}: the store is down')
         if response.status != 200:
             raise StoreError(f'{operation}: status {response.status}')
-        try:
-            return json.decode(data)
-        except DecodeError as error:
-            raise lost_answer(is_get, f'{operation}: {error}') from error
+        return data
 
 
 def lost_answer(is_read: bool, text: str) -> StoreError:
@@ -144,20 +167,25 @@
     return StoreOutcomeUnknownError(text)
 
 
-def to_snapshot(answer: dict[str, Any]) -> Snapshot:
-    """Return the typed form of an answer with records."""
-    return Snapshot(
-        Revision(answer['revision']),
-        tuple(
-            Record(
-                record['key'],
-                record['value'],
-                Revision(record['revision']),
-                WriteId(record.get('write_id', '')),
-            )
-            for record in answer['records']
-        ),
-    )
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Return the records in an answer.
+
+    They are decoded straight to their type, since a whole
+    configuration in bare maps takes several times its memory.
+    """
+    try:
+        found = json.decode(data, type=Found)
+    except DecodeError as error:
+        raise StoreUnavailableError(f'malformed answer: {error}') from error
+    return Snapshot(found.revision, found.records)
+
+
+def decode_answer(data: bytes, answer_type: type[AnswerT]) -> AnswerT:
+    """Return the typed answer to a write, or say that it was lost."""
+    try:
+        return json.decode(data, type=answer_type)
+    except DecodeError as error:
+        raise StoreOutcomeUnknownError(f'malformed answer: {error}') from error
 
 
 def open_store(
--- a/src/primroseledge/storethreads.py
+++ b/src/primroseledge/storethreads.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from queue import SimpleQueue
+from random import uniform
 from threading import Event as Flag
 from threading import Thread
 from time import monotonic
@@ -32,6 +33,8 @@
 """How long one watch waits; a node's evidence is renewed as often."""
 
 RETRY_S: Final = 0.3
+MAX_RETRY_S: Final = 1.0
+BACKOFF: Final = 1.5
 IDLE_S: Final = 0.1
 
 
@@ -86,6 +89,7 @@
         self.metrics = metrics
         self.stopped = Flag()
         self.failing_since: float | None = None
+        self.retry_s = RETRY_S
         self.thread = Thread(target=self.run, name='store-watch', daemon=True)
 
     def start(self) -> None:
@@ -121,8 +125,11 @@
         except StoreError as error:
             self.metrics.store_called('watch', False, monotonic() - began_at)
             self.failed(began_at, error)
-            self.stopped.wait(RETRY_S)
+            # Jitter spreads the calls of all instances after an outage.
+            self.stopped.wait(self.retry_s * uniform(0.5, 1.0))
+            self.retry_s = min(MAX_RETRY_S, self.retry_s * BACKOFF)
             return None
+        self.retry_s = RETRY_S
         self.metrics.store_called('watch', True, monotonic() - began_at)
         self.succeeded(began_at)
         delta = snapshot_delta(snapshot, revision)
