--- a/src/primroseledge/freshness.py
+++ b/src/primroseledge/freshness.py
@@ -136,6 +136,7 @@
         self.note_revision(revision)
         if store_revision >= revision:
             self.note_covered(began_at)
+            self.is_witness = True
 
     def note_heartbeat(
         self,
@@ -181,7 +182,7 @@
         self.read_at = max(self.read_at, began_at)
         # A read from before this run may miss what an earlier run of
         # this node had acknowledged, so it makes no witness.
-        self.is_witness |= began_at >= self.started_at
+        self.is_witness |= began_at > self.started_at
 
     def store_read_age_s(self, now: float) -> float:
         """Return what a heartbeat sent now says of store reads."""
--- a/src/primroseledge/ownerrecord.py
+++ b/src/primroseledge/ownerrecord.py
@@ -18,13 +18,15 @@
 class OwnerRecord(Struct, frozen=True):
     """The owner of a cell by its newest epoch.
 
-    An owner that ``is_released`` has stopped for good in that epoch.
+    An owner that ``is_released`` has stopped for good in that epoch;
+    it ``is_whole`` when it then knew of all that was running.
     """
 
     owner: EntryId
     incarnation: Incarnation
     epoch: Epoch
     is_released: bool = False
+    is_whole: bool = False
 
 
 NO_OWNER: Final = OwnerRecord(EntryId(''), Incarnation(0), Epoch(0))
--- a/src/primroseledge/ownership.py
+++ b/src/primroseledge/ownership.py
@@ -75,6 +75,7 @@
         self.stands_since = INFINITY
         self.takeover = Takeover(NEVER, NO_OWNER)
         self.next_request_at = NEVER
+        self.quarantine_until = NEVER
 
     @property
     def epoch(self) -> Epoch:
@@ -271,23 +272,29 @@
 
     def wait(self, now: float) -> Actions:
         """Become the owner once no earlier one can act, or ask again."""
-        is_reported = self.takeover.is_reported(
-            self.members,
-            self.membership.alive(now),
-            now,
-            self.settings.report_wait_s,
-        )
-        stopped_at = self.takeover.stopped_at(
-            self.members, self.settings.lapse_s
-        )
-        if is_reported and stopped_at < now <= self.act_until():
-            return self.become_owner(stopped_at, now)
-        if is_reported or now < self.next_request_at:
+        if self.is_ready(now):
+            return self.become_owner(now)
+        if self.is_reported(now) or now < self.next_request_at:
             return []
         self.next_request_at = now + self.settings.report_interval_s
         return [SendReportRequest(self.cell, self.epoch)]
 
-    def become_owner(self, stopped_at: float, now: float) -> Actions:
+    def is_ready(self, now: float) -> bool:
+        """Return whether no earlier owner can act and we can."""
+        is_due = self.stopped_at() < now <= self.act_until()
+        return is_due and self.is_reported(now)
+
+    def is_reported(self, now: float) -> bool:
+        """Return whether enough reports of our epoch are here."""
+        alive = self.membership.alive(now)
+        wait_s = self.settings.report_wait_s
+        return self.takeover.is_reported(self.members, alive, now, wait_s)
+
+    def stopped_at(self) -> float:
+        """Return the latest time at which an earlier owner can act."""
+        return self.takeover.stopped_at(self.members, self.settings.lapse_s)
+
+    def become_owner(self, now: float) -> Actions:
         """Act from now on."""
         self.fire('ready')
         entries = {*self.members, *self.membership.peers, self.me}
@@ -299,15 +306,18 @@
         }
         # What was granted before then may still be started as long as
         # ``may_start`` allows.
-        last_begin_at = stopped_at + self.settings.lapse_s
+        last_begin_at = self.stopped_at() + self.settings.lapse_s
+        unreported = self.takeover.unreported(entries, young)
+        until = last_begin_at + self.longest_run_s
+        self.quarantine_until = until if unreported else NEVER
         return [
             BecomeOwner(
                 self.cell,
                 self.epoch,
                 dict(self.takeover.reports),
-                self.takeover.unreported(entries, young),
+                unreported,
                 last_begin_at,
-                last_begin_at + self.longest_run_s,
+                until,
             )
         ]
 
@@ -364,7 +374,11 @@
         if not was_owner:
             return []
         released = OwnerRecord(
-            self.me, self.incarnation, self.epoch, is_released=True
+            self.me,
+            self.incarnation,
+            self.epoch,
+            is_released=True,
+            is_whole=now >= self.quarantine_until,
         )
         return [
             StepDown(self.cell, self.epoch),
--- a/src/primroseledge/takeover.py
+++ b/src/primroseledge/takeover.py
@@ -41,11 +41,12 @@
         """Take a report; the sender has obeyed the epoch since then.
 
         The run that released the cell reports all that it granted, to
-        whomever; a later run of the same entry instance knows nothing.
+        whomever; a later run of the same entry instance knows nothing,
+        nor does a run that released while it waited itself.
         """
         past = self.predecessor
         is_past_owner = (sender, incarnation) == (past.owner, past.incarnation)
-        self.is_complete |= past.is_released and is_past_owner
+        self.is_complete |= past.is_whole and is_past_owner
         self.reports[sender] = report
         self.reported_at.setdefault(sender, now)
 
