--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,9 @@
 
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
+
+bench-nodes: $(STAMP)
+	$(BIN)/python -m bench.nodes
+
+model: $(STAMP)
+	$(BIN)/python -m bench.model
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints JSON."""
--- a/src/primroseledge/membership.py
+++ b/src/primroseledge/membership.py
@@ -215,11 +215,17 @@
         epochs: dict[CellId, Epoch],
         is_witness: bool,
         vacant: tuple[CellId, ...] = (),
+        to: EntryId | None = None,
     ) -> Heartbeat:
-        """Return the heartbeat to send to every peer now."""
+        """Return the heartbeat to send now, to one peer or to all.
+
+        One for a single peer echoes that peer alone, so that its size
+        does not grow with the fleet.
+        """
+        peers = self.peers.values() if to is None else [self.peers[to]]
         echoes = {
             peer.id: Echo(peer.incarnation, peer.sent_at)
-            for peer in self.peers.values()
+            for peer in peers
             if now - peer.last_heard <= self.timing.dead_s
         }
         return Heartbeat(
