--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,12 @@
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
 
+binary: $(STAMP)
+	$(BIN)/python -m tools.binary
+
+.PHONY: tour
+tour: $(STAMP)
+	$(BIN)/python -m tools.tour
+
 bench-policy: $(STAMP)
 	$(BIN)/python -m bench.policy
--- /dev/null
+++ b/src/primroseledge/daemon.py
@@ -0,0 +1,175 @@
+"""The entry daemon: makes everything, runs the loop, closes everything."""
+
+from contextlib import ExitStack
+from os import close
+from os import eventfd
+from signal import SIGINT
+from signal import signal
+from signal import SIGTERM
+from time import monotonic
+from time import time
+from typing import Any
+from typing import Final
+
+from cherrypy.process.wspbus import Bus
+
+from primroseledge.carrier import Carrier
+from primroseledge.events import Event
+import primroseledge.handlers  # noqa: F401  its handlers register
+from primroseledge.httprequest import RequestLimits
+from primroseledge.httpserver import adapt
+from primroseledge.httpserver import Application
+from primroseledge.httpserver import create_server
+from primroseledge.ids import EntryId
+from primroseledge.ids import Incarnation
+from primroseledge.ids import ZoneId
+from primroseledge.logs import log
+from primroseledge.loop import Loop
+from primroseledge.membership import Timing
+from primroseledge.metrics import create_metrics
+from primroseledge.metrics import Metrics
+from primroseledge.node import create_node
+from primroseledge.node import Node
+from primroseledge.pages import Pages
+from primroseledge.peerlink import open_link
+from primroseledge.settings import Settings
+from primroseledge.storeclient import open_store
+from primroseledge.storethreads import ConfigWatcher
+from primroseledge.storethreads import RecordThread
+
+MAX_ANSWER_BYTES: Final = 16_000_000
+PAGE_THREADS: Final = 2
+EXIT_LOOP_FAILED: Final = 70
+SUSPECT_HEARTBEATS: Final = 4
+DEAD_HEARTBEATS: Final = 8
+
+
+def run(settings: Settings) -> int:
+    """Run an entry instance until it is told to stop.
+
+    Returns the process's exit code.
+    """
+    began_at = monotonic()
+    with ExitStack() as resources:
+        metrics = create_metrics()
+        loop = create_loop(settings, metrics, resources)
+        start_store_threads(settings, loop, metrics, resources)
+        start_servers(settings, loop, metrics, resources)
+        for number in (SIGTERM, SIGINT):
+            signal(
+                number,
+                lambda *_: loop.request_stop(settings.graceful_timeout_s),
+            )
+        left = run_loop(loop)
+    log(
+        Event.STOPPED,
+        seconds=round(monotonic() - began_at, 1),
+        left=left,
+    )
+    return 0 if loop.has_ended_well else EXIT_LOOP_FAILED
+
+
+def run_loop(loop: Loop) -> int:
+    """Run the loop to its end; return how many calls were left."""
+    try:
+        loop.run()
+    except Exception as error:
+        # Callers get a true answer even when the loop has a defect.
+        log(Event.LOOP_FAILED, problem=f'{type(error).__name__}: {error}')
+        loop.has_ended_well = False
+    left = len(loop.calls)
+    loop.abandon()
+    return left
+
+
+def create_loop(
+    settings: Settings, metrics: Metrics, resources: ExitStack
+) -> Loop:
+    """Create the loop with its node and its links to peers."""
+    wake_fd = eventfd(0)
+    resources.callback(close, wake_fd)
+    link = open_link(settings.peer_host, settings.peer_port, settings.curve)
+    resources.callback(link.close)
+    for peer in settings.peers:
+        if peer.id != settings.entry_id:
+            link.connect(EntryId(peer.id), peer.host, peer.port)
+    return Loop(build_node(settings), link, wake_fd, metrics)
+
+
+def start_store_threads(
+    settings: Settings, loop: Loop, metrics: Metrics, resources: ExitStack
+) -> None:
+    """Start the threads that call the store."""
+    store = open_store(
+        settings.store_urls,
+        settings.store_timeout_s,
+        settings.store_credentials,
+    )
+    resources.callback(store.close)
+    watcher = ConfigWatcher(loop, store, metrics)
+    resources.callback(watcher.stop)
+    watcher.start()
+    records = RecordThread(loop, store, metrics)
+    resources.callback(records.stop)
+    records.start()
+    loop.worker = records
+
+
+def start_servers(
+    settings: Settings, loop: Loop, metrics: Metrics, resources: ExitStack
+) -> None:
+    """Start the HTTP servers for callers and for pages."""
+    carrier = Carrier(settings.server_threads, MAX_ANSWER_BYTES)
+    resources.callback(carrier.close)
+    pages = Pages(loop, metrics)
+    limits = RequestLimits(
+        settings.max_body_bytes,
+        settings.request_timeout_s,
+        settings.max_request_timeout_s,
+    )
+    application = Application(loop, carrier, limits, pages.find)
+    servers: list[tuple[int, int, Any]] = [
+        (settings.http_port, settings.server_threads, application),
+        (settings.metrics_port, PAGE_THREADS, pages),
+    ]
+    for port, threads, served in servers:
+        bus = Bus()
+        server = create_server(
+            settings.http_host,
+            port,
+            threads,
+            settings.max_header_bytes,
+            served,
+        )
+        adapt(bus, server).subscribe()
+        bus.start()
+        resources.callback(bus.exit)
+    log(
+        Event.STARTED,
+        entry=settings.entry_id,
+        zone=settings.zone,
+        address=f'{settings.http_host}:{settings.http_port}',
+    )
+
+
+def build_node(settings: Settings) -> Node:
+    """Create the node that the settings describe."""
+    return create_node(
+        EntryId(settings.entry_id),
+        Incarnation(int(time() * 1000)),
+        ZoneId(settings.zone),
+        {EntryId(peer.id): ZoneId(peer.zone) for peer in settings.peers},
+        timing_of(settings),
+        settings.freshness_s,
+        settings.retry_budget,
+        monotonic(),
+    )
+
+
+def timing_of(settings: Settings) -> Timing:
+    """Return the intervals of membership for a heartbeat interval."""
+    return Timing(
+        heartbeat_s=settings.heartbeat_s,
+        suspect_s=settings.heartbeat_s * SUSPECT_HEARTBEATS,
+        dead_s=settings.heartbeat_s * DEAD_HEARTBEATS,
+    )
--- a/src/primroseledge/errors.py
+++ b/src/primroseledge/errors.py
@@ -13,6 +13,10 @@
     """A configuration document is invalid; the text says where."""
 
 
+class UnreachableError(PrimroseledgeError):
+    """Nothing that a command asked gave an answer."""
+
+
 class StoreError(PrimroseledgeError):
     """The platform's key-value service could not do what was asked."""
 
@@ -35,3 +39,7 @@
 
 class OperatorError(PrimroseledgeError):
     """An operator's command cannot be carried out as given."""
+
+
+class ChartError(PrimroseledgeError):
+    """A state chart has no such state or transition."""
--- a/src/primroseledge/messages.py
+++ b/src/primroseledge/messages.py
@@ -41,18 +41,38 @@
     """Base of the messages between entry instances."""
 
 
+class Echo(Struct, frozen=True, array_like=True):
+    """The newest heartbeat that the sender has heard of one peer."""
+
+    incarnation: Incarnation
+    sent_at: float
+
+
 class Heartbeat(Message, frozen=True):
-    """Sent to every peer at a fixed interval.
+    """Sent to peers at a fixed interval.
 
     ``store_read_age_s`` is how long ago the sender began the newest
-    read of the store that it knows of, its own or a peer's; -1 when
-    it knows of none. ``epochs`` are the owners that the sender obeys.
+    read of the store that its revision covers, its own or a peer's;
+    -1 when it knows of none. ``epochs`` are the owners that the sender
+    obeys; a cell is left out until the sender has read its record in
+    this run. ``sent_at`` is the sender's own clock, of no meaning to
+    others but to be returned in ``echoes``: an echo proves that all
+    else in the heartbeat was said after the echoed one was sent.
+    ``is_witness`` says that the sender's view includes a read of the
+    store that began after this run of it did. ``vacant`` are the cells
+    whose owner the sender does not hear. ``uptime_s`` is how long this
+    run has lasted, rounded down.
     """
 
     revision: Revision
     store_read_age_s: float
     is_leaving: bool = False
     epochs: dict[CellId, Epoch] = field(default_factory=dict)
+    sent_at: float = 0.0
+    echoes: dict[EntryId, Echo] = field(default_factory=dict)
+    is_witness: bool = False
+    vacant: tuple[CellId, ...] = ()
+    uptime_s: int = 0
 
 
 class ConfigChange(Struct, frozen=True, array_like=True):
@@ -103,7 +123,13 @@
 
 
 class Grant(Message, frozen=True):
-    """Lets one attempt run on one upstream."""
+    """Lets one attempt run on one upstream.
+
+    ``echo`` is ``sent_at`` of the newest heartbeat that the owner had
+    from the receiver. It bounds the grant's age by the receiver's own
+    clock, so that a receiver that was paused does not use a grant that
+    the owner has already counted as ended.
+    """
 
     cell: CellId
     epoch: Epoch
@@ -112,6 +138,7 @@
     upstream: InstanceId
     address: str
     run_limit_s: float
+    echo: float = float('-inf')
 
 
 class Refuse(Message, frozen=True):
@@ -132,6 +159,13 @@
     has_upstream_failed: bool = False
 
 
+class DoneAck(Message, frozen=True):
+    """Tells an entry instance that the owner has its Done messages."""
+
+    cell: CellId
+    grants: tuple[GrantId, ...]
+
+
 class Cancel(Message, frozen=True):
     """Withdraws a request that has not been granted."""
 
@@ -175,6 +209,7 @@
     | Grant
     | Refuse
     | Done
+    | DoneAck
     | Cancel
     | ReportRequest
     | Report
--- /dev/null
+++ b/src/primroseledge/node.py
@@ -0,0 +1,408 @@
+"""One entry instance: its cores, put together.
+
+The node gets events and the time, and returns actions for the rim. It
+is the only place where the cores meet.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+from typing import Final
+
+from msgspec import Struct
+
+from primroseledge.actions import Action
+from primroseledge.actions import RefuseCall
+from primroseledge.actions import SendToEntry
+from primroseledge.actions import SendToOwner
+from primroseledge.configuration import Configuration
+from primroseledge.constants import RUN_MARGIN_S
+from primroseledge.dispatcher import Dispatcher
+from primroseledge.documents import Service
+from primroseledge.entry import Arrival
+from primroseledge.entry import AttemptEnd
+from primroseledge.entry import EntryCore
+from primroseledge.entry import RetryBudget
+from primroseledge.freshness import create_freshness
+from primroseledge.freshness import Freshness
+from primroseledge.ids import CellId
+from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
+from primroseledge.ids import Incarnation
+from primroseledge.ids import RequestId
+from primroseledge.ids import Revision
+from primroseledge.ids import ServiceId
+from primroseledge.ids import TeamId
+from primroseledge.ids import ZoneId
+from primroseledge.keyring import Keyring
+from primroseledge.membership import create_membership
+from primroseledge.membership import Membership
+from primroseledge.membership import Timing
+from primroseledge.messages import AnyMessage
+from primroseledge.messages import ConfigDelta
+from primroseledge.messages import Envelope
+from primroseledge.messages import Message
+from primroseledge.messages import PROTOCOL_VERSION
+from primroseledge.outcomes import Reason
+from primroseledge.ownership import create_ownership
+from primroseledge.ownership import Ownership
+from primroseledge.ownershipactions import OwnershipAction
+from primroseledge.ownershipactions import WriteRecord
+from primroseledge.ownershipactions import WriteResult
+from primroseledge.ownershipsettings import OwnershipSettings
+from primroseledge.store import Record
+
+WATCHERS_PER_ZONE: Final = 2
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """What the loop sees of a request: everything but headers and body.
+
+    ``key`` is the text of the caller's key, None without one;
+    ``timeout_s`` is how long the caller waits, in seconds.
+    """
+
+    handle: int
+    service: ServiceId
+    key: str | None
+    request_id: RequestId
+    is_idempotent: bool
+    is_urgent: bool
+    timeout_s: float
+    issued_at: float = 0.0
+
+
+class Status(Struct, frozen=True):
+    """What an entry instance shows of itself."""
+
+    entry: EntryId
+    revision: Revision
+    members: list[EntryId]
+    fresh: bool
+    owners: dict[CellId, EntryId]
+    open_calls: int
+
+
+@dataclass(slots=True)
+class Node:
+    """The cores of one entry instance."""
+
+    entry_id: EntryId
+    incarnation: Incarnation
+    configuration: Configuration
+    keyring: Keyring
+    entry: EntryCore
+    membership: Membership
+    freshness: Freshness
+    zone: ZoneId
+    peer_zones: dict[EntryId, ZoneId]
+    ownership_settings: OwnershipSettings
+    ownerships: dict[CellId, Ownership] = field(default_factory=dict)
+    dispatchers: dict[CellId, Dispatcher] = field(default_factory=dict)
+    heartbeat_due: float = 0.0
+    is_leaving: bool = False
+
+    def request(self, head: RequestHead, now: float) -> list[Action]:
+        """Check a request and take it, or refuse it."""
+        checked = self.check(head, now)
+        if isinstance(checked, Reason):
+            return [RefuseCall(head.handle, checked)]
+        return self.settle(self.entry.arrive(checked, now), now)
+
+    def check(self, head: RequestHead, now: float) -> Arrival | Reason:
+        """Return the checked request, or the reason against it."""
+        if not self.is_fresh(now):
+            return Reason.NOT_FRESH
+        service = self.configuration.services.get(head.service)
+        if service is None:
+            return Reason.NO_SERVICE
+        team = self.team_of(head, service)
+        if isinstance(team, Reason):
+            return team
+        return Arrival(
+            handle=head.handle,
+            request_id=head.request_id,
+            team=team,
+            service=head.service,
+            cell=CellId(service.cell),
+            is_idempotent=head.is_idempotent,
+            is_urgent=head.is_urgent,
+            deadline=now + head.timeout_s,
+            issued_at=head.issued_at,
+        )
+
+    def team_of(self, head: RequestHead, service: Service) -> TeamId | Reason:
+        """Return the team for which a request works.
+
+        That is the team of its key. A request without a key works for
+        the service's own team when the service is open.
+        """
+        if head.key is None:
+            return TeamId(service.team) if service.open else Reason.NO_KEY
+        return self.keyring.find_team(head.key) or Reason.BAD_KEY
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the configuration here is new enough to act on."""
+        return self.freshness.is_fresh(self.configuration.members, now)
+
+    def attempt_ended(
+        self, handle: int, end: AttemptEnd, now: float
+    ) -> list[Action]:
+        """Take the end of an attempt that the carrier reports."""
+        return self.settle(self.entry.attempt_ended(handle, end, now), now)
+
+    def config_read(
+        self, delta: ConfigDelta, begun_at: float, now: float
+    ) -> list[Action]:
+        """Take the result of a read or watch that began at a time."""
+        applied = self.configuration.apply(delta)
+        self.freshness.note_read(
+            begun_at, delta.upto, self.configuration.revision
+        )
+        if not applied.is_applied:
+            return []
+        pushed = [] if delta.is_whole else self.to_peers(delta)
+        return pushed + self.dispatch_all(now)
+
+    def dispatch_all(self, now: float) -> list[Action]:
+        """Let each dispatcher that may act do what is due."""
+        actions: list[Action] = []
+        for cell in self.dispatchers:
+            dispatcher = self.acting_dispatcher(cell, now)
+            if dispatcher is not None:
+                actions += self.settle(dispatcher.tick(now), now)
+        return actions
+
+    def acting_dispatcher(self, cell: CellId, now: float) -> Dispatcher | None:
+        """Return a cell's dispatcher if this node may act as its owner."""
+        ownership = self.ownerships.get(cell)
+        if ownership is None or not ownership.may_act(now):
+            return None
+        return self.dispatchers.get(cell) if self.is_fresh(now) else None
+
+    def received(self, envelope: Envelope, now: float) -> list[Action]:
+        """Take a message of another entry instance."""
+        known = self.membership.incarnation_of(envelope.sender)
+        if envelope.incarnation < known:
+            return []
+        return self.settle(self.handle(envelope, now), now)
+
+    def handle(self, envelope: Envelope, now: float) -> list[Action]:
+        """Give a message to the core that it is for."""
+        handler = MESSAGE_HANDLERS.get(type(envelope.body))
+        return [] if handler is None else handler(self, envelope, now)
+
+    def settle(self, actions: Iterable[Action], now: float) -> list[Action]:
+        """Carry out the actions that concern this instance itself."""
+        queue = list(actions)
+        outward: list[Action] = []
+        while queue:
+            action = queue.pop(0)
+            if isinstance(action, SendToOwner):
+                owner = self.owner_of(action.cell)
+                if not owner:
+                    continue
+                action = SendToEntry(owner, action.message)
+            if not isinstance(action, SendToEntry):
+                outward.append(action)
+            elif action.entry == self.entry_id:
+                queue += self.handle(self.envelope(action.message), now)
+            else:
+                outward.append(action)
+        return outward
+
+    def envelope(self, message: AnyMessage) -> Envelope:
+        """Return a message as one of this run of this instance."""
+        return Envelope(
+            PROTOCOL_VERSION, self.entry_id, self.incarnation, message
+        )
+
+    def owner_of(self, cell: CellId) -> EntryId:
+        """Return whom this node takes for a cell's owner, or an empty id."""
+        ownership = self.ownerships.get(cell)
+        return EntryId('') if ownership is None else ownership.owner
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what the time asks for."""
+        self.membership.tick(now)
+        actions = self.tick_ownerships(now)
+        if now >= self.heartbeat_due:
+            actions += self.heartbeat(now)
+        actions += self.settle(self.entry.tick(now), now)
+        return actions + self.dispatch_all(now)
+
+    def tick_ownerships(self, now: float) -> list[Action]:
+        """Let the core of each cell do what is due."""
+        cells = {
+            CellId(service.cell)
+            for service in self.configuration.services.values()
+        }
+        for cell in cells - self.ownerships.keys():
+            self.ownerships[cell] = create_ownership(
+                cell, self.membership, self.ownership_settings
+            )
+        actions: list[Action] = []
+        for cell, ownership in self.ownerships.items():
+            ownership.longest_run_s = self.longest_run_s(cell)
+            steps = ownership.tick(now, self.configuration.members)
+            actions += self.follow(steps, now)
+        return actions
+
+    def longest_run_s(self, cell: CellId) -> float:
+        """Return the longest run limit of a cell's services, in seconds."""
+        limits = [
+            service.run_limit_s
+            for service in self.configuration.services.values()
+            if service.cell == cell
+        ]
+        return max(limits, default=0.0) + RUN_MARGIN_S
+
+    def follow(
+        self, steps: Iterable[OwnershipAction], now: float
+    ) -> list[Action]:
+        """Carry out what the ownership cores ask for."""
+        actions: list[Action] = []
+        for step in steps:
+            handler = OWNERSHIP_HANDLERS.get(type(step))
+            if handler is not None:
+                actions += self.settle(handler(self, step, now), now)
+        return actions
+
+    def record_read(
+        self,
+        cell: CellId,
+        record: Record | None,
+        began_at: float,
+        now: float,
+    ) -> list[Action]:
+        """Take a cell's record as the store thread read it."""
+        steps = self.ownerships[cell].on_read(record, began_at, now)
+        return self.follow(steps, now)
+
+    def record_read_failed(self, cell: CellId) -> None:
+        """Take a failed read of a cell's record."""
+        self.ownerships[cell].on_read_failed()
+
+    def record_written(
+        self,
+        write: WriteRecord,
+        result: WriteResult,
+        revision: Revision,
+        now: float,
+    ) -> list[Action]:
+        """Take the result of a write of a cell's record."""
+        steps = self.ownerships[write.cell].on_write(
+            write.write_id, result, revision, now
+        )
+        return self.follow(steps, now)
+
+    def leave(self, now: float) -> list[Action]:
+        """Begin a graceful shutdown: take nothing new, hand cells on."""
+        self.is_leaving = self.membership.is_leaving = True
+        self.entry.is_stopping = True
+        actions: list[Action] = []
+        for ownership in self.ownerships.values():
+            actions += self.follow(ownership.leave(now), now)
+        return actions + self.heartbeat(now)
+
+    def heartbeat(self, now: float) -> list[Action]:
+        """Return a heartbeat to every peer."""
+        self.heartbeat_due = now + self.membership.timing.heartbeat_s
+        epochs: dict[CellId, Epoch] = {}
+        vacant: tuple[CellId, ...] = ()
+        for ownership in self.ownerships.values():
+            epochs |= ownership.stated_epochs
+            vacant += ownership.stated_vacant(now)
+        heartbeat = self.membership.heartbeat(
+            now,
+            self.configuration.revision,
+            self.freshness.store_read_age_s(now),
+            epochs,
+            self.freshness.is_witness,
+            vacant,
+        )
+        for dispatcher in self.dispatchers.values():
+            dispatcher.heard(self.entry_id, now)
+        return self.to_peers(heartbeat)
+
+    def has_work(self) -> bool:
+        """Tell whether a graceful shutdown has something to wait for.
+
+        That is a call in hand, or a cell whose release is not written.
+        """
+        return bool(self.entry.calls) or any(
+            ownership.access.pending is not None
+            for ownership in self.ownerships.values()
+        )
+
+    def to_peers(self, message: AnyMessage) -> list[Action]:
+        """Return the sending of a message to every peer."""
+        return [SendToEntry(peer, message) for peer in self.membership.peers]
+
+    def is_watcher(self, now: float) -> bool:
+        """Tell whether this node is to watch the store for its zone.
+
+        The first two live entry instances of an availability zone do;
+        so does a node that is alone or has no configuration yet.
+        """
+        if not self.configuration.revision:
+            return True
+        neighbours = [
+            entry
+            for entry in self.membership.alive(now)
+            if entry == self.entry_id
+            or self.peer_zones.get(entry) == self.zone
+        ]
+        return self.entry_id in neighbours[:WATCHERS_PER_ZONE]
+
+    def status(self, now: float) -> Status:
+        """Return what the status page shows."""
+        return Status(
+            entry=self.entry_id,
+            revision=self.configuration.revision,
+            members=list(self.membership.alive(now)),
+            fresh=self.is_fresh(now),
+            owners={
+                cell: ownership.owner
+                for cell, ownership in self.ownerships.items()
+            },
+            open_calls=len(self.entry.calls),
+        )
+
+
+MessageHandler = Callable[[Node, Envelope, float], list[Action]]
+StepHandler = Callable[[Node, Any, float], list[Action]]
+OWNERSHIP_HANDLERS: dict[type[OwnershipAction], StepHandler] = {}
+MESSAGE_HANDLERS: dict[type[Message], MessageHandler] = {}
+
+
+def create_node(
+    entry_id: EntryId,
+    incarnation: Incarnation,
+    zone: ZoneId,
+    peer_zones: Mapping[EntryId, ZoneId],
+    timing: Timing,
+    freshness_s: float,
+    retry_ratio: float,
+    now: float,
+) -> Node:
+    """Create the cores of one entry instance."""
+    configuration = Configuration()
+    return Node(
+        entry_id=entry_id,
+        incarnation=incarnation,
+        configuration=configuration,
+        keyring=Keyring(configuration),
+        entry=EntryCore(entry_id, incarnation, zone, RetryBudget(retry_ratio)),
+        membership=create_membership(
+            entry_id, incarnation, peer_zones, now, timing
+        ),
+        zone=zone,
+        peer_zones=dict(peer_zones),
+        ownership_settings=OwnershipSettings(freshness_s=freshness_s),
+        freshness=create_freshness(entry_id, now, freshness_s),
+    )
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -1,5 +1,6 @@
 import unittest
 
+from primroseledge.chart import load_chart
 from primroseledge.errors import OperatorError
 from primroseledge.explain import Rule
 from primroseledge.ids import InstanceId
@@ -14,7 +15,6 @@
 from primroseledge.placing import TaskUse
 from primroseledge.platform import PlatformUnavailableError
 from primroseledge.platform import TaskSpec
-from primroseledge.statechart import load_chart
 from standins.platform import Program
 from tests.jobworld import JobWorld
 
@@ -231,7 +231,7 @@
     def test_chart_names_the_states_of_the_code(self) -> None:
         self.assertEqual(
             {state.value for state in JobState},
-            set(load_chart('job').states),
+            {state.name for state in load_chart('job').file.states},
         )
 
 
