Test what mutations of job control had survived

Six deliberate faults passed the job tests: a stop that leaves an unknown task id startable, a retry without that stop, unbounded cancellations, urgent jobs in plain order, a gang over two racks, and a bad job that counts against workers. Each now has a test that fails with it.

--- a/tests/jobworld.py
+++ b/tests/jobworld.py
@@ -43,6 +43,8 @@
         self.fleet = list[Instance]()
         self.writes = 0
         self.broken_at: dict[InstanceId, float] = {}
+        self.draining: set[InstanceId] = set()
+        self.teams = dict(TEAMS)
         self.outage_ends = self.platform_back = 0.0
         for number in range(workers):
             name = f'w{number}'
@@ -94,8 +96,9 @@
             worker
             for worker in self.fleet
             if self.platform.machines[worker.instance_id].is_up
+            and worker.instance_id not in self.draining
         ]
-        return JobInput(TEAMS, ready, self.fleet)
+        return JobInput(self.teams, ready, self.fleet)
 
     def run(self, controller: JobController, seconds: int) -> None:
         for _ in range(seconds):
@@ -114,6 +117,12 @@
             if key.startswith(JOBS_PREFIX)
         ]
 
+    def running_tasks(self) -> int:
+        return sum(
+            task.state is TaskState.RUNNING
+            for task in self.platform.task_by_id.values()
+        )
+
     def starts(self, job_id: str) -> list[str]:
         return [
             task_id
@@ -137,7 +146,7 @@
             if len(attempts) > 1:
                 raise JobOracleError(f'{job_id} runs twice: {attempts}')
         for team, count in teams.items():
-            if count > TEAMS[TeamId(team)].limit:
+            if count > self.teams[TeamId(team)].limit:
                 raise JobOracleError(f'{team} runs {count}')
         for job in jobs.values():
             attempts = {task.split('/')[1] for task in self.starts(job.id)}
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -1,22 +1,33 @@
 import unittest
 
+from msgspec.structs import replace
+
+from primroseledge.admission import admit
+from primroseledge.admission import Situation
 from primroseledge.chart import load_chart
+from primroseledge.documents import Team
 from primroseledge.errors import OperatorError
+from primroseledge.explain import Explanation
 from primroseledge.explain import Rule
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
+from primroseledge.ids import TeamId
 from primroseledge.job import Evidence
 from primroseledge.job import Job
 from primroseledge.job import JobState
 from primroseledge.job import quarantine_bound
+from primroseledge.jobcontroller import MAX_CANCELS_PER_STEP
 from primroseledge.placing import Estimator
+from primroseledge.placing import place
 from primroseledge.placing import Relief
 from primroseledge.placing import relieve
 from primroseledge.placing import TaskUse
+from primroseledge.placing import Worker
 from primroseledge.platform import PlatformUnavailableError
 from primroseledge.platform import TaskSpec
 from standins.platform import Program
 from tests.jobworld import JobWorld
+from tests.jobworld import TEAMS
 
 URGENT_START_S = 4.6
 
@@ -65,7 +76,7 @@
         platform.submit = fail  # type: ignore[method-assign]
         self.run_for(2)
         platform.submit = submit  # type: ignore[method-assign]
-        self.world.break_worker(int(late[0].worker[1:]))
+        self.world.draining = {late[0].worker}
         self.run_for(4)
         submit(late[0])
         self.run_for(20)
@@ -169,6 +180,25 @@
             self.run_for(1)
             self.assertLessEqual(self.world.now - at, URGENT_START_S)
 
+    def test_cancellations_are_bounded_in_each_step(self) -> None:
+        self.world.fleet = [
+            replace(worker, cores=64, memory_mb=640_000)
+            for worker in self.world.fleet
+        ]
+        self.world.teams = {
+            TeamId('big'): Team('big', share=1, limit=100),
+        }
+        for number in range(60):
+            self.world.submit(Job(f'j{number}', 'big'), Program(run_s=500.0))
+        self.run_for(4)
+        for job in self.world.jobs():
+            self.controller.cancel(job.job_id)
+        running = self.world.running_tasks()
+        self.assertGreater(running, 2 * MAX_CANCELS_PER_STEP)
+        self.run_for(1)
+        stopped = running - self.world.running_tasks()
+        self.assertEqual(MAX_CANCELS_PER_STEP, stopped)
+
     def test_wave_of_cancellations_does_not_starve_others(self) -> None:
         for number in range(200):
             self.world.submit(Job(f'j{number:03}', 'big'))
@@ -202,6 +232,36 @@
         self.assertEqual(1, len(self.world.starts('a')))
 
 
+class AdmissionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = JobWorld()
+
+    def test_urgent_job_goes_first(self) -> None:
+        jobs = [Job('a', 'big'), Job('z', 'big', is_urgent=True)]
+        situation = Situation(
+            0.0, jobs, self.world.given(), Estimator(), {}, set(), {}
+        )
+        starts = [job.id for job in admit(situation).starts]
+        self.assertEqual(['z', 'a'], starts)
+
+    def test_team_furthest_below_its_share_goes_first(self) -> None:
+        jobs = [Job(f'{team}{n}', team) for team in TEAMS for n in range(4)]
+        situation = Situation(
+            0.0, jobs, self.world.given(), Estimator(), {}, set(), {}
+        )
+        starts = [job.team for job in admit(situation).starts[:4]]
+        self.assertEqual(3, starts.count('big'))
+
+    def test_gang_is_not_spread_over_racks(self) -> None:
+        workers = [Worker(worker) for worker in self.world.fleet]
+        workers[1].accelerators = workers[3].accelerators = 2
+        gang = Job('g', 'big', accelerators=2, members=2)
+        refusal = place(gang, workers, 100.0, set())
+        assert isinstance(refusal, Explanation)
+        self.assertIs(Rule.JOB_NO_RACK, refusal.rule)
+        self.assertEqual([0, 2, 0, 2], [w.accelerators for w in workers])
+
+
 class EvidenceTest(unittest.TestCase):
     def test_bad_worker_is_told_from_bad_job(self) -> None:
         evidence = Evidence()
@@ -212,6 +272,14 @@
         self.assertEqual({'x'}, evidence.bad_jobs())
         self.assertEqual({'bad'}, evidence.suspects(10))
 
+    def test_bad_job_does_not_speak_against_a_worker(self) -> None:
+        evidence = Evidence()
+        for number in range(3):
+            evidence.add_failure(JobId('x'), InstanceId(f'w{number}'))
+        for name in ('x', 'y', 'z'):
+            evidence.add_failure(JobId(name), InstanceId('mixed'))
+        self.assertEqual(set(), evidence.suspects(10))
+
     def test_quarantine_is_bounded(self) -> None:
         evidence = Evidence()
         for worker in range(8):
