--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -325,17 +325,24 @@
         for ownership in self.ownerships.values():
             epochs |= ownership.stated_epochs
             vacant += ownership.stated_vacant(now)
-        heartbeat = self.membership.heartbeat(
-            now,
-            self.configuration.revision,
-            self.freshness.store_read_age_s(now),
-            epochs,
-            self.freshness.is_witness,
-            vacant,
-        )
         for dispatcher in self.dispatchers.values():
             dispatcher.heard(self.entry_id, now, now)
-        return self.to_peers(heartbeat)
+        # Each echoes its receiver alone, so its size stays the same.
+        return [
+            SendToEntry(
+                peer,
+                self.membership.heartbeat(
+                    now,
+                    self.configuration.revision,
+                    self.freshness.store_read_age_s(now),
+                    epochs,
+                    self.freshness.is_witness,
+                    vacant,
+                    peer,
+                ),
+            )
+            for peer in self.membership.peers
+        ]
 
     def has_work(self) -> bool:
         """Tell whether a graceful shutdown has something to wait for.
