Refuse HTTP that readers may take differently, and bound slow clients

Cause: the server folded or overwrote repeated headers, took signed and doubled lengths, and a slow client held a thread without bound. Change: strict headers and framing, JSON refusals that are counted, ten seconds to send a request, connections closed after a refusal, a bounded queue of accepted requests; ids that a caller chose are called not run only when the owner looked them up; a request without an id is safe to run over a takeover; the first epoch holds nothing back. Conclusion: bad input ends before the loop.

--- a/src/primroseledge/dispatcher.py
+++ b/src/primroseledge/dispatcher.py
@@ -40,6 +40,9 @@
 from primroseledge.slots import Slots
 from primroseledge.upstreamhealth import UpstreamHealth
 
+FIRST_EPOCH: Final = Epoch(1)
+"""No owner of the cell ran anything before this epoch."""
+
 MAX_ECHO_AGE_S: Final = 1.0
 """An entry instance not heard for so long gets no grant."""
 
@@ -83,9 +86,11 @@
         self.work.wall_offset_s = wall - now
         for entry, report in reports.items():
             self.adopt(entry, report.carried, now)
-        if not self.work.take_over(self.epoch, reports.values(), now):
-            self.work.memory.lose(wall)
-        self.work.limits.hold_back(len(set(unreported)), quarantine_until)
+        has_memory = self.work.take_over(self.epoch, reports.values(), now)
+        if self.epoch > FIRST_EPOCH:
+            if not has_memory:
+                self.work.memory.lose(wall)
+            self.work.limits.hold_back(len(set(unreported)), quarantine_until)
         return self.open(now)
 
     def open(self, now: float) -> list[SendToEntry]:
--- a/src/primroseledge/httprequest.py
+++ b/src/primroseledge/httprequest.py
@@ -1,17 +1,20 @@
 """A caller's HTTP request, checked and taken apart."""
 
 from dataclasses import dataclass
-from time import time
+from re import compile as compile_pattern
 from typing import Any
 from typing import Final
+from urllib.parse import unquote
 from uuid import UUID
 from uuid import uuid4
 
+from primroseledge.documents import NAME_PATTERN
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
 from primroseledge.node import RequestHead
 from primroseledge.outcomes import Reason
+from primroseledge.requestmemory import OWN_ID_PREFIX
 
 Environ = dict[str, Any]
 
@@ -20,6 +23,7 @@
 )
 METHODS: Final = IDEMPOTENT_METHODS | {'POST', 'PATCH'}
 SERVICE_PREFIX: Final = '/services/'
+SERVICE_PATTERN: Final = compile_pattern(NAME_PATTERN)
 MAX_REQUEST_ID_CHARACTERS: Final = 100
 URGENT_PRIORITIES: Final = frozenset({'u=0', 'u=1'})
 
@@ -74,6 +78,8 @@
             Reason.NO_SERVICE, f'the path must begin with {SERVICE_PREFIX}'
         )
     service = path.removeprefix(SERVICE_PREFIX).partition('/')[0]
+    if not SERVICE_PATTERN.match(service):
+        raise BadRequest(Reason.NO_SERVICE, 'malformed id of a service')
     request_id, issued_at = parse_request_id(
         environ.get('HTTP_IDEMPOTENCY_KEY')
     )
@@ -89,6 +95,22 @@
     )
 
 
+def check_target(environ: Environ) -> None:
+    """Raise BadRequest for a target that upstreams may read otherwise."""
+    target = str(environ.get('REQUEST_URI') or environ.get('PATH_INFO', ''))
+    path = target.partition('?')[0]
+    if not target.isascii() or not target.isprintable():
+        raise BadRequest(Reason.BAD_REQUEST, 'the target must be ASCII')
+    decoded = unquote(path).replace('\\', '/')
+    if not {'.', '..'}.isdisjoint(decoded.split('/')):
+        raise BadRequest(Reason.BAD_REQUEST, 'the path has dot segments')
+    is_old = environ.get('SERVER_PROTOCOL') == 'HTTP/1.0'
+    if is_old and 'HTTP_TRANSFER_ENCODING' in environ:
+        raise BadRequest(
+            Reason.BAD_REQUEST, 'Transfer-Encoding needs HTTP/1.1'
+        )
+
+
 def parse_key_header(value: str | None) -> str | None:
     """Return the key in an Authorization header, None without one."""
     if value is None:
@@ -104,17 +126,22 @@
 def parse_request_id(value: str | None) -> tuple[RequestId, float]:
     """Return the request's id and the time in it, 0 when it has none.
 
-    A caller that sends no id gets a new one, issued now, which cannot
-    come again.
+    A caller that sends no id gets a new one, which cannot come again.
     """
     if value is None:
-        return RequestId(str(uuid4())), time()
+        return RequestId(f'{OWN_ID_PREFIX}{uuid4()}'), 0.0
     text = value.strip().strip('"')
-    if not text or len(text) > MAX_REQUEST_ID_CHARACTERS:
+    if text.startswith(OWN_ID_PREFIX):
+        raise BadRequest(
+            Reason.BAD_REQUEST,
+            f'Idempotency-Key must not begin with {OWN_ID_PREFIX}',
+        )
+    is_plain = text.isascii() and text.isprintable()
+    if not is_plain or not 0 < len(text) <= MAX_REQUEST_ID_CHARACTERS:
         raise BadRequest(
             Reason.BAD_REQUEST,
             f'Idempotency-Key must have 1 to {MAX_REQUEST_ID_CHARACTERS}'
-            ' characters',
+            ' ASCII characters',
         )
     return RequestId(text), issue_time(text)
 
@@ -163,7 +190,12 @@
         return b''
     if not is_chunked and int(length_text) > limits.max_body_bytes:
         raise too_large(limits)
-    body = environ['wsgi.input'].read(limits.max_body_bytes + 1)
+    try:
+        body = environ['wsgi.input'].read(limits.max_body_bytes + 1)
+    except (OSError, ValueError) as error:
+        raise BadRequest(
+            Reason.BAD_REQUEST, f'the body cannot be read: {error}'
+        ) from error
     if len(body) > limits.max_body_bytes:
         raise too_large(limits)
     if not is_chunked and len(body) != int(length_text):
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -27,6 +27,7 @@
 from primroseledge.carrier import Outbound
 from primroseledge.carrier import REQUEST_ID_HEADER
 from primroseledge.httprequest import BadRequest
+from primroseledge.httprequest import check_target
 from primroseledge.httprequest import filter_headers
 from primroseledge.httprequest import parse_head
 from primroseledge.httprequest import read_body
@@ -36,6 +37,9 @@
 from primroseledge.outcomes import Reason
 from primroseledge.outcomes import told_outcome
 from primroseledge.outcomes import VERDICTS
+from primroseledge.stricthttp import ReadDeadlines
+from primroseledge.stricthttp import rejections
+from primroseledge.stricthttp import StrictConnection
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -43,6 +47,12 @@
 PageBody = tuple[str, str, bytes]
 """A status, a content type and a body."""
 
+SOCKET_TIMEOUT_S: Final = 10
+"""How long a connection may be idle, and the longest single read."""
+
+MIN_ACCEPTED_QUEUE: Final = 16
+"""Requests that wait for a thread; one more is refused with 503."""
+
 OUTCOME_HEADER: Final = 'X-Outcome'
 REASON_HEADER: Final = 'X-Reason'
 
@@ -86,6 +96,7 @@
         self.loop = loop
         self.carrier = carrier
         self.limits = limits
+        self.deadlines: ReadDeadlines | None = None
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -95,15 +106,20 @@
         if path.startswith('/-/'):
             return self.serve_page(path, start_response)
         try:
+            check_target(environ)
             head = parse_head(environ, self.loop.next_handle(), self.limits)
             body = read_body(environ, self.limits)
         except BadRequest as error:
+            rejections[error.reason.value] += 1
             return refuse(
                 start_response,
                 RequestId(''),
                 RefuseCall(0, error.reason),
                 str(error),
+                must_close=True,
             )
+        if self.deadlines is not None:
+            self.deadlines.end()
         outbound = Outbound(
             str(environ['REQUEST_METHOD']),
             target_of(environ, head),
@@ -207,6 +223,7 @@
     refusal: RefuseCall,
     detail: str = '',
     is_guarded: bool = False,
+    must_close: bool = False,
 ) -> Iterable[bytes]:
     """Tell the caller why there is no answer, and whether it ran."""
     verdict = VERDICTS[refusal.reason]
@@ -226,6 +243,8 @@
         (REASON_HEADER, refusal.reason.value),
         (REQUEST_ID_HEADER, request_id),
     ]
+    if must_close:
+        headers.append(('Connection', 'close'))
     if verdict.has_retry_after:
         seconds = max(1, round(refusal.retry_after_s))
         headers.append(('Retry-After', str(seconds)))
@@ -233,6 +252,26 @@
     return [body]
 
 
+class StrictServer(Server):
+    """A server that reads strictly and in bounded time."""
+
+    ConnectionClass = StrictConnection
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.read_deadlines = ReadDeadlines()
+
+    def prepare(self) -> None:
+        """Bind, and begin to watch for slow clients."""
+        super().prepare()
+        self.read_deadlines.thread.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self.read_deadlines.is_stopped.set()
+        super().stop()
+
+
 def create_server(
     host: str,
     port: int,
@@ -241,15 +280,18 @@
     application: Application,
 ) -> Server:
     """Return a server that listens when its adapter starts."""
-    server = Server(
+    server = StrictServer(
         (host, port),
         application,
         numthreads=threads,
         max=threads,
         request_queue_size=1024,
-        timeout=10,
+        timeout=SOCKET_TIMEOUT_S,
         shutdown_timeout=1,
+        accepted_queue_size=max(threads, MIN_ACCEPTED_QUEUE),
+        accepted_queue_timeout=0.01,
     )
+    application.deadlines = server.read_deadlines
     server.max_request_header_size = max_header_bytes
     return server
 
--- a/src/primroseledge/requestmemory.py
+++ b/src/primroseledge/requestmemory.py
@@ -17,6 +17,13 @@
 MAX_REMEMBERED: Final = 20_000
 """Bounds the memory; a report of it stays below the message limit."""
 
+OWN_ID_PREFIX: Final = '~'
+"""Begins ids that an entry instance gave to a request without one.
+
+Nobody can send such an id again, and its entry instance runs one
+attempt of it at a time, so that no memory is needed.
+"""
+
 CERTAINTY: Final = {
     Reason.IN_PROGRESS: 0,
     Reason.MEMORY_LOST: 1,
@@ -56,6 +63,8 @@
         self, request_id: RequestId, issued_at: float, wall: float
     ) -> Reason | None:
         """Return why an id must not run, or None when it may."""
+        if request_id.startswith(OWN_ID_PREFIX):
+            return None
         if issued_at > wall + self.clock_skew_s:
             return Reason.ID_IN_FUTURE
         entry = self.entries.get(request_id)
@@ -76,6 +85,8 @@
         wall: float,
     ) -> None:
         """Remember what became of an id."""
+        if request_id.startswith(OWN_ID_PREFIX):
+            return
         forget_at = max(issued_at, wall) + self.window_s
         self.entries[request_id] = Entry(reason, issued_at, forget_at)
         self.entries.move_to_end(request_id)
