--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
+
+bench-requests: $(STAMP)
+	$(BIN)/python -m bench.requests
--- a/src/primroseledge/carrier.py
+++ b/src/primroseledge/carrier.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from urllib3._collections import HTTPHeaderDict
+from urllib3.connectionpool import HTTPConnectionPool
 from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
@@ -21,6 +22,9 @@
 from primroseledge.actions import StartAttempt
 from primroseledge.attemptend import AttemptEnd
 
+MAX_ADDRESSES: Final = 200
+"""Fewer than the pools that the pool manager keeps open."""
+
 CONNECT_TIMEOUT_S: Final = 0.5
 REQUEST_ID_HEADER: Final = 'X-Request-Id'
 ATTEMPT_ID_HEADER: Final = 'X-Attempt-Id'
@@ -55,6 +59,7 @@
 
     def __init__(self, connections: int, max_answer_bytes: int) -> None:
         self.max_answer_bytes = max_answer_bytes
+        self.by_address: dict[str, HTTPConnectionPool] = {}
         self.resources = ExitStack()
         self.pool = PoolManager(
             num_pools=256, maxsize=connections, block=False, retries=False
@@ -91,12 +96,13 @@
         headers[REQUEST_ID_HEADER] = start.request_id
         headers[ATTEMPT_ID_HEADER] = start.grant_id
         headers[TEAM_HEADER] = start.team
-        return self.pool.request(
+        return self.connections_to(start.address).urlopen(
             outbound.method,
-            f'http://{start.address}{outbound.target}',
+            outbound.target,
             body=outbound.body or None,
             headers=headers,
             redirect=False,
+            retries=False,
             preload_content=False,
             decode_content=False,
             enforce_content_length=True,
@@ -106,6 +112,16 @@
             ),
         )
 
+    def connections_to(self, address: str) -> HTTPConnectionPool:
+        """Return the connections to an upstream."""
+        known = self.by_address.get(address)
+        if known is None:
+            known = self.pool.connection_from_url(f'http://{address}')
+            self.by_address[address] = known
+            if len(self.by_address) > MAX_ADDRESSES:
+                del self.by_address[next(iter(self.by_address))]
+        return known
+
     def judge(
         self, start: StartAttempt, response: BaseHTTPResponse
     ) -> tuple[AttemptEnd, Answer | None]:
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -22,6 +22,7 @@
 from primroseledge.actions import RefuseCall
 from primroseledge.actions import StartAttempt
 from primroseledge.attemptend import AttemptEnd
+from primroseledge.attemptend import DELIVERED
 from primroseledge.carrier import Answer
 from primroseledge.carrier import Carrier
 from primroseledge.carrier import Outbound
@@ -143,6 +144,12 @@
             if isinstance(command, StartAttempt):
                 end, answer = self.carrier.carry(command, outbound)
                 self.loop.post(AttemptReport(call.head.handle, end))
+                if end in DELIVERED and answer is not None:
+                    # The loop can only say the same; waiting for it
+                    # would cost a change of threads.
+                    return deliver(
+                        start_response, call.head.request_id, answer
+                    )
             elif isinstance(command, RefuseCall) or answer is None:
                 refusal = (
                     command
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -22,6 +22,7 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
 from primroseledge.messages import Ask
+from primroseledge.messages import Cancel
 from primroseledge.messages import Done
 from primroseledge.messages import DoneAck
 from primroseledge.messages import EndState
@@ -102,6 +103,29 @@
         self.core.acknowledged(DoneAck(grant.cell, (grant.grant_id,)))
         self.assertEqual(self.core.granted(grant, 1.2), [])
 
+    def test_a_copy_for_an_earlier_run_is_ignored(self) -> None:
+        grant = grant_for(self.ask(1), 1)
+        later = EntryCore(
+            EntryId('e0'), Incarnation(2), 'north-1', RetryBudget(0.1)
+        )
+        self.assertEqual(later.granted(grant, 1.0), [])
+
+    def test_a_report_names_what_may_run_and_what_ran(self) -> None:
+        self.lose(1)
+        grant = grant_for(self.ask(2, is_idempotent=False), 2)
+        self.core.granted(grant, 1.0)
+        self.core.attempt_ended(2, AttemptEnd.ANSWERED, 1.1)
+        ends = [item.end for item in self.core.carried(CELL, 2.0)]
+        self.assertEqual(ends, [EndState.UNKNOWN, EndState.ENDED])
+
+    def test_a_grant_is_not_used_late(self) -> None:
+        (start,) = self.core.granted(grant_for(self.ask(1), 1), 2.4)
+        assert isinstance(start, StartAttempt)
+        self.assertEqual(start.start_by, 2.5)
+        actions = self.core.granted(grant_for(self.ask(2), 2), 2.5)
+        kinds = [type(action) for action in actions]
+        self.assertEqual(kinds, [SendToOwner])
+
     def test_a_grant_of_an_earlier_epoch_is_given_back(self) -> None:
         grant = grant_for(self.ask(1), 1)
         self.core.owner_changed(grant.cell, 1.0, Epoch(2))
@@ -192,6 +216,20 @@
         (action,) = self.dispatcher.tick(self.now)
         self.assertIsInstance(action.message, Grant)
 
+    def test_an_end_is_not_acknowledged_before_reports_count(self) -> None:
+        taker = create_dispatcher(
+            CELL, Epoch(2), self.dispatcher.configuration
+        )
+        done = Done(CELL, GrantId('main.1.1'), EndState.ENDED)
+        self.assertEqual(taker.done(EntryId('e0'), done, 1.0), [])
+
+    def test_a_cancelled_ask_is_not_granted(self) -> None:
+        self.now += 1.2
+        self.ask(1, 'e1')
+        self.dispatcher.cancelled(Cancel(CELL, 'e1.1'))
+        self.dispatcher.heard(EntryId('e1'), 1.0, self.now)
+        self.assertEqual(self.dispatcher.tick(self.now), [])
+
     def test_an_ask_sent_again_gets_the_same_grant(self) -> None:
         self.assertEqual(self.grant(1, 'e0'), self.grant(1, 'e0'))
 
@@ -235,6 +273,10 @@
         assert handover is not None
         self.assertEqual([c.request_id for c in handover.granted], ['r1'])
         self.assertEqual([c.entry for c in handover.granted], ['e1'])
+        first.work.memory.note(
+            RequestId('r2'), Reason.ALREADY_RAN, 0.0, WALL_S
+        )
+        handover = first.hand_over(first.now)
         for epoch, reason in ((2, Reason.IN_PROGRESS), (3, None)):
             taker = create_dispatcher(CELL, Epoch(epoch), fleet.configuration)
             report = Report(CELL, Epoch(epoch), (), handover)
@@ -242,6 +284,8 @@
             taker.begin(reports, (), 0.0, first.now, WALL_S)
             known = taker.work.memory.entries.get(RequestId('r1'))
             self.assertEqual(known and known.reason, reason)
+            has_ended = RequestId('r2') in taker.work.memory.entries
+            self.assertEqual(has_ended, epoch == 2)
             is_counted = len(taker.work.ledger.grants) == 1
             self.assertEqual(is_counted, epoch == 2)
             is_lost = taker.work.memory.untimed_lost_until > 0.0
@@ -290,6 +334,13 @@
         reason = memory.check(RequestId('r0'), 100.0, 101.0)
         self.assertEqual(reason, Reason.MEMORY_LOST)
 
+    def test_an_id_is_remembered_for_the_window(self) -> None:
+        memory = RequestMemory(60.0, 2.0)
+        memory.note(RequestId('r'), Reason.ALREADY_RAN, 0.0, 100.0)
+        memory.expire(159.0)
+        reason = memory.check(RequestId('r'), 0.0, 159.0)
+        self.assertEqual(reason, Reason.ALREADY_RAN)
+
     def test_an_id_of_the_future_is_refused(self) -> None:
         memory = RequestMemory(60.0, 2.0)
         reason = memory.check(RequestId('r'), 103.0, 100.0)
