--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,5 @@
 model: $(STAMP)
 	$(BIN)/python -m bench.model
 
+bench-requests: $(STAMP)
+	$(BIN)/python -m bench.requests
--- a/src/primroseledge/daemon.py
+++ b/src/primroseledge/daemon.py
@@ -36,6 +36,7 @@
 from primroseledge.storeclient import open_store
 from primroseledge.storethreads import ConfigWatcher
 from primroseledge.storethreads import RecordThread
+from primroseledge.trace import create_tracing
 
 MAX_ANSWER_BYTES: Final = 16_000_000
 PAGE_THREADS: Final = 2
@@ -127,7 +128,9 @@
         settings.request_timeout_s,
         settings.max_request_timeout_s,
     )
-    application = Application(loop, carrier, limits, pages.find)
+    tracing = create_tracing(settings)
+    resources.callback(tracing.close)
+    application = Application(loop, carrier, limits, pages.find, tracing)
     servers: list[tuple[int, int, Any]] = [
         (settings.http_port, settings.server_threads, application),
         (settings.metrics_port, PAGE_THREADS, pages),
--- a/src/primroseledge/dispatcher.py
+++ b/src/primroseledge/dispatcher.py
@@ -41,6 +41,8 @@
 from primroseledge.upstreamhealth import UpstreamHealth
 
 FIRST_EPOCH: Final = Epoch(1)
+"""No owner of the cell ran anything before this epoch."""
+
 MAX_ECHO_AGE_S: Final = 1.0
 """An entry instance not heard for so long gets no grant."""
 
@@ -85,12 +87,10 @@
         for entry, report in reports.items():
             self.adopt(entry, report.carried, now)
         has_memory = self.work.take_over(self.epoch, reports.values(), now)
-        # Before the first epoch nobody granted anything.
-        if self.epoch > FIRST_EPOCH and not has_memory:
-            self.work.memory.lose(wall)
         if self.epoch > FIRST_EPOCH:
-            count = len(set(unreported))
-            self.work.limits.hold_back(count, quarantine_until)
+            if not has_memory:
+                self.work.memory.lose(wall)
+            self.work.limits.hold_back(len(set(unreported)), quarantine_until)
         return self.open(now)
 
     def open(self, now: float) -> list[SendToEntry]:
@@ -305,6 +305,7 @@
             address=upstream.address,
             run_limit_s=run_limit_s,
             echo=self.echoes.get(waiting.entry, float('-inf')),
+            queued_s=now - waiting.queued_at,
         )
         self.work.ledger.by_ask[ask.ask_id] = message
         return SendToEntry(waiting.entry, message)
--- a/src/primroseledge/fairqueue.py
+++ b/src/primroseledge/fairqueue.py
@@ -29,6 +29,7 @@
     entry: EntryId
     ask: Ask
     deadline: float
+    queued_at: float = 0.0
     sequence: int = 0
 
     @property
--- a/src/primroseledge/loop.py
+++ b/src/primroseledge/loop.py
@@ -231,6 +231,8 @@
             self.metrics.request_refused(action.reason)
             outcome = VERDICTS[action.reason].outcome
             self.metrics.request_ended(call.head.service, outcome)
+        elif isinstance(action, StartAttempt):
+            self.metrics.queue_left(call.head.service, action.queued_s)
         elif isinstance(action, Deliver):
             self.metrics.request_ended(call.head.service, Outcome.RAN)
         if action.is_last:
--- a/src/primroseledge/messages.py
+++ b/src/primroseledge/messages.py
@@ -131,7 +131,8 @@
     ``echo`` is ``sent_at`` of the newest heartbeat that the owner had
     from the receiver. It bounds the grant's age by the receiver's own
     clock, so that a receiver that was paused does not use a grant that
-    the owner has already counted as ended.
+    the owner has already counted as ended. ``queued_s`` is how long
+    the request was in the owner's queue.
     """
 
     cell: CellId
@@ -142,6 +143,7 @@
     address: str
     run_limit_s: float
     echo: float = float('-inf')
+    queued_s: float = 0.0
 
 
 class Refuse(Message, frozen=True):
