Split succession from ownership, and test complete reports

The two faults that fuzz and model check found, a report of the releasing node's next run and of a release in quarantine, have tests at the takeover itself.

--- a/src/primroseledge/ownership.py
+++ b/src/primroseledge/ownership.py
@@ -69,10 +69,8 @@
         self.record = NO_OWNER
         self.access = RecordAccess(cell, self.me, self.incarnation)
         self.evidence = EpochEvidence()
-        self.succession = Succession(cell, membership)
+        self.succession = Succession(cell, membership, settings)
         self.newer_since = INFINITY
-        self.lost_since = INFINITY
-        self.stands_since = INFINITY
         self.takeover = Takeover(NEVER, NO_OWNER)
         self.next_request_at = NEVER
         self.quarantine_until = NEVER
@@ -130,10 +128,7 @@
         return latest + self.settings.freshness_s
 
     def tick(self, now: float, members: tuple[EntryId, ...]) -> Actions:
-        """Do what is due; to be called often and after every change.
-
-        ``members`` are the last agreed members of the fleet.
-        """
+        """Do what is due, given the last agreed members of the fleet."""
         self.members = members
         actions: Actions = []
         if self.state is OwnerState.FOLLOWER:
@@ -144,24 +139,16 @@
             write = self.access.resend_due(now)
             actions += [self.access.send(write, now)] if write else []
         if self.is_read_due(now):
-            actions += self.read(now)
+            actions += self.access.read(now, self.settings.read_interval_s)
         return actions
 
     def watch_owner(self, now: float) -> None:
         """Become a candidate when the owner is lost for long enough."""
-        is_lost = self.succession.is_lost(self.record, self.members, now)
-        if not self.access.has_read or not is_lost:
-            self.lost_since = INFINITY
+        if not self.access.has_read:
             return
-        self.lost_since = min(self.lost_since, now)
-        delay_s = self.succession.rank(now) * self.settings.stagger_s
-        is_parting = self.succession.is_leaving(self.record)
-        if not (self.record.is_released or is_parting):
-            delay_s += self.settings.takeover_delay_s
-        if now < self.lost_since + delay_s:
-            return
-        self.fire('owner_lost')
-        self.stands_since = self.access.next_at = now
+        if self.succession.is_due(self.record, self.members, now):
+            self.fire('owner_lost')
+            self.access.next_at = now
 
     def is_read_due(self, now: float) -> bool:
         """Return whether the record is to be read now."""
@@ -175,10 +162,6 @@
             return now > self.newer_since + self.settings.report_interval_s
         return True
 
-    def read(self, now: float) -> Actions:
-        """Ask for the record unless that is under way."""
-        return [*self.access.read(now, self.settings.read_interval_s)]
-
     def on_read_failed(self) -> None:
         """Take a failed read; a tick repeats it after the interval."""
         self.access.is_reading = False
@@ -205,10 +188,7 @@
         return actions
 
     def may_win(self, found: OwnerRecord) -> bool:
-        """Return whether a record shows that a write of ours was done.
-
-        Its answer may have been lost, or come after we gave up.
-        """
+        """Return whether a record shows that a write of ours was done."""
         is_open = self.state in (OwnerState.CANDIDATE, OwnerState.FOLLOWER)
         return is_open and self.is_ours(found) and found.epoch > self.epoch
 
@@ -221,10 +201,7 @@
             return [access.send(access.pending, now)]
         if not self.succession.is_lost(self.record, self.members, now):
             return self.lose()
-        is_released = self.record.is_released
-        waits_until = self.stands_since + self.settings.release_wait_s
-        is_parting = self.succession.is_leaving(self.record)
-        if is_parting and not is_released and now < waits_until:
+        if self.succession.awaits_release(self.record, now):
             access.next_at = now + RELEASE_POLL_S
             return []
         epoch = Epoch(self.epoch + 1)
@@ -234,7 +211,7 @@
     def lose(self) -> Actions:
         """Give up as a candidate: another was faster, or no need."""
         self.access.drop()
-        self.lost_since = INFINITY
+        self.succession.reset()
         self.fire('write_lost')
         return []
 
@@ -394,7 +371,7 @@
                 actions.append(StepDown(self.cell, self.epoch))
             self.fire('deposed')
         self.evidence.reset()
-        self.lost_since = self.newer_since = INFINITY
+        self.newer_since = INFINITY
         self.succession.reset()
         self.record = record
         follow = FollowOwner(
--- a/src/primroseledge/succession.py
+++ b/src/primroseledge/succession.py
@@ -9,6 +9,8 @@
 from primroseledge.membership import PeerState
 from primroseledge.messages import Heartbeat
 from primroseledge.ownerrecord import OwnerRecord
+from primroseledge.ownershipsettings import OwnershipSettings
+from primroseledge.takeover import INFINITY
 
 
 class Succession:
@@ -19,9 +21,17 @@
     the others hear, or two nodes would depose each other for ever.
     """
 
-    def __init__(self, cell: CellId, membership: Membership) -> None:
+    def __init__(
+        self,
+        cell: CellId,
+        membership: Membership,
+        settings: OwnershipSettings,
+    ) -> None:
         self.cell = cell
         self.membership = membership
+        self.settings = settings
+        self.lost_since = INFINITY
+        self.stands_since = INFINITY
         self.vacancies: set[EntryId] = set()
 
     def hear(self, peer: EntryId, heartbeat: Heartbeat) -> None:
@@ -34,6 +44,27 @@
     def reset(self) -> None:
         """Forget what was said of an earlier owner."""
         self.vacancies.clear()
+        self.lost_since = INFINITY
+
+    def is_due(
+        self, record: OwnerRecord, members: tuple[EntryId, ...], now: float
+    ) -> bool:
+        """Return whether it is our turn to replace a lost owner."""
+        if not self.is_lost(record, members, now):
+            self.lost_since = INFINITY
+            return False
+        self.lost_since = min(self.lost_since, now)
+        delay_s = self.rank(now) * self.settings.stagger_s
+        if not (record.is_released or self.is_leaving(record)):
+            delay_s += self.settings.takeover_delay_s
+        self.stands_since = now
+        return now >= self.lost_since + delay_s
+
+    def awaits_release(self, record: OwnerRecord, now: float) -> bool:
+        """Return whether a leaving owner may yet release the record."""
+        if record.is_released or not self.is_leaving(record):
+            return False
+        return now < self.stands_since + self.settings.release_wait_s
 
     def is_unheard(self, record: OwnerRecord, now: float) -> bool:
         """Return whether we do not hear the run that a record names."""
--- a/tests/test_agreement_cores.py
+++ b/tests/test_agreement_cores.py
@@ -11,7 +11,9 @@
 from primroseledge.freshness import create_freshness
 from primroseledge.freshness import Evidence
 from primroseledge.freshness import NEVER
+from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
 from primroseledge.ids import TeamId
@@ -22,8 +24,11 @@
 from primroseledge.messages import ConfigDelta
 from primroseledge.messages import Echo
 from primroseledge.messages import Heartbeat
+from primroseledge.messages import Report
+from primroseledge.ownerrecord import OwnerRecord
 from primroseledge.store import Record
 from primroseledge.store import Snapshot
+from primroseledge.takeover import Takeover
 
 A, B, C = EntryId('a'), EntryId('b'), EntryId('c')
 MEMBERS = (A, B, C)
@@ -215,6 +220,26 @@
         self.assertFalse(self.hear(0.3, 0.2))
 
 
+class TakeoverTest(TestCase):
+    """Which report tells all that the earlier owner granted."""
+
+    def is_complete(self, run: int, is_whole: bool) -> bool:
+        past = OwnerRecord(A, Incarnation(7), Epoch(3), True, is_whole)
+        takeover = Takeover(0.0, past)
+        report = Report(CellId('main'), Epoch(4), ())
+        takeover.add(A, Incarnation(run), report, 1.0)
+        return takeover.unreported({A, B}, {B}) == ()
+
+    def test_report_of_the_run_that_released(self) -> None:
+        self.assertTrue(self.is_complete(7, is_whole=True))
+
+    def test_report_of_its_next_run_is_not(self) -> None:
+        self.assertFalse(self.is_complete(8, is_whole=True))
+
+    def test_report_of_a_release_in_quarantine_is_not(self) -> None:
+        self.assertFalse(self.is_complete(7, is_whole=False))
+
+
 class FanOutTest(TestCase):
     def test_peers_are_mutual_bounded_and_connect_all(self) -> None:
         entries = tuple(EntryId(f'e{n:04}') for n in range(700))
