Stay for the hand-over and trust no store that lags

Cause: an owner that left could exit before its successor had its report, so that the successor held limits back; an empty watch of a restored, older store counted as fresh; a node that lacks the last good version of a refused document never asked for it. Change: a leaving node stays while a released cell has no new owner; the store's own counter decides freshness; a lacking node pulls a whole copy.

--- a/src/primroseledge/handlers.py
+++ b/src/primroseledge/handlers.py
@@ -12,6 +12,7 @@
 from primroseledge.attemptend import AttemptEnd
 from primroseledge.dispatcher import create_dispatcher
 from primroseledge.events import Event
+from primroseledge.ids import Revision
 from primroseledge.logs import FieldValue
 from primroseledge.messages import Ask
 from primroseledge.messages import Cancel
@@ -83,6 +84,9 @@
     if message.revision > node.configuration.revision:
         pull = ConfigPull(node.configuration.revision)
         return [SendToEntry(peer, pull)]
+    if node.configuration.lacking and message.revision:
+        # A peer may have the last good version of a refused document.
+        return [SendToEntry(peer, ConfigPull(Revision(0)))]
     return []
 
 
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -164,12 +164,20 @@
         return self.settle(self.entry.attempt_ended(handle, end, now), now)
 
     def config_read(
-        self, delta: ConfigDelta, begun_at: float, now: float
+        self,
+        delta: ConfigDelta,
+        store_revision: Revision,
+        begun_at: float,
+        now: float,
     ) -> list[Action]:
-        """Take the result of a read or watch that began at a time."""
+        """Take the result of a read or watch that began at a time.
+
+        ``store_revision`` is the store's own counter. When it is below
+        our revision, the store lags or was restored and proves nothing.
+        """
         applied = self.configuration.apply(delta)
         self.freshness.note_read(
-            begun_at, delta.upto, self.configuration.revision
+            begun_at, store_revision, self.configuration.revision
         )
         if not applied.is_applied:
             return []
@@ -347,13 +355,22 @@
     def has_work(self) -> bool:
         """Tell whether a graceful shutdown has something to wait for.
 
-        That is a call in hand, or a cell whose release is not written.
+        That is a call in hand, or a cell that nobody else owns yet: the
+        next owner needs this instance's report.
         """
         return bool(self.entry.calls) or any(
             ownership.access.pending is not None
+            or self.is_handing_over(ownership)
             for ownership in self.ownerships.values()
         )
 
+    def is_handing_over(self, ownership: Ownership) -> bool:
+        """Tell whether a released cell still waits for its next owner."""
+        if ownership.cell not in self.handovers:
+            return False
+        others = self.membership.alive(self.heartbeat_due)
+        return bool(others) and ownership.owner in ('', self.entry_id)
+
     def to_peers(self, message: AnyMessage) -> list[Action]:
         """Return the sending of a message to every peer."""
         return [SendToEntry(peer, message) for peer in self.membership.peers]
--- a/src/primroseledge/storethreads.py
+++ b/src/primroseledge/storethreads.py
@@ -43,11 +43,14 @@
     """A read or watch of the configuration."""
 
     delta: ConfigDelta
+    store_revision: Revision
     began_at: float
 
     def deliver(self, node: Node, now: float) -> list[Action]:
         """Give it to the node."""
-        return node.config_read(self.delta, self.began_at, now)
+        return node.config_read(
+            self.delta, self.store_revision, self.began_at, now
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,7 +136,7 @@
         self.metrics.store_called('watch', True, monotonic() - began_at)
         self.succeeded(began_at)
         delta = snapshot_delta(snapshot, revision)
-        self.loop.post(ConfigRead(delta, began_at))
+        self.loop.post(ConfigRead(delta, snapshot.revision, began_at))
         # Not the store's own counter, which other keys raise as well.
         return delta.upto
 
