--- a/bench/requests.py
+++ b/bench/requests.py
@@ -1,6 +1,6 @@
 """Compares policies for requests, and what a grant and a request cost.
 
-Usage: ``python -m bench.requests [policies|grant|request]``; prints
+Usage: ``python -m bench.requests [policies|grant|retries|request]``; prints
 JSON. Policies run in virtual time, the costs in processor time.
 """
 
@@ -22,13 +22,22 @@
 from bench.requestload import PERIOD_S
 from bench.requestload import SERVICES
 from bench.requestload import SHARES
+from bench.requestload import TIMEOUT_S
 from bench.requestload import World
 from bench.requestpolicies import CELL
 from bench.requestpolicies import configuration_of
 from bench.requestpolicies import POLICIES
+from primroseledge.actions import EntryAction
+from primroseledge.actions import SendToOwner
+from primroseledge.attemptend import AttemptEnd
 from primroseledge.dispatcher import create_dispatcher
+from primroseledge.entry import Arrival
+from primroseledge.entry import EntryCore
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
+from primroseledge.ids import GrantId
+from primroseledge.ids import Incarnation
+from primroseledge.ids import InstanceId
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
@@ -36,6 +45,7 @@
 from primroseledge.messages import Done
 from primroseledge.messages import EndState
 from primroseledge.messages import Grant
+from primroseledge.retrybudget import RetryBudget
 from standins.deployment import Deployment
 from standins.processes import start_standin
 
@@ -43,6 +53,7 @@
 GRANTS: Final = 20_000
 DRAIN_S: Final = 30.0
 REQUESTS: Final = 3000
+RETRY_RATIO: Final = 0.1
 WARM_UP: Final = 300
 CALLERS: Final = 4
 
@@ -119,6 +130,63 @@
     return {'microseconds': round(spent / dispatcher.counter * 1e6, 1)}
 
 
+@part('retries')
+def measure_retries() -> dict[str, float]:
+    """Measure attempts a request at one entry core when answers get lost.
+
+    Every request is idempotent, so that retries are at their most.
+    """
+    return {
+        f'{part:.0%} lost': amplification(part) for part in (0.1, 0.5, 1.0)
+    }
+
+
+def amplification(lost_part: float) -> float:
+    """Return attempts for one request when a part of the answers is lost."""
+    random = Random(SEED)
+    core = EntryCore(
+        EntryId('e0'), Incarnation(1), 'zone-0', RetryBudget(RETRY_RATIO)
+    )
+    attempts = 0
+    for handle in range(REQUESTS):
+        arrival = Arrival(
+            handle,
+            RequestId(str(handle)),
+            TeamId('quotes'),
+            ServiceId('s0'),
+            CELL,
+            True,
+            False,
+            TIMEOUT_S,
+        )
+        actions = core.arrive(arrival, 0.0)
+        while ask := ask_in(actions):
+            attempts += 1
+            grant = Grant(
+                CELL,
+                Epoch(1),
+                ask.ask_id,
+                GrantId(f'main.1.{attempts}'),
+                InstanceId('u0'),
+                'u0',
+                TIMEOUT_S,
+                0.0,
+            )
+            core.granted(grant, 0.0)
+            is_lost = random.random() < lost_part
+            end = AttemptEnd.LOST if is_lost else AttemptEnd.ANSWERED
+            actions = core.attempt_ended(handle, end, 0.0)
+    return round(attempts / REQUESTS, 4)
+
+
+def ask_in(actions: list[EntryAction]) -> Ask | None:
+    """Return the Ask among actions, if there is one."""
+    for action in actions:
+        if isinstance(action, SendToOwner) and isinstance(action.message, Ask):
+            return action.message
+    return None
+
+
 @part('request')
 def measure_requests() -> dict[str, Any]:
     """Compare an entry instance with a bare forwarder."""
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from queue import SimpleQueue
+from socket import SHUT_WR
 from typing import Any
 from typing import Final
 from typing import Protocol
@@ -41,6 +42,7 @@
 from primroseledge.stricthttp import ReadDeadlines
 from primroseledge.stricthttp import rejections
 from primroseledge.stricthttp import StrictConnection
+from primroseledge.stricthttp import StrictRequest
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -263,6 +265,7 @@
     """A server that reads strictly and in bounded time."""
 
     ConnectionClass = StrictConnection
+    _unservicable_conns: Any
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -273,6 +276,22 @@
         super().prepare()
         self.read_deadlines.thread.start()
 
+    def _serve_unservicable(self) -> None:
+        # cheroot would answer without an outcome and leave the
+        # connection open.
+        while self.ready:
+            connection = self._unservicable_conns.get()
+            if not isinstance(connection, StrictConnection):
+                return
+            try:
+                busy = StrictRequest(self, connection)
+                busy.simple_response('503 Service Unavailable')
+                connection.socket.shutdown(SHUT_WR)
+            except OSError:
+                pass
+            connection.linger = True
+            connection.close()
+
     def stop(self) -> None:
         """Stop serving."""
         self.read_deadlines.is_stopped.set()
--- a/src/primroseledge/outcomes.py
+++ b/src/primroseledge/outcomes.py
@@ -26,6 +26,7 @@
     DEADLINE = 'deadline'
     NOT_FRESH = 'not_fresh'
     STOPPING = 'stopping'
+    SERVER_BUSY = 'server_busy'
     NO_UPSTREAM = 'no_upstream'
     UPSTREAM_REFUSED = 'upstream_refused'
     IN_PROGRESS = 'in_progress'
@@ -75,6 +76,9 @@
         '503 Service Unavailable', Outcome.NOT_RUN, True
     ),
     Reason.STOPPING: Verdict('503 Service Unavailable', Outcome.NOT_RUN, True),
+    Reason.SERVER_BUSY: Verdict(
+        '503 Service Unavailable', Outcome.UNKNOWN, True
+    ),
     Reason.NO_UPSTREAM: Verdict(
         '503 Service Unavailable', Outcome.NOT_RUN, True
     ),
--- a/src/primroseledge/stricthttp.py
+++ b/src/primroseledge/stricthttp.py
@@ -19,6 +19,9 @@
 from cheroot.server import HTTPRequest
 from msgspec import json
 
+from primroseledge.outcomes import Outcome
+from primroseledge.outcomes import Reason
+
 READ_TIMEOUT_S: Final = 10.0
 """Longest time that a client may take to send headers and body."""
 
@@ -27,6 +30,7 @@
 TOKEN: Final = compile_pattern(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 DIGITS: Final = compile_pattern(rb'[0-9]{1,15}\Z')
 MAY_HAVE_RUN: Final = '500'
+BUSY: Final = '503'
 
 rejections: collections.Counter[str] = collections.Counter()
 """How many requests the server refused by itself, by status."""
@@ -167,17 +171,22 @@
             super().simple_response(status, msg)
             return
         rejections[text[:3]] += 1
-        is_known = not text.startswith(MAY_HAVE_RUN)
-        outcome = 'not_run' if is_known else 'unknown'
-        refusal = {'outcome': outcome, 'reason': 'bad_request', 'detail': msg}
+        is_busy = text.startswith(BUSY)
+        reason = Reason.SERVER_BUSY if is_busy else Reason.BAD_REQUEST
+        # A request that was not read may be one that ran before.
+        is_unknown = is_busy or text.startswith(MAY_HAVE_RUN)
+        outcome = Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
+        refusal = {'outcome': outcome, 'reason': reason, 'detail': msg}
         body = json.encode(refusal)
+        retry_after = 'Retry-After: 1\r\n' if is_busy else ''
         self.close_connection = True
         head = (
             f'HTTP/1.1 {text}\r\n'
             f'Content-Type: application/json\r\n'
             f'Content-Length: {len(body)}\r\n'
-            f'X-Outcome: {outcome}\r\n'
-            'X-Reason: bad_request\r\n'
+            f'X-Outcome: {outcome.value}\r\n'
+            f'X-Reason: {reason.value}\r\n'
+            f'{retry_after}'
             'Connection: close\r\n\r\n'
         )
         self.conn.wfile.write(head.encode('latin-1') + body)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -4,6 +4,7 @@
 from socket import create_connection
 from socket import SHUT_WR
 from threading import Thread
+from time import sleep
 from unittest import TestCase
 
 from primroseledge.actions import RefuseCall
@@ -12,6 +13,7 @@
 from primroseledge.httpserver import Application
 from primroseledge.httpserver import AttemptReport
 from primroseledge.httpserver import create_server
+from primroseledge.httpserver import MIN_ACCEPTED_QUEUE
 from primroseledge.httpserver import PageBody
 from primroseledge.httpserver import ServerCall
 from primroseledge.outcomes import Reason
@@ -138,3 +140,47 @@
             text = LINE + 'Connection: close\r\n\r\n'
             answer = self.send(text, is_half_closed=False)
         self.assertIn('"reason":"no_service"', answer)
+
+
+class HoldingLoop(RefusingLoop):
+    """A loop that answers nothing until it is released."""
+
+    def post(self, item: ServerCall | AttemptReport) -> None:
+        assert isinstance(item, ServerCall)
+        self.calls.append(item)
+
+    def release(self) -> None:
+        for call in self.calls:
+            call.commands.put(RefuseCall(1, Reason.STOPPING))
+
+
+class BusyServerTest(TestCase):
+    def test_a_request_beyond_threads_and_queue_is_told_so(self) -> None:
+        loop = HoldingLoop()
+        carrier = Carrier(1, 1000)
+        self.addCleanup(carrier.close)
+        limits = RequestLimits(1000, 5.0, 60.0)
+        application = Application(loop, carrier, limits)
+        server = create_server('127.0.0.1', 0, 2, 8000, application)
+        server.prepare()
+        thread = Thread(target=server.serve)
+        thread.start()
+        text = (LINE + 'Connection: close\r\n\r\n').encode()
+        with ExitStack() as resources:
+            sockets = []
+            for _ in range(2 + MIN_ACCEPTED_QUEUE + 4):
+                socket = create_connection(server.bind_addr)
+                resources.enter_context(socket)
+                socket.sendall(text)
+                sockets.append(socket)
+            answer = b''
+            while part := sockets[-1].recv(10_000):
+                answer += part
+            while len(loop.calls) < 2:
+                sleep(0.01)
+            loop.release()
+            loop.post = RefusingLoop.post.__get__(loop)  # type: ignore
+            resources.callback(thread.join)
+            resources.callback(server.stop)
+        self.assertIn(b'"reason":"server_busy"', answer)
+        self.assertIn(b'Retry-After: 1', answer)
