--- a/tests/requests_fleet.py
+++ b/tests/requests_fleet.py
@@ -6,8 +6,6 @@
 
 import collections
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from heapq import heappop
 from heapq import heappush
 from random import Random
@@ -24,28 +22,13 @@
 from primroseledge.constants import RUN_MARGIN_S
 from primroseledge.dispatcher import create_dispatcher
 from primroseledge.dispatcher import Dispatcher
-from primroseledge.documents import document_key
-from primroseledge.documents import encode_document
-from primroseledge.documents import Instance
-from primroseledge.documents import Members
-from primroseledge.documents import Placement
-from primroseledge.documents import Pool
-from primroseledge.documents import Service
-from primroseledge.documents import Team
-from primroseledge.entry import Arrival
 from primroseledge.entry import EntryCore
-from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Incarnation
 from primroseledge.ids import RequestId
-from primroseledge.ids import Revision
-from primroseledge.ids import ServiceId
-from primroseledge.ids import TeamId
 from primroseledge.messages import Ask
 from primroseledge.messages import Cancel
-from primroseledge.messages import ConfigChange
-from primroseledge.messages import ConfigDelta
 from primroseledge.messages import Done
 from primroseledge.messages import DoneAck
 from primroseledge.messages import Grant
@@ -55,66 +38,22 @@
 from primroseledge.outcomes import Outcome
 from primroseledge.outcomes import told_outcome
 from primroseledge.retrybudget import RetryBudget
-
-CELL = CellId('main')
-SERVICE = ServiceId('bulletin')
-RUN_LIMIT_S = 3.0
-LINK_S = 0.002
-TICK_S = 0.1
-SKEW_S = 2.0
-WINDOW_S = 60.0
-REPORT_S = 0.5
-SLOTS = 3
-LIMITS = {'dealers': 4, 'yards': 3}
-WALL_S = 1_700_000_000.0
-
-
-@dataclass
-class Execution:
-    """A run at an upstream."""
-
-    request_id: RequestId
-    handle: int
-    team: TeamId
-    upstream: str
-    ends_at: float
-
-
-@dataclass
-class Sending:
-    """One sending of a request by a caller, and what it was told."""
-
-    request_id: RequestId
-    is_idempotent: bool
-    entry: EntryId
-    deadline: float
-    is_over: bool = False
-
-
-@dataclass
-class Host:
-    """One run of an entry instance, with clocks of its own."""
-
-    core: EntryCore
-    clock_offset: float
-    wall_offset: float
-    owner: EntryId
-    dispatcher: Dispatcher | None = None
-    paused_until: float = 0.0
-    is_dead: bool = False
-    born_at: float = 0.0
-
-
-@dataclass
-class Faults:
-    """What goes wrong at present."""
-
-    drop: float = 0.0
-    duplicate: float = 0.0
-    jitter_s: float = 0.0
-    cut: set[EntryId] = field(default_factory=set)
-    lost_answers: float = 0.0
-    no_connection: float = 0.0
+from tests.requests_records import CELL
+from tests.requests_records import create_arrival
+from tests.requests_records import create_delta
+from tests.requests_records import Execution
+from tests.requests_records import Faults
+from tests.requests_records import Host
+from tests.requests_records import LIMITS
+from tests.requests_records import LINK_S
+from tests.requests_records import REPORT_S
+from tests.requests_records import RUN_LIMIT_S
+from tests.requests_records import Sending
+from tests.requests_records import SKEW_S
+from tests.requests_records import SLOTS
+from tests.requests_records import TICK_S
+from tests.requests_records import WALL_S
+from tests.requests_records import WINDOW_S
 
 
 class RequestsFleet:
@@ -135,7 +74,6 @@
         self.running: list[Execution] = []
         self.ran = collections.Counter[RequestId]()
         self.ran_for = collections.Counter[int]()
-        self.peak_used = collections.Counter[str]()
         self.sendings: dict[int, Sending] = {}
         self.problems: list[str] = []
         self.hosts: dict[EntryId, Host] = {}
@@ -150,53 +88,11 @@
 
     def configure(self, without: str = '') -> None:
         """Put the documents in force everywhere."""
-        instances = {
-            name: Instance(
-                name,
-                'copper',
-                'north-1',
-                'rack-1',
-                name,
-                SLOTS,
-                is_draining=name in self.draining,
-            )
-            for name in self.upstreams
-        }
-        documents = [
-            ('members', Members('all', tuple(self.entries))),
-            ('pool', Pool('copper')),
-            ('placement', Placement('0', instances)),
-            (
-                'service',
-                Service(
-                    SERVICE,
-                    'dealers',
-                    'copper',
-                    run_limit_s=RUN_LIMIT_S,
-                    queue_limit=12,
-                ),
-            ),
-        ]
         self.revision += 1
-        changes = [
-            ConfigChange(
-                document_key(kind, document.id),
-                encode_document(document),
-                Revision(self.revision),
-            )
-            for kind, document in documents
-        ]
-        for team, limit in LIMITS.items():
-            value = encode_document(Team(team, share=limit, limit=limit))
-            changes.append(
-                ConfigChange(
-                    document_key('team', team),
-                    None if team == without else value,
-                    Revision(self.revision),
-                )
-            )
-        before, upto = Revision(self.revision - 1), Revision(self.revision)
-        self.configuration.apply(ConfigDelta(before, upto, tuple(changes)))
+        delta = create_delta(
+            self.revision, self.entries, self.upstreams, self.draining, without
+        )
+        self.configuration.apply(delta)
 
     def new_host(self, entry: EntryId, incarnation: int) -> Host:
         core = EntryCore(
@@ -401,16 +297,8 @@
             self.sendings[handle] = Sending(
                 typed_id, is_idempotent, entry, self.now + timeout_s
             )
-            arrival = Arrival(
-                handle,
-                typed_id,
-                TeamId(team),
-                SERVICE,
-                CELL,
-                is_idempotent,
-                handle % 7 == 0,
-                now + timeout_s,
-                issued_at,
+            arrival = create_arrival(
+                handle, self.sendings[handle], team, now + timeout_s, issued_at
             )
             self.perform(host, [*host.core.arrive(arrival, now)])
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -35,9 +35,9 @@
 from primroseledge.outcomes import told_outcome
 from primroseledge.requestmemory import RequestMemory
 from primroseledge.retrybudget import RetryBudget
-from tests.requests_fleet import CELL
 from tests.requests_fleet import RequestsFleet
-from tests.requests_fleet import WALL_S
+from tests.requests_records import CELL
+from tests.requests_records import WALL_S
 
 COPPER = PoolId('copper')
 
--- a/tests/test_requests_fuzz.py
+++ b/tests/test_requests_fuzz.py
@@ -10,11 +10,11 @@
 
 from primroseledge.ids import EntryId
 from primroseledge.runningwork import RunningWork
-from tests.requests_fleet import Faults
-from tests.requests_fleet import LIMITS
 from tests.requests_fleet import RequestsFleet
-from tests.requests_fleet import SLOTS
-from tests.requests_fleet import WALL_S
+from tests.requests_records import Faults
+from tests.requests_records import LIMITS
+from tests.requests_records import SLOTS
+from tests.requests_records import WALL_S
 
 SIZE = 4
 UPSTREAMS = 4
