Count bursts together, and scale the price of a move with the fleet

At 31,000 instances nothing moved: each pool counted the whole spare pool as its own and a move cost as much as in a fleet of 40.

--- a/src/primroseledge/sizing.py
+++ b/src/primroseledge/sizing.py
@@ -7,8 +7,8 @@
 ``hold_s`` on end.
 """
 
-from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from math import ceil
@@ -25,7 +25,8 @@
 from primroseledge.plan import Step
 
 SECONDS_PER_HOUR: Final = 3600.0
-MAX_BUCKETS: Final = 64
+MAX_SAMPLES: Final = 120
+STEP_DIVISOR: Final = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,8 +34,8 @@
     """How much each measure counts, and the amount that counts as 1.
 
     ``buffer_unit`` and ``nearness_unit`` are parts of the fleet and of
-    the demand, ``moves_unit`` is moves an hour, ``roll_out_unit_s``
-    seconds.
+    the demand, ``moves_unit`` is moves an hour for each instance. A
+    roll-out counts as 1 when it takes as long as an even pool's.
     """
 
     buffer: float = 1.0
@@ -42,9 +43,8 @@
     roll_out: float = 1.0
     nearness: float = 1.0
     buffer_unit: float = 0.6
-    moves_unit: float = 60.0
-    roll_out_unit_s: float = 400.0
-    nearness_unit: float = 0.1
+    moves_unit: float = 1.5
+    nearness_unit: float = 0.5
 
 
 PROFILES: Final[Mapping[str, SizingWeights]] = {
@@ -56,70 +56,38 @@
 
 @dataclass(frozen=True, slots=True)
 class SizingSettings:
-    """Times in seconds; a history's half-life, and the hysteresis."""
+    """Times in seconds: samples of demand, and the hysteresis."""
 
-    half_life_s: float = 1800.0
+    interval_s: float = 5.0
     learn_s: float = 120.0
     hold_s: float = 30.0
     reverse_s: float = 900.0
     horizon_s: float = 4 * SECONDS_PER_HOUR
-    step_s: float = 90.0
 
 
 @dataclass(slots=True)
-class DemandHistory:
-    """How much of the time a pool's demand was how high.
+class DemandSamples:
+    """What all pools asked for at the same moments, in instances.
 
-    ``seconds`` counts, with decay, the time at each demand, in
-    buckets of ``unit`` instances.
+    Samples of all pools together tell which bursts coincide, and so
+    how far the same spare instance serves one pool after another.
     """
 
-    unit: float = 1.0
-    seconds: list[float] = field(default_factory=lambda: [0.0] * MAX_BUCKETS)
-    observed_s: float = 0.0
-
-    def observe(
-        self, demand: float, elapsed_s: float, half_life_s: float
-    ) -> None:
-        """Add a demand, in instances, that lasted ``elapsed_s``."""
-        while demand / self.unit >= MAX_BUCKETS - 1:
-            self._widen()
-        decay = 0.5 ** (elapsed_s / half_life_s)
-        self.seconds = [value * decay for value in self.seconds]
-        self.seconds[ceil(demand / self.unit)] += elapsed_s
-        self.observed_s += elapsed_s
-
-    def excess(self, size: float) -> float:
-        """Return the mean demand above a size, in instances."""
-        return self._mean(lambda demand: max(demand - size, 0.0))
-
-    def idle(self, size: float) -> float:
-        """Return the mean part of a size that is not asked for."""
-        return self._mean(lambda demand: max(size - demand, 0.0))
+    interval_s: float = 5.0
+    rows: list[Mapping[PoolId, float]] = field(default_factory=list)
+    sampled_at: float = float('-inf')
 
-    @property
-    def mean(self) -> float:
-        """Return the mean demand, in instances."""
-        return self.excess(0.0)
-
-    def _mean(self, value: Callable[[float], float]) -> float:
-        total = sum(self.seconds)
-        if total <= 0:
-            return 0.0
-        weighted = sum(
-            seconds * value(bucket * self.unit)
-            for bucket, seconds in enumerate(self.seconds)
-            if seconds
-        )
-        return weighted / total
+    def add(self, now: float, demands: Mapping[PoolId, float]) -> None:
+        """Keep a sample, unless the last one is too recent."""
+        if now - self.sampled_at >= self.interval_s:
+            self.sampled_at = now
+            self.rows.append(dict(demands))
+            del self.rows[:-MAX_SAMPLES]
 
-    def _widen(self) -> None:
-        """Double the unit, joining buckets in pairs."""
-        wider = [0.0] * MAX_BUCKETS
-        for bucket, seconds in enumerate(self.seconds):
-            wider[ceil(bucket / 2)] += seconds
-        self.seconds = wider
-        self.unit *= 2
+    @property
+    def observed_s(self) -> float:
+        """Return how long the samples span."""
+        return len(self.rows) * self.interval_s
 
 
 @dataclass(slots=True)
@@ -134,11 +102,53 @@
     instances: int
     slots: int
     demand_slots: float
-    history: DemandHistory
     unavailable: int = 1
     floor: int = 2
 
 
+@dataclass(frozen=True, slots=True)
+class Shortage:
+    """What all pools lacked in each sample, at their present sizes.
+
+    ``needs`` is what pools ask above their sizes, ``spare`` what the
+    spare pool itself asks, both in instances; ``mean_demand`` is the
+    mean of all demand, ``even_size`` that of pools of one size.
+    """
+
+    samples: DemandSamples
+    needs: Sequence[float]
+    spare: Sequence[float]
+    mean_demand: float
+    fleet_instances: int
+    even_size: int
+
+
+def find_shortage(
+    samples: DemandSamples, pools: Sequence[PoolLoad], spare: PoolLoad
+) -> Shortage:
+    """Sum up the samples, once for the decisions of all pools."""
+    needs = list[float]()
+    total = 0.0
+    for row in samples.rows:
+        needs.append(
+            sum(
+                max(row.get(load.pool, 0.0) - load.instances, 0.0)
+                for load in pools
+            )
+        )
+        total += row.get(spare.pool, 0.0)
+        total += sum(row.get(load.pool, 0.0) for load in pools)
+    fleet = spare.instances + sum(load.instances for load in pools)
+    return Shortage(
+        samples,
+        needs,
+        [row.get(spare.pool, 0.0) for row in samples.rows],
+        total / max(len(needs), 1),
+        fleet,
+        fleet // (len(pools) + 1),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Hold:
     """Since when a pool has wanted a change, and its last move."""
@@ -151,7 +161,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SizeDecision:
-    """1 to take an instance from the spare pool, -1 to give one."""
+    """How many to take from the spare pool; negative to give."""
 
     change: int
     hold: Hold
@@ -178,68 +188,83 @@
 def decide_size(
     own: PoolLoad,
     spare: PoolLoad,
-    fleet_instances: int,
+    shortage: Shortage,
     hold: Hold,
     now: float,
     weights: SizingWeights,
     settings: SizingSettings,
 ) -> SizeDecision:
-    """Return whether a pool takes or gives an instance, or neither."""
-    if own.history.observed_s < settings.learn_s:
+    """Return how many instances a pool takes or gives; 0 for neither.
+
+    A change is one instance, or a twentieth of a large pool.
+    """
+    if shortage.samples.observed_s < settings.learn_s:
         return SizeDecision(0, hold)
-    present = cost(own, spare, 0, fleet_instances, weights, settings)
+    amount = max(own.instances // STEP_DIVISOR, 1)
+    present = cost(own, spare, 0, shortage, weights)
     gains = {
-        change: present
-        - cost(own, spare, change, fleet_instances, weights, settings)
-        for change in (1, -1)
+        change: present - cost(own, spare, change, shortage, weights)
+        for change in (amount, -amount)
         if _is_possible(own, spare, change)
     }
     wanted = max(gains, key=lambda change: gains[change], default=0)
     gain = gains.get(wanted, 0.0)
-    price = move_cost(weights, settings)
+    price = amount * move_cost(shortage.fleet_instances, weights, settings)
     if gain <= price:
         refusal = _explain_worth(own, spare, gain, price)
-        return SizeDecision(
-            0, Hold(0, now, hold.moved, hold.moved_at), refusal
-        )
-    since = hold.since if hold.wanted == wanted else now
-    held = Hold(wanted, since, hold.moved, hold.moved_at)
+        idle = Hold(0, now, hold.moved, hold.moved_at)
+        return SizeDecision(0, idle, refusal)
+    sign = 1 if wanted > 0 else -1
+    since = hold.since if hold.wanted == sign else now
+    held = Hold(sign, since, hold.moved, hold.moved_at)
     remaining_s = _remaining_s(held, now, settings)
     if remaining_s > 0:
         numbers = {'remaining_s': remaining_s, 'gain': gain, 'cost': price}
         refusal = Explanation(own.pool, Rule.MOVE_HOLD, numbers)
         return SizeDecision(0, held, refusal)
-    return SizeDecision(wanted, Hold(wanted, now, wanted, now))
+    return SizeDecision(wanted, Hold(sign, now, sign, now))
 
 
 def cost(
     own: PoolLoad,
     spare: PoolLoad,
     change: int,
-    fleet_instances: int,
+    shortage: Shortage,
     weights: SizingWeights,
-    settings: SizingSettings,
 ) -> float:
-    """Return the weighted cost of a pool and the spare after a change."""
+    """Return the fleet's weighted cost after a change of one pool."""
     size, left = own.instances + change, spare.instances - change
-    lendable = max(left - spare.history.mean, 0.0)
-    unmet = own.history.excess(size + lendable) + spare.history.excess(left)
-    demand = max(own.history.mean + spare.history.mean, 1e-9)
-    roll_out_s = settings.step_s * max(
+    unmet = idle = 0.0
+    rows = shortage.samples.rows
+    for row, need, spare_demand in zip(
+        rows, shortage.needs, shortage.spare, strict=True
+    ):
+        demand = row.get(own.pool, 0.0)
+        need += max(demand - size, 0.0) - max(demand - own.instances, 0.0)
+        idle += max(size - demand, 0.0)
+        unmet += max(need - max(left - spare_demand, 0.0), 0.0)
+        unmet += max(spare_demand - left, 0.0)
+    count = max(len(rows), 1)
+    roll_out = max(
         rounds(size, own.unavailable), rounds(left, spare.unavailable)
     )
-    buffer = own.history.idle(size) / max(fleet_instances, 1)
+    even = max(rounds(shortage.even_size, own.unavailable), 1)
+    buffer = idle / count / max(shortage.fleet_instances, 1)
+    nearness = unmet / count / max(shortage.mean_demand, 1e-9)
     return (
         weights.buffer * buffer / weights.buffer_unit
-        + weights.nearness * unmet / demand / weights.nearness_unit
-        + weights.roll_out * roll_out_s / weights.roll_out_unit_s
+        + weights.nearness * nearness / weights.nearness_unit
+        + weights.roll_out * roll_out / even
     )
 
 
-def move_cost(weights: SizingWeights, settings: SizingSettings) -> float:
+def move_cost(
+    fleet_instances: int, weights: SizingWeights, settings: SizingSettings
+) -> float:
     """Return the cost of one move, spread over the horizon."""
     hours = settings.horizon_s / SECONDS_PER_HOUR
-    return weights.moves / weights.moves_unit / hours
+    unit = weights.moves_unit * max(fleet_instances, 1)
+    return weights.moves / unit / hours
 
 
 def rounds(instances: int, allowed: int) -> int:
@@ -273,12 +298,12 @@
 
 def _is_possible(own: PoolLoad, spare: PoolLoad, change: int) -> bool:
     donor = spare if change > 0 else own
-    return donor.instances - 1 >= donor.floor
+    return donor.instances - abs(change) >= donor.floor
 
 
 def _remaining_s(hold: Hold, now: float, settings: SizingSettings) -> float:
     remaining_s = hold.since + settings.hold_s - now
-    if hold.moved == -hold.wanted:
+    if hold.moved == -hold.wanted and hold.wanted:
         reverse_s = hold.moved_at + settings.reverse_s - now
         return max(remaining_s, reverse_s)
     return remaining_s
