--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -1,3 +1,4 @@
+from dataclasses import replace
 import unittest
 
 from primroseledge.explain import Rule
@@ -102,10 +103,26 @@
         change, _, _ = self.decide(sizes, samples, hold, late, user)
         self.assertEqual(-1, change)
 
+    def change_of(self, floor: int, moves: float) -> int:
+        own = replace(load(OWN, 4), floor=floor)
+        other, spare = load(OTHER, 2), load(SPARE, 7)
+        samples = sample({OWN: 0.5, OTHER: 0.5, SPARE: 0.5})
+        return decide_size(
+            own,
+            spare,
+            find_shortage(samples, [own, other], spare),
+            Hold(-1, 0.0),
+            1e6,
+            replace(PROFILES['blue-mountain'], moves=moves),
+            SETTINGS,
+        ).change
+
     def test_floor_holds(self) -> None:
-        samples = sample({OWN: 0.1, OTHER: 0.1, SPARE: 0.1})
-        change, _, _ = self.decide((2, 8, 8), samples, Hold(-1, 0.0), 1e6)
-        self.assertEqual(0, change)
+        self.assertEqual(-1, self.change_of(floor=3, moves=3.0))
+        self.assertEqual(0, self.change_of(floor=4, moves=3.0))
+
+    def test_move_that_costs_more_than_it_saves_is_not_made(self) -> None:
+        self.assertEqual(0, self.change_of(floor=3, moves=1000.0))
 
     def test_no_decision_before_enough_was_seen(self) -> None:
         row = {OWN: 0.1, OTHER: 0.1, SPARE: 0.1}
