--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
 
+
 binary: $(STAMP)
 	$(BIN)/python -m tools.binary
 
@@ -46,3 +47,10 @@
 
 bench-policy: $(STAMP)
 	$(BIN)/python -m bench.policy
+
+bench-nodes: $(STAMP)
+	$(BIN)/python -m bench.nodes
+
+model: $(STAMP)
+	$(BIN)/python -m bench.model
+
--- a/src/primroseledge/handlers.py
+++ b/src/primroseledge/handlers.py
@@ -9,7 +9,8 @@
 from primroseledge.actions import Action
 from primroseledge.actions import Note
 from primroseledge.actions import SendToEntry
-from primroseledge.dispatcher import Dispatcher
+from primroseledge.attemptend import AttemptEnd
+from primroseledge.dispatcher import create_dispatcher
 from primroseledge.events import Event
 from primroseledge.logs import FieldValue
 from primroseledge.messages import Ask
@@ -18,7 +19,6 @@
 from primroseledge.messages import ConfigPull
 from primroseledge.messages import Done
 from primroseledge.messages import DoneAck
-from primroseledge.messages import EndState
 from primroseledge.messages import Envelope
 from primroseledge.messages import Grant
 from primroseledge.messages import Heartbeat
@@ -79,7 +79,7 @@
     for ownership in node.ownerships.values():
         ownership.on_heartbeat(peer, message, echoed_at, now)
     for dispatcher in node.dispatchers.values():
-        dispatcher.heard(peer, message.sent_at)
+        dispatcher.heard(peer, message.sent_at, now)
     if message.revision > node.configuration.revision:
         pull = ConfigPull(node.configuration.revision)
         return [SendToEntry(peer, pull)]
@@ -112,8 +112,12 @@
 def handle_ask(
     node: Node, envelope: Envelope, message: Ask, now: float
 ) -> list[Action]:
-    """Queue a request when this node owns its cell."""
-    dispatcher = node.acting_dispatcher(message.cell, now)
+    """Queue a request when this node owns its cell, or is about to."""
+    dispatcher = node.dispatchers.get(message.cell)
+    if dispatcher is None:
+        return []
+    if dispatcher.is_open:
+        dispatcher = node.acting_dispatcher(message.cell, now)
     if dispatcher is None:
         return []
     return [*dispatcher.asked(envelope.sender, message, now)]
@@ -163,7 +167,7 @@
     ownership = node.ownerships.get(message.cell)
     if ownership is None:
         return []
-    ownership.on_report(envelope.sender, message, now)
+    ownership.on_report(envelope.sender, envelope.incarnation, message, now)
     return node.tick_ownerships(now)
 
 
@@ -181,7 +185,7 @@
         return []
     may_start = ownership.may_start(message.epoch, now)
     if not may_start or not node.is_fresh(now):
-        return [node.entry.finish(message, EndState.NOT_RUN, now)]
+        return [node.entry.finish(message, AttemptEnd.TOO_LATE, now)]
     return [*node.entry.granted(message, now)]
 
 
@@ -239,7 +243,9 @@
 def perform_report(node: Node, step: SendReport, now: float) -> list[Action]:
     """Report what this instance carries for a cell."""
     carried = node.entry.carried(step.cell, now)
-    return [SendToEntry(step.to, Report(step.cell, step.epoch, carried))]
+    handover = node.handovers.get(step.cell)
+    report = Report(step.cell, step.epoch, carried, handover)
+    return [SendToEntry(step.to, report)]
 
 
 @performs(SendHeartbeat)
@@ -255,31 +261,47 @@
     node: Node, step: BecomeOwner, now: float
 ) -> list[Action]:
     """Dispatch for a cell from now on."""
-    dispatcher = Dispatcher(step.cell, step.epoch, node.configuration)
-    dispatcher.heard(node.entry_id, now)
-    for peer in node.membership.peers.values():
-        dispatcher.heard(peer.id, peer.sent_at)
-    for entry, report in step.reports.items():
-        dispatcher.adopt(entry, report.carried, now)
-    node.dispatchers[step.cell] = dispatcher
-    missing = ', '.join(step.unreported) or 'none'
+    dispatcher = node.dispatchers[step.cell]
+    actions = dispatcher.begin(
+        step.reports,
+        step.unreported,
+        step.quarantine_until,
+        now,
+        now + node.wall_offset_s,
+    )
     fields: dict[str, FieldValue] = {'cell': step.cell, 'epoch': step.epoch}
-    return [
-        Note(Event.OWNER_TAKEN, fields),
-        Note(Event.REPORTS_MISSING, {**fields, 'missing': missing}),
-        *node.entry.owner_changed(step.cell, now),
-    ]
+    notes = [Note(Event.OWNER_TAKEN, fields)]
+    if step.unreported:
+        fields = {**fields, 'missing': ', '.join(step.unreported)}
+        notes.append(Note(Event.REPORTS_MISSING, fields))
+    return [*notes, *actions]
 
 
 @performs(StepDown)
 def perform_step_down(node: Node, step: StepDown, now: float) -> list[Action]:
     """Stop dispatching for a cell."""
-    node.dispatchers.pop(step.cell, None)
+    dispatcher = node.dispatchers.pop(step.cell, None)
+    handover = None if dispatcher is None else dispatcher.hand_over(now)
+    if handover is not None:
+        node.handovers[step.cell] = handover
     reason = f'epoch {step.epoch} is over'
     return [Note(Event.OWNER_LOST, {'cell': step.cell, 'reason': reason})]
 
 
 @performs(FollowOwner)
 def perform_follow(node: Node, step: FollowOwner, now: float) -> list[Action]:
-    """Ask the new owner for every call that waits."""
-    return [*node.entry.owner_changed(step.cell, now)]
+    """Ask the new owner for every call that waits.
+
+    When the new owner is this node, it queues from now on and grants
+    once it has the reports.
+    """
+    node.dispatchers.pop(step.cell, None)
+    if step.owner == node.entry_id:
+        dispatcher = create_dispatcher(
+            step.cell, step.epoch, node.configuration
+        )
+        dispatcher.heard(node.entry_id, now, now)
+        for peer in node.membership.peers.values():
+            dispatcher.heard(peer.id, peer.sent_at, peer.last_heard)
+        node.dispatchers[step.cell] = dispatcher
+    return [*node.entry.owner_changed(step.cell, now, step.epoch)]
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -21,11 +21,11 @@
 from primroseledge.actions import Deliver
 from primroseledge.actions import RefuseCall
 from primroseledge.actions import StartAttempt
+from primroseledge.attemptend import AttemptEnd
 from primroseledge.carrier import Answer
 from primroseledge.carrier import Carrier
 from primroseledge.carrier import Outbound
 from primroseledge.carrier import REQUEST_ID_HEADER
-from primroseledge.entry import AttemptEnd
 from primroseledge.httprequest import BadRequest
 from primroseledge.httprequest import filter_headers
 from primroseledge.httprequest import parse_head
@@ -34,6 +34,7 @@
 from primroseledge.ids import RequestId
 from primroseledge.node import RequestHead
 from primroseledge.outcomes import Reason
+from primroseledge.outcomes import told_outcome
 from primroseledge.outcomes import VERDICTS
 
 Environ = dict[str, Any]
@@ -52,6 +53,7 @@
     """A request on a server thread, and the loop's commands to it."""
 
     head: RequestHead
+    has_own_id: bool = True
     commands: 'SimpleQueue[Command]' = field(default_factory=SimpleQueue)
 
 
@@ -114,7 +116,7 @@
             filter_headers(environ),
             body,
         )
-        call = ServerCall(head)
+        call = ServerCall(head, 'HTTP_IDEMPOTENCY_KEY' in environ)
         self.loop.post(call)
         return self.obey(call, outbound, start_response)
 
@@ -137,7 +139,13 @@
                     if isinstance(command, RefuseCall)
                     else RefuseCall(call.head.handle, Reason.BAD_ANSWER)
                 )
-                return refuse(start_response, call.head.request_id, refusal)
+                is_guarded = not call.head.is_idempotent and call.has_own_id
+                return refuse(
+                    start_response,
+                    call.head.request_id,
+                    refusal,
+                    is_guarded=is_guarded,
+                )
             else:
                 return deliver(start_response, call.head.request_id, answer)
 
@@ -204,12 +212,14 @@
     request_id: RequestId,
     refusal: RefuseCall,
     detail: str = '',
+    is_guarded: bool = False,
 ) -> Iterable[bytes]:
     """Tell the caller why there is no answer, and whether it ran."""
     verdict = VERDICTS[refusal.reason]
+    outcome = told_outcome(refusal.reason, is_guarded, refusal.is_checked)
     body = json.encode(
         {
-            'outcome': verdict.outcome.value,
+            'outcome': outcome.value,
             'reason': refusal.reason.value,
             'request_id': request_id,
             'detail': detail,
@@ -218,7 +228,7 @@
     headers = [
         ('Content-Type', 'application/json'),
         ('Content-Length', str(len(body))),
-        (OUTCOME_HEADER, verdict.outcome.value),
+        (OUTCOME_HEADER, outcome.value),
         (REASON_HEADER, refusal.reason.value),
         (REQUEST_ID_HEADER, request_id),
     ]
--- a/src/primroseledge/jobcontroller.py
+++ b/src/primroseledge/jobcontroller.py
@@ -13,9 +13,6 @@
 from msgspec import json
 from msgspec.structs import replace
 
-from primroseledge.admission import admit
-from primroseledge.admission import JobInput
-from primroseledge.admission import Situation
 from primroseledge.errors import ConflictError
 from primroseledge.errors import StoreError
 from primroseledge.explain import Explanation
@@ -34,6 +31,9 @@
 from primroseledge.job import JobState
 from primroseledge.job import MAX_ATTEMPTS
 from primroseledge.job import move_job
+from primroseledge.jobadmission import admit
+from primroseledge.jobadmission import JobInput
+from primroseledge.jobadmission import Situation
 from primroseledge.memorywatch import MemoryWatch
 from primroseledge.placing import Relief
 from primroseledge.platform import PlatformError
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -18,14 +18,13 @@
 from primroseledge.actions import RefuseCall
 from primroseledge.actions import SendToEntry
 from primroseledge.actions import SendToOwner
+from primroseledge.attemptend import AttemptEnd
 from primroseledge.configuration import Configuration
 from primroseledge.constants import RUN_MARGIN_S
 from primroseledge.dispatcher import Dispatcher
 from primroseledge.documents import Service
 from primroseledge.entry import Arrival
-from primroseledge.entry import AttemptEnd
 from primroseledge.entry import EntryCore
-from primroseledge.entry import RetryBudget
 from primroseledge.freshness import create_freshness
 from primroseledge.freshness import Freshness
 from primroseledge.ids import CellId
@@ -44,6 +43,7 @@
 from primroseledge.messages import AnyMessage
 from primroseledge.messages import ConfigDelta
 from primroseledge.messages import Envelope
+from primroseledge.messages import Handover
 from primroseledge.messages import Message
 from primroseledge.messages import PROTOCOL_VERSION
 from primroseledge.outcomes import Reason
@@ -53,6 +53,7 @@
 from primroseledge.ownershipactions import WriteRecord
 from primroseledge.ownershipactions import WriteResult
 from primroseledge.ownershipsettings import OwnershipSettings
+from primroseledge.retrybudget import RetryBudget
 from primroseledge.store import Record
 
 WATCHERS_PER_ZONE: Final = 2
@@ -89,7 +90,11 @@
 
 @dataclass(slots=True)
 class Node:
-    """The cores of one entry instance."""
+    """The cores of one entry instance.
+
+    ``wall_offset_s`` is what to add to monotonic time to get wall-clock
+    time; the rim keeps it up to date.
+    """
 
     entry_id: EntryId
     incarnation: Incarnation
@@ -103,6 +108,9 @@
     ownership_settings: OwnershipSettings
     ownerships: dict[CellId, Ownership] = field(default_factory=dict)
     dispatchers: dict[CellId, Dispatcher] = field(default_factory=dict)
+    handovers: dict[CellId, Handover] = field(default_factory=dict)
+    wall_offset_s: float = 0.0
+    cells_revision: Revision = Revision(-1)
     heartbeat_due: float = 0.0
     is_leaving: bool = False
 
@@ -237,29 +245,29 @@
 
     def tick_ownerships(self, now: float) -> list[Action]:
         """Let the core of each cell do what is due."""
-        cells = {
-            CellId(service.cell)
-            for service in self.configuration.services.values()
-        }
-        for cell in cells - self.ownerships.keys():
-            self.ownerships[cell] = create_ownership(
-                cell, self.membership, self.ownership_settings
-            )
+        if self.cells_revision != self.configuration.revision:
+            self.follow_cells()
         actions: list[Action] = []
-        for cell, ownership in self.ownerships.items():
-            ownership.longest_run_s = self.longest_run_s(cell)
+        for ownership in self.ownerships.values():
             steps = ownership.tick(now, self.configuration.members)
-            actions += self.follow(steps, now)
+            if steps:
+                actions += self.follow(steps, now)
         return actions
 
-    def longest_run_s(self, cell: CellId) -> float:
-        """Return the longest run limit of a cell's services, in seconds."""
-        limits = [
-            service.run_limit_s
-            for service in self.configuration.services.values()
-            if service.cell == cell
-        ]
-        return max(limits, default=0.0) + RUN_MARGIN_S
+    def follow_cells(self) -> None:
+        """Keep an ownership core for each cell of the configuration."""
+        self.cells_revision = self.configuration.revision
+        longest_run_s: dict[CellId, float] = {}
+        for service in self.configuration.services.values():
+            cell = CellId(service.cell)
+            known_s = longest_run_s.get(cell, 0.0)
+            longest_run_s[cell] = max(known_s, service.run_limit_s)
+        for cell, run_s in longest_run_s.items():
+            if cell not in self.ownerships:
+                self.ownerships[cell] = create_ownership(
+                    cell, self.membership, self.ownership_settings
+                )
+            self.ownerships[cell].longest_run_s = run_s + RUN_MARGIN_S
 
     def follow(
         self, steps: Iterable[OwnershipAction], now: float
@@ -317,17 +325,24 @@
         for ownership in self.ownerships.values():
             epochs |= ownership.stated_epochs
             vacant += ownership.stated_vacant(now)
-        heartbeat = self.membership.heartbeat(
-            now,
-            self.configuration.revision,
-            self.freshness.store_read_age_s(now),
-            epochs,
-            self.freshness.is_witness,
-            vacant,
-        )
         for dispatcher in self.dispatchers.values():
-            dispatcher.heard(self.entry_id, now)
-        return self.to_peers(heartbeat)
+            dispatcher.heard(self.entry_id, now, now)
+        # Each echoes its receiver alone, so its size stays the same.
+        return [
+            SendToEntry(
+                peer,
+                self.membership.heartbeat(
+                    now,
+                    self.configuration.revision,
+                    self.freshness.store_read_age_s(now),
+                    epochs,
+                    self.freshness.is_witness,
+                    vacant,
+                    peer,
+                ),
+            )
+            for peer in self.membership.peers
+        ]
 
     def has_work(self) -> bool:
         """Tell whether a graceful shutdown has something to wait for.
--- a/tests/jobworld.py
+++ b/tests/jobworld.py
@@ -4,7 +4,6 @@
 
 from msgspec import json
 
-from primroseledge.admission import JobInput
 from primroseledge.documents import Instance
 from primroseledge.documents import Team
 from primroseledge.ids import InstanceId
@@ -14,6 +13,7 @@
 from primroseledge.job import Job
 from primroseledge.job import job_key
 from primroseledge.job import JOBS_PREFIX
+from primroseledge.jobadmission import JobInput
 from primroseledge.jobcontroller import JobController
 from primroseledge.platform import TaskState
 from primroseledge.records import Records
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -2,8 +2,6 @@
 
 from msgspec.structs import replace
 
-from primroseledge.admission import admit
-from primroseledge.admission import Situation
 from primroseledge.chart import load_chart
 from primroseledge.documents import Team
 from primroseledge.errors import OperatorError
@@ -16,6 +14,8 @@
 from primroseledge.job import Job
 from primroseledge.job import JobState
 from primroseledge.job import quarantine_bound
+from primroseledge.jobadmission import admit
+from primroseledge.jobadmission import Situation
 from primroseledge.jobcontroller import MAX_CANCELS_PER_STEP
 from primroseledge.placing import Estimator
 from primroseledge.placing import place
