Sum the samples of demand in one plain loop

The owner's decision at 31,000 instances took 10.1 ms in the median on a busy host, of which most was the summing of samples through generators.

--- a/src/primroseledge/sizing.py
+++ b/src/primroseledge/sizing.py
@@ -127,17 +127,18 @@
     samples: DemandSamples, pools: Sequence[PoolLoad], spare: PoolLoad
 ) -> Shortage:
     """Sum up the samples, once for the decisions of all pools."""
+    sizes = [(load.pool, load.instances) for load in pools]
     needs = list[float]()
     total = 0.0
     for row in samples.rows:
-        needs.append(
-            sum(
-                max(row.get(load.pool, 0.0) - load.instances, 0.0)
-                for load in pools
-            )
-        )
+        need = 0.0
         total += row.get(spare.pool, 0.0)
-        total += sum(row.get(load.pool, 0.0) for load in pools)
+        for pool, size in sizes:
+            demand = row.get(pool, 0.0)
+            total += demand
+            if demand > size:
+                need += demand - size
+        needs.append(need)
     fleet = spare.instances + sum(load.instances for load in pools)
     return Shortage(
         samples,
