--- /dev/null
+++ b/bench/capacitycores.py
@@ -0,0 +1,369 @@
+"""Probes of the real cores, in this process."""
+
+from itertools import count
+from typing import Final
+
+from bench.capacity import allocated_bytes
+from bench.capacity import probe
+from bench.capacity import time_us
+from bench.capacityfleet import delta
+from bench.capacityfleet import documents
+from bench.capacityfleet import instance
+from bench.capacityfleet import SHARD_SIZE
+from bench.capacityfleet import shards
+from bench.capacityfleet import team
+from primroseledge.configuration import Configuration
+from primroseledge.configuration import create_configuration
+from primroseledge.dispatcher import Dispatcher
+from primroseledge.documents import encode_document
+from primroseledge.documents import Placement
+from primroseledge.entry import Arrival
+from primroseledge.entry import EntryCore
+from primroseledge.entry import RetryBudget
+from primroseledge.freshness import create_freshness
+from primroseledge.freshness import Freshness
+from primroseledge.ids import CellId
+from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
+from primroseledge.ids import Incarnation
+from primroseledge.ids import KeyId
+from primroseledge.ids import RequestId
+from primroseledge.ids import Revision
+from primroseledge.ids import ServiceId
+from primroseledge.ids import TeamId
+from primroseledge.keyring import Keyring
+from primroseledge.keys import generate_key
+from primroseledge.membership import create_membership
+from primroseledge.membership import Membership
+from primroseledge.messages import AnyMessage
+from primroseledge.messages import Ask
+from primroseledge.messages import ConfigDelta
+from primroseledge.messages import decode
+from primroseledge.messages import Done
+from primroseledge.messages import Echo
+from primroseledge.messages import encode
+from primroseledge.messages import EndState
+from primroseledge.messages import Envelope
+from primroseledge.messages import Grant
+from primroseledge.messages import Heartbeat
+from primroseledge.messages import PROTOCOL_VERSION
+from primroseledge.metrics import Metrics
+from primroseledge.outcomes import Outcome
+
+CELL: Final = CellId('main')
+SERVICE: Final = ServiceId('service-0')
+ME: Final = EntryId('entry-0')
+RUN: Final = Incarnation(1_764_000_000_000)
+
+
+def configured(instances: int, pools: int, teams: int) -> Configuration:
+    """Return a view with all documents of a fleet in force."""
+    view = create_configuration()
+    view.apply(delta(documents(instances, pools, teams), is_whole=True))
+    return view
+
+
+def ask(number: int, team_number: int = 0) -> Ask:
+    """Return the Ask of one request."""
+    return Ask(
+        cell=CELL,
+        ask_id=f'entry-0.{RUN}.{number}',
+        request_id=RequestId(f'018f0000-0000-7000-8000-{number:012x}'),
+        team=TeamId(f'team-{team_number}'),
+        service=SERVICE,
+        is_idempotent=False,
+        is_urgent=False,
+        remaining_s=10.0,
+        zone='zone-0',
+    )
+
+
+def wire_bytes(message: AnyMessage) -> int:
+    """Return the length of a message between entry instances."""
+    return len(encode(Envelope(PROTOCOL_VERSION, ME, RUN, message)))
+
+
+def request_us(dispatcher: Dispatcher, repeats: int) -> float:
+    """Return the time of one request's Ask and Done at the owner."""
+    numbers = count(1)
+
+    def serve() -> None:
+        actions = dispatcher.asked(ME, ask(next(numbers)), 1.0)
+        grant = actions[-1].message
+        assert isinstance(grant, Grant)
+        done = Done(CELL, grant.grant_id, EndState.ENDED)
+        dispatcher.done(ME, done, 1.0)
+
+    return time_us(serve, repeats)
+
+
+@probe('µs', 'instance in the fleet', (250, 1000, 4000))
+def dispatch_by_fleet_us(size: int) -> float:
+    """Ask and Done at a cell's owner that sees the whole fleet."""
+    view = configured(size, 118, 6)
+    return request_us(Dispatcher(CELL, Epoch(1), view), 60)
+
+
+@probe('µs', 'instance in the pool', (40, 160, 640))
+def dispatch_by_pool_us(size: int) -> float:
+    """Ask and Done at an owner whose fleet is one pool."""
+    view = configured(size, 1, 6)
+    return request_us(Dispatcher(CELL, Epoch(1), view), 100)
+
+
+@probe('µs', 'waiting team', (6, 60, 290))
+def dispatch_by_teams_us(size: int) -> float:
+    """Ask and Done while so many teams wait at their limits."""
+    view = configured(40, 1, size + 1)
+    dispatcher = Dispatcher(CELL, Epoch(1), view)
+    for number in range(1, size + 1):
+        name = TeamId(f'team-{number}')
+        dispatcher.running[name] = view.teams[name].limit
+        dispatcher.asked(ME, ask(1_000_000 + number, number), 1.0)
+    return request_us(dispatcher, 100)
+
+
+@probe('µs', 'waiting request', (100, 300, 900))
+def dispatch_by_queue_us(size: int) -> float:
+    """Ask and Done while so many requests of a team at its limit wait."""
+    view = configured(40, 1, 2)
+    dispatcher = Dispatcher(CELL, Epoch(1), view)
+    blocked = TeamId('team-1')
+    dispatcher.running[blocked] = view.teams[blocked].limit
+    for number in range(size):
+        dispatcher.asked(ME, ask(1_000_000 + number, 1), 1.0)
+    return request_us(dispatcher, 100)
+
+
+@probe('bytes', 'waiting request', (100, 300, 900))
+def waiting_bytes(size: int) -> float:
+    """Memory of the queue."""
+    view = configured(1, 1, 1)
+
+    def build() -> Dispatcher:
+        dispatcher = Dispatcher(CELL, Epoch(1), view)
+        dispatcher.running[TeamId('team-0')] = 1_000_000
+        for number in range(size):
+            dispatcher.asked(ME, ask(number), 1.0)
+        return dispatcher
+
+    return allocated_bytes(build)
+
+
+@probe('bytes', 'remembered id', (1000, 2000, 4000))
+def remembered_bytes(size: int) -> float:
+    """Memory of the ids of non-idempotent requests that have ended."""
+    view = configured(40, 1, 1)
+
+    def build() -> Dispatcher:
+        dispatcher = Dispatcher(CELL, Epoch(1), view)
+        request_us(dispatcher, size)
+        return dispatcher
+
+    return allocated_bytes(build)
+
+
+@probe('µs', 'open call', (64, 256, 1024))
+def entry_request_us(size: int) -> float:
+    """Arrival, grant and end of a request at its entry instance."""
+    core = entry_core(size)
+    numbers = count(10_000)
+
+    def serve() -> None:
+        number = next(numbers)
+        core.arrive(arrival(number), 1.0)
+        call = core.by_handle[number]
+        core.forget(call)
+
+    return time_us(serve, 200)
+
+
+@probe('bytes', 'open call', (64, 256, 1024))
+def open_call_bytes(size: int) -> float:
+    """Memory of the calls that an entry instance has open."""
+    return allocated_bytes(lambda: entry_core(size))
+
+
+def entry_core(calls: int) -> EntryCore:
+    """Return an entry core with open calls."""
+    core = EntryCore(ME, RUN, 'zone-0', RetryBudget(0.1))
+    for number in range(calls):
+        core.arrive(arrival(number), 1.0)
+    return core
+
+
+def arrival(number: int) -> Arrival:
+    """Return one checked request."""
+    return Arrival(
+        handle=number,
+        request_id=RequestId(f'018f0000-0000-7000-8000-{number:012x}'),
+        team=TeamId('team-0'),
+        service=SERVICE,
+        cell=CELL,
+        is_idempotent=False,
+        is_urgent=False,
+        deadline=100.0,
+    )
+
+
+@probe('µs', 'team', (6, 60, 290))
+def key_check_us(size: int) -> float:
+    """Find the team of a key, the index being up to date."""
+    text, record = generate_key()
+    view = create_configuration()
+    found = [team(number) for number in range(size)]
+    view.teams = {item.team_id: item for item in found}
+    keyring = Keyring(view)
+    keyring.rebuild()
+    keyring.records[KeyId(record.id)] = (TeamId('team-0'), record)
+    return time_us(lambda: keyring.find_team(text), 200)
+
+
+@probe('µs', 'team', (60, 290, 580))
+def keyring_rebuild_us(size: int) -> float:
+    """Index all keys again, as after each change of a document."""
+    view = configured(1, 1, size)
+    return time_us(Keyring(view).rebuild, 50)
+
+
+@probe('bytes', 'instance', (1000, 2000, 4000))
+def instance_bytes(size: int) -> float:
+    """Memory of the placement in force, documents and texts."""
+    changes = delta(shards(size), is_whole=True)
+
+    def build() -> Configuration:
+        view = create_configuration()
+        view.apply(copied(changes))
+        return view
+
+    return allocated_bytes(build)
+
+
+def copied(changes: ConfigDelta) -> ConfigDelta:
+    """Return a delta as it comes off the wire, sharing no text."""
+    data = encode(Envelope(PROTOCOL_VERSION, ME, RUN, changes))
+    body = decode(data).body
+    assert isinstance(body, ConfigDelta)
+    return body
+
+
+@probe('bytes', 'team', (60, 290, 580))
+def team_bytes(size: int) -> float:
+    """Memory of the teams' documents with two keys each."""
+    items = [('team', team(number)) for number in range(size)]
+    changes = delta([*items], is_whole=True)
+
+    def build() -> Configuration:
+        view = create_configuration()
+        view.apply(copied(changes))
+        return view
+
+    return allocated_bytes(build)
+
+
+@probe('µs', 'instance in the fleet', (1000, 4000, 16_000))
+def placement_change_us(size: int) -> float:
+    """Apply a change of one placement shard to the view in force."""
+    view = configured(size, 118, 6)
+    item = shards(SHARD_SIZE)[0]
+
+    def change() -> None:
+        view.apply(delta([item], int(view.revision)))
+
+    return time_us(change, 15)
+
+
+@probe('bytes', 'instance in the shard', (25, 100, 400))
+def shard_delta_bytes(size: int) -> float:
+    """Length of the message that carries one shard's change."""
+    return float(wire_bytes(delta(shards(size, size=size))))
+
+
+@probe('bytes', 'instance in the shard', (100, 400, 1600))
+def shard_value_bytes(size: int) -> float:
+    """Length of a shard's value in the store."""
+    items = (instance(number) for number in range(size))
+    value = Placement('s0', {item.id: item for item in items})
+    return float(len(encode_document(value)))
+
+
+@probe('bytes', 'peer', (6, 26, 188))
+def heartbeat_bytes(size: int) -> float:
+    """Length of one heartbeat."""
+    return float(wire_bytes(heartbeat(size)))
+
+
+def heartbeat(peers: int) -> Heartbeat:
+    """Return a heartbeat that echoes so many peers."""
+    echoes = {
+        EntryId(f'entry-{number}'): Echo(RUN, 1000.0 + number)
+        for number in range(peers + 1)
+    }
+    epochs = {CELL: Epoch(RUN)}
+    return Heartbeat(Revision(1), 0.1, False, epochs, 1000.0, echoes, True)
+
+
+def peers_of(size: int) -> tuple[Membership, Freshness]:
+    """Return membership and freshness that know so many peers."""
+    names = [EntryId(f'entry-{number}') for number in range(size + 1)]
+    return (
+        create_membership(ME, RUN, names, 0.0),
+        create_freshness(ME, 0.0, 2.0),
+    )
+
+
+@probe('µs', 'peer', (6, 26, 188))
+def heartbeat_us(size: int) -> float:
+    """Hear one heartbeat and send one, in a round over all peers."""
+    membership, freshness = peers_of(size)
+    message = heartbeat(size)
+    data = encode(Envelope(PROTOCOL_VERSION, ME, RUN, message))
+
+    def round_trip() -> None:
+        for peer in membership.peers:
+            decode(data)
+            membership.hear(peer, RUN, message, 1000.5)
+            freshness.note_heartbeat(peer, RUN, message, 1000.0)
+        membership.tick(1000.5)
+        own = membership.heartbeat(1000.5, Revision(1), 0.1, {}, True)
+        for _ in membership.peers:
+            wire_bytes(own)
+
+    return time_us(round_trip, 10) / size
+
+
+@probe('µs', 'peer', (6, 26, 188))
+def freshness_check_us(size: int) -> float:
+    """Decide whether the view may be acted on, as each request does."""
+    membership, freshness = peers_of(size)
+    message = heartbeat(size)
+    for peer in membership.peers:
+        freshness.note_heartbeat(peer, RUN, message, 1000.0)
+    members = (ME, *membership.peers)
+    return time_us(lambda: freshness.is_fresh(members, 1000.5), 200)
+
+
+@probe('µs', 'service', (5, 30, 118))
+def metrics_page_us(size: int) -> float:
+    """Render the page of metrics, each service with one request."""
+    metrics = Metrics()
+    for number in range(size):
+        name = ServiceId(f'service-{number}')
+        metrics.request_ended(name, Outcome.RAN)
+        metrics.queue_left(name, 0.1)
+    return time_us(metrics.page, 10)
+
+
+@probe('bytes', 'service', (5, 30, 118))
+def metrics_bytes(size: int) -> float:
+    """Memory of the metrics, each service with one request."""
+
+    def build() -> Metrics:
+        metrics = Metrics()
+        for number in range(size):
+            name = ServiceId(f'service-{number}')
+            metrics.request_ended(name, Outcome.RAN)
+            metrics.queue_left(name, 0.1)
+        return metrics
+
+    return allocated_bytes(build)
