--- a/bench/capacitycores.py
+++ b/bench/capacitycores.py
@@ -40,6 +40,7 @@
 from primroseledge.messages import ConfigDelta
 from primroseledge.messages import decode
 from primroseledge.messages import Done
+from primroseledge.messages import DoneAck
 from primroseledge.messages import Echo
 from primroseledge.messages import encode
 from primroseledge.messages import EndState
@@ -367,3 +368,51 @@
         return metrics
 
     return allocated_bytes(build)
+
+
+@probe('bytes', 'service', (5, 30, 118))
+def metrics_page_bytes(size: int) -> float:
+    """Length of the page of metrics."""
+    metrics = Metrics()
+    for number in range(size):
+        name = ServiceId(f'service-{number}')
+        metrics.request_ended(name, Outcome.RAN)
+        metrics.queue_left(name, 0.1)
+    return float(len(metrics.page()))
+
+
+@probe('bytes', 'request', (1, 2, 4))
+def request_bytes(size: int) -> float:
+    """Length of Ask, Grant, Done and DoneAck of so many requests."""
+    dispatcher = Dispatcher(CELL, Epoch(RUN), configured(40, 1, 1))
+    total = 0
+    for number in range(size):
+        request = ask(number)
+        grant = dispatcher.asked(ME, request, 1.0)[-1].message
+        assert isinstance(grant, Grant)
+        done = Done(CELL, grant.grant_id, EndState.ENDED)
+        ack = DoneAck(CELL, (grant.grant_id,))
+        total += sum(wire_bytes(m) for m in (request, grant, done, ack))
+    return float(total)
+
+
+@probe('bytes', 'team', (1, 10, 100))
+def team_delta_bytes(size: int) -> float:
+    """Length of the message that carries teams' changes."""
+    items = [('team', team(number)) for number in range(size)]
+    return float(wire_bytes(delta([*items])))
+
+
+@probe('bytes', 'peer', (6, 26, 188))
+def peer_bytes(size: int) -> float:
+    """Memory of what is known of peers."""
+
+    def build() -> tuple[Membership, Freshness]:
+        membership, freshness = peers_of(size)
+        message = heartbeat(1)
+        for peer in membership.peers:
+            membership.hear(peer, RUN, message, 1000.5)
+            freshness.note_heartbeat(peer, RUN, message, 1000.0)
+        return membership, freshness
+
+    return allocated_bytes(build)
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -32,6 +32,16 @@
     NOTHING = 'nothing'
 
 
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """A connection that broke before its answer was whole."""
+
+    port: int
+    began_at: float
+    ended_at: float
+    problem: str
+
+
 @dataclass(slots=True)
 class Sent:
     """A request of a caller and its end."""
@@ -45,21 +55,28 @@
     ended_at: float = 0.0
     reason: str = ''
     sends: int = 0
+    service: str = ''
+    cuts: list[Cut] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class Balancer:
-    """Gives each request to the next entry instance in turn."""
+    """Gives each request to the next ready entry instance in turn."""
 
     ports: Sequence[int]
     position: int = 0
+    unready: set[int] = field(default_factory=set)
     lock: Lock = field(default_factory=Lock)
 
     def next_port(self) -> int:
         """Return the port of the next entry instance."""
         with self.lock:
-            self.position += 1
-            return self.ports[self.position % len(self.ports)]
+            for _ in self.ports:
+                self.position += 1
+                port = self.ports[self.position % len(self.ports)]
+                if port not in self.unready:
+                    break
+            return port
 
 
 class Caller:
@@ -78,6 +95,7 @@
         """Send a request and return what became of it."""
         request_id = uuid7(self.random)
         sent = Sent(request_id, is_idempotent, request_id[-8:], monotonic())
+        sent.service = self.service
         for _ in range(RESENDS):
             sent.sends += 1
             if self.try_once(sent, key, timeout_s):
@@ -88,7 +106,8 @@
 
     def try_once(self, sent: Sent, key: str, timeout_s: float) -> bool:
         """Send once; return whether the caller has a final answer."""
-        url = f'http://127.0.0.1:{self.balancer.next_port()}'
+        port, began_at = self.balancer.next_port(), monotonic()
+        url = f'http://127.0.0.1:{port}'
         try:
             response = self.pool.request(
                 'PUT' if sent.is_idempotent else 'POST',
@@ -104,8 +123,10 @@
             )
         except NewConnectionError:
             return False
-        except HTTPError:
+        except HTTPError as error:
             sent.told = Told.NOTHING
+            cut = Cut(port, began_at, monotonic(), type(error).__name__)
+            sent.cuts.append(cut)
             return False
         sent.reason = response.headers.get('X-Reason', '')
         sent.told = told_by(response.status, response.headers)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -32,6 +32,27 @@
     return process, int(line['port'])
 
 
+def start_upstreams(
+    resources: ExitStack, count: int, slots: int, work_s: float
+) -> list[int]:
+    """Start upstreams in one process; return their ports."""
+    process = Popen(
+        [
+            sys.executable,
+            '-m',
+            'standins.upstream',
+            str(slots),
+            str(work_s),
+            str(count),
+        ],
+        stdout=PIPE,
+    )
+    resources.callback(stop, process)
+    assert process.stdout is not None
+    line = json.decode(process.stdout.readline())
+    return [int(port) for port in line['ports']]
+
+
 def start_entry(
     resources: ExitStack, settings: dict[str, Any], folder: Path
 ) -> Popen[bytes]:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -12,15 +12,20 @@
 from dataclasses import field
 import sys
 from threading import Lock
+from threading import Thread
 from time import monotonic
 from time import sleep
 from typing import Any
+from typing import Final
 
 from msgspec import json
 
+from standins.httpapp import create_server
 from standins.httpapp import cut_answer
 from standins.httpapp import serve_until_stopped
 
+SPARE_THREADS: Final = 12
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
@@ -147,16 +152,37 @@
 
 
 def main(arguments: list[str]) -> None:
-    """Serve with the given slots and seconds of work a request."""
-    upstream = Upstream(int(arguments[0]), float(arguments[1]))
+    """Serve with the given slots and seconds of work a request.
+
+    A third argument is how many upstreams this process stands for.
+    """
+    slots, work_s = int(arguments[0]), float(arguments[1])
+    count = int(arguments[2]) if len(arguments) > 2 else 1
+    threads = 64 if count == 1 else slots + SPARE_THREADS
     with ExitStack() as resources:
+        ports = [
+            serve_beside(Upstream(slots, work_s), threads, resources)
+            for _ in range(count - 1)
+        ]
         serve_until_stopped(
-            upstream,
-            lambda port: print(json.encode({'port': port}).decode()),
+            Upstream(slots, work_s),
+            lambda port: print(
+                json.encode({'port': port, 'ports': [*ports, port]}).decode()
+            ),
             resources,
-            threads=64,
+            threads=threads,
         )
 
 
+def serve_beside(
+    upstream: Upstream, threads: int, resources: ExitStack
+) -> int:
+    """Serve on a thread of its own; return the port."""
+    server = create_server(upstream, threads)
+    resources.callback(server.stop)
+    Thread(target=server.serve, daemon=True).start()
+    return int(server.bind_addr[1])
+
+
 if __name__ == '__main__':
     main(sys.argv[1:])
--- /dev/null
+++ b/tools/capacityrows.py
@@ -0,0 +1,365 @@
+"""The rows of docs/CAPACITY.md: formulas, in words and as code."""
+
+from typing import Final
+
+from tools.capacityfigures import ask_bytes
+from tools.capacityfigures import BURST
+from tools.capacityfigures import calls_per_node
+from tools.capacityfigures import CHANGES_S
+from tools.capacityfigures import Column
+from tools.capacityfigures import config_bytes_s
+from tools.capacityfigures import ENTRIES
+from tools.capacityfigures import GROUP
+from tools.capacityfigures import GROUPS
+from tools.capacityfigures import heartbeat_bytes_s
+from tools.capacityfigures import HEARTBEATS_S
+from tools.capacityfigures import INSTANCES
+from tools.capacityfigures import MB
+from tools.capacityfigures import not_measured
+from tools.capacityfigures import PERCENT_OF_US
+from tools.capacityfigures import POOLS
+from tools.capacityfigures import REQUESTS_S
+from tools.capacityfigures import Role
+from tools.capacityfigures import Row
+from tools.capacityfigures import SHARD
+from tools.capacityfigures import state
+from tools.capacityfigures import STORE_READS_S
+from tools.capacityfigures import STORE_WRITES_S
+from tools.capacityfigures import StoreRow
+from tools.capacityfigures import TEAMS
+from tools.capacityfigures import THREADS
+from tools.capacityfigures import WORKERS_PER_GROUP
+
+ENTRY_ROWS: Final = (
+    state(Role.ENTRY, '64 server threads, one open call each', THREADS),
+    Row(
+        Role.ENTRY,
+        Column.MESSAGES,
+        'requests/s of a group / 7 x bytes of Ask, Grant, Done, DoneAck',
+        lambda m: REQUESTS_S / GROUP * ask_bytes(m),
+    ),
+    Row(
+        Role.ENTRY,
+        Column.PROCESSOR,
+        'requests/s of a group / 7 x (entry_request_us + key_check_us '
+        '+ freshness_check_us at 7 members); HTTP itself left out',
+        lambda m: (
+            REQUESTS_S
+            / GROUP
+            * PERCENT_OF_US
+            * (
+                m.at('entry_request_us', THREADS)
+                + m.at('key_check_us', TEAMS)
+                + m.at('freshness_check_us', GROUP)
+            )
+        ),
+    ),
+    Row(
+        Role.ENTRY,
+        Column.MEMORY,
+        'empty daemon + 64 x open_call_bytes',
+        lambda m: (
+            m.daemons['empty'].memory_mb[1]
+            + THREADS * m.each('open_call_bytes') / MB
+        ),
+    ),
+)
+
+QUEUE_ROWS: Final = (
+    state(
+        Role.QUEUE,
+        'queue_limit 1,000 waiting + 40 x 8 running, one cell',
+        1000 + WORKERS_PER_GROUP * 8,
+    ),
+    Row(
+        Role.QUEUE,
+        Column.MESSAGES,
+        'requests/s of a group x bytes of Ask, Grant, Done, DoneAck x 6/7',
+        lambda m: REQUESTS_S * ask_bytes(m) * (GROUP - 1) / GROUP,
+    ),
+    Row(
+        Role.QUEUE,
+        Column.PROCESSOR,
+        'requests/s of a group x (dispatch_by_pool_us at 40 '
+        '+ dispatch_by_teams_us per team x 290)',
+        lambda m: (
+            REQUESTS_S
+            * PERCENT_OF_US
+            * (
+                m.at('dispatch_by_pool_us', WORKERS_PER_GROUP)
+                + m.each('dispatch_by_teams_us') * TEAMS
+            )
+        ),
+    ),
+    Row(
+        Role.QUEUE,
+        Column.MEMORY,
+        '1,000 x waiting_bytes + requests/s x 600 s x remembered_bytes',
+        lambda m: (
+            (
+                1000 * m.each('waiting_bytes')
+                + REQUESTS_S * 600 * m.each('remembered_bytes')
+            )
+            / MB
+        ),
+    ),
+)
+
+ROUTING_ROWS: Final = (
+    state(Role.ROUTING, 'a slot count for each instance', INSTANCES),
+    Row(
+        Role.ROUTING,
+        Column.MESSAGES,
+        'none of its own: it reads the placement in force',
+        lambda m: 0.0,
+    ),
+    Row(
+        Role.ROUTING,
+        Column.PROCESSOR,
+        'requests/s of a group x dispatch_by_fleet_us at 31,000 '
+        '(each node has the whole placement)',
+        lambda m: (
+            REQUESTS_S
+            * PERCENT_OF_US
+            * m.at('dispatch_by_fleet_us', INSTANCES)
+        ),
+    ),
+    Row(
+        Role.ROUTING,
+        Column.MEMORY,
+        '31,000 x instance_bytes',
+        lambda m: INSTANCES * m.each('instance_bytes') / MB,
+    ),
+)
+
+RIGHTS_ROWS: Final = (
+    state(Role.RIGHTS, '290 teams with 2 keys each', 2 * TEAMS),
+    Row(
+        Role.RIGHTS,
+        Column.MESSAGES,
+        'changes/s x team_delta_bytes for one team',
+        lambda m: CHANGES_S * m.at('team_delta_bytes', 1),
+    ),
+    Row(
+        Role.RIGHTS,
+        Column.PROCESSOR,
+        'changes/s x keyring_rebuild_us at 290 teams',
+        lambda m: (
+            CHANGES_S * PERCENT_OF_US * m.at('keyring_rebuild_us', TEAMS)
+        ),
+    ),
+    Row(
+        Role.RIGHTS,
+        Column.MEMORY,
+        '290 x team_bytes',
+        lambda m: TEAMS * m.each('team_bytes') / MB,
+    ),
+)
+
+MEMBERSHIP_ROWS: Final = (
+    state(Role.MEMBERSHIP, '6 peers of the group', GROUP - 1),
+    Row(
+        Role.MEMBERSHIP,
+        Column.MESSAGES,
+        '2/s x 6 x heartbeat_bytes at 6 peers',
+        heartbeat_bytes_s(GROUP - 1),
+    ),
+    Row(
+        Role.MEMBERSHIP,
+        Column.PROCESSOR,
+        '2/s x 6 x heartbeat_us at 6 peers',
+        lambda m: (
+            HEARTBEATS_S
+            * (GROUP - 1)
+            * PERCENT_OF_US
+            * m.at('heartbeat_us', GROUP - 1)
+        ),
+    ),
+    Row(
+        Role.MEMBERSHIP,
+        Column.MEMORY,
+        '6 x peer_bytes',
+        lambda m: (GROUP - 1) * m.each('peer_bytes') / MB,
+    ),
+    Row(
+        Role.MEMBERSHIP,
+        Column.MESSAGES,
+        f'as built, all {ENTRIES:,} in one mesh: 2/s x peers x '
+        'heartbeat_bytes',
+        heartbeat_bytes_s(ENTRIES - 1),
+    ),
+)
+
+CONFIGURATION_ROWS: Final = (
+    state(
+        Role.CONFIGURATION,
+        '310 shards of 100 instances, 118 pools, 118 services, 290 teams',
+        INSTANCES // SHARD + 2 * POOLS + TEAMS,
+    ),
+    Row(
+        Role.CONFIGURATION,
+        Column.MESSAGES,
+        'received: changes/s x shard_delta_bytes at 100, all of them '
+        'changes of placement',
+        config_bytes_s,
+    ),
+    Row(
+        Role.CONFIGURATION,
+        Column.MESSAGES,
+        'sent by the one that watches: 6 x the above',
+        lambda m: (GROUP - 1) * config_bytes_s(m),
+    ),
+    Row(
+        Role.CONFIGURATION,
+        Column.MESSAGES,
+        'in a burst: 50 x shard_delta_bytes at 100 / 4 s',
+        lambda m: BURST * m.at('shard_delta_bytes', SHARD) / 4.0,
+    ),
+    Row(
+        Role.CONFIGURATION,
+        Column.MESSAGES,
+        'in a burst, with shards of 1: 50 x shard_delta_bytes per '
+        'instance / 4 s',
+        lambda m: BURST * m.each('shard_delta_bytes') / 4.0,
+    ),
+    Row(
+        Role.CONFIGURATION,
+        Column.PROCESSOR,
+        'changes/s x placement_change_us at 31,000',
+        lambda m: (
+            CHANGES_S * PERCENT_OF_US * m.at('placement_change_us', INSTANCES)
+        ),
+    ),
+    Row(
+        Role.CONFIGURATION,
+        Column.MEMORY,
+        'whole daemon with 31,000 instances, 118 pools, 290 teams',
+        lambda m: m.daemons['letter'].memory_mb[1],
+    ),
+)
+
+TELEMETRY_ROWS: Final = (
+    state(Role.TELEMETRY, 'series of 118 services', POOLS),
+    Row(
+        Role.TELEMETRY,
+        Column.MESSAGES,
+        'metrics_page_bytes at 118 services, read every 60 s',
+        lambda m: m.at('metrics_page_bytes', POOLS) / 60,
+    ),
+    Row(
+        Role.TELEMETRY,
+        Column.PROCESSOR,
+        'metrics_page_us at 118 services, read every 60 s',
+        lambda m: PERCENT_OF_US * m.at('metrics_page_us', POOLS) / 60,
+    ),
+    Row(
+        Role.TELEMETRY,
+        Column.MEMORY,
+        'metrics_bytes at 118 services',
+        lambda m: m.at('metrics_bytes', POOLS) / MB,
+    ),
+)
+
+ROWS: Final = (
+    *ENTRY_ROWS,
+    *QUEUE_ROWS,
+    *ROUTING_ROWS,
+    *RIGHTS_ROWS,
+    *MEMBERSHIP_ROWS,
+    *CONFIGURATION_ROWS,
+    *not_measured(Role.POOL),
+    *not_measured(Role.WAVE),
+    *not_measured(Role.JOBS),
+    *TELEMETRY_ROWS,
+)
+
+STORE_ROWS: Final = (
+    StoreRow(
+        'calm',
+        'reads and watches',
+        f'as built, each of {ENTRIES:,} watches: calls/s a daemon x entries',
+        STORE_READS_S,
+        lambda m: calls_per_node(m) * ENTRIES,
+    ),
+    StoreRow(
+        'calm',
+        'reads and watches',
+        f'one watcher in each of {GROUPS} groups',
+        STORE_READS_S,
+        lambda m: calls_per_node(m) * GROUPS,
+    ),
+    StoreRow(
+        'calm',
+        'writes',
+        'changes/s',
+        STORE_WRITES_S,
+        lambda m: CHANGES_S,
+    ),
+    StoreRow(
+        '50 changes in a burst',
+        'writes',
+        '50 / 4 s',
+        STORE_WRITES_S,
+        lambda m: BURST / 4.0,
+    ),
+    StoreRow(
+        '50 changes in a burst',
+        'reads and watches',
+        f'each change ends the watch of {GROUPS} watchers: 50 / 4 s x '
+        'groups + calm',
+        STORE_READS_S,
+        lambda m: (BURST / 4.0 + calls_per_node(m)) * GROUPS,
+    ),
+    StoreRow(
+        'after a zone loss',
+        'reads and watches',
+        'calm x 26/27: a dead watcher is replaced, and no call is made '
+        'for each instance lost',
+        STORE_READS_S,
+        lambda m: calls_per_node(m) * GROUPS * 26 / 27,
+    ),
+    StoreRow(
+        'after a zone loss',
+        'writes',
+        'takeovers of cells and claims of failed instances',
+        STORE_WRITES_S,
+        None,
+    ),
+    StoreRow(
+        'in an outage',
+        'reads and watches',
+        'as built: calls/s a daemon in an outage x entries',
+        STORE_READS_S,
+        lambda m: calls_per_node(m, is_out=True) * ENTRIES,
+    ),
+    StoreRow(
+        "after an hour's outage",
+        'reads and watches',
+        f'whole reads of {GROUPS} watchers, all within the first retry of '
+        '0.3 s',
+        STORE_READS_S,
+        lambda m: GROUPS / 0.3,
+    ),
+    StoreRow(
+        "after an hour's outage",
+        'reads and watches',
+        f'the same spread evenly over 4 s: {GROUPS} / 4 s',
+        STORE_READS_S,
+        lambda m: GROUPS / 4.0,
+    ),
+    StoreRow(
+        'regions apart for an hour',
+        'reads and watches',
+        'a region without the store retries as in an outage; the store '
+        'has 6/7 of calm',
+        STORE_READS_S,
+        lambda m: calls_per_node(m) * GROUPS * 6 / 7,
+    ),
+    StoreRow(
+        'regions apart for an hour',
+        'writes',
+        'writes of takeovers in the region that lost the store',
+        STORE_WRITES_S,
+        None,
+    ),
+)
