--- a/src/primroseledge/keys.py
+++ b/src/primroseledge/keys.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 from hashlib import blake2b
 from hmac import compare_digest
+import re
 from secrets import token_bytes
 from secrets import token_hex
 from typing import Final
@@ -22,6 +23,10 @@
 SALT_BYTES: Final = 16
 DIGEST_BYTES: Final = 32
 MAX_KEY_CHARACTERS: Final = 200
+BEARER: Final = 'bearer'
+KEY_PATTERN: Final = re.compile(
+    rf'\b([0-9a-f]{{{2 * KEY_ID_BYTES}}})\.[0-9a-f]{{{2 * SECRET_BYTES}}}\b'
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +90,19 @@
     return None
 
 
+def is_operator(records: tuple[KeyRecord, ...], authorization: str) -> bool:
+    """Say whether an ``Authorization`` header holds an operator's key."""
+    scheme, _, text = authorization.strip().partition(' ')
+    if scheme.lower() != BEARER:
+        return False
+    return find_valid_key(records, text.strip()) is not None
+
+
+def redact_keys(text: str) -> str:
+    """Replace the secret of each key in a text that leaves the process."""
+    return KEY_PATTERN.sub(r'\1.<hidden>', text)
+
+
 def hash_secret(salt: bytes, secret: str) -> bytes:
     """Return the salted hash of a secret."""
     return blake2b(
