Reckon with the 256 shards of the placement

Cause: the command line puts instances into 256 shards by id, the page reckoned with shards of 100. Change: 121 instances a shard at 31,000.

--- a/bench/capacitydaemon.py
+++ b/bench/capacitydaemon.py
@@ -18,6 +18,7 @@
 from urllib3.poolmanager import PoolManager
 
 from bench.capacityfleet import documents
+from bench.capacityfleet import SHARD_SIZE
 from bench.capacityfleet import shards
 from primroseledge.documents import Document
 from primroseledge.documents import Pool
@@ -141,7 +142,7 @@
         """Change so many documents; return the time until in force."""
         began_at = monotonic()
         if self.situation.instances:
-            items = shards(100 * count)
+            items = shards(SHARD_SIZE * count)
         else:
             items = [('pool', Pool(f'pool-{n}')) for n in range(count)]
         revision = self.write(items)
--- a/bench/capacityfleet.py
+++ b/bench/capacityfleet.py
@@ -16,7 +16,7 @@
 from primroseledge.messages import ConfigChange
 from primroseledge.messages import ConfigDelta
 
-SHARD_SIZE: Final = 100
+SHARD_SIZE: Final = 121
 ZONES: Final = 27
 PER_RACK: Final = 4
 KEYS_PER_TEAM: Final = 2
--- a/tools/capacityrows.py
+++ b/tools/capacityrows.py
@@ -193,13 +193,13 @@
 CONFIGURATION_ROWS: Final = (
     state(
         Role.CONFIGURATION,
-        '310 shards of 100 instances, 118 pools, 118 services, 290 teams',
+        '257 shards of 121 instances, 118 pools, 118 services, 290 teams',
         INSTANCES // SHARD + 2 * POOLS + TEAMS,
     ),
     Row(
         Role.CONFIGURATION,
         Column.MESSAGES,
-        'received: changes/s x shard_delta_bytes at 100, all of them '
+        'received: changes/s x shard_delta_bytes at 121, all of them '
         'changes of placement',
         config_bytes_s,
     ),
@@ -212,7 +212,7 @@
     Row(
         Role.CONFIGURATION,
         Column.MESSAGES,
-        'in a burst: 50 x shard_delta_bytes at 100 / 4 s',
+        'in a burst: 50 x shard_delta_bytes at 121 / 4 s',
         lambda m: BURST * m.at('shard_delta_bytes', SHARD) / 4.0,
     ),
     Row(
@@ -305,8 +305,8 @@
     StoreRow(
         '50 changes in a burst',
         'reads and watches',
-        f'each change ends the watch of {GROUPS} watchers (not built): 50 / 4 s x '
-        'groups + calm',
+        f'each change ends the watch of {GROUPS} watchers (not built): '
+        '50 / 4 s x groups + calm',
         STORE_READS_S,
         lambda m: (BURST / 4.0 + calls_per_node(m)) * GROUPS,
     ),
@@ -321,8 +321,8 @@
     StoreRow(
         'after a zone loss',
         'reads and watches',
-        'one watcher in a group (not built), calm x 26/27: a dead watcher is replaced, and no call is made '
-        'for each instance lost',
+        'one watcher in a group (not built), calm x 26/27: a dead watcher '
+        'is replaced, and no call is made for each instance lost',
         STORE_READS_S,
         lambda m: calls_per_node(m) * GROUPS * 26 / 27,
     ),
