--- a/standins/operator.py
+++ b/standins/operator.py
@@ -10,8 +10,8 @@
 from msgspec import json
 
 from primroseledge.documents import encode_document
-from primroseledge.documents import Service
 from standins.deployment import Deployment
+from standins.deployment import SERVICE
 from standins.deployment import SLOTS
 from standins.deployment import ZONES
 
@@ -37,9 +37,8 @@
         self.run('pool', 'set', 'copper')
         for number, port in enumerate(deployment.upstream_ports):
             self.add_instance(number, port)
-        service = Service('bulletin', 'dealers', 'copper')
         with NamedTemporaryFile('w', suffix='.json') as file:
-            file.write(encode_document(service))
+            file.write(encode_document(SERVICE))
             file.flush()
             self.run('service', 'apply', file.name)
 
--- a/tests/test_agreement_fuzz.py
+++ b/tests/test_agreement_fuzz.py
@@ -2,11 +2,11 @@
 
 from hypothesis import HealthCheck
 from hypothesis import settings
-from hypothesis import strategies
 from hypothesis.stateful import initialize
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
+import hypothesis.strategies as strategies
 
 from primroseledge.configuration import MEMBERS_KEY
 from primroseledge.documents import decode_document
