Follow the split dispatcher in the capacity probes

Cause: the owner's work was split into modules with a factory. Change: the probes open the first epoch as the node does.

--- a/bench/capacitycores.py
+++ b/bench/capacitycores.py
@@ -16,12 +16,12 @@
 from bench.capacityfleet import team
 from primroseledge.configuration import Configuration
 from primroseledge.configuration import create_configuration
+from primroseledge.dispatcher import create_dispatcher
 from primroseledge.dispatcher import Dispatcher
 from primroseledge.documents import encode_document
 from primroseledge.documents import Placement
 from primroseledge.entry import Arrival
 from primroseledge.entry import EntryCore
-from primroseledge.entry import RetryBudget
 from primroseledge.freshness import create_freshness
 from primroseledge.freshness import Freshness
 from primroseledge.ids import CellId
@@ -52,6 +52,7 @@
 from primroseledge.messages import PROTOCOL_VERSION
 from primroseledge.metrics import Metrics
 from primroseledge.outcomes import Outcome
+from primroseledge.retrybudget import RetryBudget
 
 CELL: Final = CellId('main')
 SERVICE: Final = ServiceId('service-0')
@@ -71,6 +72,14 @@
     return view
 
 
+def open_dispatcher(view: Configuration) -> Dispatcher:
+    """Return the dispatcher of a cell's first epoch, granting."""
+    dispatcher = create_dispatcher(CELL, Epoch(1), view)
+    dispatcher.begin({}, (), 0.0, 1.0, 1.0)
+    dispatcher.heard(ME, 1.0, 1.0)
+    return dispatcher
+
+
 def ask(number: int, team_number: int = 0) -> Ask:
     """Return the Ask of one request."""
     return Ask(
@@ -109,24 +118,24 @@
 def dispatch_by_fleet_us(size: int) -> float:
     """Ask and Done at a cell's owner that sees the whole fleet."""
     view = configured(size, 118, 6)
-    return request_us(Dispatcher(CELL, Epoch(1), view), 60)
+    return request_us(open_dispatcher(view), 60)
 
 
 @probe('µs', 'instance in the pool', (40, 160, 640))
 def dispatch_by_pool_us(size: int) -> float:
     """Ask and Done at an owner whose fleet is one pool."""
     view = configured(size, 1, 6)
-    return request_us(Dispatcher(CELL, Epoch(1), view), 100)
+    return request_us(open_dispatcher(view), 100)
 
 
 @probe('µs', 'waiting team', (6, 60, 290))
 def dispatch_by_teams_us(size: int) -> float:
     """Ask and Done while so many teams wait at their limits."""
     view = configured(40, 1, size + 1)
-    dispatcher = Dispatcher(CELL, Epoch(1), view)
+    dispatcher = open_dispatcher(view)
     for number in range(1, size + 1):
         name = TeamId(f'team-{number}')
-        dispatcher.running[name] = view.teams[name].limit
+        dispatcher.work.limits.running[name] = view.teams[name].limit
         dispatcher.asked(ME, ask(1_000_000 + number, number), 1.0)
     return request_us(dispatcher, 100)
 
@@ -135,9 +144,9 @@
 def dispatch_by_queue_us(size: int) -> float:
     """Ask and Done while so many requests of a team at its limit wait."""
     view = configured(40, 1, 2)
-    dispatcher = Dispatcher(CELL, Epoch(1), view)
+    dispatcher = open_dispatcher(view)
     blocked = TeamId('team-1')
-    dispatcher.running[blocked] = view.teams[blocked].limit
+    dispatcher.work.limits.running[blocked] = view.teams[blocked].limit
     for number in range(size):
         dispatcher.asked(ME, ask(1_000_000 + number, 1), 1.0)
     return request_us(dispatcher, 100)
@@ -149,8 +158,8 @@
     view = configured(1, 1, 1)
 
     def build() -> Dispatcher:
-        dispatcher = Dispatcher(CELL, Epoch(1), view)
-        dispatcher.running[TeamId('team-0')] = 1_000_000
+        dispatcher = open_dispatcher(view)
+        dispatcher.work.limits.running[TeamId('team-0')] = 1_000_000
         for number in range(size):
             dispatcher.asked(ME, ask(number), 1.0)
         return dispatcher
@@ -164,7 +173,7 @@
     view = configured(40, 1, 1)
 
     def build() -> Dispatcher:
-        dispatcher = Dispatcher(CELL, Epoch(1), view)
+        dispatcher = open_dispatcher(view)
         request_us(dispatcher, size)
         return dispatcher
 
@@ -391,7 +400,7 @@
 @probe('bytes', 'request', (1, 2, 4))
 def request_bytes(size: int) -> float:
     """Length of Ask, Grant, Done and DoneAck of so many requests."""
-    dispatcher = Dispatcher(CELL, Epoch(RUN), configured(40, 1, 1))
+    dispatcher = open_dispatcher(configured(40, 1, 1))
     total = 0
     for number in range(size):
         request = ask(number)
