--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,6 @@
 
 soak: $(STAMP)
 	$(BIN)/python -m standins.soak
+
+bench-policy: $(STAMP)
+	$(BIN)/python -m bench.policy
--- a/bench/capacitycores.py
+++ b/bench/capacitycores.py
@@ -1,4 +1,4 @@
-"""Probes of the real cores, in this process."""
+"""Probes of requests, rights and configuration, on the real cores."""
 
 from itertools import count
 from typing import Final
@@ -11,9 +11,12 @@
 from bench.capacityfleet import delta
 from bench.capacityfleet import documents
 from bench.capacityfleet import instance
+from bench.capacityfleet import ME
+from bench.capacityfleet import RUN
 from bench.capacityfleet import SHARD_SIZE
 from bench.capacityfleet import shards
 from bench.capacityfleet import team
+from bench.capacityfleet import wire_bytes
 from primroseledge.configuration import Configuration
 from primroseledge.configuration import create_configuration
 from primroseledge.dispatcher import create_dispatcher
@@ -22,42 +25,28 @@
 from primroseledge.documents import Placement
 from primroseledge.entry import Arrival
 from primroseledge.entry import EntryCore
-from primroseledge.freshness import create_freshness
-from primroseledge.freshness import Freshness
 from primroseledge.ids import CellId
-from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
-from primroseledge.ids import Incarnation
 from primroseledge.ids import KeyId
 from primroseledge.ids import RequestId
-from primroseledge.ids import Revision
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
 from primroseledge.keyring import Keyring
 from primroseledge.keys import generate_key
-from primroseledge.membership import create_membership
-from primroseledge.membership import Membership
-from primroseledge.messages import AnyMessage
 from primroseledge.messages import Ask
 from primroseledge.messages import ConfigDelta
 from primroseledge.messages import decode
 from primroseledge.messages import Done
 from primroseledge.messages import DoneAck
-from primroseledge.messages import Echo
 from primroseledge.messages import encode
 from primroseledge.messages import EndState
 from primroseledge.messages import Envelope
 from primroseledge.messages import Grant
-from primroseledge.messages import Heartbeat
 from primroseledge.messages import PROTOCOL_VERSION
-from primroseledge.metrics import Metrics
-from primroseledge.outcomes import Outcome
 from primroseledge.retrybudget import RetryBudget
 
 CELL: Final = CellId('main')
 SERVICE: Final = ServiceId('service-0')
-ME: Final = EntryId('entry-0')
-RUN: Final = Incarnation(1_764_000_000_000)
 
 
 def core_probes() -> dict[str, Probe]:
@@ -95,11 +84,6 @@
     )
 
 
-def wire_bytes(message: AnyMessage) -> int:
-    """Return the length of a message between entry instances."""
-    return len(encode(Envelope(PROTOCOL_VERSION, ME, RUN, message)))
-
-
 def request_us(dispatcher: Dispatcher, repeats: int) -> float:
     """Return the time of one request's Ask and Done at the owner."""
     numbers = count(1)
@@ -304,99 +288,6 @@
     return float(len(encode_document(value)))
 
 
-@probe('bytes', 'peer', (6, 26, 188))
-def heartbeat_bytes(size: int) -> float:
-    """Length of one heartbeat."""
-    return float(wire_bytes(heartbeat(size)))
-
-
-def heartbeat(peers: int) -> Heartbeat:
-    """Return a heartbeat that echoes so many peers."""
-    echoes = {
-        EntryId(f'entry-{number}'): Echo(RUN, 1000.0 + number)
-        for number in range(peers + 1)
-    }
-    epochs = {CELL: Epoch(RUN)}
-    return Heartbeat(Revision(1), 0.1, False, epochs, 1000.0, echoes, True)
-
-
-def peers_of(size: int) -> tuple[Membership, Freshness]:
-    """Return membership and freshness that know so many peers."""
-    names = [EntryId(f'entry-{number}') for number in range(size + 1)]
-    return (
-        create_membership(ME, RUN, names, 0.0),
-        create_freshness(ME, 0.0, 2.0),
-    )
-
-
-@probe('µs', 'peer', (6, 26, 188))
-def heartbeat_us(size: int) -> float:
-    """Hear one heartbeat and send one, in a round over all peers."""
-    membership, freshness = peers_of(size)
-    message = heartbeat(size)
-    data = encode(Envelope(PROTOCOL_VERSION, ME, RUN, message))
-
-    def round_trip() -> None:
-        for peer in membership.peers:
-            decode(data)
-            membership.hear(peer, RUN, message, 1000.5)
-            freshness.note_heartbeat(peer, RUN, message, 1000.0)
-        membership.tick(1000.5)
-        own = membership.heartbeat(1000.5, Revision(1), 0.1, {}, True)
-        for _ in membership.peers:
-            wire_bytes(own)
-
-    return time_us(round_trip, 10) / size
-
-
-@probe('µs', 'peer', (6, 26, 188))
-def freshness_check_us(size: int) -> float:
-    """Decide whether the view may be acted on, as each request does."""
-    membership, freshness = peers_of(size)
-    message = heartbeat(size)
-    for peer in membership.peers:
-        freshness.note_heartbeat(peer, RUN, message, 1000.0)
-    members = (ME, *membership.peers)
-    return time_us(lambda: freshness.is_fresh(members, 1000.5), 200)
-
-
-@probe('µs', 'service', (5, 30, 118))
-def metrics_page_us(size: int) -> float:
-    """Render the page of metrics, each service with one request."""
-    metrics = Metrics()
-    for number in range(size):
-        name = ServiceId(f'service-{number}')
-        metrics.request_ended(name, Outcome.RAN)
-        metrics.queue_left(name, 0.1)
-    return time_us(metrics.page, 10)
-
-
-@probe('bytes', 'service', (5, 30, 118))
-def metrics_bytes(size: int) -> float:
-    """Memory of the metrics, each service with one request."""
-
-    def build() -> Metrics:
-        metrics = Metrics()
-        for number in range(size):
-            name = ServiceId(f'service-{number}')
-            metrics.request_ended(name, Outcome.RAN)
-            metrics.queue_left(name, 0.1)
-        return metrics
-
-    return allocated_bytes(build)
-
-
-@probe('bytes', 'service', (5, 30, 118))
-def metrics_page_bytes(size: int) -> float:
-    """Length of the page of metrics."""
-    metrics = Metrics()
-    for number in range(size):
-        name = ServiceId(f'service-{number}')
-        metrics.request_ended(name, Outcome.RAN)
-        metrics.queue_left(name, 0.1)
-    return float(len(metrics.page()))
-
-
 @probe('bytes', 'request', (1, 2, 4))
 def request_bytes(size: int) -> float:
     """Length of Ask, Grant, Done and DoneAck of so many requests."""
@@ -417,18 +308,3 @@
     """Length of the message that carries teams' changes."""
     items = [('team', team(number)) for number in range(size)]
     return float(wire_bytes(delta([*items])))
-
-
-@probe('bytes', 'peer', (6, 26, 188))
-def peer_bytes(size: int) -> float:
-    """Memory of what is known of peers."""
-
-    def build() -> tuple[Membership, Freshness]:
-        membership, freshness = peers_of(size)
-        message = heartbeat(1)
-        for peer in membership.peers:
-            membership.hear(peer, RUN, message, 1000.5)
-            freshness.note_heartbeat(peer, RUN, message, 1000.0)
-        return membership, freshness
-
-    return allocated_bytes(build)
--- a/bench/capacityfleet.py
+++ b/bench/capacityfleet.py
@@ -12,10 +12,18 @@
 from primroseledge.documents import Pool
 from primroseledge.documents import Service
 from primroseledge.documents import Team
+from primroseledge.ids import EntryId
+from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
+from primroseledge.messages import AnyMessage
 from primroseledge.messages import ConfigChange
 from primroseledge.messages import ConfigDelta
+from primroseledge.messages import encode
+from primroseledge.messages import Envelope
+from primroseledge.messages import PROTOCOL_VERSION
 
+ME: Final = EntryId('entry-0')
+RUN: Final = Incarnation(1_764_000_000_000)
 SHARD_SIZE: Final = 121
 ZONES: Final = 27
 PER_RACK: Final = 4
@@ -95,3 +103,8 @@
     return ConfigDelta(
         Revision(after), Revision(after + len(items)), changes, is_whole
     )
+
+
+def wire_bytes(message: AnyMessage) -> int:
+    """Return the length of a message between entry instances."""
+    return len(encode(Envelope(PROTOCOL_VERSION, ME, RUN, message)))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,6 +5,7 @@
 from bench.capacity import fit
 from bench.capacitycores import core_probes
 from bench.capacitydaemon import SITUATIONS
+from bench.capacitypolicy import policy_probes
 from tools.capacity import load
 from tools.capacity import PAGE_PATH
 from tools.capacity import render
@@ -13,7 +14,7 @@
 from tools.capacityfigures import judge
 from tools.capacityfigures import Role
 from tools.capacityrows import ROWS
-from tools.capacityrows import STORE_ROWS
+from tools.capacitystore import STORE_ROWS
 
 
 class CapacityPageTest(TestCase):
@@ -37,7 +38,9 @@
 
     def test_each_probe_and_situation_has_figures(self) -> None:
         measured = load()
-        self.assertEqual(set(measured.slopes), set(core_probes()))
+        self.assertEqual(
+            set(measured.slopes), set(core_probes() | policy_probes())
+        )
         self.assertEqual(
             list(measured.daemons), [item.name for item in SITUATIONS]
         )
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -18,6 +18,8 @@
 from bench.capacitydaemon import Figures
 from bench.capacitydaemon import measure_daemons
 from bench.capacitydaemon import SITUATIONS
+from bench.capacitypeers import peer_probes
+from bench.capacitypolicy import policy_probes
 from tools.capacityfigures import BOUNDS
 from tools.capacityfigures import from_dict
 from tools.capacityfigures import IN_FORCE_S
@@ -26,7 +28,7 @@
 from tools.capacityfigures import number
 from tools.capacityfigures import UNITS
 from tools.capacityrows import ROWS
-from tools.capacityrows import STORE_ROWS
+from tools.capacitystore import STORE_ROWS
 
 DATA_PATH: Final = Path('docs/capacity.json')
 PAGE_PATH: Final = Path('docs/CAPACITY.md')
@@ -37,7 +39,8 @@
 def measure() -> dict[str, Any]:
     """Run every probe and every measurement of daemons."""
     slopes = {}
-    for name, item in core_probes().items():
+    probes = core_probes() | peer_probes() | policy_probes()
+    for name, item in probes.items():
         slopes[name] = measure_slope(item)
         print(f'{name}: {slopes[name].slope} {item.unit}', flush=True)
     daemons = []
--- a/tools/capacityfigures.py
+++ b/tools/capacityfigures.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -24,6 +23,9 @@
 HOUR_S: Final = 3_600
 MAINTENANCE_DAYS: Final = 28
 SHARD: Final = 121
+POOL_SIZE: Final = 263
+JOBS: Final = 160
+PLAN_WRITES: Final = 6
 SLOTS: Final = 8
 RUN_S: Final = 10.0
 GROUP: Final = 7
@@ -166,11 +168,6 @@
     return Row(role, Column.STATE, text, lambda measured: records)
 
 
-def not_measured(role: Role) -> Iterable[Row]:
-    """Return the rows of a role that no run has covered."""
-    return [Row(role, column, 'not built here', None) for column in Column]
-
-
 def ask_bytes(measured: Measured) -> float:
     """Return bytes of the messages of one request."""
     return measured.at('request_bytes', 1)
--- a/tools/capacityrows.py
+++ b/tools/capacityrows.py
@@ -1,31 +1,30 @@
-"""The rows of docs/CAPACITY.md: formulas, in words and as code."""
+"""The rows of the roles in docs/CAPACITY.md: in words and as code."""
 
 from typing import Final
 
 from tools.capacityfigures import ask_bytes
 from tools.capacityfigures import BURST
-from tools.capacityfigures import calls_per_node
 from tools.capacityfigures import CHANGES_S
 from tools.capacityfigures import Column
 from tools.capacityfigures import config_bytes_s
+from tools.capacityfigures import DAY_S
 from tools.capacityfigures import ENTRIES
 from tools.capacityfigures import GROUP
-from tools.capacityfigures import GROUPS
 from tools.capacityfigures import heartbeat_bytes_s
 from tools.capacityfigures import HEARTBEATS_S
 from tools.capacityfigures import INSTANCES
+from tools.capacityfigures import JOBS
+from tools.capacityfigures import MAINTENANCE_DAYS
 from tools.capacityfigures import MB
-from tools.capacityfigures import not_measured
 from tools.capacityfigures import PERCENT_OF_US
+from tools.capacityfigures import PLAN_WRITES
+from tools.capacityfigures import POOL_SIZE
 from tools.capacityfigures import POOLS
 from tools.capacityfigures import REQUESTS_S
 from tools.capacityfigures import Role
 from tools.capacityfigures import Row
 from tools.capacityfigures import SHARD
 from tools.capacityfigures import state
-from tools.capacityfigures import STORE_READS_S
-from tools.capacityfigures import STORE_WRITES_S
-from tools.capacityfigures import StoreRow
 from tools.capacityfigures import TEAMS
 from tools.capacityfigures import THREADS
 from tools.capacityfigures import WORKERS_PER_GROUP
@@ -238,6 +237,78 @@
     ),
 )
 
+POOL_ROWS: Final = (
+    state(Role.POOL, 'one pool of 263 instances on a node', POOL_SIZE),
+    Row(
+        Role.POOL,
+        Column.MESSAGES,
+        'read from the store: plan_bytes at 263, a step each second',
+        lambda m: m.at('plan_bytes', POOL_SIZE),
+    ),
+    Row(
+        Role.POOL,
+        Column.PROCESSOR,
+        'pool_step_us at 263, a step each second',
+        lambda m: PERCENT_OF_US * m.at('pool_step_us', POOL_SIZE),
+    ),
+    Row(
+        Role.POOL,
+        Column.MEMORY,
+        'pool_bytes at 263',
+        lambda m: m.at('pool_bytes', POOL_SIZE) / MB,
+    ),
+)
+
+WAVE_ROWS: Final = (
+    state(Role.WAVE, 'a step for each of 263 instances', POOL_SIZE),
+    Row(
+        Role.WAVE,
+        Column.MESSAGES,
+        'written to the store: 263 instances in 28 days x 6 states x '
+        'plan_bytes at 263',
+        lambda m: (
+            POOL_SIZE
+            / (MAINTENANCE_DAYS * DAY_S)
+            * PLAN_WRITES
+            * m.at('plan_bytes', POOL_SIZE)
+        ),
+    ),
+    Row(
+        Role.WAVE,
+        Column.PROCESSOR,
+        'wave_step_us at 263, a step each second',
+        lambda m: PERCENT_OF_US * m.at('wave_step_us', POOL_SIZE),
+    ),
+    Row(
+        Role.WAVE,
+        Column.MEMORY,
+        "the pool's: pool_bytes at 263",
+        lambda m: m.at('pool_bytes', POOL_SIZE) / MB,
+    ),
+)
+
+JOB_ROWS: Final = (
+    state(Role.JOBS, '4 jobs on each of 40 workers of a group', JOBS),
+    Row(
+        Role.JOBS,
+        Column.MESSAGES,
+        'read from the store: job_record_bytes at 160, a step each second',
+        lambda m: m.at('job_record_bytes', JOBS),
+    ),
+    Row(
+        Role.JOBS,
+        Column.PROCESSOR,
+        'job_step_us at 160, a step each second',
+        lambda m: PERCENT_OF_US * m.at('job_step_us', JOBS),
+    ),
+    Row(
+        Role.JOBS,
+        Column.MEMORY,
+        'job_bytes at 160, the stand-ins among them',
+        lambda m: m.at('job_bytes', JOBS) / MB,
+    ),
+)
+
 TELEMETRY_ROWS: Final = (
     state(Role.TELEMETRY, 'series of 118 services', POOLS),
     Row(
@@ -267,107 +338,8 @@
     *RIGHTS_ROWS,
     *MEMBERSHIP_ROWS,
     *CONFIGURATION_ROWS,
-    *not_measured(Role.POOL),
-    *not_measured(Role.WAVE),
-    *not_measured(Role.JOBS),
+    *POOL_ROWS,
+    *WAVE_ROWS,
+    *JOB_ROWS,
     *TELEMETRY_ROWS,
 )
-
-STORE_ROWS: Final = (
-    StoreRow(
-        'calm',
-        'reads and watches',
-        f'as built, each of {ENTRIES:,} watches: calls/s a daemon x entries',
-        STORE_READS_S,
-        lambda m: calls_per_node(m) * ENTRIES,
-    ),
-    StoreRow(
-        'calm',
-        'reads and watches',
-        f'one watcher in each of {GROUPS} groups (not built)',
-        STORE_READS_S,
-        lambda m: calls_per_node(m) * GROUPS,
-    ),
-    StoreRow(
-        'calm',
-        'writes',
-        'changes/s',
-        STORE_WRITES_S,
-        lambda m: CHANGES_S,
-    ),
-    StoreRow(
-        '50 changes in a burst',
-        'writes',
-        '50 / 4 s',
-        STORE_WRITES_S,
-        lambda m: BURST / 4.0,
-    ),
-    StoreRow(
-        '50 changes in a burst',
-        'reads and watches',
-        f'each change ends the watch of {GROUPS} watchers (not built): '
-        '50 / 4 s x groups + calm',
-        STORE_READS_S,
-        lambda m: (BURST / 4.0 + calls_per_node(m)) * GROUPS,
-    ),
-    StoreRow(
-        '50 changes in a burst',
-        'reads and watches',
-        f'the same with a pause of 0.5 s before the next watch (not built): '
-        f'2/s x {GROUPS}',
-        STORE_READS_S,
-        lambda m: 2.0 * GROUPS,
-    ),
-    StoreRow(
-        'after a zone loss',
-        'reads and watches',
-        'one watcher in a group (not built), calm x 26/27: a dead watcher '
-        'is replaced, and no call is made for each instance lost',
-        STORE_READS_S,
-        lambda m: calls_per_node(m) * GROUPS * 26 / 27,
-    ),
-    StoreRow(
-        'after a zone loss',
-        'writes',
-        'takeovers of cells and claims of failed instances',
-        STORE_WRITES_S,
-        None,
-    ),
-    StoreRow(
-        'in an outage',
-        'reads and watches',
-        'as built: calls/s a daemon in an outage x entries',
-        STORE_READS_S,
-        lambda m: calls_per_node(m, is_out=True) * ENTRIES,
-    ),
-    StoreRow(
-        "after an hour's outage",
-        'reads and watches',
-        f'whole reads of {GROUPS} watchers, all within the first retry of '
-        '0.3 s',
-        STORE_READS_S,
-        lambda m: GROUPS / 0.3,
-    ),
-    StoreRow(
-        "after an hour's outage",
-        'reads and watches',
-        f'the same spread evenly over 4 s (not built): {GROUPS} / 4 s',
-        STORE_READS_S,
-        lambda m: GROUPS / 4.0,
-    ),
-    StoreRow(
-        'regions apart for an hour',
-        'reads and watches',
-        'one watcher in a group (not built): a region without the store '
-        'retries as in an outage; the store has 6/7 of calm',
-        STORE_READS_S,
-        lambda m: calls_per_node(m) * GROUPS * 6 / 7,
-    ),
-    StoreRow(
-        'regions apart for an hour',
-        'writes',
-        'writes of takeovers in the region that lost the store',
-        STORE_WRITES_S,
-        None,
-    ),
-)
