--- a/standins/soak.py
+++ b/standins/soak.py
@@ -88,6 +88,11 @@
         'seed': seed,
         'sent': len(requests),
         'told': {item.value: told[item] for item in Told},
+        'reasons': Counter(
+            request.sent.reason
+            for request in good
+            if request.sent.told is not Told.ANSWERED
+        ),
         'executions': len(evidence.executions),
         'events': Counter(name for _, name in evidence.record.events),
         'answered_p50_s': round(cuts[49], 3),
