--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,12 @@
 tour: $(STAMP)
 	$(BIN)/python -m tools.tour
 
+capacity: $(STAMP)
+	$(BIN)/python -m tools.capacity
+
+soak: $(STAMP)
+	$(BIN)/python -m standins.soak
+
 bench-policy: $(STAMP)
 	$(BIN)/python -m bench.policy
 
