Run the policy controllers in the daemon, on a thread of their own

No process ran the controllers, so a wave or job that was recorded never began. A second thread reads the platform's list; what leaves or is down gets no new grants.

--- a/src/primroseledge/daemon.py
+++ b/src/primroseledge/daemon.py
@@ -14,6 +14,7 @@
 from cherrypy.process.wspbus import Bus
 
 from primroseledge.carrier import Carrier
+from primroseledge.controls import start_controls
 from primroseledge.events import Event
 import primroseledge.handlers  # noqa: F401  its handlers register
 from primroseledge.httprequest import RequestLimits
@@ -59,6 +60,7 @@
                 lambda *_: loop.request_stop(settings.graceful_timeout_s),
             )
         start_store_threads(settings, loop, metrics, resources)
+        start_controls(settings, loop, metrics, resources)
         start_servers(settings, loop, metrics, resources)
         left = run_loop(loop)
     log(
--- a/src/primroseledge/events.py
+++ b/src/primroseledge/events.py
@@ -249,6 +249,12 @@
         'An availability budget leaves nothing to take away now.',
         'Wait, or mend the instances that failed.',
     )
+    CONTROL_FAILED = error(
+        505,
+        'a step for {subject} failed: {problem}',
+        'A plan or job record cannot be read, or there is a defect.',
+        'Look at the record; report the problem if it is right.',
+    )
     TRACE_DROPPED = warning(
         601,
         '{dropped} spans dropped',
--- a/src/primroseledge/explain.py
+++ b/src/primroseledge/explain.py
@@ -18,6 +18,7 @@
     BUDGET = 'budget'
     BUDGET_ZONE = 'budget_zone'
     STORE_OUTAGE = 'store_outage'
+    PLATFORM_OUTAGE = 'platform_outage'
     WAVE_WIDTH = 'wave_width'
     WAVE_HALTED = 'wave_halted'
     RECENTLY_REPLACED = 'recently_replaced'
@@ -96,6 +97,11 @@
     return 'goes on when the store answers; steps under way are finished'
 
 
+@remedy(Rule.PLATFORM_OUTAGE)
+def _platform_remedy(_: Explanation) -> str:
+    return "goes on when the platform's list of instances answers"
+
+
 @remedy(Rule.WAVE_WIDTH)
 def _width_remedy(explanation: Explanation) -> str:
     missing = explanation.numbers['width'] - explanation.numbers['succeeded']
--- a/src/primroseledge/handlers.py
+++ b/src/primroseledge/handlers.py
@@ -300,6 +300,7 @@
         dispatcher = create_dispatcher(
             step.cell, step.epoch, node.configuration
         )
+        dispatcher.work.slots.leaving = node.policy.leaving
         dispatcher.heard(node.entry_id, now, now)
         for peer in node.membership.peers.values():
             dispatcher.heard(peer.id, peer.sent_at, peer.last_heard)
--- a/src/primroseledge/loop.py
+++ b/src/primroseledge/loop.py
@@ -57,6 +57,13 @@
         """Queue a call; its result is posted to the loop."""
 
 
+class Controls(Protocol):
+    """Steps the controllers on their own thread."""
+
+    def offer(self, node: Node, now: float) -> None:
+        """Begin a round when one is due."""
+
+
 Item = ServerCall | AttemptReport | Result
 
 
@@ -71,6 +78,7 @@
         self.wake_fd = wake_fd
         self.metrics = metrics
         self.worker: RecordWorker | None = None
+        self.controls: Controls | None = None
         self.inbox: deque[Item] = deque()
         self.calls: dict[int, ServerCall] = {}
         self.handles = count(1)
@@ -157,6 +165,8 @@
         self.node.wall_offset_s = time() - now
         self.begin_stop(now)
         self.perform(self.node.tick(now))
+        if self.controls is not None:
+            self.controls.offer(self.node, now)
         self.publish(now)
         if self.stop_at is not None and (
             not self.node.has_work() or now >= self.stop_at
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -53,6 +53,8 @@
 from primroseledge.ownershipactions import WriteRecord
 from primroseledge.ownershipactions import WriteResult
 from primroseledge.ownershipsettings import OwnershipSettings
+from primroseledge.policystate import Listing
+from primroseledge.policystate import PolicyState
 from primroseledge.retrybudget import RetryBudget
 from primroseledge.store import Record
 
@@ -112,6 +114,7 @@
     wall_offset_s: float = 0.0
     heartbeat_due: float = 0.0
     is_leaving: bool = False
+    policy: PolicyState = field(default_factory=PolicyState)
 
     def request(self, head: RequestHead, now: float) -> list[Action]:
         """Check a request and take it, or refuse it."""
@@ -175,6 +178,17 @@
         pushed = [] if delta.is_whole else self.to_peers(delta)
         return pushed + self.dispatch_all(now)
 
+    def list_read(self, listing: Listing, now: float) -> list[Action]:
+        """Take the platform's list; what leaves gets no new work."""
+        self.policy.listing = listing
+        leaving = listing.leaving()
+        if leaving == self.policy.leaving:
+            return []
+        self.policy.leaving = leaving
+        for dispatcher in self.dispatchers.values():
+            dispatcher.work.slots.leaving = leaving
+        return self.dispatch_all(now)
+
     def dispatch_all(self, now: float) -> list[Action]:
         """Let each dispatcher that may act do what is due."""
         actions: list[Action] = []
--- a/src/primroseledge/plan.py
+++ b/src/primroseledge/plan.py
@@ -92,6 +92,7 @@
 
     ``width`` is how many may be in flight; it doubles after as many
     successes. ``attempted`` and ``failed`` count reboots.
+    ``started_at`` is wall-clock time, for display and metrics only.
     """
 
     id: str
@@ -104,6 +105,7 @@
     failed: int = 0
     excused: int = 0
     detail: str = ''
+    started_at: float = 0.0
 
 
 class Plan(Struct, frozen=True):
--- a/src/primroseledge/settings.py
+++ b/src/primroseledge/settings.py
@@ -68,6 +68,43 @@
     ] = 2048
 
 
+class Maintenance(Section, frozen=True):
+    """How waves judge reboots; a drain settles in 3 `freshness_s`."""
+
+    window_s: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=31_536_000,
+            description='An instance that booted within it is skipped.',
+        ),
+    ] = 28 * 86_400.0
+    proof_s: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=86_400,
+            description='How long an instance is up before it returns.',
+        ),
+    ] = 10.0
+    reboot_timeout_s: Annotated[
+        float,
+        Meta(
+            gt=0,
+            le=86_400,
+            description='After it, a reboot counts as failed.',
+        ),
+    ] = 600.0
+    expected_failure_rate: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=1,
+            description='Part of reboots that fail without halting a wave.',
+        ),
+    ] = 0.02
+
+
 class Curve(Section, frozen=True):
     """Keys of the encrypted links between entry instances (Z85)."""
 
@@ -275,6 +312,9 @@
     trace: Annotated[Trace, Meta(description='Where spans go; see below.')] = (
         Trace()
     )
+    maintenance: Annotated[
+        Maintenance, Meta(description='Maintenance waves; see below.')
+    ] = Maintenance()
     curve: Annotated[
         Curve | None,
         Meta(description='Encryption between entry instances; see below.'),
@@ -297,7 +337,7 @@
         return add_credentials(self.store_urls, self.store_credentials)
 
 
-SECTIONS = (Settings, Peer, Trace, Curve)
+SECTIONS = (Settings, Peer, Trace, Maintenance, Curve)
 
 
 def load(path: str | Path) -> Settings:
--- a/src/primroseledge/slots.py
+++ b/src/primroseledge/slots.py
@@ -70,7 +70,7 @@
 
     configuration: Configuration
     used: dict[InstanceId, int] = field(default_factory=dict)
-    leaving: set[InstanceId] = field(default_factory=set)
+    leaving: frozenset[InstanceId] = frozenset()
     blocked: dict[InstanceId, float] = field(default_factory=dict)
     unblocks: list[tuple[float, InstanceId]] = field(default_factory=list)
     pools: dict[PoolId, PoolSlots] = field(default_factory=dict)
@@ -83,10 +83,10 @@
         """Build the index anew after a change of the configuration."""
         revision = self.configuration.revision
         if self.built_from[0] == revision and (
-            self.built_from[1] == self.leaving
+            self.built_from[1] is self.leaving
         ):
             return False
-        self.built_from = revision, frozenset(self.leaving)
+        self.built_from = revision, self.leaving
         self.pools = {}
         self.placed = {}
         for instance in self.configuration.instances.values():
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -35,6 +35,9 @@
 ZONES: Final = ['north-1', 'north-2', 'north-3']
 READY_TIMEOUT_S: Final = 15.0
 SERVER_THREADS: Final = 100
+LIST_LAG_S: Final = 0.5
+OLD_IMAGE: Final = 'os-41'
+BOOT_AGE_S: Final = 90 * 86_400.0
 SERVICE: Final = Service('bulletin', 'dealers', 'copper', run_limit_s=2.0)
 
 
@@ -48,6 +51,8 @@
         entries: int,
         upstreams: int,
         work_s: float = WORK_S,
+        boot_s: float | None = None,
+        **settings: Any,
     ) -> None:
         self.pool = PoolManager(retries=False)
         _, self.store_port = start_standin(resources, 'standins.kvstore')
@@ -60,8 +65,11 @@
         store_url = f'http://127.0.0.1:{self.store_port}'
         self.store = open_store([store_url], 2.0)
         resources.callback(self.store.close)
+        settings = {'server_threads': SERVER_THREADS, **settings}
+        if boot_s is not None:
+            settings |= self.start_platform(resources, boot_s)
         self.settings = entry_settings(
-            entries, ZONES, self.store_port, server_threads=SERVER_THREADS
+            entries, ZONES, self.store_port, **settings
         )
         self.entries = [
             start_entry(resources, settings, folder)
@@ -77,6 +85,47 @@
             Team(id='yards', share=1, limit=24, keys=(record_b, record_old)),
         ]
 
+    def start_platform(
+        self, resources: ExitStack, boot_s: float
+    ) -> dict[str, Any]:
+        """Start a platform that knows the upstreams; return its URLs."""
+        _, self.platform_port = start_standin(
+            resources, 'standins.platformserver', str(boot_s), str(LIST_LAG_S)
+        )
+        for number in range(len(self.upstream_ports)):
+            self.tell_platform(
+                'register',
+                id=f'yard-{number}',
+                image=OLD_IMAGE,
+                boot_age_s=BOOT_AGE_S,
+            )
+        urls = [f'http://127.0.0.1:{self.platform_port}']
+        return {'list_urls': urls, 'task_urls': urls}
+
+    def tell_platform(self, operation: str, **fields: Any) -> None:
+        """Register an instance with the platform, or set its faults."""
+        response = self.pool.request(
+            'POST',
+            url_of(self.platform_port, f'/{operation}'),
+            body=json.encode(fields),
+        )
+        if response.status != 200:
+            raise SystemExit(f'{operation}: {response.data.decode()}')
+
+    def reboots(self) -> list[dict[str, Any]]:
+        """Return the reboots that the platform made, with their times."""
+        response = self.pool.request(
+            'GET', url_of(self.platform_port, '/reboots')
+        )
+        reboots: list[dict[str, Any]] = json.decode(response.data)['reboots']
+        return reboots
+
+    def placement(self) -> dict[str, Instance]:
+        """Return where the instances stand, as the store has it."""
+        record = self.store.read(document_key('placement', '0')).records[0]
+        assert record.value is not None
+        return dict(json.decode(record.value, type=Placement).instances)
+
     def configure(self) -> None:
         """Write the documents of the deployment."""
         members = Members('all', tuple(s['entry_id'] for s in self.settings))
@@ -123,11 +172,7 @@
 
     def drain(self, name: str) -> None:
         """Mark an upstream as draining."""
-        key = document_key('placement', '0')
-        record = self.store.read(key).records[0]
-        assert record.value is not None
-        placement = json.decode(record.value, type=Placement)
-        instances = dict(placement.instances)
+        instances = self.placement()
         instances[name] = structs.replace(instances[name], is_draining=True)
         put(self.store, 'placement', Placement('0', instances))
 
--- a/tools/catalogue.py
+++ b/tools/catalogue.py
@@ -19,6 +19,7 @@
 
 from primroseledge.events import Event
 from primroseledge.settings import Curve
+from primroseledge.settings import Maintenance
 from primroseledge.settings import Peer
 from primroseledge.settings import Settings
 from primroseledge.settings import Trace
@@ -35,6 +36,7 @@
 SECTIONS: Final[dict[str, type[Struct]]] = {
     'Peer': Peer,
     'Trace': Trace,
+    'Maintenance': Maintenance,
     'Curve': Curve,
 }
 
