Answer operators who ask about a request, job, instance or pool

The command explain asked for a page that no entry instance served. The page now asks the loop, waits 2 s at most, and tells what the entry core, the owner's queue and grants and the controllers' last round know. It needs an operator key; without one it answers 401 and logs 407, and the loop is not asked.

--- a/src/primroseledge/daemon.py
+++ b/src/primroseledge/daemon.py
@@ -123,7 +123,7 @@
     """Start the HTTP servers for callers and for pages."""
     carrier = Carrier(settings.server_threads, MAX_ANSWER_BYTES)
     resources.callback(carrier.close)
-    pages = Pages(loop, metrics)
+    pages = Pages(loop, metrics, settings.operator_keys)
     limits = RequestLimits(
         settings.max_body_bytes,
         settings.request_timeout_s,
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -75,7 +75,7 @@
         """Hand something to the loop."""
 
 
-PageFinder = Callable[[str], PageBody | None]
+PageFinder = Callable[[str, str], PageBody | None]
 
 
 class Application:
@@ -99,7 +99,8 @@
         """Answer one request."""
         path = str(environ.get('PATH_INFO', ''))
         if path.startswith('/-/'):
-            return self.serve_page(path, start_response)
+            authorization = str(environ.get('HTTP_AUTHORIZATION', ''))
+            return self.serve_page(path, authorization, start_response)
         try:
             head = parse_head(environ, self.loop.next_handle(), self.limits)
             body = read_body(environ, self.limits)
@@ -150,10 +151,10 @@
                 return deliver(start_response, call.head.request_id, answer)
 
     def serve_page(
-        self, path: str, start_response: StartResponse
+        self, path: str, authorization: str, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer with one of the loop's pages."""
-        page = self.find_page(path)
+        page = self.find_page(path, authorization)
         if page is None:
             page = ('404 Not Found', 'text/plain', b'no such page\n')
         status, content_type, body = page
--- a/src/primroseledge/pages.py
+++ b/src/primroseledge/pages.py
@@ -2,27 +2,48 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from queue import Empty
 from typing import Any
+from typing import Final
 
+from msgspec import json
+
+from primroseledge.documents import KeyRecord
+from primroseledge.events import Event
+from primroseledge.inquiry import Inquiry
+from primroseledge.keys import is_operator
+from primroseledge.logs import log
 from primroseledge.loop import Loop
 from primroseledge.metrics import CONTENT_TYPE
 from primroseledge.metrics import Metrics
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
+PageBody = tuple[str, str, bytes]
+
 JSON_TYPE = 'application/json'
 TEXT_TYPE = 'text/plain'
+EXPLAIN_PREFIX: Final = '/-/explain/'
+EXPLAIN_WAIT_S: Final = 2.0
 
 
 class Pages:
     """Answers for the paths below ``/-/``; any thread may ask."""
 
-    def __init__(self, loop: Loop, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        metrics: Metrics,
+        operator_keys: tuple[KeyRecord, ...] = (),
+    ) -> None:
         self.loop = loop
         self.metrics = metrics
+        self.operator_keys = operator_keys
 
-    def find(self, path: str) -> tuple[str, str, bytes] | None:
+    def find(self, path: str, authorization: str = '') -> PageBody | None:
         """Return status, content type and body; None for no such page."""
+        if path.startswith(EXPLAIN_PREFIX):
+            return self.explain(path, authorization)
         if path == '/-/live':
             return '200 OK', TEXT_TYPE, b'live\n'
         if path == '/-/ready':
@@ -35,11 +56,27 @@
             return '200 OK', CONTENT_TYPE, self.metrics.page()
         return None
 
+    def explain(self, path: str, authorization: str) -> PageBody:
+        """Answer what an operator asks of a request, job or instance."""
+        if not is_operator(self.operator_keys, authorization):
+            log(Event.OPERATOR_REFUSED, path=path)
+            return '401 Unauthorized', TEXT_TYPE, b'no operator key\n'
+        inquiry = Inquiry(path.removeprefix(EXPLAIN_PREFIX))
+        self.loop.post(inquiry)
+        try:
+            answers = inquiry.reply.get(timeout=EXPLAIN_WAIT_S)
+        except Empty:
+            return '503 Service Unavailable', TEXT_TYPE, b'the loop is busy\n'
+        return '200 OK', JSON_TYPE, json.encode(answers)
+
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve the pages alone, on the port for metrics."""
-        page = self.find(str(environ.get('PATH_INFO', '')))
+        page = self.find(
+            str(environ.get('PATH_INFO', '')),
+            str(environ.get('HTTP_AUTHORIZATION', '')),
+        )
         status, content_type, body = page or (
             '404 Not Found',
             TEXT_TYPE,
