Let the wave scenario's requests outlast a round of the controllers

With runs of 0.1 s a controller that reboots without waiting for the drain passed the scenario, since each run had ended by its next round. Runs of 1.5 s let that mutation fail 'no reboot cut a request'; leaving upstreams that are not marked fail the second scenario.

--- a/features/steps/wave_steps.py
+++ b/features/steps/wave_steps.py
@@ -121,8 +121,9 @@
     context.budget = budget
 
 
-@given('wave: callers send requests')
-def start_load(context: Any) -> None:
+@given('wave: callers send requests that run for {seconds:f} seconds')
+def start_load(context: Any, seconds: float) -> None:
+    context.deployment.caller.work_s = seconds
     context.load = Load(context.deployment)
     context.load.start()
     context.resources.callback(context.load.stop)
--- a/features/wave.feature
+++ b/features/wave.feature
@@ -5,7 +5,7 @@
   Scenario: A wave outlives its owner and cuts nothing
     Given wave: 3 entry instances and 4 upstreams on a platform
     And wave: the budget allows 2 stops at once and 1 in a zone
-    And wave: callers send requests
+    And wave: callers send requests that run for 1.5 seconds
     When wave: an operator starts a wave
     And wave: the owner is killed when an instance has returned
     And wave: the wave has ended
@@ -19,7 +19,7 @@
 
   Scenario: An upstream that the platform takes away gets no new work
     Given wave: 2 entry instances and 2 upstreams on a platform
-    And wave: callers send requests
+    And wave: callers send requests that run for 0.1 seconds
     When wave: the platform announces that an upstream leaves
     And wave: the callers stop after 5 seconds
     Then wave: the upstream got work before and none after 3 seconds
