--- a/src/primroseledge/daemon.py
+++ b/src/primroseledge/daemon.py
@@ -14,6 +14,7 @@
 from cherrypy.process.wspbus import Bus
 
 from primroseledge.carrier import Carrier
+from primroseledge.controls import start_controls
 from primroseledge.events import Event
 import primroseledge.handlers  # noqa: F401  its handlers register
 from primroseledge.httprequest import RequestLimits
@@ -60,6 +61,7 @@
                 lambda *_: loop.request_stop(settings.graceful_timeout_s),
             )
         start_store_threads(settings, loop, metrics, resources)
+        start_controls(settings, loop, metrics, resources)
         start_servers(settings, loop, metrics, resources)
         left = run_loop(loop)
     log(
@@ -122,7 +124,7 @@
     """Start the HTTP servers for callers and for pages."""
     carrier = Carrier(settings.server_threads, MAX_ANSWER_BYTES)
     resources.callback(carrier.close)
-    pages = Pages(loop, metrics)
+    pages = Pages(loop, metrics, settings.operator_keys)
     limits = RequestLimits(
         settings.max_body_bytes,
         settings.request_timeout_s,
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -93,7 +93,7 @@
         """Hand something to the loop."""
 
 
-PageFinder = Callable[[str], PageBody | None]
+PageFinder = Callable[[str, str], PageBody | None]
 
 
 class Application:
@@ -120,7 +120,8 @@
         """Answer one request."""
         path = str(environ.get('PATH_INFO', ''))
         if path.startswith('/-/'):
-            return self.serve_page(path, start_response)
+            authorization = str(environ.get('HTTP_AUTHORIZATION', ''))
+            return self.serve_page(path, authorization, start_response)
         try:
             check_target(environ)
             head = parse_head(environ, self.loop.next_handle(), self.limits)
@@ -203,10 +204,10 @@
         return end, answer
 
     def serve_page(
-        self, path: str, start_response: StartResponse
+        self, path: str, authorization: str, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer with one of the loop's pages."""
-        page = self.find_page(path)
+        page = self.find_page(path, authorization)
         if page is None:
             page = ('404 Not Found', 'text/plain', b'no such page\n')
         status, content_type, body = page
--- a/src/primroseledge/loop.py
+++ b/src/primroseledge/loop.py
@@ -58,6 +58,13 @@
         """Queue a call; its result is posted to the loop."""
 
 
+class Controls(Protocol):
+    """Steps the controllers on their own thread."""
+
+    def offer(self, node: Node, now: float) -> None:
+        """Begin a round when one is due."""
+
+
 Item = ServerCall | AttemptReport | Result
 
 
@@ -72,6 +79,7 @@
         self.wake_fd = wake_fd
         self.metrics = metrics
         self.worker: RecordWorker | None = None
+        self.controls: Controls | None = None
         self.inbox: deque[Item] = deque()
         self.calls: dict[int, ServerCall] = {}
         self.handles = count(1)
@@ -159,6 +167,8 @@
         self.node.wall_offset_s = time() - now
         self.begin_stop(now)
         self.perform(self.node.tick(now))
+        if self.controls is not None:
+            self.controls.offer(self.node, now)
         if now >= self.publish_at:
             self.publish_at = now + PUBLISH_S
             self.publish(now)
--- a/src/primroseledge/plan.py
+++ b/src/primroseledge/plan.py
@@ -18,8 +18,6 @@
 from primroseledge.chart import load_chart
 from primroseledge.documents import Instance
 from primroseledge.documents import Service
-from primroseledge.documents import WaveMode
-from primroseledge.documents import WaveOrder
 from primroseledge.errors import ChartError
 from primroseledge.errors import OperatorError
 from primroseledge.explain import Explanation
@@ -93,9 +91,8 @@
     """A maintenance wave over one pool.
 
     ``width`` is how many may be in flight; it doubles after as many
-    successes, up to ``max_width`` if that is not 0. ``attempted`` and
-    ``failed`` count reboots. ``order_revision`` is that of the
-    operators' order as last followed.
+    successes. ``attempted`` and ``failed`` count reboots.
+    ``started_at`` is wall-clock time; nothing is timed by it.
     """
 
     id: str
@@ -108,8 +105,7 @@
     failed: int = 0
     excused: int = 0
     detail: str = ''
-    max_width: int = 0
-    order_revision: int = 0
+    started_at: float = 0.0
 
 
 class Plan(Struct, frozen=True):
@@ -211,14 +207,6 @@
     pool: PoolId
 
 
-@dataclass(frozen=True, slots=True)
-class HeldOrder:
-    """An operators' order of a wave, with its revision in the store."""
-
-    order: WaveOrder
-    revision: Revision
-
-
 @dataclass(frozen=True, slots=True)
 class PoolInput:
     """What a controller is given for one step.
@@ -230,7 +218,6 @@
     view: PoolView
     shards: Mapping[InstanceId, str]
     moves: Sequence[MoveRequest] = ()
-    orders: Sequence[HeldOrder] = ()
 
 
 @dataclass(slots=True)
@@ -302,45 +289,3 @@
         if step.state in IN_FLIGHT or step.state is StepState.FAILED
     }
     return Plan(wave, steps)
-
-
-TRIGGERS: Final = {
-    WaveMode.HALT: 'halt',
-    WaveMode.RUN: 'resume',
-    WaveMode.ROLLBACK: 'roll_back',
-}
-
-
-def follow_order(plan: Plan, held: HeldOrder) -> Plan:
-    """Return the plan after an order, each revision of it once.
-
-    An order for an older or another wave waits until the open one has
-    ended. A mode that the wave is in already changes nothing.
-    """
-    order, wave = held.order, plan.wave
-    if wave is None or wave.id != order.id:
-        is_open = wave is not None and wave.state not in ENDED
-        is_old = wave is not None and wave.order_revision >= held.revision
-        if is_open or is_old or order.mode is not WaveMode.RUN:
-            return plan
-        return start_wave(plan, _ordered_wave(held))
-    if wave.order_revision >= held.revision:
-        return plan
-    trigger = TRIGGERS[order.mode]
-    followed = replace(wave, order_revision=held.revision)
-    try:
-        followed = command(followed, trigger)
-    except OperatorError:
-        followed = replace(followed, max_width=order.width)
-    return replace(plan, wave=followed)
-
-
-def _ordered_wave(held: HeldOrder) -> Wave:
-    order = held.order
-    return Wave(
-        order.id,
-        order.image,
-        order.previous_image,
-        max_width=order.width,
-        order_revision=held.revision,
-    )
