Measure buffers, and try explain over the network

The metric of buffers had no caller. The control thread now records how many instances of a pool with a buffer are ready and run nothing; a mutation that counts busy ones fails its test. The second wave scenario also asks explain through the command line with an operator key, and without one is refused.

--- a/features/steps/wave_steps.py
+++ b/features/steps/wave_steps.py
@@ -18,8 +18,10 @@
 from behave import when
 from msgspec import json
 from msgspec import structs
+from msgspec import to_builtins
 
 from primroseledge.documents import Budget
+from primroseledge.keys import generate_key
 from standins.caller import Sent
 from standins.caller import Told
 from standins.deployment import Deployment
@@ -97,6 +99,7 @@
 )
 def start_deployment(context: Any, entries: int, upstreams: int) -> None:
     folder = context.resources.enter_context(TemporaryDirectory())
+    key, record = generate_key()
     context.deployment = Deployment(
         context.resources,
         Path(folder),
@@ -106,10 +109,12 @@
         boot_s=BOOT_S,
         freshness_s=1.0,
         maintenance={'proof_s': 0.5},
+        operator_keys=[to_builtins(record)],
     )
     context.deployment.configure()
     context.deployment.wait_ready()
     context.operator = Operator(context.deployment)
+    context.operator.key = key
     context.folder = Path(folder)
 
 
@@ -259,3 +264,23 @@
     times = [run['began_at'] - context.announced_at for run in runs]
     assert min(times) < 0, times
     assert max(times) <= LEAVING_S, times
+
+
+@then('wave: every entry instance explains to an operator that it leaves')
+def check_explained(context: Any) -> None:
+    entries = [
+        word
+        for number in range(len(context.deployment.ports))
+        for word in ('--entry', context.deployment.url(number, ''))
+    ]
+    rows = context.operator.run('explain', 'yard-0', *entries)
+    states = [row['state'] for row in rows]
+    assert states == ['leaving'] * len(context.deployment.ports), rows
+
+
+@then('wave: without an operator key nothing is explained')
+def check_guarded(context: Any) -> None:
+    page = context.deployment.pool.request(
+        'GET', context.deployment.url(0, '/-/explain/yard-0')
+    )
+    assert page.status == 401, page.status
--- a/features/wave.feature
+++ b/features/wave.feature
@@ -24,3 +24,5 @@
     And wave: the callers stop after 5 seconds
     Then wave: the upstream got work before and none after 3 seconds
     And wave: every request is answered
+    And wave: every entry instance explains to an operator that it leaves
+    And wave: without an operator key nothing is explained
--- a/src/primroseledge/controlinput.py
+++ b/src/primroseledge/controlinput.py
@@ -13,6 +13,7 @@
 from primroseledge.documents import DEFAULT_CELL
 from primroseledge.documents import Instance
 from primroseledge.documents import Placement
+from primroseledge.documents import Pool
 from primroseledge.documents import Service
 from primroseledge.documents import Team
 from primroseledge.ids import CellId
@@ -53,6 +54,7 @@
     instances: Mapping[InstanceId, Instance]
     placements: tuple[Placement, ...]
     services: tuple[Service, ...]
+    pools: tuple[Pool, ...]
     teams: Mapping[TeamId, Team]
     listing: Listing
     cells: Mapping[CellId, CellWork]
@@ -101,6 +103,7 @@
             if isinstance(document, Placement)
         ),
         services=tuple(configuration.services.values()),
+        pools=tuple(configuration.pools.values()),
         teams=dict(configuration.teams),
         listing=listing,
         cells={
@@ -176,6 +179,19 @@
     )
 
 
+def count_idle(request: ControlRequest, pool: PoolId) -> int:
+    """Return how many instances of a pool are ready and run nothing."""
+    works = request.cells.values()
+    leaving = request.listing.leaving()
+    return sum(
+        instance.instance_id in request.listing.statuses
+        and instance.instance_id not in leaving
+        and not instance.is_draining
+        and not any(work.running.get(instance.instance_id) for work in works)
+        for instance in request.by_pool.get(pool, ())
+    )
+
+
 def job_input(request: ControlRequest) -> JobInput:
     """Return the input of the jobs: instances with cores are workers."""
     fleet = [item for item in request.instances.values() if item.cores > 0]
--- a/src/primroseledge/controlthread.py
+++ b/src/primroseledge/controlthread.py
@@ -123,6 +123,7 @@
             except Exception as error:
                 # A record that can't be read must not stop other pools.
                 report_failure(f'pool {pool}', error)
+        self.pools.count_buffers(request)
         known = self.jobs.jobs if self.jobs is not None else {}
         values = {name: held.value for name, held in known.items()}
         return ControlNews(reports, jobs, values)
--- a/src/primroseledge/poolrounds.py
+++ b/src/primroseledge/poolrounds.py
@@ -9,6 +9,7 @@
 
 from primroseledge.budget import Ledger
 from primroseledge.controlinput import ControlRequest
+from primroseledge.controlinput import count_idle
 from primroseledge.controlinput import Epochs
 from primroseledge.controlinput import has_down
 from primroseledge.errors import StoreError
@@ -126,6 +127,14 @@
         self.note_held(after, report)
         return report
 
+    def count_buffers(self, request: ControlRequest) -> None:
+        """Record the idle instances of pools that keep a buffer."""
+        for pool in request.pools:
+            has_buffer = pool.spare or pool.buffer > 0
+            if has_buffer and request.epochs_of(pool.pool_id) is not None:
+                idle = count_idle(request, pool.pool_id)
+                self.metrics.buffer_held(pool.pool_id, idle)
+
     def create(self, pool: PoolId) -> PoolController:
         """Return a controller that has seen nothing yet."""
         return PoolController(
--- a/standins/operator.py
+++ b/standins/operator.py
@@ -23,6 +23,7 @@
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
+        self.key = ''
 
     def configure(self) -> None:
         """Create members, teams, keys, a pool, instances and a service."""
@@ -72,7 +73,11 @@
         result = run(
             command,
             capture_output=True,
-            env={**environ, 'PRIMROSELEDGE_ENTRIES': ''},
+            env={
+                **environ,
+                'PRIMROSELEDGE_ENTRIES': '',
+                'PRIMROSELEDGE_OPERATOR_KEY': self.key,
+            },
             timeout=TIMEOUT_S,
             check=False,
         )
--- a/tests/test_controls.py
+++ b/tests/test_controls.py
@@ -76,6 +76,7 @@
             'instances': dict(self.world.seen.instances),
             'placements': (self.world.seen,),
             'services': SERVICES,
+            'pools': (Pool('copper', buffer=1), Pool('other')),
             'teams': {},
             'listing': Listing(statuses, self.world.now),
             'cells': {MAIN: CellWork(Epoch(1), {}, is_complete=True)},
@@ -181,6 +182,15 @@
         self.rounds(20)
         self.assertEqual(self.world.platform.reboots, [])
 
+    def test_buffer_is_what_is_ready_and_idle(self) -> None:
+        self.world.platform.break_machine(InstanceId('i01'))
+        self.world.advance(3.0)
+        cells = {MAIN: CellWork(Epoch(1), {ONE: 1}, is_complete=True)}
+        self.thread.round(self.request(cells=cells))
+        page = self.thread.pools.metrics.page().decode()
+        self.assertRegex(page, r'buffer\S*\{pool="copper"\} 7')
+        self.assertNotIn('pool="other"', page)
+
     def test_jobs_get_instances_with_cores_that_stay(self) -> None:
         names = ('a', 'b', 'c', 'd')
         instances = {
