--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
 
+
 binary: $(STAMP)
 	$(BIN)/python -m tools.binary
 
@@ -44,5 +45,20 @@
 tour: $(STAMP)
 	$(BIN)/python -m tools.tour
 
+capacity: $(STAMP)
+	$(BIN)/python -m tools.capacity
+
+soak: $(STAMP)
+	$(BIN)/python -m standins.soak
+
 bench-policy: $(STAMP)
 	$(BIN)/python -m bench.policy
+
+bench-nodes: $(STAMP)
+	$(BIN)/python -m bench.nodes
+
+model: $(STAMP)
+	$(BIN)/python -m bench.model
+
+bench-requests: $(STAMP)
+	$(BIN)/python -m bench.requests
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -22,6 +22,7 @@
 from bench.policyfleet import Fleet
 from bench.policyfleet import FleetShape
 from bench.policyfleet import TEAM_SHARES
+from bench.policylarge import measure_large
 from primroseledge.documents import Instance
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
@@ -36,7 +37,8 @@
 from primroseledge.plan import WaveState
 from primroseledge.sizing import choose_instance
 from primroseledge.sizing import decide_size
-from primroseledge.sizing import DemandHistory
+from primroseledge.sizing import DemandSamples
+from primroseledge.sizing import find_shortage
 from primroseledge.sizing import Hold
 from primroseledge.sizing import lend
 from primroseledge.sizing import PoolLoad
@@ -106,7 +108,7 @@
         self.variant = variant
         self.weights = weights
         self.settings = SizingSettings()
-        self.histories = {p: DemandHistory(0.5) for p in self.fleet.pools}
+        self.samples = DemandSamples()
         self.holds = dict.fromkeys(self.fleet.pools, Hold())
         self.pending: dict[InstanceId, tuple[PoolId, PoolId]] = {}
         self.rolled_at: float | None = None
@@ -148,6 +150,9 @@
         fleet, slots = self.fleet, self.fleet.shape.slots
         usable = {pool: fleet.usable(pool) for pool in fleet.pools}
         demands = {q.pool: fleet.demand(q) for q in fleet.queues}
+        self.samples.add(
+            fleet.now, {p: sum(d) / slots for p, d in demands.items()}
+        )
         loans = self._loans(usable, demands)
         asked = [value for demand in demands.values() for value in demand]
         shares = TEAM_SHARES * len(fleet.queues)
@@ -177,7 +182,6 @@
             usable[fleet.spare],
             slots,
             sum(demands[fleet.spare]),
-            self.histories[fleet.spare],
         )
         return lend(spare, needs)
 
@@ -197,10 +201,6 @@
                 totals.idle_in_spare += idle
             else:
                 totals.idle_in_pools += idle
-            demand = sum(fleet.demand(queue)) / fleet.shape.slots
-            self.histories[queue.pool].observe(
-                demand, 1.0, self.settings.half_life_s
-            )
 
     def _load(self, pool: PoolId) -> PoolLoad:
         budget = self.fleet.shape.budget
@@ -209,32 +209,36 @@
             self.fleet.members(pool),
             self.fleet.shape.slots,
             0.0,
-            self.histories[pool],
             budget.unavailable,
             budget.unavailable + 1,
         )
 
     def _size(self) -> None:
-        if not self.variant.is_sizing:
+        if not self.variant.is_sizing or self.pending:
             return
         fleet = self.fleet
-        for pool in fleet.pools[:-1]:
-            if any(pool in route for route in self.pending.values()):
-                continue
+        spare = self._load(fleet.spare)
+        loads = [self._load(pool) for pool in fleet.pools[:-1]]
+        shortage = find_shortage(self.samples, loads, spare)
+        for load in loads:
+            pool = load.pool
             decision = decide_size(
-                self._load(pool),
-                self._load(fleet.spare),
-                len(fleet.placed),
+                load,
+                spare,
+                shortage,
                 self.holds[pool],
                 fleet.now,
                 self.weights,
                 self.settings,
             )
             self.holds[pool] = decision.hold
-            if decision.change > 0:
-                self._move(fleet.spare, pool)
-            elif decision.change < 0:
-                self._move(pool, fleet.spare)
+            for _ in range(abs(decision.change)):
+                if decision.change > 0:
+                    self._move(fleet.spare, pool)
+                else:
+                    self._move(pool, fleet.spare)
+            if decision.change:
+                return
 
     def _move_on_threshold(self) -> None:
         fleet, slots = self.fleet, self.fleet.shape.slots
@@ -323,46 +327,63 @@
 
 
 def score(
-    measures: Measures, units: Mapping[str, float], weights: SizingWeights
+    measures: Mapping[str, float],
+    units: Mapping[str, float],
+    weights: SizingWeights,
 ) -> float:
-    """Return the weighted sum; a unit of a measure is the baselines' mean."""
+    """Return the weighted sum of the measures in these units."""
     factors = {
         'buffer': weights.buffer,
         'roll_out_s': weights.roll_out,
         'moves_per_hour': weights.moves,
         'nearness': weights.nearness,
     }
-    values: dict[str, float] = asdict(measures)
     return sum(
-        factor * values[name] / units[name]
+        factor * measures[name] / units[name]
         for name, factor in factors.items()
         if units[name] > 0
     )
 
 
+def rate(
+    found: Mapping[str, Mapping[str, float]], weights: SizingWeights
+) -> dict[str, object]:
+    """Compare weighted sums with the best baseline, in two units.
+
+    First, a unit of a measure is the mean of the baselines. Second, it
+    is that of static pools, and of the threshold for moves.
+    """
+    names = [baseline.name for baseline in BASELINES]
+    means = {
+        name: sum(found[n][name] for n in names) / len(names)
+        for name in MEASURES
+    }
+    moves = found['threshold']['moves_per_hour']
+    static = {name: found['static'][name] for name in MEASURES}
+    static['moves_per_hour'] = moves
+    report = dict[str, object]()
+    for unit_name, units in {'mean': means, 'static': static}.items():
+        sums = {n: score(m, units, weights) for n, m in found.items()}
+        best = min(sums[name] for name in names)
+        report[f'sums_in_{unit_name}_units'] = sums
+        report[f'better_in_{unit_name}_units'] = 1 - sums['ours'] / best
+    return report
+
+
 def compare(user: str, seeds: tuple[int, ...]) -> dict[str, object]:
     """Run all variants for one user's fleet and weights."""
     shape, weights = SHAPES[user], PROFILES[user]
-    found = {
-        variant.name: mean_measures(shape, variant, weights, seeds)
+    found: dict[str, dict[str, float]] = {
+        variant.name: asdict(mean_measures(shape, variant, weights, seeds))
         for variant in (OURS, *BASELINES, *ABLATIONS)
     }
-    units = {
-        name: sum(getattr(found[b.name], name) for b in BASELINES)
-        / len(BASELINES)
-        for name in MEASURES
-    }
-    scores = {
-        name: score(measures, units, weights)
-        for name, measures in found.items()
-    }
-    best = min(scores[baseline.name] for baseline in BASELINES)
-    return {
-        'measures': {n: asdict(m) for n, m in found.items()},
-        'weighted_sums': scores,
-        'better_than_best_baseline': 1 - scores['ours'] / best,
-        'goal': 0.30,
-    }
+    return {'goal': 0.30, 'measures': found, **rate(found, weights)}
+
+
+def compare_large(user: str, seconds: int) -> dict[str, object]:
+    """Compare at 31,000 instances with one user's weights."""
+    found = measure_large(PROFILES[user], seconds)
+    return {'measures': found, **rate(found, PROFILES[user])}
 
 
 def time_decision(instances: int, pools: int) -> dict[str, float]:
@@ -370,16 +391,23 @@
     owned = max(pools // 100, 1)
     size = instances // pools
     plans = [_large_situation(size) for _ in range(owned)]
-    loads = [_large_load(PoolId(f'p{n}'), size) for n in range(owned + 1)]
+    loads = [PoolLoad(PoolId(f'p{n}'), size, 8, 0.0) for n in range(pools)]
+    samples = DemandSamples()
+    for second in range(600):
+        samples.add(
+            float(second),
+            {load.pool: size * (second % 5) / 4 for load in loads},
+        )
     weights, settings = PROFILES['even'], SizingSettings()
     times = list[float]()
     for _ in range(20):
         start = perf_counter()
         for situation in plans:
             decide(situation)
-        for load in loads[:-1]:
+        shortage = find_shortage(samples, loads[:-1], loads[-1])
+        for load in loads[:owned]:
             decide_size(
-                load, loads[-1], instances, Hold(), 1e6, weights, settings
+                load, loads[-1], shortage, Hold(), 1e6, weights, settings
             )
         times.append(perf_counter() - start)
     start_tracing()
@@ -414,13 +442,6 @@
     return Situation(Plan(wave), view, {}, WaveSettings())
 
 
-def _large_load(pool: PoolId, size: int) -> PoolLoad:
-    history = DemandHistory()
-    for second in range(300):
-        history.observe(size * (second % 5) / 4, 1.0, 1800.0)
-    return PoolLoad(pool, size, 8, size * 4.0, history)
-
-
 def slope(rows: list[dict[str, float]], x: str, y: str) -> float:
     """Return the exponent of growth between the first and last row."""
     first, last = rows[0], rows[-1]
@@ -430,10 +451,12 @@
 def main() -> None:
     """Print everything as JSON."""
     seeds = SEEDS[:1] if '--quick' in argv else SEEDS
+    large_s = 900 if '--quick' in argv else RUN_S
     by_size = [time_decision(n, 118) for n in (3_100, 10_000, 31_000)]
     by_pools = [time_decision(31_000, n) for n in (12, 40, 118, 400)]
     report = {
         'users': {user: compare(user, seeds) for user in SHAPES},
+        'large': {user: compare_large(user, large_s) for user in SHAPES},
         'by_size': by_size,
         'by_pools': by_pools,
         'slopes': {
--- a/src/primroseledge/actions.py
+++ b/src/primroseledge/actions.py
@@ -49,6 +49,7 @@
     address: str
     timeout_s: float
     start_by: float
+    queued_s: float = 0.0
     is_last: ClassVar[bool] = False
 
 
--- a/src/primroseledge/admission.py
+++ b/src/primroseledge/admission.py
@@ -57,7 +57,7 @@
             self.queue.remove(loser.ask.ask_id)
             refusal = self.refuse(loser.entry, loser.ask, Reason.QUEUE_FULL)
             actions.append(refusal)
-        self.queue.add(Waiting(entry, ask, deadline))
+        self.queue.add(Waiting(entry, ask, deadline, now))
         return actions
 
     def objection(self, ask: Ask, now: float) -> Reason | None:
--- a/src/primroseledge/entry.py
+++ b/src/primroseledge/entry.py
@@ -179,6 +179,7 @@
                 address=grant.address,
                 timeout_s=min(left, grant.run_limit_s),
                 start_by=start_by,
+                queued_s=grant.queued_s,
             )
         ]
 
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 from queue import SimpleQueue
+from socket import SHUT_WR
+from time import time
 from typing import Any
 from typing import Final
 from typing import Protocol
@@ -22,20 +24,29 @@
 from primroseledge.actions import RefuseCall
 from primroseledge.actions import StartAttempt
 from primroseledge.attemptend import AttemptEnd
+from primroseledge.attemptend import DELIVERED
 from primroseledge.carrier import Answer
 from primroseledge.carrier import Carrier
 from primroseledge.carrier import Outbound
 from primroseledge.carrier import REQUEST_ID_HEADER
 from primroseledge.httprequest import BadRequest
+from primroseledge.httprequest import check_target
 from primroseledge.httprequest import filter_headers
 from primroseledge.httprequest import parse_head
 from primroseledge.httprequest import read_body
 from primroseledge.httprequest import RequestLimits
 from primroseledge.ids import RequestId
 from primroseledge.node import RequestHead
+from primroseledge.outcomes import Outcome
 from primroseledge.outcomes import Reason
 from primroseledge.outcomes import told_outcome
 from primroseledge.outcomes import VERDICTS
+from primroseledge.requesttrace import RequestTrace
+from primroseledge.stricthttp import ReadDeadlines
+from primroseledge.stricthttp import rejections
+from primroseledge.stricthttp import StrictConnection
+from primroseledge.stricthttp import StrictRequest
+from primroseledge.trace import Tracing
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -44,6 +55,13 @@
 PageBody = tuple[str, str, bytes]
 """A status, a content type and a body."""
 
+SOCKET_TIMEOUT_S: Final = 10
+"""How long a connection may be idle, and the longest single read."""
+
+MIN_ACCEPTED_QUEUE: Final = 16
+"""Requests that wait for a thread; one more is refused with 503."""
+
+TRACEPARENT_HEADER: Final = 'Traceparent'
 OUTCOME_HEADER: Final = 'X-Outcome'
 REASON_HEADER: Final = 'X-Reason'
 
@@ -87,11 +105,14 @@
         carrier: Carrier,
         limits: RequestLimits,
         find_page: PageFinder,
+        tracing: Tracing | None = None,
     ) -> None:
         self.loop = loop
         self.carrier = carrier
         self.limits = limits
         self.find_page = find_page
+        self.tracing = tracing or Tracing(None, None)
+        self.deadlines: ReadDeadlines | None = None
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -102,15 +123,20 @@
             authorization = str(environ.get('HTTP_AUTHORIZATION', ''))
             return self.serve_page(path, authorization, start_response)
         try:
+            check_target(environ)
             head = parse_head(environ, self.loop.next_handle(), self.limits)
             body = read_body(environ, self.limits)
         except BadRequest as error:
+            rejections[error.reason.value] += 1
             return refuse(
                 start_response,
                 RequestId(''),
                 RefuseCall(0, error.reason),
                 str(error),
+                must_close=True,
             )
+        if self.deadlines is not None:
+            self.deadlines.end()
         outbound = Outbound(
             str(environ['REQUEST_METHOD']),
             target_of(environ, head),
@@ -118,22 +144,33 @@
             body,
         )
         call = ServerCall(head, 'HTTP_IDEMPOTENCY_KEY' in environ)
+        traceparent = str(environ.get('HTTP_TRACEPARENT', ''))
+        trace = RequestTrace(self.tracing, traceparent, head.service, time)
         self.loop.post(call)
-        return self.obey(call, outbound, start_response)
+        trace.begin_ask()
+        return self.obey(call, outbound, start_response, trace)
 
     def obey(
         self,
         call: ServerCall,
         outbound: Outbound,
         start_response: StartResponse,
+        trace: RequestTrace,
     ) -> Iterable[bytes]:
         """Carry out the loop's commands until the last one."""
         answer: Answer | None = None
         while True:
             command = call.commands.get()
             if isinstance(command, StartAttempt):
-                end, answer = self.carrier.carry(command, outbound)
+                end, answer = self.attempt(command, outbound, trace)
                 self.loop.post(AttemptReport(call.head.handle, end))
+                if end in DELIVERED and answer is not None:
+                    trace.end(Outcome.RAN.value)
+                    # The loop can only say the same; waiting for it
+                    # would cost a change of threads.
+                    return deliver(
+                        start_response, call.head.request_id, answer
+                    )
             elif isinstance(command, RefuseCall) or answer is None:
                 refusal = (
                     command
@@ -141,6 +178,8 @@
                     else RefuseCall(call.head.handle, Reason.BAD_ANSWER)
                 )
                 is_guarded = not call.head.is_idempotent and call.has_own_id
+                reason = refusal.reason
+                trace.end(VERDICTS[reason].outcome.value, reason.value)
                 return refuse(
                     start_response,
                     call.head.request_id,
@@ -148,7 +187,21 @@
                     is_guarded=is_guarded,
                 )
             else:
+                trace.end(Outcome.RAN.value)
                 return deliver(start_response, call.head.request_id, answer)
+            trace.begin_ask()
+
+    def attempt(
+        self, start: StartAttempt, outbound: Outbound, trace: RequestTrace
+    ) -> tuple[AttemptEnd, Answer | None]:
+        """Carry one attempt, under a span of its own."""
+        trace.end_ask(start.queued_s)
+        traceparent = trace.begin_call(start.upstream)
+        if traceparent:
+            outbound.headers[TRACEPARENT_HEADER] = traceparent
+        end, answer = self.carrier.carry(start, outbound)
+        trace.end_call('' if end in DELIVERED else end.value)
+        return end, answer
 
     def serve_page(
         self, path: str, authorization: str, start_response: StartResponse
@@ -214,6 +267,7 @@
     refusal: RefuseCall,
     detail: str = '',
     is_guarded: bool = False,
+    must_close: bool = False,
 ) -> Iterable[bytes]:
     """Tell the caller why there is no answer, and whether it ran."""
     verdict = VERDICTS[refusal.reason]
@@ -233,6 +287,8 @@
         (REASON_HEADER, refusal.reason.value),
         (REQUEST_ID_HEADER, request_id),
     ]
+    if must_close:
+        headers.append(('Connection', 'close'))
     if verdict.has_retry_after:
         seconds = max(1, round(refusal.retry_after_s))
         headers.append(('Retry-After', str(seconds)))
@@ -240,6 +296,43 @@
     return [body]
 
 
+class StrictServer(Server):
+    """A server that reads strictly and in bounded time."""
+
+    ConnectionClass = StrictConnection
+    _unservicable_conns: Any
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.read_deadlines = ReadDeadlines()
+
+    def prepare(self) -> None:
+        """Bind, and begin to watch for slow clients."""
+        super().prepare()
+        self.read_deadlines.thread.start()
+
+    def _serve_unservicable(self) -> None:
+        # cheroot would answer without an outcome and leave the
+        # connection open.
+        while self.ready:
+            connection = self._unservicable_conns.get()
+            if not isinstance(connection, StrictConnection):
+                return
+            try:
+                busy = StrictRequest(self, connection)
+                busy.simple_response('503 Service Unavailable')
+                connection.socket.shutdown(SHUT_WR)
+            except OSError:
+                pass
+            connection.linger = True
+            connection.close()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self.read_deadlines.is_stopped.set()
+        super().stop()
+
+
 def create_server(
     host: str,
     port: int,
@@ -248,15 +341,19 @@
     application: WsgiApplication,
 ) -> Server:
     """Return a server that listens when its adapter starts."""
-    server = Server(
+    server = StrictServer(
         (host, port),
         application,
         numthreads=threads,
         max=threads,
         request_queue_size=1024,
-        timeout=10,
+        timeout=SOCKET_TIMEOUT_S,
         shutdown_timeout=1,
+        accepted_queue_size=max(threads, MIN_ACCEPTED_QUEUE),
+        accepted_queue_timeout=0.01,
     )
+    if isinstance(application, Application):
+        application.deadlines = server.read_deadlines
     server.max_request_header_size = max_header_bytes
     return server
 
--- a/src/primroseledge/job.py
+++ b/src/primroseledge/job.py
@@ -14,12 +14,12 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from primroseledge.chart import load_chart
+from primroseledge.errors import ChartError
 from primroseledge.errors import OperatorError
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
 from primroseledge.ids import TeamId
-from primroseledge.statechart import load_chart
-from primroseledge.statechart import TransitionError
 
 JOBS_PREFIX: Final = 'jobs/'
 MAX_ATTEMPTS: Final = 8
@@ -115,8 +115,8 @@
 
 
 def move_job(job: Job, trigger: str, reason: str = '') -> Job:
-    """Return the job after a trigger; raise TransitionError."""
-    state = JobState(load_chart('job').next(job.state.value, trigger))
+    """Return the job after a trigger; raise ChartError."""
+    state = JobState(load_chart('job').advance(job.state.value, trigger))
     return replace(job, state=state, reason=reason)
 
 
@@ -129,8 +129,10 @@
         return job
     try:
         return move_job(job, 'cancel', 'by submitter')
-    except TransitionError as error:
-        raise OperatorError(str(error)) from error
+    except ChartError as error:
+        raise OperatorError(
+            f'job {job.id} cannot be cancelled when {job.state.value}'
+        ) from error
 
 
 def next_attempt(job: Job, workers: tuple[str, ...]) -> Job:
--- a/src/primroseledge/loop.py
+++ b/src/primroseledge/loop.py
@@ -40,7 +40,8 @@
 from primroseledge.ownershipactions import WriteRecord
 from primroseledge.peerlink import PeerLink
 
-TICK_S: Final = 0.05
+TICK_S: Final = 0.1
+PUBLISH_S: Final = 0.5
 
 
 class Result(Protocol):
@@ -91,6 +92,7 @@
         self.is_watcher = True
         self.was_fresh = False
         self.stale_since = monotonic()
+        self.publish_at = 0.0
         self.counted_bytes = (0, 0)
 
     def next_handle(self) -> int:
@@ -167,7 +169,9 @@
         self.perform(self.node.tick(now))
         if self.controls is not None:
             self.controls.offer(self.node, now)
-        self.publish(now)
+        if now >= self.publish_at:
+            self.publish_at = now + PUBLISH_S
+            self.publish(now)
         if self.stop_at is not None and (
             not self.node.has_work() or now >= self.stop_at
         ):
@@ -181,6 +185,7 @@
         running, queued = self.node.entry.count_calls()
         log(Event.STOPPING, running=running, queued=queued)
         self.perform(self.node.leave(now))
+        self.publish_at = now
 
     def publish(self, now: float) -> None:
         """Publish pages and metrics."""
@@ -236,6 +241,8 @@
             self.metrics.request_refused(action.reason)
             outcome = VERDICTS[action.reason].outcome
             self.metrics.request_ended(call.head.service, outcome)
+        elif isinstance(action, StartAttempt):
+            self.metrics.queue_left(call.head.service, action.queued_s)
         elif isinstance(action, Deliver):
             self.metrics.request_ended(call.head.service, Outcome.RAN)
         if action.is_last:
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -112,6 +112,7 @@
     dispatchers: dict[CellId, Dispatcher] = field(default_factory=dict)
     handovers: dict[CellId, Handover] = field(default_factory=dict)
     wall_offset_s: float = 0.0
+    cells_revision: Revision = Revision(-1)
     heartbeat_due: float = 0.0
     is_leaving: bool = False
     policy: PolicyState = field(default_factory=PolicyState)
@@ -166,12 +167,20 @@
         return self.settle(self.entry.attempt_ended(handle, end, now), now)
 
     def config_read(
-        self, delta: ConfigDelta, begun_at: float, now: float
+        self,
+        delta: ConfigDelta,
+        store_revision: Revision,
+        begun_at: float,
+        now: float,
     ) -> list[Action]:
-        """Take the result of a read or watch that began at a time."""
+        """Take the result of a read or watch that began at a time.
+
+        ``store_revision`` is the store's own counter. When it is below
+        our revision, the store lags or was restored and proves nothing.
+        """
         applied = self.configuration.apply(delta)
         self.freshness.note_read(
-            begun_at, delta.upto, self.configuration.revision
+            begun_at, store_revision, self.configuration.revision
         )
         if not applied.is_applied:
             return []
@@ -258,29 +267,29 @@
 
     def tick_ownerships(self, now: float) -> list[Action]:
         """Let the core of each cell do what is due."""
-        cells = {
-            CellId(service.cell)
-            for service in self.configuration.services.values()
-        }
-        for cell in cells - self.ownerships.keys():
-            self.ownerships[cell] = create_ownership(
-                cell, self.membership, self.ownership_settings
-            )
+        if self.cells_revision != self.configuration.revision:
+            self.follow_cells()
         actions: list[Action] = []
-        for cell, ownership in self.ownerships.items():
-            ownership.longest_run_s = self.longest_run_s(cell)
+        for ownership in self.ownerships.values():
             steps = ownership.tick(now, self.configuration.members)
-            actions += self.follow(steps, now)
+            if steps:
+                actions += self.follow(steps, now)
         return actions
 
-    def longest_run_s(self, cell: CellId) -> float:
-        """Return the longest run limit of a cell's services, in seconds."""
-        limits = [
-            service.run_limit_s
-            for service in self.configuration.services.values()
-            if service.cell == cell
-        ]
-        return max(limits, default=0.0) + RUN_MARGIN_S
+    def follow_cells(self) -> None:
+        """Keep an ownership core for each cell of the configuration."""
+        self.cells_revision = self.configuration.revision
+        longest_run_s: dict[CellId, float] = {}
+        for service in self.configuration.services.values():
+            cell = CellId(service.cell)
+            known_s = longest_run_s.get(cell, 0.0)
+            longest_run_s[cell] = max(known_s, service.run_limit_s)
+        for cell, run_s in longest_run_s.items():
+            if cell not in self.ownerships:
+                self.ownerships[cell] = create_ownership(
+                    cell, self.membership, self.ownership_settings
+                )
+            self.ownerships[cell].longest_run_s = run_s + RUN_MARGIN_S
 
     def follow(
         self, steps: Iterable[OwnershipAction], now: float
@@ -338,28 +347,44 @@
         for ownership in self.ownerships.values():
             epochs |= ownership.stated_epochs
             vacant += ownership.stated_vacant(now)
-        heartbeat = self.membership.heartbeat(
-            now,
-            self.configuration.revision,
-            self.freshness.store_read_age_s(now),
-            epochs,
-            self.freshness.is_witness,
-            vacant,
-        )
         for dispatcher in self.dispatchers.values():
             dispatcher.heard(self.entry_id, now, now)
-        return self.to_peers(heartbeat)
+        # Each echoes its receiver alone, so its size stays the same.
+        return [
+            SendToEntry(
+                peer,
+                self.membership.heartbeat(
+                    now,
+                    self.configuration.revision,
+                    self.freshness.store_read_age_s(now),
+                    epochs,
+                    self.freshness.is_witness,
+                    vacant,
+                    peer,
+                ),
+            )
+            for peer in self.membership.peers
+        ]
 
     def has_work(self) -> bool:
         """Tell whether a graceful shutdown has something to wait for.
 
-        That is a call in hand, or a cell whose release is not written.
+        That is a call in hand, or a cell that nobody else owns yet: the
+        next owner needs this instance's report.
         """
         return bool(self.entry.calls) or any(
             ownership.access.pending is not None
+            or self.is_handing_over(ownership)
             for ownership in self.ownerships.values()
         )
 
+    def is_handing_over(self, ownership: Ownership) -> bool:
+        """Tell whether a released cell still waits for its next owner."""
+        if ownership.cell not in self.handovers:
+            return False
+        others = self.membership.alive(self.heartbeat_due)
+        return bool(others) and ownership.owner in ('', self.entry_id)
+
     def to_peers(self, message: AnyMessage) -> list[Action]:
         """Return the sending of a message to every peer."""
         return [SendToEntry(peer, message) for peer in self.membership.peers]
--- a/src/primroseledge/ownership.py
+++ b/src/primroseledge/ownership.py
@@ -69,12 +69,11 @@
         self.record = NO_OWNER
         self.access = RecordAccess(cell, self.me, self.incarnation)
         self.evidence = EpochEvidence()
-        self.succession = Succession(cell, membership)
+        self.succession = Succession(cell, membership, settings)
         self.newer_since = INFINITY
-        self.lost_since = INFINITY
-        self.stands_since = INFINITY
-        self.takeover = Takeover(NEVER, False, EntryId(''))
+        self.takeover = Takeover(NEVER, NO_OWNER)
         self.next_request_at = NEVER
+        self.quarantine_until = NEVER
 
     @property
     def epoch(self) -> Epoch:
@@ -129,10 +128,7 @@
         return latest + self.settings.freshness_s
 
     def tick(self, now: float, members: tuple[EntryId, ...]) -> Actions:
-        """Do what is due; to be called often and after every change.
-
-        ``members`` are the last agreed members of the fleet.
-        """
+        """Do what is due, given the last agreed members of the fleet."""
         self.members = members
         actions: Actions = []
         if self.state is OwnerState.FOLLOWER:
@@ -143,24 +139,16 @@
             write = self.access.resend_due(now)
             actions += [self.access.send(write, now)] if write else []
         if self.is_read_due(now):
-            actions += self.read(now)
+            actions += self.access.read(now, self.settings.read_interval_s)
         return actions
 
     def watch_owner(self, now: float) -> None:
         """Become a candidate when the owner is lost for long enough."""
-        is_lost = self.succession.is_lost(self.record, self.members, now)
-        if not self.access.has_read or not is_lost:
-            self.lost_since = INFINITY
-            return
-        self.lost_since = min(self.lost_since, now)
-        delay_s = self.succession.rank(now) * self.settings.stagger_s
-        is_parting = self.succession.is_leaving(self.record)
-        if not (self.record.is_released or is_parting):
-            delay_s += self.settings.takeover_delay_s
-        if now < self.lost_since + delay_s:
+        if not self.access.has_read:
             return
-        self.fire('owner_lost')
-        self.stands_since = self.access.next_at = now
+        if self.succession.is_due(self.record, self.members, now):
+            self.fire('owner_lost')
+            self.access.next_at = now
 
     def is_read_due(self, now: float) -> bool:
         """Return whether the record is to be read now."""
@@ -174,10 +162,6 @@
             return now > self.newer_since + self.settings.report_interval_s
         return True
 
-    def read(self, now: float) -> Actions:
-        """Ask for the record unless that is under way."""
-        return [*self.access.read(now, self.settings.read_interval_s)]
-
     def on_read_failed(self) -> None:
         """Take a failed read; a tick repeats it after the interval."""
         self.access.is_reading = False
@@ -204,10 +188,7 @@
         return actions
 
     def may_win(self, found: OwnerRecord) -> bool:
-        """Return whether a record shows that a write of ours was done.
-
-        Its answer may have been lost, or come after we gave up.
-        """
+        """Return whether a record shows that a write of ours was done."""
         is_open = self.state in (OwnerState.CANDIDATE, OwnerState.FOLLOWER)
         return is_open and self.is_ours(found) and found.epoch > self.epoch
 
@@ -220,10 +201,7 @@
             return [access.send(access.pending, now)]
         if not self.succession.is_lost(self.record, self.members, now):
             return self.lose()
-        is_released = self.record.is_released
-        waits_until = self.stands_since + self.settings.release_wait_s
-        is_parting = self.succession.is_leaving(self.record)
-        if is_parting and not is_released and now < waits_until:
+        if self.succession.awaits_release(self.record, now):
             access.next_at = now + RELEASE_POLL_S
             return []
         epoch = Epoch(self.epoch + 1)
@@ -233,7 +211,7 @@
     def lose(self) -> Actions:
         """Give up as a candidate: another was faster, or no need."""
         self.access.drop()
-        self.lost_since = INFINITY
+        self.succession.reset()
         self.fire('write_lost')
         return []
 
@@ -259,11 +237,9 @@
 
     def win(self, record: OwnerRecord, began_at: float, now: float) -> Actions:
         """Start to wait with the epoch that the record now holds."""
-        # The next epoch can only have been written over the release.
-        was_released = (
-            self.record.is_released and record.epoch == self.epoch + 1
-        )
-        self.takeover = Takeover(now, was_released, self.owner)
+        # Only the next epoch was surely written over the known record.
+        is_next = record.epoch == self.epoch + 1
+        self.takeover = Takeover(now, self.record if is_next else NO_OWNER)
         self.fire('written')
         self.access.drop()
         actions = self.obey(record)
@@ -273,23 +249,29 @@
 
     def wait(self, now: float) -> Actions:
         """Become the owner once no earlier one can act, or ask again."""
-        is_reported = self.takeover.is_reported(
-            self.members,
-            self.membership.alive(now),
-            now,
-            self.settings.report_wait_s,
-        )
-        stopped_at = self.takeover.stopped_at(
-            self.members, self.settings.lapse_s
-        )
-        if is_reported and stopped_at < now <= self.act_until():
-            return self.become_owner(stopped_at, now)
-        if is_reported or now < self.next_request_at:
+        if self.is_ready(now):
+            return self.become_owner(now)
+        if self.is_reported(now) or now < self.next_request_at:
             return []
         self.next_request_at = now + self.settings.report_interval_s
         return [SendReportRequest(self.cell, self.epoch)]
 
-    def become_owner(self, stopped_at: float, now: float) -> Actions:
+    def is_ready(self, now: float) -> bool:
+        """Return whether no earlier owner can act and we can."""
+        is_due = self.stopped_at() < now <= self.act_until()
+        return is_due and self.is_reported(now)
+
+    def is_reported(self, now: float) -> bool:
+        """Return whether enough reports of our epoch are here."""
+        alive = self.membership.alive(now)
+        wait_s = self.settings.report_wait_s
+        return self.takeover.is_reported(self.members, alive, now, wait_s)
+
+    def stopped_at(self) -> float:
+        """Return the latest time at which an earlier owner can act."""
+        return self.takeover.stopped_at(self.members, self.settings.lapse_s)
+
+    def become_owner(self, now: float) -> Actions:
         """Act from now on."""
         self.fire('ready')
         entries = {*self.members, *self.membership.peers, self.me}
@@ -301,15 +283,18 @@
         }
         # What was granted before then may still be started as long as
         # ``may_start`` allows.
-        last_begin_at = stopped_at + self.settings.lapse_s
+        last_begin_at = self.stopped_at() + self.settings.lapse_s
+        unreported = self.takeover.unreported(entries, young)
+        until = last_begin_at + self.longest_run_s
+        self.quarantine_until = until if unreported else NEVER
         return [
             BecomeOwner(
                 self.cell,
                 self.epoch,
                 dict(self.takeover.reports),
-                self.takeover.unreported(entries, young),
+                unreported,
                 last_begin_at,
-                last_begin_at + self.longest_run_s,
+                until,
             )
         ]
 
@@ -326,11 +311,17 @@
             )
         return [*actions, SendReport(self.cell, request.epoch, sender)]
 
-    def on_report(self, sender: EntryId, report: Report, now: float) -> None:
+    def on_report(
+        self,
+        sender: EntryId,
+        incarnation: Incarnation,
+        report: Report,
+        now: float,
+    ) -> None:
         """Take a report, this node's own included."""
         is_waiting = self.state is OwnerState.WAITING
         if is_waiting and report.epoch == self.epoch:
-            self.takeover.add(sender, report, now)
+            self.takeover.add(sender, incarnation, report, now)
 
     def on_heartbeat(
         self, peer: EntryId, heartbeat: Heartbeat, echoed_at: float, now: float
@@ -360,7 +351,11 @@
         if not was_owner:
             return []
         released = OwnerRecord(
-            self.me, self.incarnation, self.epoch, is_released=True
+            self.me,
+            self.incarnation,
+            self.epoch,
+            is_released=True,
+            is_whole=now >= self.quarantine_until,
         )
         return [
             StepDown(self.cell, self.epoch),
@@ -376,7 +371,7 @@
                 actions.append(StepDown(self.cell, self.epoch))
             self.fire('deposed')
         self.evidence.reset()
-        self.lost_since = self.newer_since = INFINITY
+        self.newer_since = INFINITY
         self.succession.reset()
         self.record = record
         follow = FollowOwner(
--- a/src/primroseledge/plan.py
+++ b/src/primroseledge/plan.py
@@ -15,15 +15,17 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from primroseledge.chart import load_chart
 from primroseledge.documents import Instance
 from primroseledge.documents import Service
+from primroseledge.documents import WaveMode
+from primroseledge.documents import WaveOrder
+from primroseledge.errors import ChartError
 from primroseledge.errors import OperatorError
 from primroseledge.explain import Explanation
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
 from primroseledge.ids import Revision
-from primroseledge.statechart import load_chart
-from primroseledge.statechart import TransitionError
 
 PLANS_PREFIX: Final = 'plans/'
 
@@ -91,7 +93,9 @@
     """A maintenance wave over one pool.
 
     ``width`` is how many may be in flight; it doubles after as many
-    successes. ``attempted`` and ``failed`` count reboots.
+    successes, up to ``max_width`` if that is not 0. ``attempted`` and
+    ``failed`` count reboots. ``order_revision`` is that of the
+    operators' order as last followed.
     ``started_at`` is wall-clock time; nothing is timed by it.
     """
 
@@ -106,6 +110,8 @@
     excused: int = 0
     detail: str = ''
     started_at: float = 0.0
+    max_width: int = 0
+    order_revision: int = 0
 
 
 class Plan(Struct, frozen=True):
@@ -132,6 +138,8 @@
 
     ``running`` counts requests as the dispatchers know them, those of
     unknown end included, all of them at ``revision`` or later.
+    ``tasks`` may be checkpointed and go on elsewhere; a job that may
+    not, since it isn't idempotent, counts in ``running``.
     """
 
     instance: Instance
@@ -205,6 +213,14 @@
     pool: PoolId
 
 
+@dataclass(frozen=True, slots=True)
+class HeldOrder:
+    """An operators' order of a wave, with its revision in the store."""
+
+    order: WaveOrder
+    revision: Revision
+
+
 @dataclass(frozen=True, slots=True)
 class PoolInput:
     """What a controller is given for one step.
@@ -216,6 +232,7 @@
     view: PoolView
     shards: Mapping[InstanceId, str]
     moves: Sequence[MoveRequest] = ()
+    orders: Sequence[HeldOrder] = ()
 
 
 @dataclass(slots=True)
@@ -232,14 +249,14 @@
 
 
 def move_step(step: Step, trigger: str) -> Step:
-    """Return the step after a trigger; raise TransitionError."""
-    state = load_chart('maintenance').next(step.state.value, trigger)
+    """Return the step after a trigger; raise ChartError."""
+    state = load_chart('maintenance').advance(step.state.value, trigger)
     return replace(step, state=StepState(state))
 
 
 def move_wave(wave: Wave, trigger: str, detail: str = '') -> Wave:
-    """Return the wave after a trigger; raise TransitionError."""
-    state = load_chart('wave').next(wave.state.value, trigger)
+    """Return the wave after a trigger; raise ChartError."""
+    state = load_chart('wave').advance(wave.state.value, trigger)
     return replace(wave, state=WaveState(state), detail=detail)
 
 
@@ -253,8 +270,10 @@
         raise OperatorError(f'{trigger!r} is not a command for waves')
     try:
         moved = move_wave(wave, trigger, 'by operator')
-    except TransitionError as error:
-        raise OperatorError(str(error)) from error
+    except ChartError as error:
+        raise OperatorError(
+            f'{trigger} is not possible when {wave.state.value}'
+        ) from error
     if trigger == 'resume':
         return replace(moved, width=1, succeeded=0, excused=wave.failed)
     if trigger == 'roll_back':
@@ -285,3 +304,45 @@
         if step.state in IN_FLIGHT or step.state is StepState.FAILED
     }
     return Plan(wave, steps)
+
+
+TRIGGERS: Final = {
+    WaveMode.HALT: 'halt',
+    WaveMode.RUN: 'resume',
+    WaveMode.ROLLBACK: 'roll_back',
+}
+
+
+def follow_order(plan: Plan, held: HeldOrder) -> Plan:
+    """Return the plan after an order, each revision of it once.
+
+    An order for an older or another wave waits until the open one has
+    ended. A mode that the wave is in already changes nothing.
+    """
+    order, wave = held.order, plan.wave
+    if wave is None or wave.id != order.id:
+        is_open = wave is not None and wave.state not in ENDED
+        is_old = wave is not None and wave.order_revision >= held.revision
+        if is_open or is_old or order.mode is not WaveMode.RUN:
+            return plan
+        return start_wave(plan, _ordered_wave(held))
+    if wave.order_revision >= held.revision:
+        return plan
+    trigger = TRIGGERS[order.mode]
+    followed = replace(wave, order_revision=held.revision)
+    try:
+        followed = command(followed, trigger)
+    except OperatorError:
+        followed = replace(followed, max_width=order.width)
+    return replace(plan, wave=followed)
+
+
+def _ordered_wave(held: HeldOrder) -> Wave:
+    order = held.order
+    return Wave(
+        order.id,
+        order.image,
+        order.previous_image,
+        max_width=order.width,
+        order_revision=held.revision,
+    )
--- a/tests/test_cli_wave.py
+++ b/tests/test_cli_wave.py
@@ -74,8 +74,11 @@
             self.assertIs(wave.state, WaveState.PLANNED)
 
     def test_start_of_one_pool_leaves_others(self) -> None:
-        self.start('--pool', 'copper')
+        self.start('--pool', 'copper', '--width', '3')
         self.assertIsNone(self.plan('spare').wave)
+        wave = self.plan().wave
+        assert wave is not None
+        self.assertEqual(wave.max_width, 3)
         result = self.fleet.run('wave', 'start', 'w2', *IMAGES, '--pool', 'x')
         self.assertEqual(result.exit_code, 1)
         self.assertIn("there is no pool 'x'", result.stderr)
