--- a/src/primroseledge/chart.py
+++ b/src/primroseledge/chart.py
@@ -7,6 +7,8 @@
 
 from functools import cache
 from importlib import resources
+from logging import getLogger
+from logging import WARNING
 
 from msgspec import json
 from msgspec import Struct
@@ -15,6 +17,9 @@
 
 from primroseledge.errors import ChartError
 
+# The library logs each transition at level INFO.
+getLogger('transitions').setLevel(WARNING)
+
 
 class ChartState(Struct, frozen=True, forbid_unknown_fields=True):
     """A state and what it means."""
--- a/src/primroseledge/cli_wave.py
+++ b/src/primroseledge/cli_wave.py
@@ -52,6 +52,7 @@
 @option('--image', required=True, help='What instances boot into.')
 @option('--previous-image', required=True, help='What a rollback boots.')
 @option('--pool', 'pool_id', default='', help='One pool; else all.')
+@option('--width', type=int, default=0, help='Most in flight in a pool.')
 @operator_command
 def start(
     console: Console,
@@ -59,12 +60,14 @@
     image: str,
     previous_image: str,
     pool_id: str,
+    width: int,
 ) -> None:
     """Start a wave; availability budgets hold throughout."""
     planned = Wave(
         id=wave_id,
         image=image,
         previous_image=previous_image,
+        max_width=width,
         started_at=console.connections.wall_clock(),
     )
     with console.open_store() as store:
--- a/src/primroseledge/entry.py
+++ b/src/primroseledge/entry.py
@@ -31,6 +31,7 @@
 from primroseledge.ids import GrantId
 from primroseledge.ids import Incarnation
 from primroseledge.ids import InstanceId
+from primroseledge.ids import KeyId
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
@@ -66,6 +67,7 @@
     is_urgent: bool
     deadline: float
     issued_at: float = 0.0
+    key_id: KeyId = KeyId('')
 
 
 @dataclass(slots=True)
@@ -208,6 +210,16 @@
         self.renew(call, grant.grant_id, now + STALE_GRANT_PAUSE_S)
         return actions
 
+    def deny(self, grant: Grant, now: float) -> list[EntryAction]:
+        """Give a grant back and refuse its call: its key was withdrawn."""
+        actions: list[EntryAction] = [
+            self.finish(grant, AttemptEnd.TOO_LATE, now)
+        ]
+        call = self.calls.get(grant.ask_id)
+        if call is None or call.grant is not None:
+            return actions
+        return actions + self.close(call, Reason.BAD_KEY, is_checked=True)
+
     def refused(self, refuse: Refuse, now: float) -> list[EntryAction]:
         """Pass the owner's refusal on to the caller."""
         call = self.calls.get(refuse.ask_id)
--- a/src/primroseledge/handlers.py
+++ b/src/primroseledge/handlers.py
@@ -190,6 +190,8 @@
     may_start = ownership.may_start(message.epoch, now)
     if not may_start or not node.is_fresh(now):
         return [node.entry.finish(message, AttemptEnd.TOO_LATE, now)]
+    if not node.may_use_key(message.ask_id):
+        return [*node.entry.deny(message, now)]
     return [*node.entry.granted(message, now)]
 
 
--- a/src/primroseledge/keyring.py
+++ b/src/primroseledge/keyring.py
@@ -38,6 +38,13 @@
             return None
         return team if is_key_valid(record, presented.secret) else None
 
+    def is_in_force(self, team: TeamId, key_id: KeyId) -> bool:
+        """Tell whether a team's key, checked before, still stands."""
+        if self.revision != self.configuration.revision:
+            self.rebuild()
+        found = self.records.get(key_id)
+        return found is not None and found[0] == team
+
     def rebuild(self) -> None:
         """Index the keys of the configuration as it stands."""
         self.records = {
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -31,12 +31,14 @@
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Incarnation
+from primroseledge.ids import KeyId
 from primroseledge.ids import RequestId
 from primroseledge.ids import Revision
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
 from primroseledge.ids import ZoneId
 from primroseledge.keyring import Keyring
+from primroseledge.keys import parse_key
 from primroseledge.membership import create_membership
 from primroseledge.membership import Membership
 from primroseledge.membership import Timing
@@ -144,6 +146,7 @@
             is_urgent=head.is_urgent,
             deadline=now + head.timeout_s,
             issued_at=head.issued_at,
+            key_id=key_id_of(head.key),
         )
 
     def team_of(self, head: RequestHead, service: Service) -> TeamId | Reason:
@@ -156,6 +159,14 @@
             return TeamId(service.team) if service.open else Reason.NO_KEY
         return self.keyring.find_team(head.key) or Reason.BAD_KEY
 
+    def may_use_key(self, ask_id: str) -> bool:
+        """Tell whether the key of a waiting call was not withdrawn."""
+        call = self.entry.calls.get(ask_id)
+        if call is None or not call.arrival.key_id:
+            return True
+        arrival = call.arrival
+        return self.keyring.is_in_force(arrival.team, arrival.key_id)
+
     def is_fresh(self, now: float) -> bool:
         """Tell whether the configuration here is new enough to act on."""
         return self.freshness.is_fresh(self.configuration.members, now)
@@ -426,6 +437,12 @@
 MESSAGE_HANDLERS: dict[type[Message], MessageHandler] = {}
 
 
+def key_id_of(text: str | None) -> KeyId:
+    """Return the id in a key's text, empty without a key."""
+    presented = None if text is None else parse_key(text)
+    return KeyId('') if presented is None else presented.id
+
+
 def create_node(
     entry_id: EntryId,
     incarnation: Incarnation,
--- a/src/primroseledge/plan.py
+++ b/src/primroseledge/plan.py
@@ -91,7 +91,8 @@
     """A maintenance wave over one pool.
 
     ``width`` is how many may be in flight; it doubles after as many
-    successes. ``attempted`` and ``failed`` count reboots.
+    successes, up to ``max_width`` if that is not 0. ``attempted`` and
+    ``failed`` count reboots.
     ``started_at`` is wall-clock time; nothing is timed by it.
     """
 
@@ -106,6 +107,7 @@
     excused: int = 0
     detail: str = ''
     started_at: float = 0.0
+    max_width: int = 0
 
 
 class Plan(Struct, frozen=True):
--- a/src/primroseledge/wave.py
+++ b/src/primroseledge/wave.py
@@ -76,7 +76,7 @@
     attempted = wave.attempted + 1
     if succeeded < wave.width:
         return replace(wave, succeeded=succeeded, attempted=attempted)
-    width = min(wave.width * 2, MAX_WIDTH)
+    width = min(wave.width * 2, wave.max_width or MAX_WIDTH)
     return replace(wave, succeeded=0, attempted=attempted, width=width)
 
 
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -19,6 +19,7 @@
 from msgspec import to_builtins
 
 from primroseledge.ids import InstanceId
+from primroseledge.ids import JobId
 from primroseledge.platform import PlatformOutcomeUnknownError
 from primroseledge.platform import PlatformUnavailableError
 from primroseledge.platform import TaskSpec
@@ -28,15 +29,16 @@
 from standins.httpapp import serve_until_stopped
 from standins.platform import Machine
 from standins.platform import PlatformCore
+from standins.platform import Program
 
 ResultT = TypeVar('ResultT')
 
 
-class PlatformServer:
+class PlatformService:
     """Answers calls one after the other, each at the present time."""
 
-    def __init__(self, boot_s: float, lag_s: float) -> None:
-        self.core = PlatformCore(boot_s=boot_s, lag_s=lag_s, now=monotonic())
+    def __init__(self, core: PlatformCore) -> None:
+        self.core = core
         self.delay_s = 0.0
         self.reboots: list[dict[str, Any]] = []
         self.lock = Lock()
@@ -66,6 +68,7 @@
             ('POST', '/stop'): self.command(core.stop),
             ('POST', '/register'): self.register,
             ('POST', '/faults'): self.set_faults,
+            ('POST', '/programs'): self.add_program,
         }
         return JsonApplication(routes)
 
@@ -116,6 +119,13 @@
             self.core.lag_s = lag_s
         return {}
 
+    def add_program(self, fields: dict[str, Any]) -> dict[str, Any]:
+        """Say what a job really does."""
+        program = convert(fields['program'], Program)
+        with self.lock:
+            self.core.programs[JobId(fields['job'])] = program
+        return {}
+
     def set_faults(self, fields: dict[str, Any]) -> dict[str, Any]:
         """Set faults; those not named stay.
 
@@ -141,9 +151,10 @@
     The arguments are the seconds of a boot and of the list's lag.
     """
     boot_s, lag_s = (float(text) for text in arguments or ('30', '2'))
+    core = PlatformCore(boot_s=boot_s, lag_s=lag_s, now=monotonic())
     with ExitStack() as resources:
         serve_until_stopped(
-            PlatformServer(boot_s, lag_s).routes(),
+            PlatformService(core).routes(),
             lambda port: print(json.encode({'port': port}).decode()),
             resources,
         )
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,158 @@
+"""A single node: keys, freshness and a key withdrawn in the queue."""
+
+import unittest
+
+from primroseledge.actions import Action
+from primroseledge.actions import RefuseCall
+from primroseledge.actions import SendToEntry
+from primroseledge.actions import StartAttempt
+from primroseledge.documents import document_key
+from primroseledge.documents import encode_document
+from primroseledge.documents import Members
+from primroseledge.documents import Service
+from primroseledge.documents import Team
+import primroseledge.handlers  # noqa: F401  its handlers register
+from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
+from primroseledge.ids import GrantId
+from primroseledge.ids import Incarnation
+from primroseledge.ids import InstanceId
+from primroseledge.ids import RequestId
+from primroseledge.ids import Revision
+from primroseledge.ids import ServiceId
+from primroseledge.ids import ZoneId
+from primroseledge.keys import generate_key
+from primroseledge.membership import Timing
+from primroseledge.messages import AnyMessage
+from primroseledge.messages import Ask
+from primroseledge.messages import ConfigChange
+from primroseledge.messages import ConfigDelta
+from primroseledge.messages import Echo
+from primroseledge.messages import Envelope
+from primroseledge.messages import Grant
+from primroseledge.messages import Heartbeat
+from primroseledge.messages import PROTOCOL_VERSION
+from primroseledge.messages import Report
+from primroseledge.messages import ReportRequest
+from primroseledge.node import create_node
+from primroseledge.node import RequestHead
+from primroseledge.outcomes import Reason
+from primroseledge.ownershipactions import ReadRecord
+
+ME = EntryId('a')
+OWNER = EntryId('b')
+CELL = Service('s', 't', 'p').cell
+FRESHNESS_S = 2.0
+RUN = Incarnation(1)
+
+
+class NodeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.key, record = generate_key()
+        self.documents = [
+            ('members', Members('all', (ME, OWNER))),
+            ('service', Service('s', 't', 'p')),
+            ('team', Team('t', 1, 5, keys=(record,))),
+        ]
+        zones = {ME: ZoneId('z'), OWNER: ZoneId('z')}
+        self.node = create_node(
+            ME, RUN, ZoneId('z'), zones, Timing(), FRESHNESS_S, 0.1, 0.0
+        )
+        self.read(Revision(1), 0.0)
+
+    def read(self, revision: Revision, now: float) -> list[Action]:
+        changes = tuple(
+            ConfigChange(
+                document_key(kind, document.id),
+                encode_document(document),
+                revision,
+            )
+            for kind, document in self.documents
+        )
+        delta = ConfigDelta(Revision(0), revision, changes, is_whole=True)
+        return self.node.config_read(delta, revision, now, now)
+
+    def request(self, now: float, key: str | None) -> list[Action]:
+        head = RequestHead(
+            1, ServiceId('s'), key, RequestId('r'), True, False, 30.0
+        )
+        return self.node.request(head, now)
+
+    def follow_owner(self, now: float) -> None:
+        steps = self.node.tick(now)
+        self.assertIn(ReadRecord(CELL), steps)
+        self.node.record_read(CELL, None, now, now)
+        request = ReportRequest(CELL, Epoch(1))
+        report = self.receive(request, now)
+        self.assertEqual(
+            [SendToEntry(OWNER, Report(CELL, Epoch(1), ()))], report
+        )
+        self.receive(self.heartbeat_of_owner(now), now)
+
+    def heartbeat_of_owner(self, now: float) -> Heartbeat:
+        beat = self.node.membership.heartbeat(
+            now, Revision(1), -1.0, {CELL: Epoch(1)}, True
+        )
+        return Heartbeat(
+            revision=beat.revision,
+            store_read_age_s=-1.0,
+            epochs=beat.epochs,
+            sent_at=now,
+            echoes={ME: Echo(RUN, now)},
+        )
+
+    def receive(self, message: AnyMessage, now: float) -> list[Action]:
+        envelope = Envelope(PROTOCOL_VERSION, OWNER, RUN, message)
+        return self.node.received(envelope, now)
+
+    def asked(self, actions: list[Action]) -> Ask:
+        (action,) = actions
+        assert isinstance(action, SendToEntry)
+        assert isinstance(action.message, Ask)
+        return action.message
+
+    def grant(self, ask: Ask, now: float) -> list[Action]:
+        grant = Grant(
+            cell=CELL,
+            epoch=Epoch(1),
+            ask_id=ask.ask_id,
+            grant_id=GrantId('g'),
+            upstream=InstanceId('u'),
+            address='127.0.0.1:1',
+            run_limit_s=1.0,
+            echo=now,
+        )
+        return self.receive(grant, now)
+
+    def test_request_without_a_key_is_refused(self) -> None:
+        self.assertEqual(
+            [RefuseCall(1, Reason.NO_KEY)], self.request(0.1, None)
+        )
+
+    def test_request_with_another_key_is_refused(self) -> None:
+        other, _ = generate_key()
+        self.assertEqual(
+            [RefuseCall(1, Reason.BAD_KEY)], self.request(0.1, other)
+        )
+
+    def test_node_that_read_nothing_for_long_refuses(self) -> None:
+        late = FRESHNESS_S + 0.1
+        self.assertEqual(
+            [RefuseCall(1, Reason.NOT_FRESH)], self.request(late, self.key)
+        )
+
+    def test_grant_starts_the_attempt(self) -> None:
+        self.follow_owner(0.1)
+        ask = self.asked(self.request(0.2, self.key))
+        (start,) = self.grant(ask, 0.3)
+        self.assertIsInstance(start, StartAttempt)
+
+    def test_key_withdrawn_in_the_queue_is_refused_at_the_grant(self) -> None:
+        self.follow_owner(0.1)
+        ask = self.asked(self.request(0.2, self.key))
+        self.documents[-1] = ('team', Team('t', 1, 5))
+        self.read(Revision(2), 0.25)
+        actions = self.grant(ask, 0.3)
+        refusals = [a for a in actions if isinstance(a, RefuseCall)]
+        self.assertEqual([Reason.BAD_KEY], [r.reason for r in refusals])
+        self.assertFalse([a for a in actions if isinstance(a, StartAttempt)])
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -129,6 +129,12 @@
         self.assertEqual(4, allowed_failures(100, 0.02, True))
         self.assertEqual(1, allowed_failures(3, 0.02, True))
 
+    def test_width_stays_under_its_bound(self) -> None:
+        wave = Wave('w', 'new', 'old', WaveState.WIDENING, 2, max_width=3)
+        for _ in range(8):
+            wave = count_success(wave)
+        self.assertEqual(3, wave.width)
+
     def test_width_doubles_after_as_many_successes(self) -> None:
         wave = Wave('w', 'n', 'o')
         widths = []
