Share recurring names of instances, take the settings of ids, split the node

Change: names are interned, the two settings go to the dispatcher and the history, checks of requests are a module of their own.

--- a/src/primroseledge/daemon.py
+++ b/src/primroseledge/daemon.py
@@ -30,6 +30,7 @@
 from primroseledge.metrics import create_metrics
 from primroseledge.metrics import Metrics
 from primroseledge.node import create_node
+from primroseledge.node import IdMemory
 from primroseledge.node import Node
 from primroseledge.pages import Pages
 from primroseledge.peerlink import open_link
@@ -168,6 +169,7 @@
         settings.freshness_s,
         settings.retry_budget,
         monotonic(),
+        IdMemory(settings.id_window_s, settings.id_clock_skew_s),
     )
 
 
--- a/src/primroseledge/documents.py
+++ b/src/primroseledge/documents.py
@@ -4,6 +4,7 @@
 Its key gives kind and id: ``config/team/sales``.
 """
 
+from sys import intern
 from typing import Annotated
 from typing import Final
 from typing import TypeVar
@@ -13,6 +14,7 @@
 from msgspec import json
 from msgspec import Meta
 from msgspec import Struct
+from msgspec import structs
 from msgspec import ValidationError
 
 from primroseledge.errors import DocumentError
@@ -222,9 +224,24 @@
             f'{key}: the document has id {getattr(document, "id", None)!r}'
         )
     check_document(key, document)
+    if isinstance(document, Placement):
+        share_names(document)
     return document
 
 
+def share_names(placement: Placement) -> None:
+    """Keep one copy of each name that many instances have in common.
+
+    Pools, availability zones and racks recur; at 31,000 instances
+    their copies would take several megabytes.
+    """
+    for instance in placement.instances.values():
+        for name in ('pool', 'zone', 'rack'):
+            structs.force_setattr(
+                instance, name, intern(getattr(instance, name))
+            )
+
+
 def check_document(key: str, document: Document) -> None:
     """Check what the types cannot say; raise DocumentError."""
     if isinstance(document, Placement):
--- a/src/primroseledge/handlers.py
+++ b/src/primroseledge/handlers.py
@@ -304,7 +304,11 @@
     node.dispatchers.pop(step.cell, None)
     if step.owner == node.entry_id:
         dispatcher = create_dispatcher(
-            step.cell, step.epoch, node.configuration
+            step.cell,
+            step.epoch,
+            node.configuration,
+            node.id_memory.window_s,
+            node.id_memory.clock_skew_s,
         )
         dispatcher.work.slots.leaving = node.policy.leaving
         dispatcher.heard(node.entry_id, now, now)
--- a/src/primroseledge/httprequest.py
+++ b/src/primroseledge/httprequest.py
@@ -13,8 +13,8 @@
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
-from primroseledge.node import RequestHead
 from primroseledge.outcomes import Reason
+from primroseledge.requestcheck import RequestHead
 from primroseledge.requestmemory import OWN_ID_PREFIX
 
 Environ = dict[str, Any]
--- a/src/primroseledge/httpserver.py
+++ b/src/primroseledge/httpserver.py
@@ -36,11 +36,11 @@
 from primroseledge.httprequest import read_body
 from primroseledge.httprequest import RequestLimits
 from primroseledge.ids import RequestId
-from primroseledge.node import RequestHead
 from primroseledge.outcomes import Outcome
 from primroseledge.outcomes import Reason
 from primroseledge.outcomes import told_outcome
 from primroseledge.outcomes import VERDICTS
+from primroseledge.requestcheck import RequestHead
 from primroseledge.requesttrace import RequestTrace
 from primroseledge.stricthttp import ReadDeadlines
 from primroseledge.stricthttp import rejections
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -19,11 +19,10 @@
 from primroseledge.actions import SendToEntry
 from primroseledge.actions import SendToOwner
 from primroseledge.attemptend import AttemptEnd
+from primroseledge.attempthistory import AttemptHistory
 from primroseledge.configuration import Configuration
 from primroseledge.constants import RUN_MARGIN_S
 from primroseledge.dispatcher import Dispatcher
-from primroseledge.documents import Service
-from primroseledge.entry import Arrival
 from primroseledge.entry import EntryCore
 from primroseledge.freshness import create_freshness
 from primroseledge.freshness import Freshness
@@ -31,14 +30,9 @@
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Incarnation
-from primroseledge.ids import KeyId
-from primroseledge.ids import RequestId
 from primroseledge.ids import Revision
-from primroseledge.ids import ServiceId
-from primroseledge.ids import TeamId
 from primroseledge.ids import ZoneId
 from primroseledge.keyring import Keyring
-from primroseledge.keys import parse_key
 from primroseledge.membership import create_membership
 from primroseledge.membership import Membership
 from primroseledge.membership import Timing
@@ -57,6 +51,8 @@
 from primroseledge.ownershipsettings import OwnershipSettings
 from primroseledge.policystate import Listing
 from primroseledge.policystate import PolicyState
+from primroseledge.requestcheck import check_request
+from primroseledge.requestcheck import RequestHead
 from primroseledge.retrybudget import RetryBudget
 from primroseledge.store import Record
 
@@ -64,21 +60,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RequestHead:
-    """What the loop sees of a request: everything but headers and body.
+class IdMemory:
+    """How ids of requests are remembered, in seconds.
 
-    ``key`` is the text of the caller's key, None without one;
-    ``timeout_s`` is how long the caller waits, in seconds.
+    ``clock_skew_s`` is how far a caller's clock may be ahead.
     """
 
-    handle: int
-    service: ServiceId
-    key: str | None
-    request_id: RequestId
-    is_idempotent: bool
-    is_urgent: bool
-    timeout_s: float
-    issued_at: float = 0.0
+    window_s: float = 600.0
+    clock_skew_s: float = 2.0
+
+
+DEFAULT_ID_MEMORY: Final = IdMemory()
 
 
 class Status(Struct, frozen=True):
@@ -110,6 +102,7 @@
     zone: ZoneId
     peer_zones: dict[EntryId, ZoneId]
     ownership_settings: OwnershipSettings
+    id_memory: IdMemory = DEFAULT_ID_MEMORY
     ownerships: dict[CellId, Ownership] = field(default_factory=dict)
     dispatchers: dict[CellId, Dispatcher] = field(default_factory=dict)
     handovers: dict[CellId, Handover] = field(default_factory=dict)
@@ -121,44 +114,13 @@
 
     def request(self, head: RequestHead, now: float) -> list[Action]:
         """Check a request and take it, or refuse it."""
-        checked = self.check(head, now)
+        if not self.is_fresh(now):
+            return [RefuseCall(head.handle, Reason.NOT_FRESH)]
+        checked = check_request(head, self.configuration, self.keyring, now)
         if isinstance(checked, Reason):
             return [RefuseCall(head.handle, checked)]
         return self.settle(self.entry.arrive(checked, now), now)
 
-    def check(self, head: RequestHead, now: float) -> Arrival | Reason:
-        """Return the checked request, or the reason against it."""
-        if not self.is_fresh(now):
-            return Reason.NOT_FRESH
-        service = self.configuration.services.get(head.service)
-        if service is None:
-            return Reason.NO_SERVICE
-        team = self.team_of(head, service)
-        if isinstance(team, Reason):
-            return team
-        return Arrival(
-            handle=head.handle,
-            request_id=head.request_id,
-            team=team,
-            service=head.service,
-            cell=CellId(service.cell),
-            is_idempotent=head.is_idempotent,
-            is_urgent=head.is_urgent,
-            deadline=now + head.timeout_s,
-            issued_at=head.issued_at,
-            key_id=key_id_of(head.key),
-        )
-
-    def team_of(self, head: RequestHead, service: Service) -> TeamId | Reason:
-        """Return the team for which a request works.
-
-        That is the team of its key. A request without a key works for
-        the service's own team when the service is open.
-        """
-        if head.key is None:
-            return TeamId(service.team) if service.open else Reason.NO_KEY
-        return self.keyring.find_team(head.key) or Reason.BAD_KEY
-
     def may_use_key(self, ask_id: str) -> bool:
         """Tell whether the key of a waiting call was not withdrawn."""
         call = self.entry.calls.get(ask_id)
@@ -437,12 +399,6 @@
 MESSAGE_HANDLERS: dict[type[Message], MessageHandler] = {}
 
 
-def key_id_of(text: str | None) -> KeyId:
-    """Return the id in a key's text, empty without a key."""
-    presented = None if text is None else parse_key(text)
-    return KeyId('') if presented is None else presented.id
-
-
 def create_node(
     entry_id: EntryId,
     incarnation: Incarnation,
@@ -452,6 +408,7 @@
     freshness_s: float,
     retry_ratio: float,
     now: float,
+    id_memory: IdMemory = DEFAULT_ID_MEMORY,
 ) -> Node:
     """Create the cores of one entry instance."""
     configuration = Configuration()
@@ -460,12 +417,19 @@
         incarnation=incarnation,
         configuration=configuration,
         keyring=Keyring(configuration),
-        entry=EntryCore(entry_id, incarnation, zone, RetryBudget(retry_ratio)),
+        entry=EntryCore(
+            entry_id,
+            incarnation,
+            zone,
+            RetryBudget(retry_ratio),
+            history=AttemptHistory(id_memory.window_s),
+        ),
         membership=create_membership(
             entry_id, incarnation, peer_zones, now, timing
         ),
         zone=zone,
         peer_zones=dict(peer_zones),
         ownership_settings=OwnershipSettings(freshness_s=freshness_s),
+        id_memory=id_memory,
         freshness=create_freshness(entry_id, now, freshness_s),
     )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -35,9 +35,9 @@
 from primroseledge.messages import Report
 from primroseledge.messages import ReportRequest
 from primroseledge.node import create_node
-from primroseledge.node import RequestHead
 from primroseledge.outcomes import Reason
 from primroseledge.ownershipactions import ReadRecord
+from primroseledge.requestcheck import RequestHead
 
 ME = EntryId('a')
 OWNER = EntryId('b')
