--- a/src/primroseledge/documents.py
+++ b/src/primroseledge/documents.py
@@ -244,6 +244,11 @@
 
 def check_document(key: str, document: Document) -> None:
     """Check what the types cannot say; raise DocumentError."""
+    if isinstance(document, Service) and document.cell != DEFAULT_CELL:
+        # Each cell's owner would count a team's limit by itself.
+        raise DocumentError(
+            f'{key}: cell {document.cell!r}: only {DEFAULT_CELL!r} is served'
+        )
     if isinstance(document, Placement):
         for name, instance in document.instances.items():
             if name != instance.id:
