Check the store's credentials in its stand-in, count refused input, time stops

Cause: operators' writes are authenticated by the store's user and password, but the stand-in took any; inputs refused by the HTTP server were counted and shown nowhere; event 105 told the uptime where its catalogue says the length of the shutdown.

--- a/src/primroseledge/daemon.py
+++ b/src/primroseledge/daemon.py
@@ -52,7 +52,6 @@
 
     Returns the process's exit code.
     """
-    began_at = monotonic()
     with ExitStack() as resources:
         metrics = create_metrics()
         loop = create_loop(settings, metrics, resources)
@@ -65,11 +64,9 @@
         start_controls(settings, loop, metrics, resources)
         start_servers(settings, loop, metrics, resources)
         left = run_loop(loop)
-    log(
-        Event.STOPPED,
-        seconds=round(monotonic() - began_at, 1),
-        left=left,
-    )
+        stopping_since = loop.stopping_since or monotonic()
+    took_s = round(monotonic() - stopping_since, 1)
+    log(Event.STOPPED, seconds=took_s, left=left)
     return 0 if loop.has_ended_well else EXIT_LOOP_FAILED
 
 
--- a/src/primroseledge/loop.py
+++ b/src/primroseledge/loop.py
@@ -39,6 +39,7 @@
 from primroseledge.ownershipactions import ReadRecord
 from primroseledge.ownershipactions import WriteRecord
 from primroseledge.peerlink import PeerLink
+from primroseledge.stricthttp import rejections
 
 TICK_S: Final = 0.1
 PUBLISH_S: Final = 0.5
@@ -87,6 +88,7 @@
         self.has_ended_well = True
         self.stop_requested_s: float | None = None
         self.stop_at: float | None = None
+        self.stopping_since: float | None = None
         self.status = b'{}'
         self.is_ready = False
         self.is_watcher = True
@@ -182,6 +184,7 @@
         if self.stop_requested_s is None or self.stop_at is not None:
             return
         self.stop_at = now + self.stop_requested_s
+        self.stopping_since = now
         running, queued = self.node.entry.count_calls()
         log(Event.STOPPING, running=running, queued=queued)
         self.perform(self.node.leave(now))
@@ -205,6 +208,7 @@
             Direction.RECEIVED, received - received_before
         )
         self.counted_bytes = (sent, received)
+        self.metrics.input_rejected(rejections)
 
     def note_freshness(self, is_fresh: bool, now: float) -> None:
         """Log when the view stops or begins to be fresh."""
--- a/src/primroseledge/metrics.py
+++ b/src/primroseledge/metrics.py
@@ -5,6 +5,7 @@
 holds an id of a request, a key or a caller.
 """
 
+from collections.abc import Mapping
 from enum import Enum
 from threading import Lock
 from typing import Final
@@ -52,6 +53,9 @@
         self.refusals = self.counter(
             'refusals_total', 'Requests refused, by reason.'
         )
+        self.rejected = self.gauge(
+            'inputs_rejected', 'Inputs refused unread, by cause.'
+        )
         self.queue_wait = self.histogram(
             'queue_wait_seconds', 'Time in a queue.', WAIT_BUCKETS_S
         )
@@ -112,6 +116,12 @@
         with self.lock:
             self.refusals.inc({'reason': reason.value})
 
+    def input_rejected(self, totals: Mapping[str, int]) -> None:
+        """Record how many inputs were refused unread, by cause."""
+        with self.lock:
+            for cause, total in list(totals.items()):
+                self.rejected.set({'cause': cause}, total)
+
     def queue_left(self, service: ServiceId, wait_s: float) -> None:
         """Record how long a request was queued."""
         with self.lock:
--- a/src/primroseledge/storeclient.py
+++ b/src/primroseledge/storeclient.py
@@ -153,6 +153,8 @@
             raise lost_answer(is_get, f'{operation}: {error}') from error
         if response.status == 409:
             raise ConflictError(data.decode(errors='replace'))
+        if response.status in (401, 403):
+            raise StoreError(f'{operation}: the store refused the credentials')
         if response.status == 503:
             raise StoreUnavailableError(f'{operation}: the store is down')
         if response.status != 200:
--- a/standins/httpapp.py
+++ b/standins/httpapp.py
@@ -12,6 +12,7 @@
 
 from cheroot.wsgi import Server
 from msgspec import json
+from urllib3.util import make_headers
 
 Handler = Callable[[dict[str, Any]], dict[str, Any]]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -39,10 +40,31 @@
 
 
 class JsonApplication:
-    """Routes calls with JSON bodies or queries to handlers."""
+    """Routes calls with JSON bodies or queries to handlers.
 
-    def __init__(self, routes: dict[tuple[str, str], Handler]) -> None:
+    With ``credentials``, as ``USER:PASSWORD``, calls under ``/v1/``
+    without them are refused.
+    """
+
+    def __init__(
+        self,
+        routes: dict[tuple[str, str], Handler],
+        credentials: str = '',
+    ) -> None:
         self.routes = routes
+        self.authorization = (
+            make_headers(basic_auth=credentials)['authorization']
+            if credentials
+            else ''
+        )
+
+    def is_allowed(self, environ: dict[str, Any]) -> bool:
+        """Tell whether a call has the credentials that it needs."""
+        if not self.authorization:
+            return True
+        if not environ['PATH_INFO'].startswith('/v1/'):
+            return True
+        return bool(environ.get('HTTP_AUTHORIZATION') == self.authorization)
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -51,7 +73,9 @@
         route = (environ['REQUEST_METHOD'], environ['PATH_INFO'])
         handler = self.routes.get(route)
         status = 200
-        if handler is None:
+        if not self.is_allowed(environ):
+            status, answer = 401, {'error': 'wrong credentials'}
+        elif handler is None:
             status, answer = 404, {'error': 'no such route'}
         else:
             try:
--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from itertools import count
+import sys
 from threading import Condition
 from time import monotonic
 from time import sleep
@@ -155,8 +156,8 @@
         self.core = KeyValueCore()
         self.changed = Condition()
 
-    def routes(self) -> JsonApplication:
-        """Return the service's routes."""
+    def routes(self, credentials: str = '') -> JsonApplication:
+        """Return the service's routes, for those with credentials."""
         return JsonApplication(
             {
                 ('GET', '/v1/kv'): self.guard(self.read),
@@ -166,7 +167,8 @@
                 ('POST', '/v1/keepalive'): self.guard(self.keepalive),
                 ('POST', '/faults'): self.set_faults,
                 ('GET', '/counts'): self.counts,
-            }
+            },
+            credentials,
         )
 
     def guard(self, operation: Any) -> Any:
@@ -275,10 +277,13 @@
     }
 
 
-def main() -> None:
-    """Serve on 127.0.0.1; print the port as one line of JSON."""
+def main(arguments: list[str]) -> None:
+    """Serve on 127.0.0.1; print the port as one line of JSON.
+
+    The argument, if any, is ``USER:PASSWORD`` that callers need.
+    """
     with ExitStack() as resources:
-        application = KeyValueService().routes()
+        application = KeyValueService().routes(*arguments[:1])
         serve_until_stopped(
             application,
             lambda port: print(json.encode({'port': port}).decode()),
@@ -287,4 +292,4 @@
 
 
 if __name__ == '__main__':
-    main()
+    main(sys.argv[1:])
