Share the HTTP calls of the store's and the platform's clients

Cause: both clients had the same code to try URLs in turn and to say what is known when a call fails. Change: one module for it; each client maps its errors. The watch waits 0.7 s instead of 0.5.

--- a/src/primroseledge/platformclient.py
+++ b/src/primroseledge/platformclient.py
@@ -1,7 +1,6 @@
 """The platform over HTTP: its list of instances and its task service."""
 
 from collections.abc import Sequence
-from contextlib import ExitStack
 from typing import Any
 from typing import TypeVar
 
@@ -9,14 +8,12 @@
 from msgspec import json
 from msgspec import Struct
 from msgspec import to_builtins
-from msgspec import ValidationError
-from urllib3.exceptions import ConnectTimeoutError
-from urllib3.exceptions import HTTPError
-from urllib3.exceptions import NewConnectionError
-from urllib3.poolmanager import PoolManager
-from urllib3.util import Timeout
 
 from primroseledge.ids import InstanceId
+from primroseledge.jsoncall import JsonCaller
+from primroseledge.jsoncall import LostAnswerError
+from primroseledge.jsoncall import NotReachedError
+from primroseledge.jsoncall import StatusError
 from primroseledge.platform import InstanceStatus
 from primroseledge.platform import PlatformError
 from primroseledge.platform import PlatformOutcomeUnknownError
@@ -52,21 +49,15 @@
 class HttpPlatform:
     """Calls the platform; one object is used by one thread.
 
-    It is an ``InstanceService`` and a ``TaskService``. The URLs are
-    tried in turn while none could be reached, so a change that may
-    have taken effect isn't sent to a second one.
+    It is an ``InstanceService`` and a ``TaskService``.
     """
 
     def __init__(self, urls: Sequence[str], timeout_s: float) -> None:
-        self.urls = tuple(url.rstrip('/') for url in urls)
-        self.timeout_s = timeout_s
-        self.resources = ExitStack()
-        self.pool = PoolManager(retries=False)
-        self.resources.callback(self.pool.clear)
+        self.caller = JsonCaller(urls, timeout_s)
 
     def close(self) -> None:
         """Close the connections."""
-        self.resources.close()
+        self.caller.close()
 
     # The instance service.
 
@@ -127,46 +118,16 @@
         answer_type: type[AnswerT],
     ) -> AnswerT:
         """Make one call and return its decoded answer."""
-        last = PlatformUnavailableError(f'{operation}: no URL is set')
-        for url in self.urls:
-            try:
-                return self.call_url(
-                    url, method, operation, fields, answer_type
-                )
-            except PlatformUnavailableError as error:
-                last = error
-        raise last
-
-    def call_url(
-        self,
-        url: str,
-        method: str,
-        operation: str,
-        fields: dict[str, Any],
-        answer_type: type[AnswerT],
-    ) -> AnswerT:
-        """Make one call to one URL."""
-        is_read = method == 'GET'
         try:
-            response = self.pool.request(
-                method,
-                f'{url}/{operation}',
-                body=None if is_read else json.encode(fields),
-                timeout=Timeout(connect=self.timeout_s, read=self.timeout_s),
-            )
-            data = response.data
-        except (NewConnectionError, ConnectTimeoutError) as error:
+            data = self.caller.call(method, operation, fields)
+            return json.decode(data, type=answer_type)
+        except NotReachedError as error:
             text = f'{operation}: {error}'
             raise PlatformUnavailableError(text) from error
-        except HTTPError as error:
-            raise lost_answer(is_read, f'{operation}: {error}') from error
-        if response.status == 503:
-            raise PlatformUnavailableError(f'{operation}: it is down')
-        if response.status != 200:
-            raise PlatformError(f'{operation}: status {response.status}')
-        try:
-            return json.decode(data, type=answer_type)
-        except (DecodeError, ValidationError) as error:
+        except StatusError as error:
+            raise PlatformError(f'{operation}: {error}') from error
+        except (LostAnswerError, DecodeError) as error:
+            is_read = method == 'GET'
             raise lost_answer(is_read, f'{operation}: {error}') from error
 
 
--- a/src/primroseledge/storeclient.py
+++ b/src/primroseledge/storeclient.py
@@ -1,19 +1,14 @@
 """The key-value service over HTTP, as a ``Store``."""
 
 from collections.abc import Sequence
-from contextlib import ExitStack
 from typing import Any
+from typing import Final
 from typing import TypeVar
 
 from msgspec import DecodeError
 from msgspec import json
 from msgspec import Struct
-from urllib3.exceptions import ConnectTimeoutError
-from urllib3.exceptions import HTTPError
-from urllib3.exceptions import NewConnectionError
-from urllib3.poolmanager import PoolManager
 from urllib3.util import make_headers
-from urllib3.util import Timeout
 
 from primroseledge.errors import ConflictError
 from primroseledge.errors import StoreError
@@ -21,9 +16,16 @@
 from primroseledge.errors import StoreUnavailableError
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
+from primroseledge.jsoncall import JsonCaller
+from primroseledge.jsoncall import LostAnswerError
+from primroseledge.jsoncall import NotReachedError
+from primroseledge.jsoncall import StatusError
 from primroseledge.store import Record
 from primroseledge.store import Snapshot
 
+CONFLICT: Final = 409
+NOT_ALLOWED: Final = (401, 403)
+
 
 class Found(Struct, frozen=True):
     """The answer to a read or a watch."""
@@ -57,17 +59,12 @@
     def __init__(
         self, urls: Sequence[str], timeout_s: float, credentials: str = ''
     ) -> None:
-        self.urls = tuple(url.rstrip('/') for url in urls)
-        self.timeout_s = timeout_s
-        self.calls = 0
-        self.resources = ExitStack()
         headers = make_headers(basic_auth=credentials) if credentials else None
-        self.pool = PoolManager(retries=False, headers=headers)
-        self.resources.callback(self.pool.clear)
+        self.caller = JsonCaller(urls, timeout_s, headers)
 
     def close(self) -> None:
         """Close the connections."""
-        self.resources.close()
+        self.caller.close()
 
     def read(self, prefix: str) -> Snapshot:
         """Return the records under a prefix."""
@@ -118,55 +115,26 @@
         wait_s: float = 0.0,
     ) -> bytes:
         """Make one call and return its answer."""
-        self.calls += 1
-        for url in self.urls:
-            try:
-                return self.call_url(url, method, operation, fields, wait_s)
-            except StoreUnavailableError as error:
-                last = error
-        raise last
-
-    def call_url(
-        self,
-        url: str,
-        method: str,
-        operation: str,
-        fields: dict[str, Any],
-        wait_s: float,
-    ) -> bytes:
-        """Make one call to one URL."""
-        is_get = method == 'GET'
         try:
-            response = self.pool.request(
-                method,
-                f'{url}/v1/{operation}',
-                fields=fields if is_get else None,
-                body=None if is_get else json.encode(fields),
-                timeout=Timeout(
-                    connect=self.timeout_s, read=self.timeout_s + wait_s
-                ),
-            )
-            data = response.data
-        except (NewConnectionError, ConnectTimeoutError) as error:
-            raise StoreUnavailableError(f'{operation}: {error}') from error
-        except HTTPError as error:
-            raise lost_answer(is_get, f'{operation}: {error}') from error
-        if response.status == 409:
-            raise ConflictError(data.decode(errors='replace'))
-        if response.status in (401, 403):
-            raise StoreError(f'{operation}: the store refused the credentials')
-        if response.status == 503:
-            raise StoreUnavailableError(f'{operation}: the store is down')
-        if response.status != 200:
-            raise StoreError(f'{operation}: status {response.status}')
-        return data
-
-
-def lost_answer(is_read: bool, text: str) -> StoreError:
-    """Return the error for a call whose answer did not come whole."""
-    if is_read:
-        return StoreUnavailableError(text)
-    return StoreOutcomeUnknownError(text)
+            return self.caller.call(method, f'v1/{operation}', fields, wait_s)
+        except NotReachedError as error:
+            text = f'{operation}: {error}'
+            raise StoreUnavailableError(text) from error
+        except LostAnswerError as error:
+            text = f'{operation}: {error}'
+            raise StoreOutcomeUnknownError(text) from error
+        except StatusError as error:
+            raise refusal(operation, error) from error
+
+
+def refusal(operation: str, error: StatusError) -> StoreError:
+    """Return the error for a call that the store refused."""
+    if error.status == CONFLICT:
+        return ConflictError(error.text)
+    if error.status in NOT_ALLOWED:
+        text = f'{operation}: the store refused the credentials'
+        return StoreError(text)
+    return StoreError(f'{operation}: {error}')
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
--- a/src/primroseledge/storethreads.py
+++ b/src/primroseledge/storethreads.py
@@ -29,7 +29,7 @@
 from primroseledge.store import Record
 from primroseledge.store import Store
 
-WATCH_WAIT_S: Final = 0.5
+WATCH_WAIT_S: Final = 0.7
 """How long one watch waits; a node's evidence is renewed as often."""
 
 RETRY_S: Final = 0.3
