Measure each team's distance from its share on the owner

Cause: of the four measures, nearness to share was defined as a metric and fed by nothing. Change: the owner's running work is compared with shares among the teams that run or wait, each half second.

--- a/src/primroseledge/dispatcher.py
+++ b/src/primroseledge/dispatcher.py
@@ -37,6 +37,7 @@
 from primroseledge.messages import Report
 from primroseledge.requestmemory import RequestMemory
 from primroseledge.runningwork import RunningWork
+from primroseledge.sharedistance import measure_distances
 from primroseledge.slots import Slots
 from primroseledge.upstreamhealth import UpstreamHealth
 
@@ -310,6 +311,20 @@
         self.work.ledger.by_ask[ask.ask_id] = message
         return SendToEntry(waiting.entry, message)
 
+    def share_distances(self) -> dict[TeamId, float]:
+        """Return how far each team's running work is from its share."""
+        waiting = {
+            team
+            for teams in self.admission.queue.services.values()
+            for team in teams
+        }
+        running = self.work.limits.running
+        distances = measure_distances(
+            running, waiting, self.configuration.teams
+        )
+        # A team whose work has ended must not keep its last value.
+        return dict.fromkeys(running, 0.0) | distances
+
     def heard(
         self, entry: EntryId, sent_at: float, now: float | None = None
     ) -> None:
--- a/src/primroseledge/loop.py
+++ b/src/primroseledge/loop.py
@@ -209,6 +209,11 @@
         )
         self.counted_bytes = (sent, received)
         self.metrics.input_rejected(rejections)
+        for cell in node.dispatchers:
+            dispatcher = node.acting_dispatcher(cell, now)
+            if dispatcher is not None:
+                distances = dispatcher.share_distances()
+                self.metrics.shares_measured(distances)
 
     def note_freshness(self, is_fresh: bool, now: float) -> None:
         """Log when the view stops or begins to be fresh."""
--- a/src/primroseledge/metrics.py
+++ b/src/primroseledge/metrics.py
@@ -170,10 +170,11 @@
         with self.lock:
             self.moves.inc({'pool': to_pool})
 
-    def share_measured(self, team: TeamId, distance: float) -> None:
-        """Record how far a team is from its share, 0 to 1."""
+    def shares_measured(self, distances: Mapping[TeamId, float]) -> None:
+        """Record how far each team is from its share, 0 to 1."""
         with self.lock:
-            self.share_distance.set({'team': team}, distance)
+            for team, distance in distances.items():
+                self.share_distance.set({'team': team}, distance)
 
     def page(self) -> bytes:
         """Return the text that a Prometheus server scrapes."""
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from primroseledge.errors import ConflictError
+from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
 from primroseledge.errors import StoreUnavailableError
 from primroseledge.ids import Revision
@@ -88,13 +89,13 @@
             self.others.pop(0)()
 
     def watch(self, prefix: str, after: Revision, wait_s: float) -> Snapshot:
-        raise NotImplementedError
+        raise StoreError('no test needs this call')
 
     def grant_lease(self, ttl_s: float) -> str:
-        raise NotImplementedError
+        raise StoreError('no test needs this call')
 
     def keep_alive(self, lease: str) -> None:
-        raise NotImplementedError
+        raise StoreError('no test needs this call')
 
     def close(self) -> None:
         """Nothing is open."""
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -29,7 +29,7 @@
         metrics.buffer_held(PoolId('spare'), 3)
         metrics.wave_ended(PoolId('copper'), 250.0)
         metrics.instance_moved(PoolId('copper'))
-        metrics.share_measured(TeamId('sales'), 0.25)
+        metrics.shares_measured({TeamId('sales'): 0.25})
         page = metrics.page().decode()
         for line in (
             'requests_total{outcome="ran",service="copper"} 2',
