Ask the time, not a due date, whether a leaving node has work left

Cause: whether peers are alive to take a released cell was judged by the time of the next heartbeat, a date in the future. Change: the loop's time is passed in.

--- a/src/primroseledge/loop.py
+++ b/src/primroseledge/loop.py
@@ -175,7 +175,7 @@
             self.publish_at = now + PUBLISH_S
             self.publish(now)
         if self.stop_at is not None and (
-            not self.node.has_work() or now >= self.stop_at
+            not self.node.has_work(now) or now >= self.stop_at
         ):
             self.is_running = False
 
--- a/src/primroseledge/node.py
+++ b/src/primroseledge/node.py
@@ -339,7 +339,7 @@
             for peer in self.membership.peers
         ]
 
-    def has_work(self) -> bool:
+    def has_work(self, now: float) -> bool:
         """Tell whether a graceful shutdown has something to wait for.
 
         That is a call in hand, or a cell that nobody else owns yet: the
@@ -347,15 +347,15 @@
         """
         return bool(self.entry.calls) or any(
             ownership.access.pending is not None
-            or self.is_handing_over(ownership)
+            or self.is_handing_over(ownership, now)
             for ownership in self.ownerships.values()
         )
 
-    def is_handing_over(self, ownership: Ownership) -> bool:
+    def is_handing_over(self, ownership: Ownership, now: float) -> bool:
         """Tell whether a released cell still waits for its next owner."""
         if ownership.cell not in self.handovers:
             return False
-        others = self.membership.alive(self.heartbeat_due)
+        others = self.membership.alive(now)
         return bool(others) and ownership.owner in ('', self.entry_id)
 
     def to_peers(self, message: AnyMessage) -> list[Action]:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -30,12 +30,14 @@
 from primroseledge.messages import Echo
 from primroseledge.messages import Envelope
 from primroseledge.messages import Grant
+from primroseledge.messages import Handover
 from primroseledge.messages import Heartbeat
 from primroseledge.messages import PROTOCOL_VERSION
 from primroseledge.messages import Report
 from primroseledge.messages import ReportRequest
 from primroseledge.node import create_node
 from primroseledge.outcomes import Reason
+from primroseledge.ownerrecord import OwnerRecord
 from primroseledge.ownershipactions import ReadRecord
 from primroseledge.requestcheck import RequestHead
 
@@ -156,3 +158,15 @@
         refusals = [a for a in actions if isinstance(a, RefuseCall)]
         self.assertEqual([Reason.BAD_KEY], [r.reason for r in refusals])
         self.assertFalse([a for a in actions if isinstance(a, StartAttempt)])
+
+    def test_leaving_owner_waits_for_the_next_one(self) -> None:
+        self.follow_owner(0.1)
+        self.assertFalse(self.node.has_work(0.1))
+        self.node.handovers[CELL] = Handover(Epoch(1), (), (), 0.0, 0.0)
+        ownership = self.node.ownerships[CELL]
+        self.assertFalse(self.node.has_work(0.1))
+        self.node.membership.is_leaving = True
+        ownership.record = OwnerRecord(ME, RUN, Epoch(1), is_released=True)
+        self.assertTrue(self.node.has_work(0.1))
+        # With nobody left to take the cell there is nothing to wait for.
+        self.assertFalse(self.node.has_work(100.0))
