--- a/src/primroseledge/membershipchanges.py
+++ b/src/primroseledge/membershipchanges.py
@@ -8,6 +8,7 @@
 from primroseledge.documents import Members
 from primroseledge.errors import OperatorError
 from primroseledge.fleet import Fleet
+from primroseledge.freshness import majority
 
 MEMBERS_ID = 'all'
 
@@ -35,9 +36,4 @@
 
 def do_majorities_meet(old: set[str], new: set[str]) -> bool:
     """Say whether each majority of one meets each of the other."""
-    return majority(old) + majority(new) > len(old | new)
-
-
-def majority(members: set[str]) -> int:
-    """Return how many members are a majority."""
-    return len(members) // 2 + 1
+    return majority(len(old)) + majority(len(new)) > len(old | new)
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -25,11 +25,11 @@
 from primroseledge.fleet import Fleet
 from primroseledge.fleet import read_fleet
 from primroseledge.fleet import shard_of
+from primroseledge.freshness import majority
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
 from primroseledge.keys import generate_key
 from primroseledge.membershipchanges import do_majorities_meet
-from primroseledge.membershipchanges import majority
 from primroseledge.membershipchanges import set_members
 from primroseledge.placementchanges import add_instance
 from primroseledge.placementchanges import move_instance
@@ -220,8 +220,8 @@
             for new in groups:
                 by_trial = all(
                     set(left) & set(right)
-                    for left in combinations(sorted(old), majority(old))
-                    for right in combinations(sorted(new), majority(new))
+                    for left in combinations(sorted(old), majority(len(old)))
+                    for right in combinations(sorted(new), majority(len(new)))
                 )
                 self.assertEqual(do_majorities_meet(old, new), by_trial)
 
