--- a/src/primroseledge/cli.py
+++ b/src/primroseledge/cli.py
@@ -1,6 +1,7 @@
 """The command line: ``primroseledge``."""
 
 from pathlib import Path
+import sys
 from typing import Final
 
 from click import argument
@@ -65,6 +66,18 @@
         get_current_context().exit(run(settings))
 
 
+@main.command('platform')
+def run_on_platform() -> None:
+    """Run an entry instance on the users' platform until SIGTERM."""
+    configure(sys.stdout)
+    with exit_on_error():
+        from primroseledge.platform.daemon import run
+        from primroseledge.platform.settings import load as load_platform
+        from primroseledge.platform.settings import settings_path
+
+        get_current_context().exit(run(load_platform(settings_path())))
+
+
 def load_logged(path: Path) -> Settings:
     """Load settings; a refusal is also logged."""
     try:
--- /dev/null
+++ b/src/primroseledge/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Entry instances together: the owner, its ledger, and peers' messages."""
--- /dev/null
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -0,0 +1,489 @@
+"""One entry instance: callers' requests, ownership and, as owner, jobs.
+
+Pure: events of threads and peers come in with a time, and steps for
+them go out. Only the loop calls it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+from typing import Any
+from typing import Final
+
+from primroseledge.cluster.fleetstore import Item
+from primroseledge.cluster.fleetstore import LeaseId
+from primroseledge.cluster.gateway import Gateway
+from primroseledge.cluster.gateway import PendingCall
+from primroseledge.cluster.keys import decode_member
+from primroseledge.cluster.keys import decode_owner
+from primroseledge.cluster.keys import MEMBER_PREFIX
+from primroseledge.cluster.keys import OWNER_KEY
+from primroseledge.cluster.messages import Ask
+from primroseledge.cluster.messages import CallerRequest
+from primroseledge.cluster.messages import CancelRequest
+from primroseledge.cluster.messages import Message
+from primroseledge.cluster.messages import News
+from primroseledge.cluster.messages import NewsQuery
+from primroseledge.cluster.messages import NotOwner
+from primroseledge.cluster.messages import PendingRequest
+from primroseledge.cluster.messages import StateRequest
+from primroseledge.cluster.messages import SubmitRequest
+from primroseledge.cluster.messages import Told
+from primroseledge.cluster.steps import AnswerCaller
+from primroseledge.cluster.steps import BatchStored
+from primroseledge.cluster.steps import ClaimLost
+from primroseledge.cluster.steps import ClaimOwner
+from primroseledge.cluster.steps import ClaimWon
+from primroseledge.cluster.steps import Deposed
+from primroseledge.cluster.steps import JobsRestored
+from primroseledge.cluster.steps import KeysSeen
+from primroseledge.cluster.steps import LeaseRenewed
+from primroseledge.cluster.steps import ListWorkers
+from primroseledge.cluster.steps import OwnerReleased
+from primroseledge.cluster.steps import ReleaseOwner
+from primroseledge.cluster.steps import ReplyToPeer
+from primroseledge.cluster.steps import RestoreJobs
+from primroseledge.cluster.steps import SendToPeer
+from primroseledge.cluster.steps import StoreBatch
+from primroseledge.cluster.steps import StoreSilent
+from primroseledge.cluster.steps import WorkersListed
+from primroseledge.cluster.tenure import Tenure
+from primroseledge.cluster.tenure import TenureState
+from primroseledge.errors import DocumentError
+from primroseledge.events import Event
+from primroseledge.ids import EntryId
+from primroseledge.jobs.actions import Action
+from primroseledge.jobs.actions import CallId
+from primroseledge.jobs.actions import CancelJob
+from primroseledge.jobs.actions import LookAnswered
+from primroseledge.jobs.actions import LookFailed
+from primroseledge.jobs.actions import OrderAnswered
+from primroseledge.jobs.actions import Reply
+from primroseledge.jobs.actions import SubmitJob
+from primroseledge.jobs.configuration import Configuration
+from primroseledge.jobs.engine import create_engine
+from primroseledge.jobs.engine import Engine
+from primroseledge.jobs.recovery import restore
+from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.logs import log
+
+LIST_WORKERS_S: Final = 1.0
+"""How old the list of workers may be at the owner."""
+
+GOSSIP_S: Final = 0.4
+"""How often peers are asked while the store does not answer us."""
+
+GOSSIP_PEERS: Final = 2
+
+LOOK_GRACE_S: Final = 6.0
+"""How long after its lease an owner without a store renews runs.
+
+A successor counts on this for workers that it cannot reach; those that
+it reaches refuse the older epoch.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Decoders:
+    """Decode what the platform's keys hold; each raises DocumentError."""
+
+    configuration_key: str
+    configuration: Callable[[bytes], Configuration]
+    worker: Callable[[Item, Configuration], WorkerEntry]
+
+
+Step = Any
+
+
+@dataclass(slots=True)
+class FleetNode:
+    """All state of one entry instance."""
+
+    entry: EntryId
+    address: str
+    decoders: Decoders
+    seeds: tuple[str, ...] = ()
+    wall_offset_s: float = 0.0
+    random: Random = field(default_factory=Random)
+    tenure: Tenure = field(default_factory=Tenure)
+    gateway: Gateway = field(default_factory=Gateway)
+    configuration: Configuration | None = None
+    configuration_bytes: bytes = b''
+    members: dict[EntryId, str] = field(default_factory=dict)
+    lease: LeaseId | None = None
+    engine: Engine | None = None
+    is_leaving: bool = False
+    is_store_silent: bool = False
+    listed_at: float = 0.0
+    is_listing: bool = False
+    gossiped_at: float = 0.0
+    steps: list[Step] = field(default_factory=list)
+    bad_entries: dict[str, int] = field(default_factory=dict)
+
+    # Callers
+
+    def call(
+        self, number: int, request: CallerRequest, deadline: float, now: float
+    ) -> None:
+        """Take a request of one of our callers."""
+        self.gateway.add(PendingCall(number, request, now, deadline))
+
+    def forward_calls(self, now: float) -> None:
+        """Send callers' requests to the owner, and end late ones."""
+        for number, answer in self.gateway.give_up(now):
+            self.steps.append(AnswerCaller(number, answer))
+        owner = self.tenure.owner
+        if not self.gateway.calls or owner is None:
+            return
+        if owner.entry == self.entry:
+            if self.tenure.is_acting(now):
+                self.serve_own_calls(now)
+            return
+        for call in self.gateway.calls_to_send(owner.epoch, now):
+            ask = Ask(call.number, call.request)
+            self.steps.append(SendToPeer(owner.address, ask))
+
+    def serve_own_calls(self, now: float) -> None:
+        """Take our own callers' requests as the owner."""
+        for call in self.gateway.calls_to_send(self.tenure.epoch, now):
+            call_id = CallId('', call.number)
+            self.serve(call_id, call.request, now)
+
+    def serve(self, call: CallId, request: CallerRequest, now: float) -> None:
+        """Decide about a caller's request as the owner."""
+        engine = self.engine
+        if engine is None:
+            return
+        if isinstance(request, SubmitRequest):
+            engine.submit(SubmitJob(call, request.job), now)
+        elif isinstance(request, CancelRequest):
+            engine.cancel(CancelJob(call, request.queue, request.job), now)
+        elif isinstance(request, StateRequest):
+            self.reply(Reply(call, engine.find_state(request.job)))
+        elif isinstance(request, PendingRequest):
+            self.reply(Reply(call, engine.count_pending(request.queue)))
+
+    def reply(self, reply: Reply) -> None:
+        """Give an answer to our own caller or to the peer that asked."""
+        number = reply.call.number
+        if reply.call.entry:
+            told = Told(number, reply.answer)
+            self.steps.append(ReplyToPeer(reply.call.entry, told))
+        elif self.gateway.finish(number):
+            self.steps.append(AnswerCaller(number, reply.answer))
+
+    # Peers
+
+    def take_message(self, sender: str, message: Message, now: float) -> None:
+        """Take a message of a peer."""
+        if isinstance(message, Ask):
+            if self.tenure.is_acting(now) and self.engine is not None:
+                call = CallId(sender, message.number)
+                self.serve(call, message.request, now)
+                return
+            not_owner = NotOwner(message.number, self.tenure.owner)
+            self.steps.append(ReplyToPeer(sender, not_owner))
+        elif isinstance(message, Told):
+            if self.gateway.finish(message.number):
+                self.steps.append(AnswerCaller(message.number, message.answer))
+        elif isinstance(message, NotOwner):
+            self.gateway.not_taken(message.number)
+            if message.owner is not None:
+                self.tenure.hear_of_owner(message.owner)
+        elif isinstance(message, NewsQuery):
+            self.steps.append(ReplyToPeer(sender, self.news_for(message)))
+        else:
+            self.take_news(message)
+
+    def news_for(self, query: NewsQuery) -> News:
+        """Return what we know that the asker may not."""
+        configuration = self.configuration
+        version = configuration.version if configuration else 0
+        is_newer = version > query.configuration_version
+        return News(
+            self.tenure.owner,
+            version,
+            self.configuration_bytes if is_newer else b'',
+        )
+
+    def take_news(self, news: News) -> None:
+        """Use what a peer knows."""
+        if news.owner is not None:
+            self.tenure.hear_of_owner(news.owner)
+        if news.configuration:
+            self.take_configuration(news.configuration)
+
+    def gossip(self, now: float) -> None:
+        """Ask peers while the store does not answer us."""
+        if not self.is_store_silent or now < self.gossiped_at + GOSSIP_S:
+            return
+        self.gossiped_at = now
+        others = {a for e, a in self.members.items() if e != self.entry}
+        others.update(self.seeds)
+        others.discard(self.address)
+        count = min(GOSSIP_PEERS, len(others))
+        version = self.configuration.version if self.configuration else 0
+        for address in self.random.sample(sorted(others), count):
+            self.steps.append(SendToPeer(address, NewsQuery(version)))
+
+    # The store
+
+    def take_keys(self, seen: KeysSeen, now: float) -> None:
+        """Take in the operators' keys and those of owner and members."""
+        self.is_store_silent = False
+        found = set[str]()
+        for item in seen.items:
+            found.add(item.key)
+            self.take_key(item)
+        if not seen.is_whole:
+            return
+        if OWNER_KEY not in found:
+            self.tenure.see_owner(None, seen.revision)
+        self.members = {
+            entry: address
+            for entry, address in self.members.items()
+            if f'{MEMBER_PREFIX}{entry}' in found
+        }
+
+    def take_key(self, item: Item) -> None:
+        """Take in one key; what cannot be read is logged."""
+        try:
+            if item.key == OWNER_KEY:
+                owner = decode_owner(item) if item.value else None
+                self.tenure.see_owner(owner, item.revision)
+            elif item.key.startswith(MEMBER_PREFIX):
+                self.take_member(item)
+            elif item.key == self.decoders.configuration_key and item.value:
+                self.take_configuration(item.value)
+        except DocumentError as error:
+            log(Event.INPUT_SKIPPED, subject=item.key, problem=str(error))
+
+    def take_member(self, item: Item) -> None:
+        """Take in where a member is reached, or that it is gone."""
+        entry = EntryId(item.key.removeprefix(MEMBER_PREFIX))
+        if item.value is None:
+            self.members.pop(entry, None)
+            return
+        self.members[entry] = decode_member(item).address
+
+    def take_configuration(self, data: bytes) -> None:
+        """Use a configuration if it is newer; never an older one."""
+        try:
+            configuration = self.decoders.configuration(data)
+        except DocumentError as error:
+            log(
+                Event.INPUT_SKIPPED,
+                subject='configuration',
+                problem=str(error),
+            )
+            return
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.configuration = configuration
+        self.configuration_bytes = data
+        log(Event.CONFIG_IN_FORCE, revision=configuration.version)
+        if self.engine is not None:
+            self.engine.configure(configuration)
+
+    def lease_renewed(self, event: LeaseRenewed) -> None:
+        """Note that our lease goes on."""
+        self.lease = event.lease
+        self.tenure.lease_renewed(event.sent_at, event.ttl_s)
+
+    def lease_lost(self) -> None:
+        """Note that the store ended our lease."""
+        self.lease = None
+        self.tenure.lease_lost()
+
+    # Owning
+
+    def claim(self, now: float) -> None:
+        """Try to become the owner when there is none."""
+        if self.is_leaving or self.lease is None:
+            return
+        if self.configuration is None or not self.tenure.may_claim(now):
+            return
+        self.tenure.claimed_at = now
+        self.tenure.move('claim')
+        self.steps.append(ClaimOwner(self.lease))
+
+    def claim_won(self, event: ClaimWon, now: float) -> None:
+        """Read the jobs as the new owner."""
+        self.tenure.claim_won(event.owner, event.ledger_revision, now)
+        if self.tenure.state is TenureState.RESTORING:
+            log(Event.OWNER_TAKEN, cell='fleet', epoch=event.owner.epoch)
+            self.steps.append(RestoreJobs(event.owner.epoch))
+
+    def claim_lost(self, event: ClaimLost) -> None:
+        """Follow whoever was first."""
+        if self.tenure.state is TenureState.CLAIMING:
+            self.tenure.move('lost')
+
+    def jobs_restored(self, event: JobsRestored, now: float) -> None:
+        """Begin to decide."""
+        tenure = self.tenure
+        configuration = self.configuration
+        if tenure.state is not TenureState.RESTORING:
+            return
+        if event.epoch != tenure.epoch or configuration is None:
+            return
+        engine = create_engine(configuration, now, self.wall_offset_s)
+        entries = self.decode_workers(event.workers)
+        restore(engine, event.accepted, event.progress, entries, now)
+        self.engine = engine
+        self.listed_at = now
+        self.is_listing = False
+        tenure.move('restored')
+        log(
+            Event.JOBS_RESTORED,
+            epoch=event.epoch,
+            jobs=len(engine.state.jobs),
+            active=len(engine.state.active),
+            seconds=round(now - tenure.took_over_at, 3),
+        )
+
+    def decode_workers(self, items: tuple[Item, ...]) -> list[WorkerEntry]:
+        """Return the entries that can be read; log others once each."""
+        configuration = self.configuration
+        if configuration is None:
+            return []
+        entries = list[WorkerEntry]()
+        for item in items:
+            try:
+                entries.append(self.decoders.worker(item, configuration))
+            except DocumentError as error:
+                if self.bad_entries.get(item.key) != item.revision:
+                    self.bad_entries[item.key] = item.revision
+                    log(
+                        Event.INPUT_SKIPPED,
+                        subject=item.key,
+                        problem=str(error),
+                    )
+        return entries
+
+    def workers_listed(self, event: WorkersListed, now: float) -> None:
+        """Take in the list of workers."""
+        self.is_listing = False
+        self.listed_at = now
+        if self.engine is not None:
+            self.engine.take_entries(self.decode_workers(event.items), now)
+
+    def batch_stored(self, event: BatchStored, now: float) -> None:
+        """Let the effects of a stored batch follow."""
+        if event.epoch != self.tenure.epoch or self.engine is None:
+            return
+        self.tenure.ledger_revision = event.ledger_revision
+        self.engine.batch_stored(now)
+
+    def deposed(self, event: Deposed) -> None:
+        """Stop deciding; another instance is the owner."""
+        if event.epoch == self.tenure.epoch:
+            self.tenure.lose()
+
+    def take_worker_report(
+        self, report: LookAnswered | LookFailed | OrderAnswered, now: float
+    ) -> None:
+        """Take in what a worker answered."""
+        engine = self.engine
+        if engine is None:
+            return
+        if isinstance(report, LookAnswered):
+            engine.take_look(report, now)
+        elif isinstance(report, LookFailed):
+            engine.take_look_failure(report, now)
+        else:
+            engine.take_order(report, now)
+
+    # Time
+
+    def settle(self, now: float) -> tuple[list[Step], list[Action]]:
+        """Do what is due; return steps and the owner's orders."""
+        self.check_tenure(now)
+        self.claim(now)
+        self.gossip(now)
+        self.forward_calls(now)
+        orders = self.decide(now)
+        steps = self.steps
+        self.steps = []
+        return steps, orders
+
+    def check_tenure(self, now: float) -> None:
+        """Drop the jobs when we do not own the fleet any more."""
+        state = self.tenure.state
+        if self.engine is not None and state not in KEEPING:
+            log(
+                Event.OWNER_LOST,
+                cell='fleet',
+                reason=f'epoch {self.tenure.epoch} has ended',
+            )
+            self.engine = None
+        if self.is_leaving:
+            self.release()
+
+    def release(self) -> None:
+        """Give the fleet to another instance before we stop."""
+        tenure = self.tenure
+        engine = self.engine
+        if tenure.state is TenureState.OWNING and engine is not None:
+            if engine.outbox.under_way is None:
+                tenure.move('release')
+                self.steps.append(
+                    ReleaseOwner(tenure.epoch, tenure.ledger_revision)
+                )
+        elif tenure.state in (TenureState.FOLLOWING, TenureState.CLAIMING):
+            tenure.move('retire')
+
+    def owner_released(self, event: OwnerReleased) -> None:
+        """Note that our record as owner is gone."""
+        if self.tenure.state is TenureState.RELEASING:
+            self.tenure.move('retire')
+            self.tenure.owner = None
+
+    def decide(self, now: float) -> list[Action]:
+        """Let the owner's decisions follow from what has come in."""
+        engine = self.engine
+        if engine is None or self.tenure.state is not TenureState.OWNING:
+            return []
+        if not self.tenure.is_acting(now):
+            if now < self.tenure.leased_until + LOOK_GRACE_S:
+                return engine.look_only(now)
+            return []
+        engine.state.wall_offset_s = self.wall_offset_s
+        if engine.is_fenced:
+            self.tenure.lose()
+            return []
+        if not self.is_listing and now >= self.listed_at + LIST_WORKERS_S:
+            self.is_listing = True
+            self.steps.append(ListWorkers())
+        actions, batch = engine.settle(now)
+        if batch is not None:
+            tenure = self.tenure
+            self.steps.append(
+                StoreBatch(tenure.epoch, tenure.ledger_revision, batch)
+            )
+        orders = list[Action]()
+        for action in actions:
+            if isinstance(action, Reply):
+                self.reply(action)
+            else:
+                orders.append(action)
+        return orders
+
+    def store_silent(self, event: StoreSilent) -> None:
+        """Note that the store does not answer our watch."""
+        if not self.is_store_silent:
+            log(Event.STORE_UNAVAILABLE, problem=event.problem)
+        self.is_store_silent = True
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether new callers should be sent to us."""
+        return (
+            not self.is_leaving
+            and self.configuration is not None
+            and self.tenure.owner is not None
+        )
+
+
+KEEPING: Final = frozenset((TenureState.OWNING, TenureState.RELEASING))
--- /dev/null
+++ b/src/primroseledge/cluster/keys.py
@@ -0,0 +1,64 @@
+"""Our own keys of the store, and the values under them."""
+
+from typing import Final
+from typing import TypeVar
+
+from msgspec import DecodeError
+from msgspec import msgpack
+from msgspec import Struct
+
+from primroseledge.cluster.fleetstore import Item
+from primroseledge.cluster.messages import OwnerView
+from primroseledge.errors import DocumentError
+from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
+
+OWNER_KEY: Final = 'owner/record'
+MEMBER_PREFIX: Final = 'owner/members/'
+LEDGER_KEY: Final = 'ledger'
+JOB_PREFIX: Final = 'jobs/'
+PROGRESS_PREFIX: Final = 'progress/'
+
+
+class LedgerRecord(Struct, frozen=True, array_like=True):
+    """Who wrote last, and the number of the write within its epoch."""
+
+    epoch: Epoch
+    number: int
+
+
+class MemberRecord(Struct, frozen=True, array_like=True):
+    """Where peers reach an entry instance."""
+
+    entry: EntryId
+    address: str
+
+
+RecordT = TypeVar('RecordT', bound=Struct)
+
+
+def encode_value(value: Struct) -> bytes:
+    """Return a value as it is stored."""
+    return msgpack.encode(value)
+
+
+def decode_owner(item: Item) -> OwnerView:
+    """Return the owner's record; raises DocumentError."""
+    return _decode(item, OwnerView)
+
+
+def decode_ledger(item: Item) -> LedgerRecord:
+    """Return the ledger; raises DocumentError."""
+    return _decode(item, LedgerRecord)
+
+
+def decode_member(item: Item) -> MemberRecord:
+    """Return a member's record; raises DocumentError."""
+    return _decode(item, MemberRecord)
+
+
+def _decode(item: Item, kind: type[RecordT]) -> RecordT:
+    try:
+        return msgpack.decode(item.value or b'', type=kind)
+    except DecodeError as error:
+        raise DocumentError(f'{item.key}: {error}') from error
--- /dev/null
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -0,0 +1,268 @@
+"""The loop of an entry instance: one thread that holds all state.
+
+Other threads post what they found out; the loop gives it to the node
+and carries out the steps that the node asks for.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+from os import eventfd_read
+from os import eventfd_write
+from queue import Empty
+from queue import SimpleQueue
+from time import time
+from typing import Any
+from typing import Final
+
+from zmq.constants import PollEvent
+
+from primroseledge.clock import boot_time
+from primroseledge.cluster.fleetnode import FleetNode
+from primroseledge.cluster.link import Link
+from primroseledge.cluster.messages import CallerRequest
+from primroseledge.cluster.steps import AnswerCaller
+from primroseledge.cluster.steps import BatchStored
+from primroseledge.cluster.steps import ClaimLost
+from primroseledge.cluster.steps import ClaimWon
+from primroseledge.cluster.steps import Deposed
+from primroseledge.cluster.steps import JobsRestored
+from primroseledge.cluster.steps import KeysSeen
+from primroseledge.cluster.steps import LeaseLost
+from primroseledge.cluster.steps import LeaseRenewed
+from primroseledge.cluster.steps import OwnerReleased
+from primroseledge.cluster.steps import ReplyToPeer
+from primroseledge.cluster.steps import SendToPeer
+from primroseledge.cluster.steps import StoreSilent
+from primroseledge.cluster.steps import WorkersListed
+from primroseledge.cluster.storethread import StoreThread
+from primroseledge.cluster.tenure import TenureState
+from primroseledge.cluster.workerlinks import WorkerLinks
+from primroseledge.ids import Epoch
+from primroseledge.jobs.actions import Answer
+from primroseledge.jobs.actions import LookAnswered
+from primroseledge.jobs.actions import LookFailed
+from primroseledge.jobs.actions import OrderAnswered
+from primroseledge.jobs.actions import Reply
+from primroseledge.jobs.actions import Verdict
+
+OWNER_TICK_S: Final = 0.02
+CALLS_TICK_S: Final = 0.1
+IDLE_TICK_S: Final = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class CallBegun:
+    """A caller's request, posted by a server thread."""
+
+    number: int
+    request: CallerRequest
+    deadline: float
+    answers: 'SimpleQueue[Answer]'
+
+
+Handler = Callable[['NodeLoop', Any, float], None]
+HANDLERS: Final[dict[type, Handler]] = {}
+
+
+def handles(*kinds: type) -> Callable[[Handler], Handler]:
+    """Register how the loop takes kinds of posted items."""
+
+    def register(handler: Handler) -> Handler:
+        for kind in kinds:
+            HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+class NodeLoop:
+    """Runs a node: events in, steps out."""
+
+    def __init__(self, node: FleetNode, link: Link, wake_fd: int) -> None:
+        self.node = node
+        self.link = link
+        self.wake_fd = wake_fd
+        self.store: StoreThread | None = None
+        self.workers: WorkerLinks | None = None
+        self.inbox: deque[Any] = deque()
+        self.waiting: dict[int, SimpleQueue[Answer]] = {}
+        self.numbers = count(1)
+        self.is_running = True
+        self.is_leaving = False
+        self.is_ready = False
+        link.poller.register(wake_fd, PollEvent.POLLIN)
+
+    # Other threads
+
+    def post(self, item: Any) -> None:
+        """Hand an item to the loop; any thread may call it."""
+        self.inbox.append(item)
+        eventfd_write(self.wake_fd, 1)
+
+    def call(self, request: CallerRequest, wait_s: float) -> Answer:
+        """Return the answer to a caller's request; blocks the caller."""
+        answers: SimpleQueue[Answer] = SimpleQueue()
+        deadline = boot_time() + wait_s
+        self.post(CallBegun(next(self.numbers), request, deadline, answers))
+        try:
+            return answers.get(timeout=wait_s + 1.0)
+        except Empty:
+            return Answer(Verdict.UNKNOWN, reason='loop')
+
+    def may_order(self, epoch: Epoch) -> bool:
+        """Tell whether an order of this epoch may still be sent."""
+        tenure = self.node.tenure
+        return tenure.epoch == epoch and tenure.is_acting(boot_time())
+
+    def leave(self) -> None:
+        """Begin a graceful shutdown; a signal handler may call it."""
+        self.is_leaving = True
+        eventfd_write(self.wake_fd, 1)
+
+    def end(self) -> None:
+        """End the loop; any thread may call it."""
+        self.is_running = False
+        eventfd_write(self.wake_fd, 1)
+
+    # The loop's thread
+
+    def run(self) -> None:
+        """Run until ended."""
+        while self.is_running:
+            ready = dict(self.link.poller.poll(self.poll_timeout_ms()))
+            if self.wake_fd in ready:
+                eventfd_read(self.wake_fd)
+            now = boot_time()
+            for sender, message in self.link.receive():
+                self.node.take_message(sender, message, now)
+            while self.inbox:
+                item = self.inbox.popleft()
+                HANDLERS[type(item)](self, item, now)
+            self.settle()
+
+    def poll_timeout_ms(self) -> int:
+        """Return how long to wait for something to happen."""
+        if self.node.tenure.state is TenureState.OWNING:
+            return int(OWNER_TICK_S * 1000)
+        if self.node.gateway.calls:
+            return int(CALLS_TICK_S * 1000)
+        return int(IDLE_TICK_S * 1000)
+
+    def settle(self) -> None:
+        """Carry out what follows from what has come in."""
+        now = boot_time()
+        node = self.node
+        node.wall_offset_s = time() - now
+        node.is_leaving = self.is_leaving
+        steps, orders = node.settle(now)
+        self.is_ready = node.is_ready(now)
+        if self.store is not None:
+            is_owner = node.engine is not None
+            self.store.current_epoch = (
+                node.tenure.epoch if is_owner else Epoch(0)
+            )
+        for step in steps:
+            self.carry_out(step)
+        if self.workers is None:
+            return
+        for order in orders:
+            if not isinstance(order, Reply):
+                self.workers.submit(order, node.tenure.epoch)
+
+    def carry_out(self, step: Any) -> None:
+        """Carry out one step."""
+        if isinstance(step, AnswerCaller):
+            answers = self.waiting.pop(step.number, None)
+            if answers is not None:
+                answers.put(step.answer)
+        elif isinstance(step, SendToPeer):
+            self.link.send(step.address, step.message)
+        elif isinstance(step, ReplyToPeer):
+            self.link.reply(step.identity, step.message)
+        elif self.store is not None:
+            self.store.submit(step)
+
+
+@handles(CallBegun)
+def take_call(loop: NodeLoop, item: CallBegun, now: float) -> None:
+    """Begin a caller's request."""
+    loop.waiting[item.number] = item.answers
+    loop.node.call(item.number, item.request, item.deadline, now)
+
+
+@handles(KeysSeen)
+def take_keys(loop: NodeLoop, item: KeysSeen, now: float) -> None:
+    """Take in watched keys."""
+    loop.node.take_keys(item, now)
+
+
+@handles(StoreSilent)
+def take_silence(loop: NodeLoop, item: StoreSilent, now: float) -> None:
+    """Take in that the store did not answer."""
+    loop.node.store_silent(item)
+
+
+@handles(LeaseRenewed)
+def take_renewal(loop: NodeLoop, item: LeaseRenewed, now: float) -> None:
+    """Take in a renewed lease."""
+    loop.node.lease_renewed(item)
+
+
+@handles(LeaseLost)
+def take_lost_lease(loop: NodeLoop, item: LeaseLost, now: float) -> None:
+    """Take in that our lease has ended."""
+    loop.node.lease_lost()
+
+
+@handles(ClaimWon)
+def take_won_claim(loop: NodeLoop, item: ClaimWon, now: float) -> None:
+    """Take in that we are the owner."""
+    loop.node.claim_won(item, now)
+
+
+@handles(ClaimLost)
+def take_lost_claim(loop: NodeLoop, item: ClaimLost, now: float) -> None:
+    """Take in that we did not become the owner."""
+    loop.node.claim_lost(item)
+
+
+@handles(JobsRestored)
+def take_jobs(loop: NodeLoop, item: JobsRestored, now: float) -> None:
+    """Take in the stored jobs."""
+    loop.node.jobs_restored(item, now)
+
+
+@handles(BatchStored)
+def take_stored(loop: NodeLoop, item: BatchStored, now: float) -> None:
+    """Take in that a batch is stored."""
+    loop.node.batch_stored(item, now)
+
+
+@handles(Deposed)
+def take_deposed(loop: NodeLoop, item: Deposed, now: float) -> None:
+    """Take in that another instance is the owner."""
+    loop.node.deposed(item)
+
+
+@handles(OwnerReleased)
+def take_released(loop: NodeLoop, item: OwnerReleased, now: float) -> None:
+    """Take in that we are not the owner any more."""
+    loop.node.owner_released(item)
+
+
+@handles(WorkersListed)
+def take_workers(loop: NodeLoop, item: WorkersListed, now: float) -> None:
+    """Take in the list of workers."""
+    loop.node.workers_listed(item, now)
+
+
+@handles(LookAnswered, LookFailed, OrderAnswered)
+def take_report(
+    loop: NodeLoop,
+    item: LookAnswered | LookFailed | OrderAnswered,
+    now: float,
+) -> None:
+    """Take in what a worker answered."""
+    loop.node.take_worker_report(item, now)
--- /dev/null
+++ b/src/primroseledge/cluster/steps.py
@@ -0,0 +1,167 @@
+"""What the node asks of the store's threads, and what they report."""
+
+from dataclasses import dataclass
+
+from primroseledge.cluster.fleetstore import Item
+from primroseledge.cluster.fleetstore import LeaseId
+from primroseledge.cluster.messages import Message
+from primroseledge.cluster.messages import OwnerView
+from primroseledge.ids import Epoch
+from primroseledge.ids import Revision
+from primroseledge.jobs.actions import Answer
+from primroseledge.jobs.actions import Batch
+from primroseledge.jobs.progress import ProgressRecord
+from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.jobs.worker import WorkerEntry
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimOwner:
+    """Write our record as owner if there is none."""
+
+    lease: LeaseId
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimWon:
+    """Our record as owner is stored."""
+
+    owner: OwnerView
+    ledger_revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimLost:
+    """Our record as owner is not stored; ``reason`` says why."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RestoreJobs:
+    """Read all job records and the list of workers."""
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class JobsRestored:
+    """What the store holds."""
+
+    epoch: Epoch
+    accepted: tuple[AcceptedJob, ...]
+    progress: tuple[ProgressRecord, ...]
+    workers: tuple[Item, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreBatch:
+    """Store a batch in the owner's name."""
+
+    epoch: Epoch
+    ledger_revision: Revision
+    batch: Batch
+
+
+@dataclass(frozen=True, slots=True)
+class BatchStored:
+    """A batch is stored; the ledger has this revision now."""
+
+    epoch: Epoch
+    number: int
+    ledger_revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Deposed:
+    """Another instance has written the ledger."""
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseOwner:
+    """Remove our record as owner, so that another can take over."""
+
+    epoch: Epoch
+    ledger_revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerReleased:
+    """Our record as owner is gone, or was not removed in time."""
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class ListWorkers:
+    """Read the list of workers."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkersListed:
+    """The platform's list of workers."""
+
+    items: tuple[Item, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRenewed:
+    """Our lease was renewed by a call sent then."""
+
+    lease: LeaseId
+    sent_at: float
+    ttl_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseLost:
+    """The store has ended our lease."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeysSeen:
+    """Watched keys as they are; ``is_whole`` if all of them are here."""
+
+    items: tuple[Item, ...]
+    revision: Revision
+    is_whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSilent:
+    """The store did not answer a watch."""
+
+    problem: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Send a message to a peer's address."""
+
+    address: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyToPeer:
+    """Answer a peer that asked."""
+
+    identity: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerCaller:
+    """Give one of our own callers the answer."""
+
+    number: int
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class EntriesRead:
+    """The list of workers, decoded."""
+
+    entries: tuple[WorkerEntry, ...]
--- /dev/null
+++ b/src/primroseledge/cluster/storethread.py
@@ -0,0 +1,299 @@
+"""The thread that writes to the store in the owner's name.
+
+One call is under way at a time. A write whose answer is lost is sent
+again as it was: the ledger's revision lets it happen at most once, and
+the ledger's number tells whether it happened.
+"""
+
+from collections.abc import Callable
+from contextlib import ExitStack
+from queue import SimpleQueue
+from threading import Event as ThreadEvent
+from threading import Thread
+from typing import Any
+from typing import Final
+from typing import Protocol
+
+from msgspec import DecodeError
+from msgspec import msgpack
+
+from primroseledge.cluster.fleetstore import FleetStore
+from primroseledge.cluster.fleetstore import LeaseEndedError
+from primroseledge.cluster.fleetstore import Put
+from primroseledge.cluster.fleetstore import Transaction
+from primroseledge.cluster.keys import decode_ledger
+from primroseledge.cluster.keys import decode_owner
+from primroseledge.cluster.keys import encode_value
+from primroseledge.cluster.keys import JOB_PREFIX
+from primroseledge.cluster.keys import LEDGER_KEY
+from primroseledge.cluster.keys import LedgerRecord
+from primroseledge.cluster.keys import OWNER_KEY
+from primroseledge.cluster.keys import PROGRESS_PREFIX
+from primroseledge.cluster.messages import OwnerView
+from primroseledge.cluster.steps import BatchStored
+from primroseledge.cluster.steps import ClaimLost
+from primroseledge.cluster.steps import ClaimOwner
+from primroseledge.cluster.steps import ClaimWon
+from primroseledge.cluster.steps import Deposed
+from primroseledge.cluster.steps import JobsRestored
+from primroseledge.cluster.steps import ListWorkers
+from primroseledge.cluster.steps import OwnerReleased
+from primroseledge.cluster.steps import ReleaseOwner
+from primroseledge.cluster.steps import RestoreJobs
+from primroseledge.cluster.steps import StoreBatch
+from primroseledge.cluster.steps import WorkersListed
+from primroseledge.errors import ConflictError
+from primroseledge.errors import DocumentError
+from primroseledge.errors import StoreError
+from primroseledge.errors import StoreOutcomeUnknownError
+from primroseledge.events import Event
+from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
+from primroseledge.ids import Revision
+from primroseledge.jobs.actions import Batch
+from primroseledge.jobs.progress import ProgressRecord
+from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.logs import log
+from primroseledge.maintenance.wave import WaveStatus
+
+RETRY_PAUSE_S: Final = 0.12
+
+StoreStep = ClaimOwner | RestoreJobs | StoreBatch | ReleaseOwner | ListWorkers
+
+
+class Inbox(Protocol):
+    """Where threads post what they found out."""
+
+    def post(self, item: Any) -> None:
+        """Hand something to the loop; any thread may call it."""
+
+
+class PlatformKeys(Protocol):
+    """The keys of the store that the platform names."""
+
+    @property
+    def worker_prefix(self) -> str:
+        """Return what the keys of workers begin with."""
+
+    def wave_put(self, status: WaveStatus) -> Put:
+        """Return the record that tells operators of a wave."""
+
+
+class StoreThread:
+    """Carries out steps one after another."""
+
+    def __init__(
+        self,
+        inbox: Inbox,
+        store: FleetStore,
+        keys: PlatformKeys,
+        entry: EntryId,
+        address: str,
+    ) -> None:
+        self.inbox = inbox
+        self.store = store
+        self.keys = keys
+        self.entry = entry
+        self.address = address
+        self.steps: SimpleQueue[StoreStep | None] = SimpleQueue()
+        self.is_stopped = ThreadEvent()
+        self.current_epoch = Epoch(0)
+        self.resources = ExitStack()
+        self.thread = Thread(target=self.run, name='store', daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """End the thread after the step under way."""
+        self.is_stopped.set()
+        self.steps.put(None)
+
+    def submit(self, step: StoreStep) -> None:
+        """Queue a step; its result is posted to the loop."""
+        self.steps.put(step)
+
+    def run(self) -> None:
+        """Carry out steps until stopped."""
+        while True:
+            step = self.steps.get()
+            if step is None:
+                return
+            result = HANDLERS[type(step)](self, step)
+            if result is not None:
+                self.inbox.post(result)
+
+    def pause(self) -> bool:
+        """Wait before a retry; tell whether to go on."""
+        return not self.is_stopped.wait(RETRY_PAUSE_S)
+
+
+Handler = Callable[[StoreThread, Any], Any]
+HANDLERS: Final[dict[type, Handler]] = {}
+
+
+def handles(kind: type) -> Callable[[Handler], Handler]:
+    """Register how a kind of step is carried out."""
+
+    def register(handler: Handler) -> Handler:
+        HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+@handles(ClaimOwner)
+def claim_owner(thread: StoreThread, step: ClaimOwner) -> ClaimWon | ClaimLost:
+    """Write our record as owner, if there is none."""
+    store = thread.store
+    try:
+        item = store.read(LEDGER_KEY)
+        ledger = decode_ledger(item) if item else None
+    except (StoreError, DocumentError) as error:
+        return ClaimLost(str(error))
+    epoch = Epoch(ledger.epoch + 1 if ledger else 1)
+    revision = item.revision if item else Revision(0)
+    owner = OwnerView(epoch, thread.entry, thread.address)
+    transaction = Transaction(
+        {OWNER_KEY: Revision(0), LEDGER_KEY: revision},
+        (
+            Put(OWNER_KEY, encode_value(owner), step.lease),
+            Put(LEDGER_KEY, encode_value(LedgerRecord(epoch, 0))),
+        ),
+    )
+    try:
+        return ClaimWon(owner, store.commit(transaction))
+    except StoreOutcomeUnknownError:
+        return check_claim(store, owner)
+    except StoreError as error:
+        return ClaimLost(str(error))
+
+
+def check_claim(store: FleetStore, owner: OwnerView) -> ClaimWon | ClaimLost:
+    """Read whether a claim whose answer was lost has been made."""
+    try:
+        found = store.read(OWNER_KEY)
+        ledger = store.read(LEDGER_KEY)
+        if found is None or ledger is None or decode_owner(found) != owner:
+            return ClaimLost('the answer was lost')
+    except (StoreError, DocumentError) as error:
+        return ClaimLost(str(error))
+    return ClaimWon(owner, ledger.revision)
+
+
+@handles(RestoreJobs)
+def restore_jobs(
+    thread: StoreThread, step: RestoreJobs
+) -> JobsRestored | Deposed:
+    """Read all records, again and again until the store answers."""
+    while True:
+        try:
+            accepted = read_records(thread.store, JOB_PREFIX, AcceptedJob)
+            progress = read_records(
+                thread.store, PROGRESS_PREFIX, ProgressRecord
+            )
+            workers = thread.store.read_all(thread.keys.worker_prefix).items
+        except StoreError as error:
+            log(Event.STORE_RETRIED, step='restore', problem=str(error))
+            if not thread.pause():
+                return Deposed(step.epoch)
+            continue
+        return JobsRestored(
+            step.epoch, tuple(accepted), tuple(progress), workers
+        )
+
+
+def read_records(store: FleetStore, prefix: str, kind: type) -> list[Any]:
+    """Return the records under a prefix; a malformed one is logged."""
+    records = list[Any]()
+    for item in store.read_all(prefix).items:
+        try:
+            records.append(msgpack.decode(item.value or b'', type=kind))
+        except DecodeError as error:
+            log(Event.INPUT_SKIPPED, subject=item.key, problem=str(error))
+    return records
+
+
+@handles(StoreBatch)
+def store_batch(
+    thread: StoreThread, step: StoreBatch
+) -> BatchStored | Deposed:
+    """Store a batch exactly once, or find out that we are deposed."""
+    ledger = LedgerRecord(step.epoch, step.batch.number)
+    transaction = Transaction(
+        {LEDGER_KEY: step.ledger_revision},
+        (
+            Put(LEDGER_KEY, encode_value(ledger)),
+            *batch_puts(step.batch, thread.keys),
+        ),
+    )
+    while True:
+        try:
+            revision = thread.store.commit(transaction)
+            return BatchStored(step.epoch, step.batch.number, revision)
+        except ConflictError:
+            result = find_batch(thread, step)
+            if result is not None:
+                return result
+        except StoreError as error:
+            log(Event.STORE_RETRIED, step='batch', problem=str(error))
+        if not thread.pause() or thread.current_epoch != step.epoch:
+            return Deposed(step.epoch)
+
+
+def find_batch(
+    thread: StoreThread, step: StoreBatch
+) -> BatchStored | Deposed | None:
+    """Read whether the ledger holds a batch already."""
+    try:
+        item = thread.store.read(LEDGER_KEY)
+        ledger = decode_ledger(item) if item else None
+    except (StoreError, DocumentError) as error:
+        log(Event.STORE_RETRIED, step='ledger', problem=str(error))
+        return None
+    if item is None or ledger is None or ledger.epoch != step.epoch:
+        return Deposed(step.epoch)
+    if ledger.number != step.batch.number:
+        return Deposed(step.epoch)
+    return BatchStored(step.epoch, step.batch.number, item.revision)
+
+
+def batch_puts(batch: Batch, keys: PlatformKeys) -> list[Put]:
+    """Return the records of a batch."""
+    puts = [
+        Put(f'{JOB_PREFIX}{job.id}', msgpack.encode(job))
+        for job in batch.accepted
+    ]
+    puts += [
+        Put(f'{PROGRESS_PREFIX}{record.id}', msgpack.encode(record))
+        for record in batch.progress
+    ]
+    puts += [keys.wave_put(status) for status in batch.wave_statuses]
+    return puts
+
+
+@handles(ReleaseOwner)
+def release_owner(thread: StoreThread, step: ReleaseOwner) -> OwnerReleased:
+    """Remove our record; without an answer its lease will end it."""
+    transaction = Transaction(
+        {LEDGER_KEY: step.ledger_revision}, removals=(OWNER_KEY,)
+    )
+    try:
+        thread.store.commit(transaction)
+    except (StoreError, LeaseEndedError) as error:
+        log(Event.STORE_RETRIED, step='release', problem=str(error))
+    return OwnerReleased(step.epoch)
+
+
+@handles(ListWorkers)
+def list_workers(
+    thread: StoreThread, _step: ListWorkers
+) -> WorkersListed | None:
+    """Read the list of workers once."""
+    try:
+        listed = thread.store.read_all(thread.keys.worker_prefix)
+    except StoreError as error:
+        log(Event.STORE_RETRIED, step='workers', problem=str(error))
+        return None
+    return WorkersListed(listed.items)
--- /dev/null
+++ b/src/primroseledge/cluster/tenure.py
@@ -0,0 +1,129 @@
+"""Whether this instance is the owner, and until when it may act.
+
+The owner's record is tied to a lease of the store. The lease is counted
+from when its renewal was sent, so that we stop before the store lets
+another one take over, also after being suspended.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from primroseledge.chart import load_chart
+from primroseledge.cluster.messages import OwnerView
+from primroseledge.ids import Epoch
+from primroseledge.ids import Revision
+
+CHART: Final = load_chart('tenure')
+
+LEASE_MARGIN: Final = 0.95
+"""Share of the lease that is used, for clocks of unequal speed."""
+
+CLAIM_RETRY_S: Final = 0.15
+
+
+class TenureState(Enum):
+    """The states of charts/tenure.json."""
+
+    FOLLOWING = 'following'
+    CLAIMING = 'claiming'
+    RESTORING = 'restoring'
+    OWNING = 'owning'
+    RELEASING = 'releasing'
+    RETIRED = 'retired'
+
+
+@dataclass(slots=True)
+class Tenure:
+    """This instance's part in owning the fleet.
+
+    ``owner`` is the owner's record as last seen, ``is_vacant`` that the
+    store said there is none.
+    """
+
+    state: TenureState = TenureState.FOLLOWING
+    epoch: Epoch = Epoch(0)
+    ledger_revision: Revision = Revision(0)
+    owner: OwnerView | None = None
+    owner_revision: Revision = Revision(0)
+    is_vacant: bool = False
+    leased_until: float = 0.0
+    claimed_at: float = 0.0
+    took_over_at: float = 0.0
+
+    def move(self, trigger: str) -> None:
+        """Change the state as the chart says."""
+        self.state = TenureState(CHART.advance(self.state.value, trigger))
+
+    def lease_renewed(self, sent_at: float, ttl_s: float) -> None:
+        """Note a renewal that was sent then."""
+        until = sent_at + ttl_s * LEASE_MARGIN
+        self.leased_until = max(self.leased_until, until)
+
+    def lease_lost(self) -> None:
+        """Note that the store has ended the lease."""
+        self.leased_until = 0.0
+        self.lose()
+
+    def lose(self) -> None:
+        """Stop owning, if we do."""
+        if self.state in HOLDING:
+            self.move('lost')
+
+    def see_owner(self, owner: OwnerView | None, revision: Revision) -> None:
+        """Take in the owner's record, or that there is none.
+
+        ``revision`` is the record's, or the store's when it had none.
+        """
+        if revision < self.owner_revision:
+            return
+        self.owner_revision = revision
+        if owner is None:
+            self.is_vacant = True
+            if self.state in (TenureState.RESTORING, TenureState.OWNING):
+                self.lose()
+            self.owner = None
+            return
+        self.is_vacant = False
+        self.owner = owner
+        if owner.epoch > self.epoch:
+            self.lose()
+
+    def may_claim(self, now: float) -> bool:
+        """Tell whether to try to become the owner."""
+        return (
+            self.state is TenureState.FOLLOWING
+            and self.is_vacant
+            and now < self.leased_until
+            and now >= self.claimed_at + CLAIM_RETRY_S
+        )
+
+    def claim_won(
+        self, owner: OwnerView, ledger_revision: Revision, now: float
+    ) -> None:
+        """Note that our record as owner is stored."""
+        if self.state is not TenureState.CLAIMING:
+            return
+        self.move('won')
+        self.epoch = owner.epoch
+        self.owner = owner
+        self.is_vacant = False
+        self.ledger_revision = ledger_revision
+        self.owner_revision = ledger_revision
+        self.took_over_at = now
+
+    def hear_of_owner(self, owner: OwnerView) -> None:
+        """Take in a peer's word of the owner; it is used if newer."""
+        if self.owner is None or owner.epoch > self.owner.epoch:
+            self.owner = owner
+            if owner.epoch > self.epoch:
+                self.lose()
+
+    def is_acting(self, now: float) -> bool:
+        """Tell whether orders may be given."""
+        return self.state is TenureState.OWNING and now < self.leased_until
+
+
+HOLDING: Final = frozenset(
+    (TenureState.CLAIMING, TenureState.RESTORING, TenureState.OWNING)
+)
--- /dev/null
+++ b/src/primroseledge/cluster/watchthreads.py
@@ -0,0 +1,132 @@
+"""The threads that keep our lease and watch the store's keys."""
+
+from threading import Event as ThreadEvent
+from threading import Thread
+from typing import Final
+
+from primroseledge.clock import boot_time
+from primroseledge.cluster.fleetstore import FleetStore
+from primroseledge.cluster.fleetstore import HistoryLostError
+from primroseledge.cluster.fleetstore import Lease
+from primroseledge.cluster.fleetstore import LeaseEndedError
+from primroseledge.cluster.fleetstore import Put
+from primroseledge.cluster.fleetstore import Transaction
+from primroseledge.cluster.keys import encode_value
+from primroseledge.cluster.keys import MEMBER_PREFIX
+from primroseledge.cluster.keys import MemberRecord
+from primroseledge.cluster.steps import KeysSeen
+from primroseledge.cluster.steps import LeaseLost
+from primroseledge.cluster.steps import LeaseRenewed
+from primroseledge.cluster.steps import StoreSilent
+from primroseledge.cluster.storethread import Inbox
+from primroseledge.errors import StoreError
+from primroseledge.events import Event
+from primroseledge.ids import Revision
+from primroseledge.logs import log
+
+LEASE_TTL_S: Final = 2.5
+"""How long after its last renewal an owner may be replaced."""
+
+RENEW_S: Final = 0.7
+RENEW_RETRY_S: Final = 0.1
+WATCH_WAIT_S: Final = 1.5
+"""Bounds how long a watch on a silent connection goes unnoticed."""
+
+WATCH_RETRY_S: Final = 0.15
+
+
+class LeaseThread:
+    """Keeps one lease, with our member's record under it."""
+
+    def __init__(
+        self, inbox: Inbox, store: FleetStore, member: MemberRecord
+    ) -> None:
+        self.inbox = inbox
+        self.store = store
+        self.member = member
+        self.is_stopped = ThreadEvent()
+        self.thread = Thread(target=self.run, name='lease', daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        self.is_stopped.set()
+
+    def run(self) -> None:
+        """Begin leases and renew them until stopped."""
+        lease: Lease | None = None
+        while not self.is_stopped.is_set():
+            try:
+                if lease is None:
+                    lease = self.begin()
+                else:
+                    self.renew(lease)
+            except LeaseEndedError:
+                lease = None
+                self.inbox.post(LeaseLost())
+                continue
+            except StoreError as error:
+                log(Event.STORE_RETRIED, step='lease', problem=str(error))
+                self.is_stopped.wait(RENEW_RETRY_S)
+                continue
+            self.is_stopped.wait(RENEW_S)
+
+    def begin(self) -> Lease:
+        """Begin a lease and store our record under it."""
+        sent_at = boot_time()
+        lease = self.store.grant_lease(LEASE_TTL_S)
+        key = f'{MEMBER_PREFIX}{self.member.entry}'
+        put = Put(key, encode_value(self.member), lease.id)
+        self.store.commit(Transaction(puts=(put,)))
+        self.inbox.post(LeaseRenewed(lease.id, sent_at, lease.ttl_s))
+        return lease
+
+    def renew(self, lease: Lease) -> None:
+        """Renew the lease."""
+        sent_at = boot_time()
+        ttl_s = self.store.renew_lease(lease.id)
+        self.inbox.post(LeaseRenewed(lease.id, sent_at, ttl_s))
+
+
+class WatchThread:
+    """Reports the watched keys and their changes."""
+
+    def __init__(self, inbox: Inbox, store: FleetStore, prefix: str) -> None:
+        self.inbox = inbox
+        self.store = store
+        self.prefix = prefix
+        self.is_stopped = ThreadEvent()
+        self.thread = Thread(target=self.run, name='watch', daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """End the thread after the call under way."""
+        self.is_stopped.set()
+
+    def run(self) -> None:
+        """Watch until stopped; after a gap read all keys again."""
+        after: Revision | None = None
+        while not self.is_stopped.is_set():
+            try:
+                after = self.read(after)
+            except HistoryLostError:
+                after = None
+            except StoreError as error:
+                self.inbox.post(StoreSilent(str(error)))
+                self.is_stopped.wait(WATCH_RETRY_S)
+
+    def read(self, after: Revision | None) -> Revision:
+        """Read all keys, or wait for changes; return where to go on."""
+        if after is None:
+            listed = self.store.read_all(self.prefix)
+            self.inbox.post(KeysSeen(listed.items, listed.revision, True))
+            return listed.revision
+        changed = self.store.watch(self.prefix, after, WATCH_WAIT_S)
+        self.inbox.post(KeysSeen(changed.items, changed.revision, False))
+        return max(after, changed.revision)
--- a/src/primroseledge/controlinput.py
+++ b/src/primroseledge/controlinput.py
@@ -25,8 +25,8 @@
 from primroseledge.jobadmission import JobInput
 from primroseledge.plan import InstanceView
 from primroseledge.plan import PoolInput
-from primroseledge.platform import InstanceStatus
 from primroseledge.policystate import Listing
+from primroseledge.taskservice import InstanceStatus
 
 TasksByWorker = Mapping[InstanceId, tuple[str, ...]]
 Epochs = tuple[tuple[CellId, Epoch], ...]
--- a/src/primroseledge/controls.py
+++ b/src/primroseledge/controls.py
@@ -12,12 +12,12 @@
 from primroseledge.loop import Loop
 from primroseledge.metrics import Metrics
 from primroseledge.plan import WaveSettings
-from primroseledge.platformclient import HttpPlatform
-from primroseledge.platformclient import open_platform
 from primroseledge.poolrounds import PoolRounds
 from primroseledge.records import Records
 from primroseledge.settings import Settings
 from primroseledge.storeclient import open_store
+from primroseledge.taskserviceclient import HttpPlatform
+from primroseledge.taskserviceclient import open_platform
 
 SETTLE_FRESHNESS: Final = 3.0
 """A drain has settled after so many times the freshness of views.
--- a/src/primroseledge/controlthread.py
+++ b/src/primroseledge/controlthread.py
@@ -30,10 +30,10 @@
 from primroseledge.loop import Loop
 from primroseledge.node import Node
 from primroseledge.plan import StepReport
-from primroseledge.platform import PlatformError
-from primroseledge.platform import TaskState
 from primroseledge.policystate import ControlNews
 from primroseledge.poolrounds import PoolRounds
+from primroseledge.taskservice import PlatformError
+from primroseledge.taskservice import TaskState
 
 STEP_S: Final = 1.0
 
--- a/src/primroseledge/events.py
+++ b/src/primroseledge/events.py
@@ -93,6 +93,12 @@
         'The process ends with code 2 before it opens a socket.',
         'Mend the named field; try `primroseledge config check`.',
     )
+    SETTINGS_SEEN = info(
+        107,
+        'the settings file has changed',
+        'The platform has written the settings anew.',
+        'Nothing; a changed address is used after a restart.',
+    )
     LOOP_FAILED = error(
         107,
         'the loop failed: {problem}',
@@ -147,6 +153,25 @@
         'The lease of this entry instance lapsed; it registers anew.',
         'Look for pauses of the process or an outage of the store.',
     )
+    STORE_RETRIED = warning(
+        209,
+        'call of the store for {step} failed and is repeated: {problem}',
+        'The store refused, or its answer was lost.',
+        'Look at the platform if it goes on.',
+    )
+    INPUT_SKIPPED = warning(
+        210,
+        '{subject} skipped: {problem}',
+        'Something that another program wrote cannot be read.',
+        'Look at its writer; everything else is used.',
+    )
+    JOBS_RESTORED = info(
+        211,
+        'epoch {epoch} decides about {jobs} jobs, {active} of them active, '
+        'after {seconds} s',
+        'A new owner has read the jobs that its predecessor stored.',
+        'Nothing.',
+    )
     PEER_UP = info(
         301,
         'peer {peer} is alive',
@@ -165,6 +190,12 @@
         'A message was malformed, too long or of another version.',
         'Check that all entry instances run versions that fit.',
     )
+    MESSAGE_DROPPED = warning(
+        307,
+        'answer to {peer} dropped: {problem}',
+        'The peer is gone or does not read; it will ask again.',
+        'Nothing if the peer was stopped.',
+    )
     OWNER_TAKEN = info(
         304,
         'owner of cell {cell} at epoch {epoch}',
--- a/src/primroseledge/ids.py
+++ b/src/primroseledge/ids.py
@@ -33,3 +33,15 @@
 
 Epoch = NewType('Epoch', int)
 """Counts the owners of one right; a later owner has a larger epoch."""
+
+QueueId = NewType('QueueId', str)
+"""A queue of jobs, as callers address it."""
+
+WorkerId = NewType('WorkerId', str)
+"""One life of an instance, in which it runs tasks."""
+
+Boot = NewType('Boot', int)
+"""When a worker's process started, in ms since 1970; later is larger."""
+
+WorkspaceId = NewType('WorkspaceId', str)
+"""Who hands jobs in, with keys, a share and a limit."""
--- a/src/primroseledge/jobcontroller.py
+++ b/src/primroseledge/jobcontroller.py
@@ -36,13 +36,13 @@
 from primroseledge.jobadmission import Situation
 from primroseledge.memorywatch import MemoryWatch
 from primroseledge.placing import Relief
-from primroseledge.platform import PlatformError
-from primroseledge.platform import TaskService
-from primroseledge.platform import TaskSpec
-from primroseledge.platform import TaskState
-from primroseledge.platform import TaskStatus
 from primroseledge.records import Records
 from primroseledge.records import Versioned
+from primroseledge.taskservice import PlatformError
+from primroseledge.taskservice import TaskService
+from primroseledge.taskservice import TaskSpec
+from primroseledge.taskservice import TaskState
+from primroseledge.taskservice import TaskStatus
 
 MAX_CANCELS_PER_STEP: Final = 20
 BACKOFF_S: Final = 2.0
--- /dev/null
+++ b/src/primroseledge/jobs/ends.py
@@ -0,0 +1,162 @@
+"""Take in what workers list: runs, ends, and runs that are missing."""
+
+from typing import Final
+
+from primroseledge.jobs.actions import EndKind
+from primroseledge.jobs.actions import LookAnswered
+from primroseledge.jobs.actions import RunEnd
+from primroseledge.jobs.actions import RunningRun
+from primroseledge.jobs.actions import SendStop
+from primroseledge.jobs.actions import target_of
+from primroseledge.jobs.fleetstate import FleetState
+from primroseledge.jobs.job import Job
+from primroseledge.jobs.progress import JobState
+from primroseledge.jobs.task import Run
+from primroseledge.jobs.task import RunPhase
+from primroseledge.jobs.task import Task
+from primroseledge.jobs.task import TaskKey
+from primroseledge.jobs.worker import Worker
+
+MAX_LISTED_ENDS: Final = 500
+"""A list of ends this long may be cut off; from PROTOCOL."""
+
+
+def take_look(state: FleetState, look: LookAnswered, now: float) -> None:
+    """Take in a worker's lists of runs and ends."""
+    worker = state.workers[look.worker]
+    ended = set[tuple[TaskKey, int]]()
+    for end in sorted(look.ends, key=number_of):
+        ended.add((end.task, end.run))
+        if end.number > worker.seen_end:
+            worker.seen_end = end.number
+            take_end(state, worker, end, now)
+    listed = {(run.task, run.run): run for run in look.running}
+    for (key, number), running in listed.items():
+        task = find_task(state, key)
+        run = task.run if task else None
+        if run is None or run.number != number or run.worker != worker.id:
+            stop_stranger(state, worker, key, number)
+        elif task is not None:
+            take_running(task, run, running, now)
+    if len(look.ends) < MAX_LISTED_ENDS:
+        find_missing(state, worker, look, set(listed) | ended, now)
+
+
+def number_of(end: RunEnd) -> int:
+    """Return an end's number."""
+    return end.number
+
+
+def find_task(state: FleetState, key: TaskKey) -> Task | None:
+    """Return a task by its key."""
+    job = state.jobs.get(key.job)
+    step = job.steps.get((key.occurrence, key.step)) if job else None
+    if step is None or not 0 <= key.number < len(step.tasks):
+        return None
+    return step.tasks[key.number]
+
+
+def stop_stranger(
+    state: FleetState, worker: Worker, key: TaskKey, number: int
+) -> None:
+    """Stop a run that is not wanted, such as one that started late."""
+    state.actions.append(SendStop(target_of(worker), key, number))
+
+
+def take_running(
+    task: Task, run: Run, running: RunningRun, now: float
+) -> None:
+    """Note that a run is there, and how far it is."""
+    run.phase = RunPhase.RUNNING
+    run.seen_at = now
+    if run.settled_at is None:
+        run.settled_at = now
+    run.load = running.load
+    run.percent = running.percent
+    if running.checkpoint:
+        task.checkpoint = running.checkpoint
+
+
+def find_missing(
+    state: FleetState,
+    worker: Worker,
+    look: LookAnswered,
+    accounted: set[tuple[TaskKey, int]],
+    now: float,
+) -> None:
+    """Give up runs that the worker should list and does not."""
+    for task in list(worker.tasks.values()):
+        run = task.run
+        if run is None or (task.key, run.number) in accounted:
+            continue
+        if run.settled_at is None or look.sent_at <= run.settled_at:
+            continue
+        state.finish_run(task, now)
+
+
+def take_end(
+    state: FleetState, worker: Worker, end: RunEnd, now: float
+) -> None:
+    """Take in one end of a run."""
+    task = find_task(state, end.task)
+    if task is None:
+        return
+    run = task.run
+    if run is None or run.number != end.run or run.worker != worker.id:
+        return
+    job = state.jobs[task.key.job]
+    if end.checkpoint and task.step.saves_checkpoints:
+        task.checkpoint = end.checkpoint
+    state.finish_run(task, now)
+    if job.is_final:
+        return
+    if end.kind is EndKind.DONE and not task.step.is_long_running:
+        finish_task(state, job, task, now)
+    elif end.kind is EndKind.FAILED:
+        task.failures += 1
+        check_attempts(state, job, task, now)
+
+
+def finish_task(state: FleetState, job: Job, task: Task, now: float) -> None:
+    """Count a task as done; in a gang, one end is that of all."""
+    step = job.steps[task.key.occurrence, task.key.step]
+    done = step.tasks if task.step.is_gang else [task]
+    for member in done:
+        if not member.is_done:
+            member.is_done = True
+            step.done_count += 1
+    if job.has_all_done:
+        end_job(state, job, JobState.COMPLETED, now)
+
+
+def check_attempts(
+    state: FleetState, job: Job, task: Task, now: float
+) -> None:
+    """Fail a job whose task, or gang, has no attempt left."""
+    if task.step.is_long_running:
+        return
+    queue = state.queue_of(job)
+    if queue is None:
+        return
+    step = job.steps[task.key.occurrence, task.key.step]
+    failures = task.failures
+    if task.step.is_gang:
+        failures = sum(member.failures for member in step.tasks)
+    if failures >= queue.max_attempts:
+        end_job(state, job, JobState.FAILED, now)
+
+
+def end_job(state: FleetState, job: Job, final: JobState, now: float) -> None:
+    """End a job for good and stop what still runs of it."""
+    job.state = final
+    job.updated_ms = state.wall_ms(now)
+    state.active.pop(job.accepted.id, None)
+    state.mark_dirty(job, now)
+    for task in job.tasks():
+        state.stop_run(task)
+
+
+def lose_all_runs(state: FleetState, worker: Worker, now: float) -> None:
+    """Give up all runs on a worker that has ended for certain."""
+    for task in list(worker.tasks.values()):
+        state.finish_run(task, now)
--- /dev/null
+++ b/src/primroseledge/jobs/engine.py
@@ -0,0 +1,226 @@
+"""The owner's decisions about jobs: events in, actions and batches out.
+
+Pure: it knows neither the network nor the clock. ``settle`` is called
+after events and plans, looks and gathers what is to be stored.
+"""
+
+from primroseledge.ids import JobId
+from primroseledge.ids import QueueId
+from primroseledge.ids import WorkspaceId
+from primroseledge.jobs.actions import Action
+from primroseledge.jobs.actions import Answer
+from primroseledge.jobs.actions import Batch
+from primroseledge.jobs.actions import CancelJob
+from primroseledge.jobs.actions import LookAnswered
+from primroseledge.jobs.actions import LookFailed
+from primroseledge.jobs.actions import OrderAnswered
+from primroseledge.jobs.actions import OrderResult
+from primroseledge.jobs.actions import Reply
+from primroseledge.jobs.actions import SendLook
+from primroseledge.jobs.actions import SendStart
+from primroseledge.jobs.actions import SendStop
+from primroseledge.jobs.actions import SubmitJob
+from primroseledge.jobs.actions import Verdict
+from primroseledge.jobs.admission import find_refusal
+from primroseledge.jobs.configuration import Configuration
+from primroseledge.jobs.ends import end_job
+from primroseledge.jobs.fleetstate import FleetState
+from primroseledge.jobs.fleetstate import Timing
+from primroseledge.jobs.job import Job
+from primroseledge.jobs.looks import look_at_workers
+from primroseledge.jobs.looks import take_entries
+from primroseledge.jobs.looks import take_look_answer
+from primroseledge.jobs.looks import take_look_failure
+from primroseledge.jobs.orders import take_start_answer
+from primroseledge.jobs.orders import take_stop_answer
+from primroseledge.jobs.outbox import Outbox
+from primroseledge.jobs.pacing import pace_workers
+from primroseledge.jobs.planning import plan_services
+from primroseledge.jobs.progress import JobState
+from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.jobs.spec import JobSpec
+from primroseledge.jobs.worker import WorkerEntry
+
+NO_WORKSPACE = WorkspaceId('')
+CANCELLED_BEFORE: JobSpec = JobSpec(payload='', steps=())
+"""Stands for a job that was cancelled before it was handed in."""
+
+
+class Engine:
+    """Decides for all jobs while this instance is the owner."""
+
+    def __init__(self, state: FleetState) -> None:
+        self.state = state
+        self.outbox = Outbox()
+        self.is_fenced = False
+
+    def configure(self, configuration: Configuration) -> None:
+        """Use a newer configuration."""
+        self.state.configuration = configuration
+        self.state.to_plan.update(configuration.services)
+
+    def submit(self, event: SubmitJob, now: float) -> None:
+        """Accept a job, or refuse it; a known one stays one job."""
+        state = self.state
+        job_id = event.job.id
+        job = state.jobs.get(job_id)
+        if job is None:
+            refusal = find_refusal(state, event.job, now)
+            if refusal is not None:
+                state.actions.append(Reply(event.call, refusal))
+                return
+            job = Job(event.job, updated_ms=state.wall_ms(now))
+            job.open_due_steps(state.wall_ms(now))
+            state.jobs[job_id] = job
+            state.active[job_id] = job
+            state.mark_dirty(job, now)
+            state.ask_plan(job)
+        elif not job.accepted.spec.steps:
+            gone = Answer(Verdict.NO_SUCH_JOB, reason='cancelled before')
+            state.actions.append(Reply(event.call, gone))
+            return
+        self.reply_when_stored(event, job)
+
+    def cancel(self, event: CancelJob, now: float) -> None:
+        """Cancel a job; one that is not known yet will not run either."""
+        state = self.state
+        job = state.jobs.get(event.job)
+        if job is None:
+            job = self.remember_cancelled(event, now)
+        if not job.is_final:
+            end_job(state, job, JobState.CANCELLED, now)
+        self.reply_when_stored(event, job)
+
+    def remember_cancelled(self, event: CancelJob, now: float) -> Job:
+        """Return a record that keeps a late hand-in from running."""
+        wall_ms = self.state.wall_ms(now)
+        accepted = AcceptedJob(
+            id=event.job,
+            queue=event.queue,
+            workspace=NO_WORKSPACE,
+            accepted_ms=wall_ms,
+            spec=CANCELLED_BEFORE,
+        )
+        job = Job(accepted, JobState.CANCELLED, updated_ms=wall_ms)
+        self.state.jobs[event.job] = job
+        self.state.mark_dirty(job, now)
+        return job
+
+    def reply_when_stored(
+        self, event: SubmitJob | CancelJob, job: Job
+    ) -> None:
+        """Answer at once if all is stored, else with the next batch."""
+        state = self.state
+        verdict = Verdict.DONE
+        if not job.accepted.spec.steps:
+            verdict = Verdict.NO_SUCH_JOB
+        reply = Reply(event.call, Answer(verdict))
+        is_cancel = isinstance(event, CancelJob)
+        is_told = job.stored_state is job.state or not is_cancel
+        if job.is_stored and is_told:
+            state.actions.append(reply)
+            return
+        state.replies.setdefault(job.accepted.id, []).append(reply)
+        self.state.dirty.setdefault(job.accepted.id, None)
+
+    def find_state(self, job_id: JobId) -> Answer:
+        """Return what a caller is told of a job."""
+        job = self.state.jobs.get(job_id)
+        if job is None or not job.is_stored or not job.accepted.spec.steps:
+            return Answer(Verdict.NO_SUCH_JOB)
+        return Answer(Verdict.DONE, state=job.told_state)
+
+    def count_pending(self, queue: QueueId) -> Answer:
+        """Return how many of a queue's jobs have not started."""
+        count = sum(
+            1
+            for job in self.state.active.values()
+            if job.accepted.queue == queue
+            and job.is_stored
+            and not job.has_started
+        )
+        return Answer(Verdict.DONE, pending=count)
+
+    def take_entries(self, entries: list[WorkerEntry], now: float) -> None:
+        """Take in the list of workers."""
+        take_entries(self.state, entries, now)
+
+    def take_look(self, look: LookAnswered, now: float) -> None:
+        """Take in an answered look."""
+        take_look_answer(self.state, look, now)
+
+    def take_look_failure(self, failure: LookFailed, now: float) -> None:
+        """Take in a look that gave no list."""
+        self.is_fenced |= failure.result is OrderResult.FENCED
+        take_look_failure(self.state, failure, now)
+
+    def take_order(self, answer: OrderAnswered, now: float) -> None:
+        """Take in how an order ended."""
+        self.is_fenced |= answer.result is OrderResult.FENCED
+        worker = self.state.workers.get(answer.order.target.worker)
+        if (
+            worker is not None
+            and answer.clock_ms is not None
+            and worker.entry.boot == answer.order.target.boot
+        ):
+            worker.clock.read(answer.clock_ms, answer.received_at)
+        if isinstance(answer.order, SendStart):
+            take_start_answer(self.state, answer, now)
+        elif isinstance(answer.order, SendStop):
+            take_stop_answer(self.state, answer, now)
+
+    def batch_stored(self, now: float) -> None:
+        """Let the effects of the stored batch follow."""
+        self.outbox.commit(self.state, now)
+
+    def settle(self, now: float) -> tuple[list[Action], Batch | None]:
+        """Plan and look; return what to do and what to store."""
+        state = self.state
+        self.open_due_occurrences(now)
+        plan_services(state, now)
+        pace_workers(state, now)
+        self.outbox.refuse_waiting(state, now)
+        batch = self.outbox.take_batch(state, now)
+        look_at_workers(state, now)
+        actions = state.actions
+        state.actions = []
+        return actions, batch
+
+    def look_only(self, now: float) -> list[Action]:
+        """Renew the leases of what runs; start and store nothing."""
+        state = self.state
+        kept = state.actions
+        state.actions = []
+        look_at_workers(state, now)
+        looks: list[Action] = [
+            a for a in state.actions if isinstance(a, SendLook)
+        ]
+        state.actions = kept
+        return looks
+
+    def open_due_occurrences(self, now: float) -> None:
+        """Open the steps of repeated jobs that have become due."""
+        wall_ms = self.state.wall_ms(now)
+        for job in self.state.active.values():
+            if not job.accepted.spec.repetitions:
+                continue
+            before = len(job.steps)
+            job.open_due_steps(wall_ms)
+            if len(job.steps) > before:
+                self.state.ask_plan(job)
+
+
+def create_engine(
+    configuration: Configuration,
+    now: float,
+    wall_offset_s: float,
+    timing: Timing | None = None,
+) -> Engine:
+    """Return the engine of a new owner, without jobs."""
+    state = FleetState(
+        configuration,
+        now,
+        timing or Timing(),
+        wall_offset_s=wall_offset_s,
+    )
+    return Engine(state)
--- /dev/null
+++ b/src/primroseledge/jobs/fleetstate.py
@@ -0,0 +1,138 @@
+"""All that the owner holds: jobs, workers and what is to be stored."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Final
+
+from primroseledge.ids import JobId
+from primroseledge.ids import ServiceId
+from primroseledge.ids import WorkerId
+from primroseledge.ids import WorkspaceId
+from primroseledge.jobs.actions import Action
+from primroseledge.jobs.actions import Reply
+from primroseledge.jobs.configuration import Configuration
+from primroseledge.jobs.configuration import Queue
+from primroseledge.jobs.job import Job
+from primroseledge.jobs.resources import NOTHING
+from primroseledge.jobs.resources import Resources
+from primroseledge.jobs.task import Run
+from primroseledge.jobs.task import RunPhase
+from primroseledge.jobs.task import Task
+from primroseledge.jobs.worker import Worker
+
+MAX_LEASE_S: Final = 6.0
+"""The longest lease that a worker grants; from PROTOCOL."""
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Intervals of the owner, in seconds."""
+
+    lease_s: float = 5.5
+    look_wait_s: float = 1.5
+    look_retry_s: float = 0.4
+    stop_retry_s: float = 0.8
+    unlisted_keep_s: float = 20.0
+    predecessor_silent_s: float = 13.0
+    """How long a predecessor's runs may go on at a silent worker."""
+
+
+@dataclass(slots=True)
+class FleetState:
+    """The owner's jobs and workers.
+
+    ``dirty`` are jobs whose records changed, ``planned`` the starts
+    that wait to be stored, ``replies`` the answers that do.
+    """
+
+    configuration: Configuration
+    took_over_at: float
+    timing: Timing = Timing()
+    wall_offset_s: float = 0.0
+    jobs: dict[JobId, Job] = field(default_factory=dict)
+    active: dict[JobId, Job] = field(default_factory=dict)
+    workers: dict[WorkerId, Worker] = field(default_factory=dict)
+    usage: dict[WorkspaceId, Resources] = field(default_factory=dict)
+    dirty: dict[JobId, None] = field(default_factory=dict)
+    planned: list[Task] = field(default_factory=list)
+    replies: dict[JobId, list[Reply]] = field(default_factory=dict)
+    to_plan: set[ServiceId] = field(default_factory=set)
+    actions: list[Action] = field(default_factory=list)
+    dirty_since: float | None = None
+
+    def wall_ms(self, now: float) -> int:
+        """Return the time of day in ms since 1970."""
+        return int((now + self.wall_offset_s) * 1000)
+
+    def queue_of(self, job: Job) -> Queue | None:
+        """Return a job's queue, if it is still configured."""
+        return self.configuration.queues.get(job.accepted.queue)
+
+    def service_of(self, job: Job) -> ServiceId | None:
+        """Return the service whose workers run a job."""
+        queue = self.queue_of(job)
+        return queue.service if queue else None
+
+    def mark_dirty(self, job: Job, now: float) -> None:
+        """Note that a job's record has to be written."""
+        self.dirty[job.accepted.id] = None
+        if self.dirty_since is None:
+            self.dirty_since = now
+
+    def ask_plan(self, job: Job) -> None:
+        """Note that a job may have tasks to start."""
+        service = self.service_of(job)
+        if service is not None:
+            self.to_plan.add(service)
+
+    def workspace_usage(self, workspace: WorkspaceId) -> Resources:
+        """Return what a workspace may have running."""
+        return self.usage.get(workspace, NOTHING)
+
+    def begin_run(self, task: Task, worker: Worker, now: float) -> None:
+        """Plan a run of a task on a worker."""
+        task.last_run += 1
+        task.run = Run(
+            task.last_run, worker.id, worker.entry.boot, planned_at=now
+        )
+        self.count_run(task, worker)
+        self.planned.append(task)
+        job = self.jobs[task.key.job]
+        self.mark_dirty(job, now)
+
+    def count_run(self, task: Task, worker: Worker) -> None:
+        """Count a run's resources at its worker and workspace."""
+        worker.add(task)
+        workspace = self.jobs[task.key.job].accepted.workspace
+        self.usage[workspace] = self.workspace_usage(workspace).plus(
+            task.step.resources
+        )
+
+    def finish_run(self, task: Task, now: float) -> None:
+        """Stop counting a run that is over for certain."""
+        run = task.run
+        if run is None:
+            return
+        task.run = None
+        task.waiting_since = now
+        worker = self.workers.get(run.worker)
+        if worker is not None:
+            worker.remove(task)
+            self.to_plan.add(worker.entry.service)
+        job = self.jobs[task.key.job]
+        workspace = job.accepted.workspace
+        self.usage[workspace] = self.workspace_usage(workspace).minus(
+            task.step.resources
+        )
+        self.mark_dirty(job, now)
+        self.ask_plan(job)
+
+    def stop_run(self, task: Task) -> None:
+        """Want a run stopped; a planned one is not sent at all."""
+        if task.run is not None:
+            task.run.is_stop_wanted = True
+
+    def is_sent(self, task: Task) -> bool:
+        """Tell whether a task's run was ever ordered."""
+        run = task.run
+        return run is not None and run.phase is not RunPhase.PLANNED
--- /dev/null
+++ b/src/primroseledge/jobs/orders.py
@@ -0,0 +1,153 @@
+"""Send starts and stops, and take in how they ended."""
+
+from typing import Final
+
+from primroseledge.jobs.actions import OrderAnswered
+from primroseledge.jobs.actions import OrderResult
+from primroseledge.jobs.actions import SendStart
+from primroseledge.jobs.actions import SendStop
+from primroseledge.jobs.actions import target_of
+from primroseledge.jobs.ends import check_attempts
+from primroseledge.jobs.ends import find_task
+from primroseledge.jobs.fleetstate import FleetState
+from primroseledge.jobs.task import Run
+from primroseledge.jobs.task import RunPhase
+from primroseledge.jobs.task import Task
+from primroseledge.jobs.worker import Worker
+
+MAX_SENDS: Final = 3
+"""How often an unanswered start is sent before it is stopped instead."""
+
+SHUN_S: Final = 1.0
+"""No starts on a worker for this long after it refused one."""
+
+RETRYABLE: Final = frozenset(
+    (
+        OrderResult.TOO_LATE,
+        OrderResult.NO_ROOM,
+        OrderResult.NO_TICKET,
+        OrderResult.UNHEALTHY,
+        OrderResult.NOT_SENT,
+    )
+)
+
+
+def send_start(state: FleetState, task: Task, now: float) -> None:
+    """Order a run that is stored, or drop it if nobody wants it now."""
+    run = task.run
+    if run is None:
+        return
+    worker = state.workers.get(run.worker)
+    job = state.jobs[task.key.job]
+    deadline_ms = None
+    if worker is not None and worker.entry.boot == run.boot:
+        deadline_ms = worker.clock.deadline_after(state.timing.lease_s, now)
+    if run.is_stop_wanted or worker is None or deadline_ms is None:
+        state.finish_run(task, now)
+        return
+    worker.clock.extend(deadline_ms)
+    run.phase = RunPhase.SENT
+    run.send_count += 1
+    job.has_started = True
+    state.actions.append(
+        SendStart(
+            target_of(worker),
+            task.key,
+            run.number,
+            job.accepted.spec.payload,
+            task.checkpoint if task.step.saves_checkpoints else '',
+            deadline_ms,
+        )
+    )
+
+
+def take_start_answer(
+    state: FleetState, answer: OrderAnswered, now: float
+) -> None:
+    """Take in how a start ended."""
+    order = answer.order
+    task = find_task(state, order.task)
+    run = task.run if task else None
+    if task is None or run is None or run.number != order.run:
+        return
+    if run.worker != order.target.worker or run.phase is not RunPhase.SENT:
+        return
+    worker = state.workers.get(run.worker)
+    if answer.result is OrderResult.DONE:
+        run.phase = RunPhase.RUNNING
+        run.settled_at = answer.received_at
+    elif answer.result is OrderResult.UNANSWERED:
+        take_unanswered(state, task, run, worker, now)
+    elif answer.result is OrderResult.OLD_RUN:
+        # It ran and ended, or was stopped; a later look says which.
+        run.phase = RunPhase.UNRESOLVED
+        run.settled_at = answer.received_at
+    elif run.send_count > 1:
+        # An earlier send may still have been carried out.
+        take_unanswered(state, task, run, worker, now)
+    else:
+        take_refused(state, task, worker, answer.result, now)
+
+
+def take_unanswered(
+    state: FleetState,
+    task: Task,
+    run: Run,
+    worker: Worker | None,
+    now: float,
+) -> None:
+    """Send the same run again, which is idempotent, or stop it."""
+    if worker is None:
+        run.phase = RunPhase.UNRESOLVED
+        return
+    if run.send_count < MAX_SENDS and not run.is_stop_wanted:
+        send_start(state, task, now)
+        return
+    run.phase = RunPhase.UNRESOLVED
+    run.is_stop_wanted = True
+
+
+def take_refused(
+    state: FleetState,
+    task: Task,
+    worker: Worker | None,
+    result: OrderResult,
+    now: float,
+) -> None:
+    """Plan a task anew whose start was not carried out."""
+    state.finish_run(task, now)
+    if worker is not None and result is not OrderResult.NO_TICKET:
+        worker.shuns_until = now + SHUN_S
+    if result is OrderResult.INVALID:
+        task.failures += 1
+        job = state.jobs[task.key.job]
+        if not job.is_final:
+            check_attempts(state, job, task, now)
+
+
+def send_wanted_stops(state: FleetState, worker: Worker, now: float) -> None:
+    """Order the stops that are wanted and not under way."""
+    for task in list(worker.tasks.values()):
+        run = task.run
+        if run is None or not run.is_stop_wanted:
+            continue
+        if run.phase is RunPhase.PLANNED or run.phase is RunPhase.SENT:
+            continue
+        last = run.stop_sent_at
+        if last is not None and now < last + state.timing.stop_retry_s:
+            continue
+        run.stop_sent_at = now
+        state.actions.append(SendStop(target_of(worker), task.key, run.number))
+
+
+def take_stop_answer(
+    state: FleetState, answer: OrderAnswered, now: float
+) -> None:
+    """Take in how a stop ended; a later look shows the run or not."""
+    task = find_task(state, answer.order.task)
+    run = task.run if task else None
+    if run is None or run.number != answer.order.run:
+        return
+    if answer.result in (OrderResult.DONE, OrderResult.OLD_RUN):
+        run.stop_answered_at = answer.received_at
+        run.settled_at = answer.received_at
--- /dev/null
+++ b/src/primroseledge/jobs/outbox.py
@@ -0,0 +1,138 @@
+"""Gather what is to be stored into batches, one under way at a time."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from primroseledge.jobs.actions import Answer
+from primroseledge.jobs.actions import Batch
+from primroseledge.jobs.actions import Verdict
+from primroseledge.jobs.fleetstate import FleetState
+from primroseledge.jobs.job import Job
+from primroseledge.jobs.orders import send_start
+from primroseledge.jobs.progress import JobState
+from primroseledge.jobs.task import RunPhase
+from primroseledge.jobs.task import Task
+
+MAX_RECORDS: Final = 30
+"""Records of jobs in a transaction, beside the ledger; from PROTOCOL."""
+
+LINGER_S: Final = 0.015
+"""How long the first change waits for others to share a call."""
+
+REFUSE_AFTER_S: Final = 1.0
+"""Without a stored batch for this long, new jobs are refused at once."""
+
+RETRY_AFTER_S: Final = 2.0
+
+
+@dataclass(slots=True)
+class Outbox:
+    """The batches of one owner."""
+
+    number: int = 0
+    under_way: Batch | None = None
+
+    def take_batch(self, state: FleetState, now: float) -> Batch | None:
+        """Return the next batch to store, if it is time for one."""
+        if self.under_way is not None:
+            return None
+        if not state.dirty:
+            forget_ends(state)
+            return None
+        since = state.dirty_since
+        if since is not None and now < since + LINGER_S:
+            return None
+        batch = self.build(state, now)
+        self.under_way = batch
+        return batch
+
+    def build(self, state: FleetState, now: float) -> Batch:
+        """Put as many changes into a batch as it may hold."""
+        self.number += 1
+        batch = Batch(self.number, built_at=now)
+        room = MAX_RECORDS
+        for job_id in list(state.dirty):
+            job = state.jobs[job_id]
+            needed = 1 if job.is_stored else 2
+            if needed > room:
+                break
+            room -= needed
+            del state.dirty[job_id]
+            if not job.is_stored:
+                batch.accepted.append(job.accepted)
+            batch.progress.append(job.record())
+            batch.replies.extend(state.replies.pop(job_id, ()))
+        included = {record.id for record in batch.progress}
+        batch.starts = [t for t in state.planned if t.key.job in included]
+        state.planned = [t for t in state.planned if t.key.job not in included]
+        if state.dirty:
+            return batch
+        state.dirty_since = None
+        # Every end that was taken in has its effect in this batch.
+        batch.ends = {w.id: w.seen_end for w in state.workers.values()}
+        return batch
+
+    def commit(self, state: FleetState, now: float) -> None:
+        """Let the effects of the stored batch follow."""
+        batch = self.under_way
+        if batch is None:
+            return
+        self.under_way = None
+        for record in batch.progress:
+            job = state.jobs.get(record.id)
+            if job is not None:
+                job.is_stored = True
+                job.stored_state = record.state
+        for worker_id, number in batch.ends.items():
+            worker = state.workers.get(worker_id)
+            if worker is not None and worker.seen_end >= number:
+                worker.stored_end = max(worker.stored_end, number)
+        state.actions.extend(batch.replies)
+        for task in batch.starts:
+            run = task.run
+            if run is not None and run.phase is RunPhase.PLANNED:
+                send_start(state, task, now)
+
+    def refuse_waiting(self, state: FleetState, now: float) -> None:
+        """Refuse new jobs that wait for a store that does not answer.
+
+        Only jobs in no batch yet are refused: they never run.
+        """
+        batch = self.under_way
+        if batch is None or now < batch.built_at + REFUSE_AFTER_S:
+            return
+        kept = {record.id for record in batch.accepted}
+        for job_id in list(state.replies):
+            job = state.jobs[job_id]
+            if job.is_stored or job_id in kept:
+                continue
+            drop_job(state, job, now)
+
+
+def forget_ends(state: FleetState) -> None:
+    """Let workers forget ends that had no effect to store."""
+    for worker in state.workers.values():
+        worker.stored_end = worker.seen_end
+
+
+def drop_job(state: FleetState, job: Job, now: float) -> None:
+    """Refuse a job that is in no batch, and forget it."""
+    job_id = job.accepted.id
+    for task in job.tasks():
+        forget_planned(state, task, now)
+    job.state = JobState.CANCELLED
+    for reply in state.replies.pop(job_id, ()):
+        refused = Answer(
+            Verdict.REFUSED, retry_after_s=RETRY_AFTER_S, reason='store'
+        )
+        state.actions.append(type(reply)(reply.call, refused))
+    state.dirty.pop(job_id, None)
+    state.active.pop(job_id, None)
+    del state.jobs[job_id]
+
+
+def forget_planned(state: FleetState, task: Task, now: float) -> None:
+    """Undo a planned start that was never stored."""
+    if task in state.planned:
+        state.planned.remove(task)
+    state.finish_run(task, now)
--- /dev/null
+++ b/src/primroseledge/jobs/placing.py
@@ -0,0 +1,129 @@
+"""Choose the worker for a task.
+
+Batch tasks spread over the emptiest workers, so that the loss of one
+costs little. Long-running ones spread over racks, apart from tasks that
+fill the processors beside them.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+
+from primroseledge.ids import WorkerId
+from primroseledge.jobs.job import StepRun
+from primroseledge.jobs.resources import NOTHING
+from primroseledge.jobs.resources import Resources
+from primroseledge.jobs.spec import StepSpec
+from primroseledge.jobs.worker import Worker
+
+
+@dataclass(slots=True)
+class StepPlacement:
+    """Where the tasks of one step run, counted once for all of them."""
+
+    per_worker: Counter[WorkerId] = field(default_factory=Counter)
+    per_rack: Counter[str] = field(default_factory=Counter)
+    planned: dict[WorkerId, Resources] = field(default_factory=dict)
+
+    def add(self, worker: Worker, step: StepSpec) -> None:
+        """Count a task that is about to be placed."""
+        self.per_worker[worker.id] += 1
+        self.per_rack[worker.rack] += 1
+        planned = self.planned.get(worker.id, NOTHING)
+        self.planned[worker.id] = planned.plus(step.counted)
+
+    def room(self, worker: Worker) -> Resources:
+        """Return what is left at a worker."""
+        return worker.free.minus(self.planned.get(worker.id, NOTHING))
+
+
+def count_placement(
+    step: StepRun, workers: dict[WorkerId, Worker]
+) -> StepPlacement:
+    """Count where a step's tasks may be running."""
+    placement = StepPlacement()
+    for task in step.tasks:
+        if task.run is None:
+            continue
+        placement.per_worker[task.run.worker] += 1
+        worker = workers.get(task.run.worker)
+        if worker is not None:
+            placement.per_rack[worker.rack] += 1
+    return placement
+
+
+def choose_worker(
+    step: StepSpec, workers: Sequence[Worker], placement: StepPlacement
+) -> Worker | None:
+    """Return the best worker with room for a task, if there is one."""
+    fitting = [
+        worker
+        for worker in workers
+        if step.counted.fits_in(placement.room(worker))
+        and is_allowed(step, worker, placement)
+    ]
+    if not fitting:
+        return None
+    rank = rank_long_running if step.is_long_running else rank_batch
+    return min(fitting, key=rank(step, placement))
+
+
+def is_allowed(
+    step: StepSpec, worker: Worker, placement: StepPlacement
+) -> bool:
+    """Tell whether a step's own rules let a task run on a worker."""
+    if step.label and step.label not in worker.entry.labels:
+        return False
+    most = step.max_per_worker
+    if most and placement.per_worker[worker.id] >= most:
+        return False
+    if step.is_one_rack and placement.per_rack:
+        return worker.rack in placement.per_rack
+    return True
+
+
+Rank = Callable[[Worker], tuple[float, ...]]
+
+
+def rank_batch(step: StepSpec, placement: StepPlacement) -> Rank:
+    """Prefer the rack near the data, then the emptiest worker."""
+
+    def rank(worker: Worker) -> tuple[float, ...]:
+        is_far = bool(step.data_rack) and worker.rack != step.data_rack
+        return (is_far, used_share(worker, placement))
+
+    return rank
+
+
+def rank_long_running(step: StepSpec, placement: StepPlacement) -> Rank:
+    """Prefer workers and racks without tasks of the step."""
+
+    def rank(worker: Worker) -> tuple[float, ...]:
+        return (
+            placement.per_worker[worker.id],
+            count_disturbing(step, worker),
+            placement.per_rack[worker.rack],
+            used_share(worker, placement),
+        )
+
+    return rank
+
+
+def count_disturbing(step: StepSpec, worker: Worker) -> int:
+    """Return how many tasks there disturb, or are disturbed by, a task."""
+    if step.is_filler:
+        return sum(1 for t in worker.tasks.values() if t.step.target_ms)
+    if step.target_ms:
+        return sum(1 for t in worker.tasks.values() if t.step.is_filler)
+    return 0
+
+
+def used_share(worker: Worker, placement: StepPlacement) -> float:
+    """Return the larger share of processors or memory in use."""
+    room = placement.room(worker)
+    capacity = worker.entry.capacity
+    cpu = 1 - room.cpu_millis / max(1, capacity.cpu_millis)
+    memory = 1 - room.memory_mb / max(1, capacity.memory_mb)
+    return max(cpu, memory)
--- /dev/null
+++ b/src/primroseledge/jobs/planning.py
@@ -0,0 +1,158 @@
+"""Plan the starts of a service's waiting tasks.
+
+Starts follow an order (see ``ordering``), stay within the limits of
+workspaces and the room of workers. When a long-running task finds no
+room, the emptiest worker takes no batch tasks until it fits.
+"""
+
+from typing import Final
+
+from primroseledge.ids import ServiceId
+from primroseledge.jobs.fleetstate import FleetState
+from primroseledge.jobs.job import Job
+from primroseledge.jobs.job import StepRun
+from primroseledge.jobs.ordering import order_key
+from primroseledge.jobs.ordering import OrderKey
+from primroseledge.jobs.placing import choose_worker
+from primroseledge.jobs.placing import count_placement
+from primroseledge.jobs.placing import StepPlacement
+from primroseledge.jobs.placing import used_share
+from primroseledge.jobs.resources import Resources
+from primroseledge.jobs.task import Task
+from primroseledge.jobs.worker import Worker
+
+MAX_MISSES: Final = 12
+"""Steps without room after which a pass over a service ends."""
+
+MAX_STARTS_PER_PASS: Final = 64
+
+
+def plan_services(state: FleetState, now: float) -> None:
+    """Plan all services in which something has changed."""
+    services = state.to_plan
+    state.to_plan = set()
+    for service in services:
+        plan_service(state, service, now)
+
+
+def plan_service(state: FleetState, service: ServiceId, now: float) -> None:
+    """Plan the starts of one service."""
+    waiting = waiting_steps(state, service, now)
+    if not waiting:
+        return
+    workers = [
+        worker
+        for worker in state.workers.values()
+        if worker.entry.service == service and worker.takes_starts(now)
+    ]
+    misses = 0
+    for _, job, step in waiting:
+        if len(state.planned) >= MAX_STARTS_PER_PASS:
+            state.to_plan.add(service)
+            return
+        if plan_step(state, job, step, workers, now):
+            continue
+        misses += 1
+        if step.spec.is_long_running:
+            workers = without_emptiest(workers)
+        if misses >= MAX_MISSES:
+            return
+
+
+def waiting_steps(
+    state: FleetState, service: ServiceId, now: float
+) -> list[tuple[OrderKey, Job, StepRun]]:
+    """Return the service's steps with tasks to start, in order."""
+    wall_ms = state.wall_ms(now)
+    found = list[tuple[OrderKey, Job, StepRun]]()
+    for job in state.active.values():
+        queue = state.queue_of(job)
+        if queue is None or queue.service != service:
+            continue
+        for step in job.ready_steps():
+            if any(task.is_waiting for task in step.tasks):
+                key = order_key(job, step, queue, wall_ms)
+                found.append((key, job, step))
+    found.sort(key=first_of)
+    return found
+
+
+def first_of(row: tuple[OrderKey, Job, StepRun]) -> OrderKey:
+    """Return the key of a row."""
+    return row[0]
+
+
+def plan_step(
+    state: FleetState,
+    job: Job,
+    step: StepRun,
+    workers: list[Worker],
+    now: float,
+) -> bool:
+    """Plan a step's waiting tasks; tell whether all found room."""
+    placement = count_placement(step, state.workers)
+    if step.spec.is_gang:
+        return plan_gang(state, job, step, workers, placement, now)
+    for task in step.tasks:
+        if not task.is_waiting:
+            continue
+        if not is_within_limit(state, job, step.spec.resources):
+            return False
+        worker = choose_worker(step.spec, workers, placement)
+        if worker is None:
+            return False
+        # The worker counts the run itself; the placement only where.
+        state.begin_run(task, worker, now)
+        placement.per_worker[worker.id] += 1
+        placement.per_rack[worker.rack] += 1
+    return True
+
+
+def plan_gang(
+    state: FleetState,
+    job: Job,
+    step: StepRun,
+    workers: list[Worker],
+    placement: StepPlacement,
+    now: float,
+) -> bool:
+    """Plan all tasks of a gang, or none."""
+    if not all(task.is_waiting for task in step.tasks):
+        return True
+    count = len(step.tasks)
+    if not is_within_limit(state, job, step.spec.resources.times(count)):
+        return False
+    pairs = list[tuple[Task, Worker]]()
+    for task in step.tasks:
+        worker = choose_worker(step.spec, workers, placement)
+        if worker is None:
+            return False
+        placement.add(worker, step.spec)
+        pairs.append((task, worker))
+    # All members of a gang share the number of the run.
+    last_run = max(task.last_run for task in step.tasks)
+    checkpoint = max(task.checkpoint for task in step.tasks)
+    for task, worker in pairs:
+        task.last_run = last_run
+        task.checkpoint = checkpoint
+        state.begin_run(task, worker, now)
+    return True
+
+
+def is_within_limit(state: FleetState, job: Job, more: Resources) -> bool:
+    """Tell whether a workspace may have this much more running."""
+    workspace_id = job.accepted.workspace
+    workspace = state.configuration.workspaces.get(workspace_id)
+    if workspace is None:
+        return True
+    usage = state.workspace_usage(workspace_id).plus(more)
+    return usage.is_within(workspace.limit)
+
+
+def without_emptiest(workers: list[Worker]) -> list[Worker]:
+    """Leave out the worker that will first have room for a large task."""
+    if not workers:
+        return workers
+    nothing = StepPlacement()
+    emptiest = min(workers, key=lambda w: used_share(w, nothing))
+    return [worker for worker in workers if worker is not emptiest]
--- /dev/null
+++ b/src/primroseledge/jobs/recovery.py
@@ -0,0 +1,87 @@
+"""Take over the jobs that a predecessor stored."""
+
+from collections.abc import Iterable
+
+from primroseledge.ids import Boot
+from primroseledge.ids import ServiceId
+from primroseledge.ids import WorkerId
+from primroseledge.ids import ZoneId
+from primroseledge.jobs.engine import Engine
+from primroseledge.jobs.fleetstate import FleetState
+from primroseledge.jobs.job import Job
+from primroseledge.jobs.job import restore_job
+from primroseledge.jobs.progress import ProgressRecord
+from primroseledge.jobs.resources import NOTHING
+from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.jobs.task import Run
+from primroseledge.jobs.worker import Worker
+from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.jobs.worker import WorkerState
+
+
+def restore(
+    engine: Engine,
+    accepted: Iterable[AcceptedJob],
+    progress: Iterable[ProgressRecord],
+    entries: list[WorkerEntry],
+    now: float,
+) -> None:
+    """Fill a new engine from the records in the store.
+
+    Runs on workers that started again since are over. All others stay
+    counted until the worker is looked at, or until the lease of a
+    silent one has ended for certain.
+    """
+    state = engine.state
+    engine.take_entries(entries, now)
+    records = {record.id: record for record in progress}
+    for job_record in accepted:
+        job = restore_job(
+            job_record, records.get(job_record.id), state.wall_ms(now)
+        )
+        state.jobs[job_record.id] = job
+        if not job.is_final:
+            state.active[job_record.id] = job
+        restore_runs(state, job, now)
+    state.to_plan.update(state.configuration.services)
+
+
+def restore_runs(state: FleetState, job: Job, now: float) -> None:
+    """Count the runs that may be running, at their workers."""
+    for task in job.tasks():
+        run = task.run
+        if run is None:
+            continue
+        run.settled_at = now
+        run.is_stop_wanted = job.is_final
+        worker = find_worker(state, run)
+        if worker.entry.boot > run.boot:
+            task.run = None
+            state.mark_dirty(job, now)
+            continue
+        state.count_run(task, worker)
+        worker.silent_until = now + state.timing.predecessor_silent_s
+
+
+def find_worker(state: FleetState, run: Run) -> Worker:
+    """Return a run's worker, or a stand-in for one that is not listed."""
+    worker = state.workers.get(run.worker)
+    if worker is None:
+        worker = Worker(unlisted_entry(run.worker, run.boot))
+        worker.is_listed = False
+        state.workers[run.worker] = worker
+    return worker
+
+
+def unlisted_entry(worker: WorkerId, boot: Boot) -> WorkerEntry:
+    """Return an entry for a worker of which only the id is known."""
+    return WorkerEntry(
+        worker,
+        boot,
+        ServiceId(''),
+        '',
+        ZoneId(''),
+        WorkerState.GONE,
+        NOTHING,
+        (),
+    )
--- /dev/null
+++ b/src/primroseledge/jobs/task.py
@@ -0,0 +1,112 @@
+"""Tasks and their runs, as the owner holds them."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+from primroseledge.ids import Boot
+from primroseledge.ids import JobId
+from primroseledge.ids import WorkerId
+from primroseledge.jobs.progress import TaskRecord
+from primroseledge.jobs.spec import StepSpec
+
+
+class TaskKey(NamedTuple):
+    """Names one task of one occurrence of a job."""
+
+    job: JobId
+    occurrence: int
+    step: int
+    number: int
+
+
+class RunPhase(Enum):
+    """How far a run has come.
+
+    A ``PLANNED`` one is not stored yet, a ``SENT`` one was ordered and
+    not answered, an ``UNRESOLVED`` one may or may not be running.
+    """
+
+    PLANNED = 'planned'
+    SENT = 'sent'
+    RUNNING = 'running'
+    UNRESOLVED = 'unresolved'
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One start of a task on one worker.
+
+    ``settled_at`` is when the worker answered the start; a look that
+    was sent later must show the run or its end. ``load`` is what the
+    worker last said of it: the tail of its response times in ms for a
+    task with an objective, else the processors in use.
+    """
+
+    number: int
+    worker: WorkerId
+    boot: Boot
+    phase: RunPhase = RunPhase.PLANNED
+    planned_at: float = 0.0
+    settled_at: float | None = None
+    seen_at: float | None = None
+    send_count: int = 0
+    is_stop_wanted: bool = False
+    stop_sent_at: float | None = None
+    stop_answered_at: float | None = None
+    percent: int = 100
+    load: int = 0
+    paced_at: float = 0.0
+    over_since: float | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """A task; it has at most one run that may be running."""
+
+    key: TaskKey
+    step: StepSpec
+    run: Run | None = None
+    last_run: int = 0
+    is_done: bool = False
+    failures: int = 0
+    checkpoint: str = ''
+    waiting_since: float = 0.0
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether it is to be started."""
+        return self.run is None and not self.is_done
+
+    def record(self) -> TaskRecord:
+        """Return what is to be stored of it."""
+        run = self.run
+        return TaskRecord(
+            self.key.occurrence,
+            self.key.step,
+            self.key.number,
+            self.last_run,
+            self.is_done,
+            run is not None,
+            run.worker if run else WorkerId(''),
+            run.boot if run else Boot(0),
+            self.failures,
+            self.checkpoint,
+        )
+
+
+def restore_task(key: TaskKey, step: StepSpec, record: TaskRecord) -> Task:
+    """Return a task as a predecessor stored it."""
+    task = Task(
+        key,
+        step,
+        last_run=record.run,
+        is_done=record.is_done,
+        failures=record.failures,
+        checkpoint=record.checkpoint,
+    )
+    if record.may_run:
+        task.run = Run(
+            record.run, record.worker, record.boot, RunPhase.UNRESOLVED
+        )
+    return task
--- a/src/primroseledge/listthread.py
+++ b/src/primroseledge/listthread.py
@@ -9,9 +9,9 @@
 from primroseledge.actions import Action
 from primroseledge.loop import Loop
 from primroseledge.node import Node
-from primroseledge.platform import InstanceService
-from primroseledge.platform import PlatformError
 from primroseledge.policystate import Listing
+from primroseledge.taskservice import InstanceService
+from primroseledge.taskservice import PlatformError
 
 POLL_S: Final = 1.0
 """With the list's own lag of 2 s, a leaving upstream is noted in 3 s."""
--- /dev/null
+++ b/src/primroseledge/maintenance/__init__.py
@@ -0,0 +1,1 @@
+"""Upkeep of instances and their moves between pools."""
--- a/src/primroseledge/memorywatch.py
+++ b/src/primroseledge/memorywatch.py
@@ -14,8 +14,8 @@
 from primroseledge.placing import Relief
 from primroseledge.placing import relieve
 from primroseledge.placing import TaskUse
-from primroseledge.platform import TaskState
-from primroseledge.platform import TaskStatus
+from primroseledge.taskservice import TaskState
+from primroseledge.taskservice import TaskStatus
 
 REPORT_AHEAD_S: Final = 5.0
 MIN_REPORT_GAP_S: Final = 0.5
--- /dev/null
+++ b/src/primroseledge/platform/daemon.py
@@ -0,0 +1,192 @@
+"""Run an entry instance on the platform until it gets SIGTERM."""
+
+from contextlib import ExitStack
+from os import close
+from os import eventfd
+from signal import SIGHUP
+from signal import SIGINT
+from signal import signal
+from signal import SIGTERM
+from threading import Event as ThreadEvent
+from threading import Thread
+from time import time
+from typing import Any
+from typing import Final
+
+from cheroot.wsgi import Server
+
+from primroseledge.cluster.fleetnode import Decoders
+from primroseledge.cluster.fleetnode import FleetNode
+from primroseledge.cluster.fleetstore import Item
+from primroseledge.cluster.keys import MemberRecord
+from primroseledge.cluster.link import open_link
+from primroseledge.cluster.nodeloop import NodeLoop
+from primroseledge.cluster.storethread import StoreThread
+from primroseledge.cluster.watchthreads import LeaseThread
+from primroseledge.cluster.watchthreads import WatchThread
+from primroseledge.cluster.workerlinks import WorkerLinks
+from primroseledge.events import Event
+from primroseledge.ids import EntryId
+from primroseledge.jobs.configuration import Configuration
+from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.logs import log
+from primroseledge.platform.callers import CallerApplication
+from primroseledge.platform.callers import ReadyApplication
+from primroseledge.platform.decoding import decode_configuration
+from primroseledge.platform.decoding import decode_entry
+from primroseledge.platform.keys import KeyNames
+from primroseledge.platform.settings import PlatformSettings
+from primroseledge.platform.store import PlatformStore
+from primroseledge.platform.workers import PlatformWorker
+
+READY_THREADS: Final = 1
+MAX_HEADER_BYTES: Final = 16384
+IDLE_CONNECTION_S: Final = 15
+ACCEPT_BACKLOG: Final = 512
+STOP_MARGIN_S: Final = 1.5
+"""The process ends this long before the platform would kill it."""
+
+
+def run(settings: PlatformSettings) -> int:
+    """Serve until stopped; return the exit code."""
+    with ExitStack() as resources:
+        loop = create_loop(settings, resources)
+        start_threads(settings, loop, resources)
+        start_servers(settings, loop, resources)
+        stopper = Stopper(loop, settings.grace_period_s)
+        resources.callback(stopper.cancel)
+        for number in (SIGTERM, SIGINT):
+            signal(number, lambda *_: stopper.begin())
+        signal(SIGHUP, lambda *_: log(Event.SETTINGS_SEEN))
+        log(
+            Event.STARTED,
+            entry=settings.entry_id,
+            zone=settings.zone,
+            address=settings.caller_address,
+        )
+        loop.run()
+    log(Event.STOPPED, seconds=0, left=len(loop.waiting))
+    return 0
+
+
+class Stopper:
+    """Ends the loop some time after a stop was asked for.
+
+    Until then callers on open connections are served.
+    """
+
+    def __init__(self, loop: NodeLoop, grace_period_s: float) -> None:
+        self.loop = loop
+        self.wait_s = max(0.5, grace_period_s - STOP_MARGIN_S)
+        self.is_cancelled = ThreadEvent()
+        self.thread = Thread(target=self.run, name='stop', daemon=True)
+
+    def begin(self) -> None:
+        """Begin the shutdown; a second signal changes nothing."""
+        if self.loop.is_leaving:
+            return
+        self.loop.leave()
+        self.thread.start()
+
+    def run(self) -> None:
+        """End the loop when the time is over."""
+        self.is_cancelled.wait(self.wait_s)
+        self.loop.end()
+
+    def cancel(self) -> None:
+        """End the thread."""
+        self.is_cancelled.set()
+
+
+def create_loop(settings: PlatformSettings, resources: ExitStack) -> NodeLoop:
+    """Create the loop with its node and its link to peers."""
+    wake_fd = eventfd(0)
+    resources.callback(close, wake_fd)
+    identity = f'{settings.entry_id}/{int(time() * 1000)}'
+    link = open_link(settings.peer_address, identity)
+    resources.callback(link.close)
+    names = KeyNames()
+    node = FleetNode(
+        EntryId(settings.entry_id),
+        settings.peer_address,
+        Decoders(names.configuration_key, decode_configuration, decode_worker),
+        settings.seeds,
+    )
+    return NodeLoop(node, link, wake_fd)
+
+
+def decode_worker(item: Item, configuration: Configuration) -> WorkerEntry:
+    """Decode a worker's entry; raises DocumentError."""
+    return decode_entry(item, configuration.services)
+
+
+def start_threads(
+    settings: PlatformSettings, loop: NodeLoop, resources: ExitStack
+) -> None:
+    """Start the threads that call the store and the workers."""
+    names = KeyNames()
+    member = MemberRecord(EntryId(settings.entry_id), settings.peer_address)
+    store = StoreThread(
+        loop,
+        open_store(settings, resources),
+        names,
+        member.entry,
+        member.address,
+    )
+    lease = LeaseThread(loop, open_store(settings, resources), member)
+    watch = WatchThread(
+        loop, open_store(settings, resources), names.watched_prefix
+    )
+    for thread in (store, lease, watch):
+        resources.callback(thread.stop)
+        thread.start()
+    loop.store = store
+    loop.workers = WorkerLinks(loop, PlatformWorker, loop.may_order)
+    resources.callback(loop.workers.close)
+
+
+def open_store(
+    settings: PlatformSettings, resources: ExitStack
+) -> PlatformStore:
+    """Open a connection to the store."""
+    store = PlatformStore(settings.store_address)
+    resources.callback(store.close)
+    return store
+
+
+def start_servers(
+    settings: PlatformSettings, loop: NodeLoop, resources: ExitStack
+) -> None:
+    """Start the HTTP servers for callers and for readiness."""
+    callers = CallerApplication(
+        loop,
+        lambda: loop.node.configuration,
+        lambda: loop.is_leaving,
+        wall_ms,
+    )
+    ready = ReadyApplication(lambda: loop.is_ready)
+    served: list[tuple[str, int, Any]] = [
+        (settings.caller_address, settings.server_threads, callers),
+        (settings.ready_address, READY_THREADS, ready),
+    ]
+    for address, threads, application in served:
+        host, _, port = address.rpartition(':')
+        server = Server(
+            (host, int(port)),
+            application,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=ACCEPT_BACKLOG,
+            timeout=IDLE_CONNECTION_S,
+            shutdown_timeout=1,
+        )
+        server.max_request_header_size = MAX_HEADER_BYTES
+        server.prepare()
+        thread = Thread(target=server.serve, name='http', daemon=True)
+        thread.start()
+        resources.callback(server.stop)
+
+
+def wall_ms() -> int:
+    """Return the time of day in ms since 1970."""
+    return int(time() * 1000)
--- /dev/null
+++ b/src/primroseledge/platform/settings.py
@@ -0,0 +1,62 @@
+"""The settings of an entry instance on the platform.
+
+The platform fills in ``deploy/node.json``, so the file has our own
+names and form.
+"""
+
+from os import environ
+from pathlib import Path
+from typing import Annotated
+from typing import Final
+
+from msgspec import DecodeError
+from msgspec import json
+from msgspec import Meta
+from msgspec import Struct
+
+from primroseledge.errors import SettingsError
+
+SETTINGS_VARIABLE: Final = 'PRIMROSELEDGE_NODE_FILE'
+ADDRESS: Final = r'^[0-9.]+:[0-9]+$'
+Address = Annotated[str, Meta(pattern=ADDRESS)]
+
+
+class PlatformSettings(Struct, frozen=True, kw_only=True):
+    """Where this process runs and whom it calls."""
+
+    entry_id: Annotated[str, Meta(min_length=1)]
+    zone: str
+    caller_address: Address
+    ready_address: Address
+    peer_address: Address
+    seed_hosts: list[str] = []
+    store_address: Address
+    fleet_address: Address
+    advice_address: str = ''
+    grace_period_s: Annotated[float, Meta(gt=0)] = 6.0
+    server_threads: Annotated[int, Meta(ge=1, le=256)] = 24
+
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """Return the addresses of peers to ask without the store."""
+        port = self.peer_address.rpartition(':')[2]
+        hosts = [seed.partition(':')[0] for seed in self.seed_hosts]
+        return tuple(f'{host}:{port}' for host in hosts if host)
+
+
+def settings_path() -> Path:
+    """Return where the platform put the settings."""
+    path = environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f'{SETTINGS_VARIABLE} is not set')
+    return Path(path)
+
+
+def load(path: Path) -> PlatformSettings:
+    """Read and check the settings; raises SettingsError."""
+    try:
+        return json.decode(path.read_bytes(), type=PlatformSettings)
+    except OSError as error:
+        raise SettingsError(f'{path}: {error.strerror}') from error
+    except DecodeError as error:
+        raise SettingsError(f'{path}: {error}') from error
--- a/src/primroseledge/policystate.py
+++ b/src/primroseledge/policystate.py
@@ -15,8 +15,8 @@
 from primroseledge.job import Job
 from primroseledge.jobcontroller import JobReport
 from primroseledge.plan import StepReport
-from primroseledge.platform import InstanceStatus
-from primroseledge.platform import Life
+from primroseledge.taskservice import InstanceStatus
+from primroseledge.taskservice import Life
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/poolcontroller.py
+++ b/src/primroseledge/poolcontroller.py
@@ -41,11 +41,11 @@
 from primroseledge.plan import Wave
 from primroseledge.plan import WaveSettings
 from primroseledge.plan import WaveState
-from primroseledge.platform import InstanceService
-from primroseledge.platform import PlatformError
-from primroseledge.platform import TaskService
 from primroseledge.records import Records
 from primroseledge.records import Versioned
+from primroseledge.taskservice import InstanceService
+from primroseledge.taskservice import PlatformError
+from primroseledge.taskservice import TaskService
 from primroseledge.wave import count_success
 from primroseledge.wave import decide
 
--- a/src/primroseledge/poolrounds.py
+++ b/src/primroseledge/poolrounds.py
@@ -28,11 +28,11 @@
 from primroseledge.plan import StepReport
 from primroseledge.plan import Wave
 from primroseledge.plan import WaveSettings
-from primroseledge.platform import InstanceService
-from primroseledge.platform import TaskService
 from primroseledge.poolcontroller import HELD_STATES
 from primroseledge.poolcontroller import PoolController
 from primroseledge.records import Records
+from primroseledge.taskservice import InstanceService
+from primroseledge.taskservice import TaskService
 
 MAX_LIST_AGE_S: Final = 5.0
 """With an older list nothing is decided about instances."""
--- a/src/primroseledge/platformclient.py
+++ b/src/primroseledge/taskserviceclient.py
@@ -14,12 +14,12 @@
 from primroseledge.jsoncall import LostAnswerError
 from primroseledge.jsoncall import NotReachedError
 from primroseledge.jsoncall import StatusError
-from primroseledge.platform import InstanceStatus
-from primroseledge.platform import PlatformError
-from primroseledge.platform import PlatformOutcomeUnknownError
-from primroseledge.platform import PlatformUnavailableError
-from primroseledge.platform import TaskSpec
-from primroseledge.platform import TaskStatus
+from primroseledge.taskservice import InstanceStatus
+from primroseledge.taskservice import PlatformError
+from primroseledge.taskservice import PlatformOutcomeUnknownError
+from primroseledge.taskservice import PlatformUnavailableError
+from primroseledge.taskservice import TaskSpec
+from primroseledge.taskservice import TaskStatus
 
 AnswerT = TypeVar('AnswerT', bound=Struct)
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,13 +11,13 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.platform import InstanceStatus
-from primroseledge.platform import Life
-from primroseledge.platform import PlatformOutcomeUnknownError
-from primroseledge.platform import PlatformUnavailableError
-from primroseledge.platform import TaskSpec
-from primroseledge.platform import TaskState
-from primroseledge.platform import TaskStatus
+from primroseledge.taskservice import InstanceStatus
+from primroseledge.taskservice import Life
+from primroseledge.taskservice import PlatformOutcomeUnknownError
+from primroseledge.taskservice import PlatformUnavailableError
+from primroseledge.taskservice import TaskSpec
+from primroseledge.taskservice import TaskState
+from primroseledge.taskservice import TaskStatus
 
 
 @dataclass(slots=True)
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -20,9 +20,9 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.platform import PlatformOutcomeUnknownError
-from primroseledge.platform import PlatformUnavailableError
-from primroseledge.platform import TaskSpec
+from primroseledge.taskservice import PlatformOutcomeUnknownError
+from primroseledge.taskservice import PlatformUnavailableError
+from primroseledge.taskservice import TaskSpec
 from standins.httpapp import Handler
 from standins.httpapp import HttpError
 from standins.httpapp import JsonApplication
--- a/tests/jobworld.py
+++ b/tests/jobworld.py
@@ -15,7 +15,7 @@
 from primroseledge.job import JOBS_PREFIX
 from primroseledge.jobadmission import JobInput
 from primroseledge.jobcontroller import JobController
-from primroseledge.platform import TaskState
+from primroseledge.taskservice import TaskState
 from primroseledge.records import Records
 from standins.platform import Machine
 from standins.platform import PlatformCore
--- a/tests/policyworld.py
+++ b/tests/policyworld.py
@@ -31,8 +31,8 @@
 from primroseledge.plan import StepState
 from primroseledge.plan import Wave
 from primroseledge.plan import WaveSettings
-from primroseledge.platform import InstanceStatus
-from primroseledge.platform import TaskState
+from primroseledge.taskservice import InstanceStatus
+from primroseledge.taskservice import TaskState
 from primroseledge.poolcontroller import PoolController
 from primroseledge.records import Records
 from primroseledge.store import Snapshot
--- a/tests/test_controls.py
+++ b/tests/test_controls.py
@@ -29,9 +29,9 @@
 from primroseledge.plan import Plan
 from primroseledge.plan import plan_key
 from primroseledge.plan import Wave
-from primroseledge.platform import InstanceStatus
-from primroseledge.platform import Life
-from primroseledge.platform import PlatformUnavailableError
+from primroseledge.taskservice import InstanceStatus
+from primroseledge.taskservice import Life
+from primroseledge.taskservice import PlatformUnavailableError
 from primroseledge.policystate import Listing
 from primroseledge.poolrounds import PoolRounds
 from tests.policyworld import PolicyWorld
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -23,8 +23,8 @@
 from primroseledge.placing import relieve
 from primroseledge.placing import TaskUse
 from primroseledge.placing import Worker
-from primroseledge.platform import PlatformUnavailableError
-from primroseledge.platform import TaskSpec
+from primroseledge.taskservice import PlatformUnavailableError
+from primroseledge.taskservice import TaskSpec
 from standins.platform import Program
 from tests.jobworld import JobWorld
 from tests.jobworld import TEAMS
--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -5,13 +5,13 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.platform import InstanceService
-from primroseledge.platform import PlatformOutcomeUnknownError
-from primroseledge.platform import PlatformUnavailableError
-from primroseledge.platform import TaskService
-from primroseledge.platform import TaskSpec
-from primroseledge.platform import TaskState
-from primroseledge.platformclient import HttpPlatform
+from primroseledge.taskservice import InstanceService
+from primroseledge.taskservice import PlatformOutcomeUnknownError
+from primroseledge.taskservice import PlatformUnavailableError
+from primroseledge.taskservice import TaskService
+from primroseledge.taskservice import TaskSpec
+from primroseledge.taskservice import TaskState
+from primroseledge.taskserviceclient import HttpPlatform
 from standins.httpapp import create_server
 from standins.platform import Machine
 from standins.platform import PlatformCore
--- a/tests/test_platformserver.py
+++ b/tests/test_platformserver.py
@@ -8,14 +8,14 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.platform import Life
-from primroseledge.platform import PlatformError
-from primroseledge.platform import PlatformOutcomeUnknownError
-from primroseledge.platform import PlatformUnavailableError
-from primroseledge.platform import TaskSpec
-from primroseledge.platform import TaskState
-from primroseledge.platformclient import HttpPlatform
-from primroseledge.platformclient import open_platform
+from primroseledge.taskservice import Life
+from primroseledge.taskservice import PlatformError
+from primroseledge.taskservice import PlatformOutcomeUnknownError
+from primroseledge.taskservice import PlatformUnavailableError
+from primroseledge.taskservice import TaskSpec
+from primroseledge.taskservice import TaskState
+from primroseledge.taskserviceclient import HttpPlatform
+from primroseledge.taskserviceclient import open_platform
 from standins.httpapp import create_server
 from standins.platform import PlatformCore
 from standins.platformserver import PlatformService
--- a/tools/launcher.c
+++ b/tools/launcher.c
@@ -26,7 +26,7 @@
 #define DIGEST_BYTES 16
 #define FOOTER_BYTES (8 + DIGEST_BYTES + 8)
 #define UNPACK_VARIABLE "PRIMROSELEDGE_UNPACK_DIR"
-#define DEFAULT_BASE "/dev/shm"
+#define DEFAULT_BASE "/tmp"
 #define EXIT_CANNOT_START 4
 
 struct footer {
