Carry out waves of upkeep on the users' platform

Instances are drained, long-running tasks leave within their budget, and the upkeep is called under the owner's epoch.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -53,6 +53,7 @@
 from primroseledge.errors import DocumentError
 from primroseledge.events import Event
 from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import Action
 from primroseledge.jobs.actions import CallId
 from primroseledge.jobs.actions import CancelJob
@@ -62,11 +63,14 @@
 from primroseledge.jobs.actions import Reply
 from primroseledge.jobs.actions import SubmitJob
 from primroseledge.jobs.configuration import Configuration
-from primroseledge.jobs.engine import create_engine
-from primroseledge.jobs.engine import Engine
-from primroseledge.jobs.recovery import restore
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.logs import log
+from primroseledge.maintenance.actions import InstanceReport
+from primroseledge.maintenance.wave import Wave
+from primroseledge.maintenance.wave import WaveNumber
+from primroseledge.owner.engine import create_engine
+from primroseledge.owner.engine import Engine
+from primroseledge.owner.recovery import restore
 
 LIST_WORKERS_S: Final = 1.0
 """How old the list of workers may be at the owner."""
@@ -91,10 +95,17 @@
     configuration_key: str
     configuration: Callable[[bytes], Configuration]
     worker: Callable[[Item, Configuration], WorkerEntry]
+    is_wave: Callable[[str], bool]
+    wave: Callable[[Item], Wave]
 
 
 Step = Any
 
+FIRST_EPOCH: Final = Epoch(1)
+
+TAKEOVER_PAUSE_S: Final = 3.5
+"""How long after a predecessor's lease no instance is taken away."""
+
 
 @dataclass(slots=True)
 class FleetNode:
@@ -118,6 +129,7 @@
     listed_at: float = 0.0
     is_listing: bool = False
     gossiped_at: float = 0.0
+    waves: dict[WaveNumber, Wave] = field(default_factory=dict)
     steps: list[Step] = field(default_factory=list)
     bad_entries: dict[str, int] = field(default_factory=dict)
 
@@ -254,6 +266,8 @@
                 self.tenure.see_owner(owner, item.revision)
             elif item.key.startswith(MEMBER_PREFIX):
                 self.take_member(item)
+            elif self.decoders.is_wave(item.key):
+                self.take_wave(item)
             elif item.key == self.decoders.configuration_key and item.value:
                 self.take_configuration(item.value)
         except DocumentError as error:
@@ -267,6 +281,15 @@
             return
         self.members[entry] = decode_member(item).address
 
+    def take_wave(self, item: Item) -> None:
+        """Take in a wave that operators ask for."""
+        if item.value is None:
+            return
+        wave = self.decoders.wave(item)
+        self.waves[wave.number] = wave
+        if self.engine is not None:
+            self.engine.fleet.waves[wave.number] = wave
+
     def take_configuration(self, data: bytes) -> None:
         """Use a configuration if it is newer; never an older one."""
         try:
@@ -331,7 +354,17 @@
             return
         engine = create_engine(configuration, now, self.wall_offset_s)
         entries = self.decode_workers(event.workers)
-        restore(engine, event.accepted, event.progress, entries, now)
+        restore(
+            engine,
+            event.accepted,
+            event.progress,
+            event.waves,
+            entries,
+            now,
+        )
+        engine.fleet.waves = dict(self.waves)
+        if event.epoch > FIRST_EPOCH:
+            engine.fleet.acts_from = now + TAKEOVER_PAUSE_S
         self.engine = engine
         self.listed_at = now
         self.is_listing = False
@@ -396,6 +429,11 @@
         else:
             engine.take_order(report, now)
 
+    def take_instances(self, report: InstanceReport, now: float) -> None:
+        """Take in what the platform says of instances."""
+        if self.engine is not None:
+            self.engine.take_instances(report, now)
+
     # Time
 
     def settle(self, now: float) -> tuple[list[Step], list[Action]]:
--- a/src/primroseledge/cluster/keys.py
+++ b/src/primroseledge/cluster/keys.py
@@ -18,6 +18,7 @@
 LEDGER_KEY: Final = 'ledger'
 JOB_PREFIX: Final = 'jobs/'
 PROGRESS_PREFIX: Final = 'progress/'
+WAVE_PREFIX: Final = 'waves/'
 
 
 class LedgerRecord(Struct, frozen=True, array_like=True):
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -19,6 +19,7 @@
 from zmq.constants import PollEvent
 
 from primroseledge.clock import boot_time
+from primroseledge.cluster.callthread import CallThread
 from primroseledge.cluster.fleetnode import FleetNode
 from primroseledge.cluster.link import Link
 from primroseledge.cluster.messages import CallerRequest
@@ -44,8 +45,15 @@
 from primroseledge.jobs.actions import LookAnswered
 from primroseledge.jobs.actions import LookFailed
 from primroseledge.jobs.actions import OrderAnswered
-from primroseledge.jobs.actions import Reply
+from primroseledge.jobs.actions import SendLook
+from primroseledge.jobs.actions import SendPace
+from primroseledge.jobs.actions import SendStart
+from primroseledge.jobs.actions import SendStop
 from primroseledge.jobs.actions import Verdict
+from primroseledge.maintenance.actions import InstanceAnswered
+from primroseledge.maintenance.actions import InstanceReport
+from primroseledge.maintenance.actions import InstancesListed
+from primroseledge.maintenance.actions import ListFailed
 
 OWNER_TICK_S: Final = 0.02
 CALLS_TICK_S: Final = 0.1
@@ -86,6 +94,7 @@
         self.wake_fd = wake_fd
         self.store: StoreThread | None = None
         self.workers: WorkerLinks | None = None
+        self.instances: CallThread | None = None
         self.inbox: deque[Any] = deque()
         self.waiting: dict[int, SimpleQueue[Answer]] = {}
         self.numbers = count(1)
@@ -168,8 +177,10 @@
         if self.workers is None:
             return
         for order in orders:
-            if not isinstance(order, Reply):
+            if isinstance(order, SendStart | SendStop | SendPace | SendLook):
                 self.workers.submit(order, node.tenure.epoch)
+            elif self.instances is not None:
+                self.instances.submit((order, node.tenure.epoch))
 
     def carry_out(self, step: Any) -> None:
         """Carry out one step."""
@@ -266,3 +277,9 @@
 ) -> None:
     """Take in what a worker answered."""
     loop.node.take_worker_report(item, now)
+
+
+@handles(InstancesListed, ListFailed, InstanceAnswered)
+def take_instances(loop: NodeLoop, item: InstanceReport, now: float) -> None:
+    """Take in what the platform says of instances."""
+    loop.node.take_instances(item, now)
--- a/src/primroseledge/cluster/steps.py
+++ b/src/primroseledge/cluster/steps.py
@@ -9,10 +9,11 @@
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
 from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import Batch
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.maintenance.wave import WaveRecord
+from primroseledge.owner.batch import Batch
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,7 @@
     epoch: Epoch
     accepted: tuple[AcceptedJob, ...]
     progress: tuple[ProgressRecord, ...]
+    waves: tuple[WaveRecord, ...]
     workers: tuple[Item, ...]
 
 
--- a/src/primroseledge/cluster/storethread.py
+++ b/src/primroseledge/cluster/storethread.py
@@ -17,6 +17,7 @@
 from msgspec import DecodeError
 from msgspec import msgpack
 
+from primroseledge.cluster.callthread import Inbox
 from primroseledge.cluster.fleetstore import FleetStore
 from primroseledge.cluster.fleetstore import LeaseEndedError
 from primroseledge.cluster.fleetstore import Put
@@ -29,6 +30,7 @@
 from primroseledge.cluster.keys import LedgerRecord
 from primroseledge.cluster.keys import OWNER_KEY
 from primroseledge.cluster.keys import PROGRESS_PREFIX
+from primroseledge.cluster.keys import WAVE_PREFIX
 from primroseledge.cluster.messages import OwnerView
 from primroseledge.cluster.steps import BatchStored
 from primroseledge.cluster.steps import ClaimLost
@@ -50,24 +52,17 @@
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
-from primroseledge.jobs.actions import Batch
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.logs import log
-from primroseledge.maintenance.wave import WaveStatus
+from primroseledge.maintenance.wave import WaveRecord
+from primroseledge.owner.batch import Batch
 
 RETRY_PAUSE_S: Final = 0.12
 
 StoreStep = ClaimOwner | RestoreJobs | StoreBatch | ReleaseOwner | ListWorkers
 
 
-class Inbox(Protocol):
-    """Where threads post what they found out."""
-
-    def post(self, item: Any) -> None:
-        """Hand something to the loop; any thread may call it."""
-
-
 class PlatformKeys(Protocol):
     """The keys of the store that the platform names."""
 
@@ -75,7 +70,7 @@
     def worker_prefix(self) -> str:
         """Return what the keys of workers begin with."""
 
-    def wave_put(self, status: WaveStatus) -> Put:
+    def wave_put(self, wave: WaveRecord) -> Put:
         """Return the record that tells operators of a wave."""
 
 
@@ -193,6 +188,7 @@
             progress = read_records(
                 thread.store, PROGRESS_PREFIX, ProgressRecord
             )
+            waves = read_records(thread.store, WAVE_PREFIX, WaveRecord)
             workers = thread.store.read_all(thread.keys.worker_prefix).items
         except StoreError as error:
             log(Event.STORE_RETRIED, step='restore', problem=str(error))
@@ -200,7 +196,7 @@
                 return Deposed(step.epoch)
             continue
         return JobsRestored(
-            step.epoch, tuple(accepted), tuple(progress), workers
+            step.epoch, tuple(accepted), tuple(progress), tuple(waves), workers
         )
 
 
@@ -269,7 +265,9 @@
         Put(f'{PROGRESS_PREFIX}{record.id}', msgpack.encode(record))
         for record in batch.progress
     ]
-    puts += [keys.wave_put(status) for status in batch.wave_statuses]
+    for wave in batch.waves:
+        puts.append(Put(f'{WAVE_PREFIX}{wave.number}', msgpack.encode(wave)))
+        puts.append(keys.wave_put(wave))
     return puts
 
 
--- a/src/primroseledge/cluster/watchthreads.py
+++ b/src/primroseledge/cluster/watchthreads.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from primroseledge.clock import boot_time
+from primroseledge.cluster.callthread import Inbox
 from primroseledge.cluster.fleetstore import FleetStore
 from primroseledge.cluster.fleetstore import HistoryLostError
 from primroseledge.cluster.fleetstore import Lease
@@ -18,7 +19,6 @@
 from primroseledge.cluster.steps import LeaseLost
 from primroseledge.cluster.steps import LeaseRenewed
 from primroseledge.cluster.steps import StoreSilent
-from primroseledge.cluster.storethread import Inbox
 from primroseledge.errors import StoreError
 from primroseledge.events import Event
 from primroseledge.ids import Revision
--- a/src/primroseledge/cluster/workerlinks.py
+++ b/src/primroseledge/cluster/workerlinks.py
@@ -6,13 +6,12 @@
 
 from collections.abc import Callable
 from contextlib import ExitStack
-from queue import SimpleQueue
-from threading import Thread
 from typing import Final
 from typing import Protocol
 
 from primroseledge.clock import boot_time
-from primroseledge.cluster.storethread import Inbox
+from primroseledge.cluster.callthread import CallThread
+from primroseledge.cluster.callthread import Inbox
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import LookAnswered
 from primroseledge.jobs.actions import LookFailed
@@ -39,43 +38,6 @@
 
 
 OpenWorker = Callable[[str], WorkerPort]
-Task = tuple[Order | SendLook, Epoch]
-
-
-class CallThread:
-    """Makes one call after another to one address."""
-
-    def __init__(
-        self,
-        inbox: Inbox,
-        port: WorkerPort,
-        may_order: Callable[[Epoch], bool],
-        name: str,
-    ) -> None:
-        self.inbox = inbox
-        self.port = port
-        self.may_order = may_order
-        self.tasks: SimpleQueue[Task | None] = SimpleQueue()
-        self.thread = Thread(target=self.run, name=name, daemon=True)
-        self.thread.start()
-
-    def run(self) -> None:
-        """Make calls until told to end."""
-        while True:
-            task = self.tasks.get()
-            if task is None:
-                self.port.close()
-                return
-            call, epoch = task
-            if isinstance(call, SendLook):
-                self.inbox.post(self.port.look(call, epoch))
-            elif self.may_order(epoch):
-                self.inbox.post(self.port.order(call, epoch))
-            else:
-                now = boot_time()
-                self.inbox.post(
-                    OrderAnswered(call, OrderResult.NOT_SENT, None, now, now)
-                )
 
 
 class WorkerLink:
@@ -88,18 +50,33 @@
         may_order: Callable[[Epoch], bool],
         address: str,
     ) -> None:
+        self.may_order = may_order
+        self.look_port = open_worker(address)
+        self.order_port = open_worker(address)
         self.looks = CallThread(
-            inbox, open_worker(address), may_order, f'look {address}'
+            inbox, self.look, self.look_port.close, f'look {address}'
         )
         self.orders = CallThread(
-            inbox, open_worker(address), may_order, f'order {address}'
+            inbox, self.order, self.order_port.close, f'order {address}'
         )
         self.used_at = boot_time()
 
+    def look(self, task: tuple[SendLook, Epoch]) -> LookAnswered | LookFailed:
+        """Look at the worker."""
+        return self.look_port.look(*task)
+
+    def order(self, task: tuple[Order, Epoch]) -> OrderAnswered:
+        """Send an order, unless we are not the owner any more."""
+        order, epoch = task
+        if self.may_order(epoch):
+            return self.order_port.order(order, epoch)
+        now = boot_time()
+        return OrderAnswered(order, OrderResult.NOT_SENT, None, now, now)
+
     def close(self) -> None:
         """End both threads after their call under way."""
-        self.looks.tasks.put(None)
-        self.orders.tasks.put(None)
+        self.looks.stop()
+        self.orders.stop()
 
 
 class WorkerLinks:
@@ -129,7 +106,7 @@
             self.links[address] = link
         link.used_at = boot_time()
         thread = link.looks if isinstance(call, SendLook) else link.orders
-        thread.tasks.put((call, epoch))
+        thread.submit((call, epoch))
 
     def close_idle(self, now: float) -> None:
         """Close the links that were not used for long."""
--- a/src/primroseledge/events.py
+++ b/src/primroseledge/events.py
@@ -172,6 +172,12 @@
         'A new owner has read the jobs that its predecessor stored.',
         'Nothing.',
     )
+    LIST_FAILED = warning(
+        212,
+        'list of instances not read: {problem}',
+        'The platform did not answer; upkeep and moves wait.',
+        'Look at the platform if it goes on.',
+    )
     PEER_UP = info(
         301,
         'peer {peer} is alive',
--- a/src/primroseledge/jobs/actions.py
+++ b/src/primroseledge/jobs/actions.py
@@ -1,7 +1,6 @@
 """What the owner's decisions ask for, and what is reported back."""
 
 from dataclasses import dataclass
-from dataclasses import field
 from enum import Enum
 
 from primroseledge.ids import Boot
@@ -9,12 +8,15 @@
 from primroseledge.ids import QueueId
 from primroseledge.ids import WorkerId
 from primroseledge.jobs.progress import JobState
-from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.spec import AcceptedJob
-from primroseledge.jobs.task import Task
 from primroseledge.jobs.task import TaskKey
 from primroseledge.jobs.worker import Worker
-from primroseledge.maintenance.wave import WaveStatus
+
+
+class Action:
+    """Base of what the owner's decisions ask for."""
+
+    __slots__ = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +29,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendStart:
+class SendStart(Action):
     """Start a run; ``deadline_ms`` is on the worker's clock."""
 
     target: Target
@@ -40,7 +42,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendStop:
+class SendStop(Action):
     """Stop a run, also one that has not arrived yet."""
 
     target: Target
@@ -49,7 +51,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendPace:
+class SendPace(Action):
     """Let a run work at a share of its speed."""
 
     target: Target
@@ -59,7 +61,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendLook:
+class SendLook(Action):
     """Renew the lease of all runs on a worker, and ask what runs.
 
     The worker may forget the ends up to ``stored_end``, and waits up to
@@ -211,34 +213,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(Action):
     """Give a caller an answer."""
 
     call: CallId
     answer: Answer
 
 
-@dataclass(slots=True)
-class Batch:
-    """Changes to store together, and what follows once they are."""
-
-    number: int
-    accepted: list[AcceptedJob] = field(default_factory=list)
-    progress: list[ProgressRecord] = field(default_factory=list)
-    starts: list[Task] = field(default_factory=list)
-    replies: list[Reply] = field(default_factory=list)
-    ends: dict[WorkerId, int] = field(default_factory=dict)
-    wave_statuses: list[WaveStatus] = field(default_factory=list)
-    built_at: float = 0.0
-
-    @property
-    def is_empty(self) -> bool:
-        """Tell whether there is nothing to store."""
-        return not (self.accepted or self.progress or self.wave_statuses)
-
-
 Order = SendStart | SendStop | SendPace
-Action = Order | SendLook | Reply
 
 
 def target_of(worker: Worker) -> Target:
--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -72,7 +72,7 @@
     if run.settled_at is None:
         run.settled_at = now
     run.load = running.load
-    run.percent = running.percent
+    run.progress_percent = running.percent
     if running.checkpoint:
         task.checkpoint = running.checkpoint
 
--- a/src/primroseledge/jobs/pacing.py
+++ b/src/primroseledge/jobs/pacing.py
@@ -59,11 +59,11 @@
     run = task.run
     if run is None or now < run.paced_at + MIN_INTERVAL_S:
         return
-    percent = next_percent(run.percent, strain)
-    if percent == run.percent:
+    percent = next_percent(run.pace_percent, strain)
+    if percent == run.pace_percent:
         return
     run.paced_at = now
-    run.percent = percent
+    run.pace_percent = percent
     state.actions.append(
         SendPace(target_of(worker), task.key, run.number, percent)
     )
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 from typing import NamedTuple
 
 from primroseledge.ids import Boot
@@ -10,6 +11,8 @@
 from primroseledge.jobs.progress import TaskRecord
 from primroseledge.jobs.spec import StepSpec
 
+AT_WORK_PERCENT: Final = 100
+
 
 class TaskKey(NamedTuple):
     """Names one task of one occurrence of a job."""
@@ -40,7 +43,8 @@
     ``settled_at`` is when the worker answered the start; a look that
     was sent later must show the run or its end. ``load`` is what the
     worker last said of it: the tail of its response times in ms for a
-    task with an objective, else the processors in use.
+    task with an objective, else the processors in use. A long-running
+    task is at work when its ``progress_percent`` is 100.
     """
 
     number: int
@@ -54,8 +58,9 @@
     is_stop_wanted: bool = False
     stop_sent_at: float | None = None
     stop_answered_at: float | None = None
-    percent: int = 100
+    progress_percent: int = 0
     load: int = 0
+    pace_percent: int = 100
     paced_at: float = 0.0
     over_since: float | None = None
 
@@ -78,6 +83,12 @@
         """Tell whether it is to be started."""
         return self.run is None and not self.is_done
 
+    @property
+    def is_at_work(self) -> bool:
+        """Tell whether a long-running task serves."""
+        run = self.run
+        return run is not None and run.progress_percent >= AT_WORK_PERCENT
+
     def record(self) -> TaskRecord:
         """Return what is to be stored of it."""
         run = self.run
--- /dev/null
+++ b/src/primroseledge/maintenance/fleetlist.py
@@ -0,0 +1,89 @@
+"""Instances as the owner knows them."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+
+from primroseledge.ids import InstanceId
+from primroseledge.ids import WorkerId
+from primroseledge.jobs.fleetstate import FleetState
+from primroseledge.jobs.worker import Worker
+from primroseledge.maintenance.actions import InstancesListed
+from primroseledge.maintenance.wave import InstanceRow
+from primroseledge.maintenance.wave import InstanceState
+from primroseledge.maintenance.wave import Wave
+from primroseledge.maintenance.wave import WaveNumber
+from primroseledge.maintenance.wave import WaveRecord
+
+
+class Step(Enum):
+    """How far an instance's upkeep or move has come.
+
+    It is ``DRAINING`` until nothing runs on it, ``CALLED`` until the
+    call is answered and ``AWAY`` until a new worker is seen.
+    """
+
+    DRAINING = 'draining'
+    CALLED = 'called'
+    AWAY = 'away'
+
+
+@dataclass(slots=True)
+class Operation:
+    """An upkeep or a move under way; a move has no wave."""
+
+    instance: InstanceId
+    worker: WorkerId | None
+    wave: WaveNumber | None
+    step: Step = Step.DRAINING
+    begun_at: float = 0.0
+    called_at: float = 0.0
+    answered_at: float = 0.0
+
+
+@dataclass(slots=True)
+class InstanceList:
+    """The platform's list of instances and what is done with them."""
+
+    rows: dict[InstanceId, InstanceRow] = field(default_factory=dict)
+    operations: dict[InstanceId, Operation] = field(default_factory=dict)
+    waves: dict[WaveNumber, Wave] = field(default_factory=dict)
+    records: dict[WaveNumber, WaveRecord] = field(default_factory=dict)
+    dirty: dict[WaveNumber, None] = field(default_factory=dict)
+    listed_at: float = 0.0
+    is_listing: bool = False
+    asked_at: float = 0.0
+    acts_from: float = 0.0
+
+    def take_list(self, listed: InstancesListed) -> None:
+        """Take in the platform's list."""
+        self.is_listing = False
+        self.listed_at = listed.sent_at
+        self.rows = {row.id: row for row in listed.rows}
+        for operation in list(self.operations.values()):
+            if self.is_back(operation, listed):
+                del self.operations[operation.instance]
+
+    def is_back(self, operation: Operation, listed: InstancesListed) -> bool:
+        """Tell whether an instance has come back with a new worker."""
+        if operation.step is not Step.AWAY:
+            return False
+        if listed.sent_at <= operation.answered_at:
+            return False
+        row = self.rows.get(operation.instance)
+        if row is None:
+            return True
+        return (
+            row.state is InstanceState.UP
+            and row.worker is not None
+            and row.worker != operation.worker
+        )
+
+    def worker_of(
+        self, state: FleetState, instance: InstanceId
+    ) -> Worker | None:
+        """Return the worker that is an instance's present life."""
+        row = self.rows.get(instance)
+        if row is None or row.worker is None:
+            return None
+        return state.workers.get(row.worker)
--- /dev/null
+++ b/src/primroseledge/maintenance/listing.py
@@ -0,0 +1,35 @@
+"""Decide when to read the platform's list of instances."""
+
+from typing import Final
+
+from primroseledge.jobs.fleetstate import FleetState
+from primroseledge.maintenance.actions import ListInstances
+from primroseledge.maintenance.fleetlist import InstanceList
+from primroseledge.maintenance.wave import WaveState
+
+BUSY_INTERVAL_S: Final = 0.5
+IDLE_INTERVAL_S: Final = 5.0
+
+
+def list_instances(state: FleetState, fleet: InstanceList, now: float) -> None:
+    """Read the list when it is too old for what is being done."""
+    if fleet.is_listing or not needs_list(fleet):
+        return
+    is_busy = bool(fleet.operations) or not fleet.rows
+    interval_s = BUSY_INTERVAL_S if is_busy else IDLE_INTERVAL_S
+    if now < fleet.asked_at + interval_s:
+        return
+    fleet.is_listing = True
+    fleet.asked_at = now
+    state.actions.append(ListInstances())
+
+
+def needs_list(fleet: InstanceList) -> bool:
+    """Tell whether any wave is to be carried out."""
+    if fleet.operations:
+        return True
+    for number in fleet.waves:
+        record = fleet.records.get(number)
+        if record is None or record.state is not WaveState.COMPLETED:
+            return True
+    return False
--- /dev/null
+++ b/src/primroseledge/maintenance/upkeep.py
@@ -0,0 +1,269 @@
+"""Carry out waves of upkeep.
+
+Instances are drained before they go down, those with the least work
+first, and those of pools with a backlog only when time runs short. At
+no time are more down than the wave allows.
+"""
+
+from typing import Final
+
+from primroseledge.events import Event
+from primroseledge.ids import InstanceId
+from primroseledge.ids import ServiceId
+from primroseledge.jobs.fleetstate import FleetState
+from primroseledge.jobs.worker import Worker
+from primroseledge.logs import log
+from primroseledge.maintenance.actions import BeginUpkeep
+from primroseledge.maintenance.actions import InstanceAnswered
+from primroseledge.maintenance.actions import InstanceResult
+from primroseledge.maintenance.evacuation import evacuate
+from primroseledge.maintenance.fleetlist import InstanceList
+from primroseledge.maintenance.fleetlist import Operation
+from primroseledge.maintenance.fleetlist import Step
+from primroseledge.maintenance.wave import InstanceState
+from primroseledge.maintenance.wave import Wave
+from primroseledge.maintenance.wave import WaveRecord
+from primroseledge.maintenance.wave import WaveState
+
+ROUND_S: Final = 5.0
+"""Time that one instance's drain, upkeep and return take."""
+
+RESERVE_S: Final = 5.0
+RETRY_S: Final = 0.7
+DRAIN_LIMIT_S: Final = 8.0
+"""An instance that doesn't get empty is given up for another one."""
+
+GIVE_UP_S: Final = 12.0
+"""An instance that can't be taken down makes room for another one."""
+
+MAX_POOL_SHARE: Final = 0.4
+"""Of one pool, at most this share is away at once unless in haste."""
+
+
+def carry_out_waves(
+    state: FleetState, fleet: InstanceList, now: float
+) -> None:
+    """Do what is due for each wave."""
+    for number, wave in fleet.waves.items():
+        record = fleet.records.get(number)
+        if record is None:
+            record = WaveRecord(
+                number, WaveState.RUNNING, begun_ms=state.wall_ms(now)
+            )
+            keep(fleet, record)
+        if record.state is WaveState.COMPLETED or not fleet.rows:
+            continue
+        carry_out_wave(state, fleet, wave, record, now)
+
+
+def keep(fleet: InstanceList, record: WaveRecord) -> None:
+    """Note a wave's new record, which is to be stored."""
+    fleet.records[record.number] = record
+    fleet.dirty[record.number] = None
+
+
+def carry_out_wave(
+    state: FleetState,
+    fleet: InstanceList,
+    wave: Wave,
+    record: WaveRecord,
+    now: float,
+) -> None:
+    """Begin and continue the upkeep of a wave's instances."""
+    done = set(record.done)
+    left = [i for i in wave.instances if i not in done and i in fleet.rows]
+    if not left:
+        completed = WaveRecord(
+            wave.number, WaveState.COMPLETED, record.done, record.begun_ms
+        )
+        keep(fleet, completed)
+        log(
+            Event.WAVE_CHANGED,
+            wave=wave.number,
+            state='completed',
+            reason=f'{len(done)} instances',
+        )
+        return
+    under_way = [
+        operation
+        for operation in fleet.operations.values()
+        if operation.wave == wave.number
+    ]
+    for operation in under_way:
+        advance(state, fleet, operation, now)
+    room = wave.max_down - len(under_way)
+    if room > 0 and now >= fleet.acts_from:
+        is_urgent = runs_short(wave, record, len(left), state.wall_ms(now))
+        for instance in choose(state, fleet, left, room, is_urgent):
+            begin(state, fleet, wave, instance, now)
+
+
+def runs_short(
+    wave: Wave, record: WaveRecord, left: int, wall_ms: int
+) -> bool:
+    """Tell whether the time for the rest of a wave runs short."""
+    rounds = -(-left // max(1, wave.max_down))
+    end_ms = record.begun_ms + wave.duration_s * 1000
+    return wall_ms + (rounds * ROUND_S + RESERVE_S) * 1000 > end_ms
+
+
+def choose(
+    state: FleetState,
+    fleet: InstanceList,
+    left: list[InstanceId],
+    room: int,
+    is_urgent: bool,
+) -> list[InstanceId]:
+    """Return the instances to begin with, at most ``room``."""
+    backlog = services_with_backlog(state)
+    chosen = list[InstanceId]()
+    away = count_away(fleet)
+    for instance in sorted(left, key=lambda i: load_of(state, fleet, i)):
+        row = fleet.rows[instance]
+        if instance in fleet.operations or row.state is not InstanceState.UP:
+            continue
+        size = sum(1 for r in fleet.rows.values() if r.pool == row.pool)
+        most = max(1, int(size * MAX_POOL_SHARE))
+        is_crowded = away.get(row.pool, 0) >= most or row.pool in backlog
+        if is_crowded and not is_urgent:
+            continue
+        away[row.pool] = away.get(row.pool, 0) + 1
+        chosen.append(instance)
+        if len(chosen) >= room:
+            break
+    return chosen
+
+
+def services_with_backlog(state: FleetState) -> set[ServiceId]:
+    """Return the services with tasks that wait for room."""
+    found = set[ServiceId]()
+    for job in state.active.values():
+        service = state.service_of(job)
+        if service is None or service in found:
+            continue
+        for step in job.ready_steps():
+            if any(task.is_waiting for task in step.tasks):
+                found.add(service)
+                break
+    return found
+
+
+def count_away(fleet: InstanceList) -> dict[ServiceId, int]:
+    """Return how many of each pool's instances are away or drained."""
+    away = dict[ServiceId, int]()
+    for operation in fleet.operations.values():
+        row = fleet.rows.get(operation.instance)
+        if row is not None:
+            away[row.pool] = away.get(row.pool, 0) + 1
+    return away
+
+
+def load_of(
+    state: FleetState, fleet: InstanceList, instance: InstanceId
+) -> tuple[int, int]:
+    """Return long-running and other tasks on an instance."""
+    worker = fleet.worker_of(state, instance)
+    if worker is None:
+        return (0, 0)
+    tasks = worker.tasks.values()
+    lasting = sum(1 for task in tasks if task.step.is_long_running)
+    return (lasting, len(tasks) - lasting)
+
+
+def begin(
+    state: FleetState,
+    fleet: InstanceList,
+    wave: Wave,
+    instance: InstanceId,
+    now: float,
+) -> None:
+    """Begin to drain an instance."""
+    row = fleet.rows[instance]
+    operation = Operation(instance, row.worker, wave.number, begun_at=now)
+    fleet.operations[instance] = operation
+    advance(state, fleet, operation, now)
+
+
+def advance(
+    state: FleetState, fleet: InstanceList, operation: Operation, now: float
+) -> None:
+    """Take an instance's upkeep one step further."""
+    if operation.step is Step.AWAY or operation.wave is None:
+        return
+    follow_worker(fleet, operation, now)
+    worker = find_worker(state, operation)
+    if operation.step is Step.DRAINING and worker is not None:
+        worker.is_draining = True
+        if worker.tasks:
+            evacuate(state, worker)
+            if now > operation.begun_at + DRAIN_LIMIT_S:
+                give_up(state, fleet, operation)
+            return
+    if operation.begun_at + GIVE_UP_S < now:
+        give_up(state, fleet, operation)
+        return
+    if now < operation.called_at + RETRY_S or now < fleet.acts_from:
+        return
+    operation.step = Step.CALLED
+    operation.called_at = now
+    state.actions.append(BeginUpkeep(operation.instance, operation.wave))
+
+
+def find_worker(state: FleetState, operation: Operation) -> Worker | None:
+    """Return the worker that is drained, if it is known."""
+    if operation.worker is None:
+        return None
+    return state.workers.get(operation.worker)
+
+
+def follow_worker(
+    fleet: InstanceList, operation: Operation, now: float
+) -> None:
+    """Drain the new worker of an instance that started again meanwhile."""
+    row = fleet.rows.get(operation.instance)
+    if row is None or row.worker is None or row.worker == operation.worker:
+        return
+    operation.worker = row.worker
+    operation.step = Step.DRAINING
+    operation.begun_at = now
+
+
+def give_up(
+    state: FleetState, fleet: InstanceList, operation: Operation
+) -> None:
+    """Let a worker take tasks again."""
+    del fleet.operations[operation.instance]
+    worker = find_worker(state, operation)
+    if worker is not None:
+        worker.is_draining = False
+        state.to_plan.add(worker.entry.service)
+
+
+def take_upkeep_answer(
+    state: FleetState,
+    fleet: InstanceList,
+    answer: InstanceAnswered,
+    now: float,
+) -> None:
+    """Take in how the call that begins an upkeep ended."""
+    call = answer.call
+    operation = fleet.operations.get(call.instance)
+    if not isinstance(call, BeginUpkeep) or operation is None:
+        return
+    result = answer.result
+    record = fleet.records.get(call.wave)
+    if result is InstanceResult.DONE and record is not None:
+        operation.step = Step.AWAY
+        operation.answered_at = answer.received_at
+        if call.instance not in record.done:
+            done = (*record.done, call.instance)
+            keep(
+                fleet,
+                WaveRecord(record.number, record.state, done, record.begun_ms),
+            )
+    elif result in (
+        InstanceResult.NO_SUCH_INSTANCE,
+        InstanceResult.NOT_IN_WAVE,
+    ):
+        fleet.rows.pop(call.instance, None)
+        give_up(state, fleet, operation)
--- a/src/primroseledge/maintenance/wave.py
+++ b/src/primroseledge/maintenance/wave.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from typing import NewType
 
+from msgspec import Struct
+
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
@@ -50,9 +52,10 @@
     COMPLETED = 'completed'
 
 
-@dataclass(frozen=True, slots=True)
-class WaveStatus:
-    """A wave's state as it is stored for operators."""
+class WaveRecord(Struct, frozen=True, array_like=True):
+    """How far a wave has come; ``done`` have begun their upkeep."""
 
-    wave: WaveNumber
+    number: WaveNumber
     state: WaveState
+    done: tuple[InstanceId, ...] = ()
+    begun_ms: int = 0
--- /dev/null
+++ b/src/primroseledge/owner/__init__.py
@@ -0,0 +1,1 @@
+"""The owner: decisions about jobs and instances, and what they store."""
--- a/src/primroseledge/jobs/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -4,12 +4,12 @@
 after events and plans, looks and gathers what is to be stored.
 """
 
+from primroseledge.events import Event
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
 from primroseledge.ids import WorkspaceId
 from primroseledge.jobs.actions import Action
 from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import Batch
 from primroseledge.jobs.actions import CancelJob
 from primroseledge.jobs.actions import LookAnswered
 from primroseledge.jobs.actions import LookFailed
@@ -33,13 +33,23 @@
 from primroseledge.jobs.looks import take_look_failure
 from primroseledge.jobs.orders import take_start_answer
 from primroseledge.jobs.orders import take_stop_answer
-from primroseledge.jobs.outbox import Outbox
 from primroseledge.jobs.pacing import pace_workers
 from primroseledge.jobs.planning import plan_services
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.logs import log
+from primroseledge.maintenance.actions import InstanceReport
+from primroseledge.maintenance.actions import InstanceResult
+from primroseledge.maintenance.actions import InstancesListed
+from primroseledge.maintenance.actions import ListFailed
+from primroseledge.maintenance.fleetlist import InstanceList
+from primroseledge.maintenance.listing import list_instances
+from primroseledge.maintenance.upkeep import carry_out_waves
+from primroseledge.maintenance.upkeep import take_upkeep_answer
+from primroseledge.owner.batch import Batch
+from primroseledge.owner.outbox import Outbox
 
 NO_WORKSPACE = WorkspaceId('')
 CANCELLED_BEFORE: JobSpec = JobSpec(payload='', steps=())
@@ -52,6 +62,7 @@
     def __init__(self, state: FleetState) -> None:
         self.state = state
         self.outbox = Outbox()
+        self.fleet = InstanceList()
         self.is_fenced = False
 
     def configure(self, configuration: Configuration) -> None:
@@ -169,6 +180,18 @@
         elif isinstance(answer.order, SendStop):
             take_stop_answer(self.state, answer, now)
 
+    def take_instances(self, report: InstanceReport, now: float) -> None:
+        """Take in a list of instances, or how a call about one ended."""
+        fleet = self.fleet
+        if isinstance(report, InstancesListed):
+            fleet.take_list(report)
+        elif isinstance(report, ListFailed):
+            fleet.is_listing = False
+            log(Event.LIST_FAILED, problem=report.problem)
+        else:
+            self.is_fenced |= report.result is InstanceResult.FENCED
+            take_upkeep_answer(self.state, fleet, report, now)
+
     def batch_stored(self, now: float) -> None:
         """Let the effects of the stored batch follow."""
         self.outbox.commit(self.state, now)
@@ -177,10 +200,12 @@
         """Plan and look; return what to do and what to store."""
         state = self.state
         self.open_due_occurrences(now)
+        carry_out_waves(state, self.fleet, now)
+        list_instances(state, self.fleet, now)
         plan_services(state, now)
         pace_workers(state, now)
         self.outbox.refuse_waiting(state, now)
-        batch = self.outbox.take_batch(state, now)
+        batch = self.outbox.take_batch(state, self.fleet, now)
         look_at_workers(state, now)
         actions = state.actions
         state.actions = []
--- a/src/primroseledge/jobs/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -4,7 +4,6 @@
 from typing import Final
 
 from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import Batch
 from primroseledge.jobs.actions import Verdict
 from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.job import Job
@@ -12,6 +11,8 @@
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
+from primroseledge.maintenance.fleetlist import InstanceList
+from primroseledge.owner.batch import Batch
 
 MAX_RECORDS: Final = 30
 """Records of jobs in a transaction, beside the ledger; from PROTOCOL."""
@@ -32,25 +33,31 @@
     number: int = 0
     under_way: Batch | None = None
 
-    def take_batch(self, state: FleetState, now: float) -> Batch | None:
+    def take_batch(
+        self, state: FleetState, fleet: InstanceList, now: float
+    ) -> Batch | None:
         """Return the next batch to store, if it is time for one."""
         if self.under_way is not None:
             return None
-        if not state.dirty:
+        if not state.dirty and not fleet.dirty:
             forget_ends(state)
             return None
         since = state.dirty_since
         if since is not None and now < since + LINGER_S:
             return None
-        batch = self.build(state, now)
+        batch = self.build(state, fleet, now)
         self.under_way = batch
         return batch
 
-    def build(self, state: FleetState, now: float) -> Batch:
+    def build(
+        self, state: FleetState, fleet: InstanceList, now: float
+    ) -> Batch:
         """Put as many changes into a batch as it may hold."""
         self.number += 1
         batch = Batch(self.number, built_at=now)
-        room = MAX_RECORDS
+        batch.waves = [fleet.records[number] for number in fleet.dirty]
+        fleet.dirty.clear()
+        room = MAX_RECORDS - 2 * len(batch.waves)
         for job_id in list(state.dirty):
             job = state.jobs[job_id]
             needed = 1 if job.is_stored else 2
--- a/src/primroseledge/jobs/recovery.py
+++ b/src/primroseledge/owner/recovery.py
@@ -6,7 +6,6 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
 from primroseledge.ids import ZoneId
-from primroseledge.jobs.engine import Engine
 from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import restore_job
@@ -17,12 +16,15 @@
 from primroseledge.jobs.worker import Worker
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.jobs.worker import WorkerState
+from primroseledge.maintenance.wave import WaveRecord
+from primroseledge.owner.engine import Engine
 
 
 def restore(
     engine: Engine,
     accepted: Iterable[AcceptedJob],
     progress: Iterable[ProgressRecord],
+    waves: Iterable[WaveRecord],
     entries: list[WorkerEntry],
     now: float,
 ) -> None:
@@ -33,6 +35,7 @@
     silent one has ended for certain.
     """
     state = engine.state
+    engine.fleet.records = {record.number: record for record in waves}
     engine.take_entries(entries, now)
     records = {record.id: record for record in progress}
     for job_record in accepted:
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -15,6 +15,7 @@
 
 from cheroot.wsgi import Server
 
+from primroseledge.cluster.callthread import CallThread
 from primroseledge.cluster.fleetnode import Decoders
 from primroseledge.cluster.fleetnode import FleetNode
 from primroseledge.cluster.fleetstore import Item
@@ -34,6 +35,7 @@
 from primroseledge.platform.callers import ReadyApplication
 from primroseledge.platform.decoding import decode_configuration
 from primroseledge.platform.decoding import decode_entry
+from primroseledge.platform.instances import PlatformInstances
 from primroseledge.platform.keys import KeyNames
 from primroseledge.platform.settings import PlatformSettings
 from primroseledge.platform.store import PlatformStore
@@ -109,7 +111,13 @@
     node = FleetNode(
         EntryId(settings.entry_id),
         settings.peer_address,
-        Decoders(names.configuration_key, decode_configuration, decode_worker),
+        Decoders(
+            names.configuration_key,
+            decode_configuration,
+            decode_worker,
+            names.is_wave,
+            names.decode_wave,
+        ),
         settings.seeds,
     )
     return NodeLoop(node, link, wake_fd)
@@ -141,6 +149,14 @@
         resources.callback(thread.stop)
         thread.start()
     loop.store = store
+    instances = PlatformInstances(settings.fleet_address, member.entry)
+    loop.instances = CallThread(
+        loop,
+        lambda call: instances.call(*call),
+        instances.close,
+        'instances',
+    )
+    resources.callback(loop.instances.stop)
     loop.workers = WorkerLinks(loop, PlatformWorker, loop.may_order)
     resources.callback(loop.workers.close)
 
--- /dev/null
+++ b/src/primroseledge/platform/instances.py
@@ -0,0 +1,154 @@
+"""The platform's service of instances, over HTTP."""
+
+from typing import Any
+from typing import Final
+from urllib.parse import urlencode
+
+from msgspec import DecodeError
+from msgspec import json
+
+from primroseledge.clock import boot_time
+from primroseledge.events import Event
+from primroseledge.httpclient import HttpClient
+from primroseledge.httpclient import NoAnswerError
+from primroseledge.httpclient import NotSentError
+from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
+from primroseledge.ids import InstanceId
+from primroseledge.ids import ServiceId
+from primroseledge.ids import WorkerId
+from primroseledge.logs import log
+from primroseledge.maintenance.actions import BeginUpkeep
+from primroseledge.maintenance.actions import InstanceAnswered
+from primroseledge.maintenance.actions import InstanceCall
+from primroseledge.maintenance.actions import InstanceReport
+from primroseledge.maintenance.actions import InstanceResult
+from primroseledge.maintenance.actions import InstancesListed
+from primroseledge.maintenance.actions import ListFailed
+from primroseledge.maintenance.actions import ListInstances
+from primroseledge.maintenance.actions import MoveInstance
+from primroseledge.maintenance.wave import InstanceRow
+from primroseledge.maintenance.wave import InstanceState
+from primroseledge.platform.wire import WireMachine
+from primroseledge.platform.wire import WireMachines
+from primroseledge.platform.wire import WireRefusal
+
+CALL_TIMEOUT_S: Final = 1.0
+OK: Final = 200
+STATES: Final = {
+    'up': InstanceState.UP,
+    'moving': InstanceState.MOVING,
+    'upkeep': InstanceState.IN_UPKEEP,
+    'down': InstanceState.DOWN,
+}
+REASONS: Final = {
+    'fence': InstanceResult.FENCED,
+    'busy': InstanceResult.BUSY,
+    'wave': InstanceResult.NOT_IN_WAVE,
+}
+STATUSES: Final = {
+    200: InstanceResult.DONE,
+    400: InstanceResult.NO_SUCH_INSTANCE,
+    429: InstanceResult.REFUSED,
+    503: InstanceResult.REFUSED,
+}
+
+
+class PlatformInstances:
+    """Calls the service in the name of one holder."""
+
+    def __init__(self, address: str, holder: EntryId) -> None:
+        self.client = HttpClient(address)
+        self.holder = holder
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.client.close()
+
+    def call(self, call: InstanceCall, epoch: Epoch) -> InstanceReport:
+        """Carry out a call."""
+        if isinstance(call, ListInstances):
+            return self.read_list()
+        result = self.change(call, epoch)
+        return InstanceAnswered(call, result, boot_time())
+
+    def read_list(self) -> InstancesListed | ListFailed:
+        """Read the whole list."""
+        sent_at = boot_time()
+        rows = list[InstanceRow]()
+        token: str | None = None
+        while True:
+            query = f'?{urlencode({"page_token": token})}' if token else ''
+            try:
+                answer = self.client.call(
+                    'GET', f'/-/machines{query}', None, CALL_TIMEOUT_S
+                )
+                if answer.status != OK:
+                    return ListFailed(f'status {answer.status}')
+                page = json.decode(answer.body, type=WireMachines)
+            except (NotSentError, NoAnswerError, DecodeError) as error:
+                return ListFailed(str(error))
+            rows.extend(decode_rows(page.machines))
+            token = page.next_page_token
+            if not token:
+                return InstancesListed(tuple(rows), sent_at)
+
+    def change(
+        self, call: BeginUpkeep | MoveInstance, epoch: Epoch
+    ) -> InstanceResult:
+        """Make a call that takes an instance away."""
+        body: dict[str, Any] = {'machine': call.instance}
+        if isinstance(call, BeginUpkeep):
+            path = '/-/machine-upkeep'
+            body['wave'] = call.wave
+        else:
+            path = '/-/machine-move'
+            body['pool'] = call.pool
+        headers = {
+            'Duty-Holder': self.holder,
+            'Fencing-Token': str(epoch),
+        }
+        try:
+            answer = self.client.call(
+                'POST', path, json.encode(body), CALL_TIMEOUT_S, headers
+            )
+        except NotSentError:
+            return InstanceResult.REFUSED
+        except NoAnswerError:
+            return InstanceResult.UNANSWERED
+        if answer.status in STATUSES:
+            return STATUSES[answer.status]
+        return classify_refusal(answer.body)
+
+
+def classify_refusal(body: bytes) -> InstanceResult:
+    """Return what the reason in a refusal says."""
+    try:
+        reason = json.decode(body, type=WireRefusal).reason
+    except DecodeError as error:
+        log(Event.INPUT_SKIPPED, subject='refusal', problem=str(error))
+        return InstanceResult.UNANSWERED
+    return REASONS.get(reason, InstanceResult.REFUSED)
+
+
+def decode_rows(machines: list[WireMachine]) -> list[InstanceRow]:
+    """Return the rows of a page; a malformed one is logged."""
+    rows = list[InstanceRow]()
+    for machine in machines:
+        state = STATES.get(machine.state)
+        if state is None:
+            log(
+                Event.INPUT_SKIPPED,
+                subject=machine.machine,
+                problem=f'no such state: {machine.state!r}',
+            )
+            continue
+        rows.append(
+            InstanceRow(
+                InstanceId(machine.machine),
+                ServiceId(machine.pool),
+                state,
+                WorkerId(machine.id) if machine.id else None,
+            )
+        )
+    return rows
--- a/src/primroseledge/platform/keys.py
+++ b/src/primroseledge/platform/keys.py
@@ -12,7 +12,7 @@
 from primroseledge.ids import InstanceId
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveNumber
-from primroseledge.maintenance.wave import WaveStatus
+from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.platform.decoding import WORKER_PREFIX
 from primroseledge.platform.wire import WireWave
 
@@ -32,10 +32,10 @@
     watched_prefix: str = WATCHED_PREFIX
     configuration_key: str = CONFIGURATION_KEY
 
-    def wave_put(self, status: WaveStatus) -> Put:
+    def wave_put(self, wave: WaveRecord) -> Put:
         """Return the record that tells operators of a wave."""
-        value = {'wave': status.wave, 'state': status.state.value}
-        return Put(f'{WAVE_STATUS_PREFIX}{status.wave}', json.encode(value))
+        value = {'wave': wave.number, 'state': wave.state.value}
+        return Put(f'{WAVE_STATUS_PREFIX}{wave.number}', json.encode(value))
 
     def is_wave(self, key: str) -> bool:
         """Tell whether a key is that of a wave."""
--- a/src/primroseledge/platform/wire.py
+++ b/src/primroseledge/platform/wire.py
@@ -208,3 +208,9 @@
     """The items of a transaction's conditions as they are."""
 
     items: list[WireItem] = []
+
+
+class WireRefusal(Struct):
+    """Why a call about an instance was refused."""
+
+    reason: str = ''
--- a/tests/jobworld.py
+++ b/tests/jobworld.py
@@ -15,8 +15,8 @@
 from primroseledge.job import JOBS_PREFIX
 from primroseledge.jobadmission import JobInput
 from primroseledge.jobcontroller import JobController
-from primroseledge.taskservice import TaskState
 from primroseledge.records import Records
+from primroseledge.taskservice import TaskState
 from standins.platform import Machine
 from standins.platform import PlatformCore
 from standins.platform import Program
--- a/tests/policyworld.py
+++ b/tests/policyworld.py
@@ -31,11 +31,11 @@
 from primroseledge.plan import StepState
 from primroseledge.plan import Wave
 from primroseledge.plan import WaveSettings
-from primroseledge.taskservice import InstanceStatus
-from primroseledge.taskservice import TaskState
 from primroseledge.poolcontroller import PoolController
 from primroseledge.records import Records
 from primroseledge.store import Snapshot
+from primroseledge.taskservice import InstanceStatus
+from primroseledge.taskservice import TaskState
 from standins.platform import Machine
 from standins.platform import PlatformCore
 from tests.policyfake import FakeStore
--- a/tests/test_controls.py
+++ b/tests/test_controls.py
@@ -29,11 +29,11 @@
 from primroseledge.plan import Plan
 from primroseledge.plan import plan_key
 from primroseledge.plan import Wave
+from primroseledge.policystate import Listing
+from primroseledge.poolrounds import PoolRounds
 from primroseledge.taskservice import InstanceStatus
 from primroseledge.taskservice import Life
 from primroseledge.taskservice import PlatformUnavailableError
-from primroseledge.policystate import Listing
-from primroseledge.poolrounds import PoolRounds
 from tests.policyworld import PolicyWorld
 from tests.policyworld import SERVICES
 from tests.policyworld import SETTINGS
