--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -473,11 +473,22 @@
         elif tenure.state in (TenureState.FOLLOWING, TenureState.CLAIMING):
             tenure.move('retire')
 
+    def give_up_fleet(self) -> None:
+        """Stop deciding after a defect; another owner reads the store."""
+        self.engine = None
+        self.steps = []
+        if self.tenure.state is TenureState.OWNING:
+            self.tenure.move('release')
+            self.steps.append(
+                ReleaseOwner(self.tenure.epoch, self.tenure.ledger_revision)
+            )
+
     def owner_released(self, event: OwnerReleased) -> None:
         """Note that our record as owner is gone."""
-        if self.tenure.state is TenureState.RELEASING:
-            self.tenure.move('retire')
-            self.tenure.owner = None
+        if self.tenure.state is not TenureState.RELEASING:
+            return
+        self.tenure.owner = None
+        self.tenure.move('retire' if self.is_leaving else 'released')
 
     def decide(self, now: float) -> list[Action]:
         """Let the owner's decisions follow from what has come in."""
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -40,6 +40,7 @@
 from primroseledge.cluster.storethread import StoreThread
 from primroseledge.cluster.tenure import TenureState
 from primroseledge.cluster.workerlinks import WorkerLinks
+from primroseledge.events import Event
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import Answer
 from primroseledge.jobs.actions import LookAnswered
@@ -50,6 +51,8 @@
 from primroseledge.jobs.actions import SendStart
 from primroseledge.jobs.actions import SendStop
 from primroseledge.jobs.actions import Verdict
+from primroseledge.logs import log
+from primroseledge.logs import LOGGER
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.maintenance.actions import InstancesListed
@@ -143,13 +146,31 @@
             ready = dict(self.link.poller.poll(self.poll_timeout_ms()))
             if self.wake_fd in ready:
                 eventfd_read(self.wake_fd)
-            now = boot_time()
-            for sender, message in self.link.receive():
-                self.node.take_message(sender, message, now)
-            while self.inbox:
-                item = self.inbox.popleft()
-                HANDLERS[type(item)](self, item, now)
-            self.settle()
+            try:
+                self.turn()
+            except Exception as error:
+                self.recover(error)
+
+    def turn(self) -> None:
+        """Take what has come in, and carry out what follows from it."""
+        now = boot_time()
+        for sender, message in self.link.receive():
+            self.node.take_message(sender, message, now)
+        while self.inbox:
+            item = self.inbox.popleft()
+            HANDLERS[type(item)](self, item, now)
+        self.settle()
+
+    def recover(self, error: Exception) -> None:
+        """Go on after a defect, without the state that it may have hurt.
+
+        An owner gives the fleet up; whoever takes over reads the
+        records in the store.
+        """
+        problem = f'{type(error).__name__}: {error}'
+        log(Event.LOOP_FAILED, problem=problem)
+        LOGGER.exception('defect')
+        self.node.give_up_fleet()
 
     def poll_timeout_ms(self) -> int:
         """Return how long to wait for something to happen."""
--- a/src/primroseledge/jobs/orders.py
+++ b/src/primroseledge/jobs/orders.py
@@ -126,7 +126,12 @@
 
 
 def send_wanted_stops(state: FleetState, worker: Worker, now: float) -> None:
-    """Order the stops that are wanted and not under way."""
+    """Order the stops that are wanted and not under way.
+
+    A worker that is not listed has no address; its lease ends its runs.
+    """
+    if not worker.entry.address:
+        return
     for task in list(worker.tasks.values()):
         run = task.run
         if run is None or not run.is_stop_wanted:
