Let a silent worker's lease end; settle stops; release stranded records

Looks in a row of failures no longer renew. - repeated answers of a stop put off the look that settles it (fuzz 19). - a claim whose answer came after the lease had ended left a record on which nobody acted (fuzz 4). It is released; so is an earlier process's record.

One numbered log line for each decision on jobs, runs and workers.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -80,6 +80,8 @@
 
 GOSSIP_PEERS: Final = 2
 
+RELEASE_RETRY_S: Final = 0.5
+
 LOOK_GRACE_S: Final = 6.0
 """How long after its lease an owner without a store renews runs.
 
@@ -129,6 +131,7 @@
     listed_at: float = 0.0
     is_listing: bool = False
     gossiped_at: float = 0.0
+    released_at: float = 0.0
     waves: dict[WaveNumber, Wave] = field(default_factory=dict)
     steps: list[Step] = field(default_factory=list)
     bad_entries: dict[str, int] = field(default_factory=dict)
@@ -457,9 +460,19 @@
                 reason=f'epoch {self.tenure.epoch} has ended',
             )
             self.engine = None
+        if self.tenure.is_stranded(self.entry):
+            self.release_stranded(now)
         if self.is_leaving:
             self.release()
 
+    def release_stranded(self, now: float) -> None:
+        """Remove an owner's record of ours on which nobody acts."""
+        owner = self.tenure.owner
+        if owner is None or now < self.released_at + RELEASE_RETRY_S:
+            return
+        self.released_at = now
+        self.steps.append(ReleaseOwner(owner.epoch, None))
+
     def release(self) -> None:
         """Give the fleet to another instance before we stop."""
         tenure = self.tenure
--- a/src/primroseledge/cluster/steps.py
+++ b/src/primroseledge/cluster/steps.py
@@ -83,10 +83,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseOwner:
-    """Remove our record as owner, so that another can take over."""
+    """Remove our record as owner, so that another can take over.
+
+    Without the ledger's revision it is read first, and the record goes
+    only if nobody has written since this epoch.
+    """
 
     epoch: Epoch
-    ledger_revision: Revision
+    ledger_revision: Revision | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/cluster/storethread.py
+++ b/src/primroseledge/cluster/storethread.py
@@ -19,7 +19,6 @@
 
 from primroseledge.cluster.callthread import Inbox
 from primroseledge.cluster.fleetstore import FleetStore
-from primroseledge.cluster.fleetstore import LeaseEndedError
 from primroseledge.cluster.fleetstore import Put
 from primroseledge.cluster.fleetstore import Transaction
 from primroseledge.cluster.keys import decode_ledger
@@ -274,16 +273,24 @@
 @handles(ReleaseOwner)
 def release_owner(thread: StoreThread, step: ReleaseOwner) -> OwnerReleased:
     """Remove our record; without an answer its lease will end it."""
-    transaction = Transaction(
-        {LEDGER_KEY: step.ledger_revision}, removals=(OWNER_KEY,)
-    )
     try:
-        thread.store.commit(transaction)
-    except (StoreError, LeaseEndedError) as error:
+        revision = step.ledger_revision or read_ledger_revision(thread, step)
+        thread.store.commit(
+            Transaction({LEDGER_KEY: revision}, removals=(OWNER_KEY,))
+        )
+    except (StoreError, DocumentError) as error:
         log(Event.STORE_RETRIED, step='release', problem=str(error))
     return OwnerReleased(step.epoch)
 
 
+def read_ledger_revision(thread: StoreThread, step: ReleaseOwner) -> Revision:
+    """Return the ledger's revision; raises StoreError and DocumentError."""
+    item = thread.store.read(LEDGER_KEY)
+    if item is None or decode_ledger(item).epoch != step.epoch:
+        raise ConflictError('another instance has written the ledger')
+    return item.revision
+
+
 @handles(ListWorkers)
 def list_workers(
     thread: StoreThread, _step: ListWorkers
--- a/src/primroseledge/cluster/tenure.py
+++ b/src/primroseledge/cluster/tenure.py
@@ -11,6 +11,7 @@
 
 from primroseledge.chart import load_chart
 from primroseledge.cluster.messages import OwnerView
+from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
 
@@ -119,6 +120,17 @@
             if owner.epoch > self.epoch:
                 self.lose()
 
+    def is_stranded(self, entry: EntryId) -> bool:
+        """Tell whether the owner's record is ours, but we don't act on it.
+
+        Its answer came too late, or an earlier process of ours wrote it.
+        """
+        return (
+            self.state is TenureState.FOLLOWING
+            and self.owner is not None
+            and self.owner.entry == entry
+        )
+
     def is_acting(self, now: float) -> bool:
         """Tell whether orders may be given."""
         return self.state is TenureState.OWNING and now < self.leased_until
--- a/src/primroseledge/events.py
+++ b/src/primroseledge/events.py
@@ -292,6 +292,68 @@
         'A plan or job record cannot be read, or there is a defect.',
         'Look at the record; report the problem if it is right.',
     )
+    JOB_ACCEPTED = info(
+        701,
+        'job {job} of workspace {workspace} taken for queue {queue}: '
+        '{tasks} tasks',
+        'A job is being stored; its caller is answered when it is.',
+        'Nothing.',
+    )
+    JOB_ENDED = info(
+        702,
+        'job {job} is {state} after {seconds} s',
+        'A job has reached its final state.',
+        'For a failed job, see the ends of its runs (704).',
+    )
+    RUN_ORDERED = info(
+        703,
+        'task {task} run {run} ordered on {worker} of boot {boot} '
+        'under epoch-bound lease until {deadline_ms}',
+        'A stored start is being sent; the time is on the worker.',
+        'Nothing.',
+    )
+    RUN_ENDED = info(
+        704,
+        'task {task} run {run} on {worker} ended: {how}',
+        'A worker has listed the end of a run.',
+        'For many failed runs on one worker, look at the worker.',
+    )
+    RUN_LOST = warning(
+        705,
+        'task {task} run {run} on {worker} given up: {reason}',
+        'A run is over for certain and its end will not be listed.',
+        'Look at the worker; the task starts again.',
+    )
+    JOB_REFUSED = info(
+        706,
+        'job {job} refused: {reason}',
+        'A job was not accepted and never runs.',
+        'Look at the store, or at the load of the service.',
+    )
+    WORKER_CHANGED = info(
+        707,
+        'worker {worker} of {service} at {address} is {state}, boot {boot}',
+        'A worker came, changed its state, started again or left.',
+        'Nothing.',
+    )
+    WORKER_SILENT = warning(
+        708,
+        'worker {worker} did not answer a look: {result}, {failures} in a row',
+        'No tasks are placed there until it answers.',
+        'Look at the worker and the network.',
+    )
+    START_FAILED = warning(
+        709,
+        'task {task} run {run} not started on {worker}: {result}',
+        'A start was refused or its answer is missing.',
+        'For many on one worker, look at the worker.',
+    )
+    INSTANCE_CALLED = info(
+        710,
+        '{what} of instance {instance}: {result}',
+        'The platform was told to take an instance away.',
+        'Nothing.',
+    )
     TRACE_DROPPED = warning(
         601,
         '{dropped} spans dropped',
--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from primroseledge.events import Event
 from primroseledge.jobs.actions import EndKind
 from primroseledge.jobs.actions import LookAnswered
 from primroseledge.jobs.actions import RunEnd
@@ -16,6 +17,7 @@
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.task import TaskKey
 from primroseledge.jobs.worker import Worker
+from primroseledge.logs import log
 
 MAX_LISTED_ENDS: Final = 500
 """A list of ends this long may be cut off; from PROTOCOL."""
@@ -91,7 +93,7 @@
             continue
         if run.settled_at is None or look.sent_at <= run.settled_at:
             continue
-        state.finish_run(task, now)
+        state.lose_run(task, 'not listed', now)
 
 
 def take_end(
@@ -105,6 +107,13 @@
     if run is None or run.number != end.run or run.worker != worker.id:
         return
     job = state.jobs[task.key.job]
+    log(
+        Event.RUN_ENDED,
+        task=task.key.name,
+        run=run.number,
+        worker=worker.id,
+        how=end.kind.value,
+    )
     if end.checkpoint and task.step.saves_checkpoints:
         task.checkpoint = end.checkpoint
     state.finish_run(task, now)
@@ -149,6 +158,13 @@
 def end_job(state: FleetState, job: Job, final: JobState, now: float) -> None:
     """End a job for good and stop what still runs of it."""
     job.state = final
+    wall_ms = state.wall_ms(now)
+    log(
+        Event.JOB_ENDED,
+        job=job.accepted.id,
+        state=final.value,
+        seconds=(wall_ms - job.accepted.accepted_ms) / 1000,
+    )
     job.updated_ms = state.wall_ms(now)
     state.active.pop(job.accepted.id, None)
     state.mark_dirty(job, now)
@@ -156,7 +172,9 @@
         state.stop_run(task)
 
 
-def lose_all_runs(state: FleetState, worker: Worker, now: float) -> None:
+def lose_all_runs(
+    state: FleetState, worker: Worker, reason: str, now: float
+) -> None:
     """Give up all runs on a worker that has ended for certain."""
     for task in list(worker.tasks.values()):
-        state.finish_run(task, now)
+        state.lose_run(task, reason, now)
--- a/src/primroseledge/jobs/fleetstate.py
+++ b/src/primroseledge/jobs/fleetstate.py
@@ -4,6 +4,7 @@
 from dataclasses import field
 from typing import Final
 
+from primroseledge.events import Event
 from primroseledge.ids import JobId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
@@ -19,6 +20,7 @@
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.worker import Worker
+from primroseledge.logs import log
 
 MAX_LEASE_S: Final = 6.0
 """The longest lease that a worker grants; from PROTOCOL."""
@@ -127,6 +129,19 @@
         self.mark_dirty(job, now)
         self.ask_plan(job)
 
+    def lose_run(self, task: Task, reason: str, now: float) -> None:
+        """Give up a run that is over without a listed end."""
+        run = task.run
+        if run is not None:
+            log(
+                Event.RUN_LOST,
+                task=task.key.name,
+                run=run.number,
+                worker=run.worker,
+                reason=reason,
+            )
+        self.finish_run(task, now)
+
     def stop_run(self, task: Task) -> None:
         """Want a run stopped; a planned one is not sent at all."""
         if task.run is not None:
--- a/src/primroseledge/jobs/looks.py
+++ b/src/primroseledge/jobs/looks.py
@@ -1,5 +1,8 @@
 """Decide when to look at which worker, and what silence means."""
 
+from dataclasses import replace
+
+from primroseledge.events import Event
 from primroseledge.jobs.actions import LookAnswered
 from primroseledge.jobs.actions import LookFailed
 from primroseledge.jobs.actions import OrderResult
@@ -12,6 +15,7 @@
 from primroseledge.jobs.worker import Worker
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.jobs.worker import WorkerState
+from primroseledge.logs import log
 
 
 def take_entries(
@@ -23,6 +27,8 @@
         take_entry(state, entry, now)
     for worker in list(state.workers.values()):
         if worker.id not in listed:
+            if worker.is_listed:
+                log_worker(replace(worker.entry, state=WorkerState.GONE))
             worker.is_listed = False
             if not worker.tasks and not worker.is_looking:
                 del state.workers[worker.id]
@@ -33,6 +39,7 @@
     worker = state.workers.get(entry.id)
     if worker is None:
         state.workers[entry.id] = Worker(entry)
+        log_worker(entry)
         state.to_plan.add(entry.service)
         return
     if entry.boot < worker.entry.boot:
@@ -40,16 +47,29 @@
     if entry.boot > worker.entry.boot:
         reset_worker(state, worker, entry, now)
     if worker.entry.state is not entry.state or not worker.is_listed:
+        log_worker(entry)
         state.to_plan.add(entry.service)
     worker.entry = entry
     worker.is_listed = True
 
 
+def log_worker(entry: WorkerEntry) -> None:
+    """Log that a worker came or changed."""
+    log(
+        Event.WORKER_CHANGED,
+        worker=entry.id,
+        service=entry.service,
+        address=entry.address,
+        state=entry.state.value,
+        boot=entry.boot,
+    )
+
+
 def reset_worker(
     state: FleetState, worker: Worker, entry: WorkerEntry, now: float
 ) -> None:
     """Begin anew with a worker that has started again."""
-    lose_all_runs(state, worker, now)
+    lose_all_runs(state, worker, 'the worker started again', now)
     fresh = Worker(entry)
     fresh.is_looking = False
     fresh.is_draining = worker.is_draining
@@ -85,8 +105,14 @@
     worker.is_looking = False
     worker.looked_at = now
     worker.look_failures += 1
+    log(
+        Event.WORKER_SILENT,
+        worker=worker.id,
+        result=failure.result.value,
+        failures=worker.look_failures,
+    )
     if failure.result is OrderResult.OTHER_BOOT:
-        lose_all_runs(state, worker, now)
+        lose_all_runs(state, worker, 'another boot answered', now)
         worker.is_listed = False
 
 
@@ -107,7 +133,7 @@
         return
     over_at = max(worker.clock.lapses_at(), worker.silent_until)
     if now > over_at:
-        lose_all_runs(state, worker, now)
+        lose_all_runs(state, worker, 'its lease is over', now)
 
 
 def is_look_due(state: FleetState, worker: Worker, now: float) -> bool:
@@ -139,7 +165,11 @@
 
 def send_look(state: FleetState, worker: Worker, now: float) -> None:
     """Look at a worker; wait for an end if none is being stored."""
-    deadline_ms = worker.clock.deadline_after(state.timing.lease_s, now)
+    deadline_ms = None
+    if not worker.look_failures:
+        # A look at a silent worker must not put off the time when its
+        # runs are over for certain.
+        deadline_ms = worker.clock.deadline_after(state.timing.lease_s, now)
     if deadline_ms is not None:
         worker.clock.extend(deadline_ms)
     waits = (
--- a/src/primroseledge/jobs/orders.py
+++ b/src/primroseledge/jobs/orders.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from primroseledge.events import Event
 from primroseledge.jobs.actions import OrderAnswered
 from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import SendStart
@@ -14,10 +15,14 @@
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.worker import Worker
+from primroseledge.logs import log
 
 MAX_SENDS: Final = 3
 """How often an unanswered start is sent before it is stopped instead."""
 
+MAX_STOP_S: Final = 1.5
+"""A run that is still listed this long after its stop is stopped again."""
+
 SHUN_S: Final = 1.0
 """No starts on a worker for this long after it refused one."""
 
@@ -41,7 +46,7 @@
     job = state.jobs[task.key.job]
     deadline_ms = None
     if worker is not None and worker.entry.boot == run.boot:
-        deadline_ms = worker.clock.deadline_after(state.timing.lease_s, now)
+        deadline_ms = start_deadline(state, run, worker, now)
     if run.is_stop_wanted or worker is None or deadline_ms is None:
         state.finish_run(task, now)
         return
@@ -49,6 +54,14 @@
     run.phase = RunPhase.SENT
     run.send_count += 1
     job.has_started = True
+    log(
+        Event.RUN_ORDERED,
+        task=task.key.name,
+        run=run.number,
+        worker=run.worker,
+        boot=run.boot,
+        deadline_ms=deadline_ms,
+    )
     state.actions.append(
         SendStart(
             target_of(worker),
@@ -61,6 +74,18 @@
     )
 
 
+def start_deadline(
+    state: FleetState, run: Run, worker: Worker, now: float
+) -> int | None:
+    """Return when a start's lease ends, on the worker's clock.
+
+    Sending it again does not lengthen the lease: the worker may be gone.
+    """
+    if run.send_count:
+        return worker.clock.deadline_ms
+    return worker.clock.deadline_after(state.timing.lease_s, now)
+
+
 def take_start_answer(
     state: FleetState, answer: OrderAnswered, now: float
 ) -> None:
@@ -73,6 +98,14 @@
     if run.worker != order.target.worker or run.phase is not RunPhase.SENT:
         return
     worker = state.workers.get(run.worker)
+    if answer.result is not OrderResult.DONE:
+        log(
+            Event.START_FAILED,
+            task=task.key.name,
+            run=run.number,
+            worker=run.worker,
+            result=answer.result.value,
+        )
     if answer.result is OrderResult.DONE:
         run.phase = RunPhase.RUNNING
         run.settled_at = answer.received_at
@@ -141,10 +174,23 @@
         last = run.stop_sent_at
         if last is not None and now < last + state.timing.stop_retry_s:
             continue
+        if is_stopping(run, now):
+            continue
         run.stop_sent_at = now
         state.actions.append(SendStop(target_of(worker), task.key, run.number))
 
 
+def is_stopping(run: Run, now: float) -> bool:
+    """Tell whether a stop was obeyed and its end is to be listed soon."""
+    answered_at = run.stop_answered_at
+    if answered_at is None:
+        return False
+    seen_later = run.seen_at is not None and run.seen_at > (
+        answered_at + MAX_STOP_S
+    )
+    return not seen_later
+
+
 def take_stop_answer(
     state: FleetState, answer: OrderAnswered, now: float
 ) -> None:
@@ -153,6 +199,9 @@
     run = task.run if task else None
     if run is None or run.number != answer.order.run:
         return
-    if answer.result in (OrderResult.DONE, OrderResult.OLD_RUN):
+    is_stopped = answer.result in (OrderResult.DONE, OrderResult.OLD_RUN)
+    if is_stopped and run.stop_answered_at is None:
+        # The first answer settles it; a later one must not begin the
+        # wait for a look anew.
         run.stop_answered_at = answer.received_at
         run.settled_at = answer.received_at
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -22,6 +22,11 @@
     step: int
     number: int
 
+    @property
+    def name(self) -> str:
+        """Return the key as text, for logs."""
+        return '.'.join(str(part) for part in self)
+
 
 class RunPhase(Enum):
     """How far a run has come.
--- a/src/primroseledge/maintenance/upkeep.py
+++ b/src/primroseledge/maintenance/upkeep.py
@@ -251,6 +251,12 @@
     if not isinstance(call, BeginUpkeep) or operation is None:
         return
     result = answer.result
+    log(
+        Event.INSTANCE_CALLED,
+        what=f'upkeep in wave {call.wave}',
+        instance=call.instance,
+        result=result.value,
+    )
     record = fleet.records.get(call.wave)
     if result is InstanceResult.DONE and record is not None:
         operation.step = Step.AWAY
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -78,10 +78,18 @@
         if job is None:
             refusal = find_refusal(state, event.job, now)
             if refusal is not None:
+                log(Event.JOB_REFUSED, job=job_id, reason=refusal.reason)
                 state.actions.append(Reply(event.call, refusal))
                 return
             job = Job(event.job, updated_ms=state.wall_ms(now))
             job.open_due_steps(state.wall_ms(now))
+            log(
+                Event.JOB_ACCEPTED,
+                job=job_id,
+                workspace=event.job.workspace,
+                queue=event.job.queue,
+                tasks=sum(step.count for step in event.job.spec.steps),
+            )
             state.jobs[job_id] = job
             state.active[job_id] = job
             state.mark_dirty(job, now)
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from primroseledge.events import Event
 from primroseledge.jobs.actions import Answer
 from primroseledge.jobs.actions import Verdict
 from primroseledge.jobs.fleetstate import FleetState
@@ -11,6 +12,7 @@
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
+from primroseledge.logs import log
 from primroseledge.maintenance.fleetlist import InstanceList
 from primroseledge.owner.batch import Batch
 
@@ -125,6 +127,7 @@
 def drop_job(state: FleetState, job: Job, now: float) -> None:
     """Refuse a job that is in no batch, and forget it."""
     job_id = job.accepted.id
+    log(Event.JOB_REFUSED, job=job_id, reason='the store does not answer')
     for task in job.tasks():
         forget_planned(state, task, now)
     job.state = JobState.CANCELLED
--- /dev/null
+++ b/tests/fleetledger.py
@@ -0,0 +1,190 @@
+"""What really happened to jobs, and the rules that it must keep.
+
+Written from the users' page of rules, not from the engine.
+"""
+
+from collections import Counter
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+
+from primroseledge.ids import JobId
+from primroseledge.ids import WorkerId
+from primroseledge.ids import WorkspaceId
+from primroseledge.jobs.actions import EndKind
+from primroseledge.jobs.actions import SendStart
+from primroseledge.jobs.resources import NOTHING
+from primroseledge.jobs.resources import Resources
+from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.jobs.spec import StepSpec
+from primroseledge.jobs.task import TaskKey
+
+CANCEL_S = 3.0
+OVERAGE = 1.1
+
+
+@dataclass
+class TaskStory:
+    """A task's starts and ends, in order."""
+
+    running: dict[int, WorkerId] = field(default_factory=dict)
+    done: set[int] = field(default_factory=set)
+    failed: set[int] = field(default_factory=set)
+    noted: set[int] = field(default_factory=set)
+    starts: list[tuple[int, float, set[int], set[int]]] = field(
+        default_factory=list
+    )
+
+
+class Ledger:
+    """Judges starts, ends and answers; ``broken`` lists what is wrong."""
+
+    def __init__(
+        self, random: Random, limits: dict[WorkspaceId, Resources], most: int
+    ) -> None:
+        self.random = random
+        self.limits = limits
+        self.max_attempts = most
+        self.jobs: dict[JobId, AcceptedJob] = {}
+        self.hopeless: set[JobId] = set()
+        self.accepted: dict[JobId, float] = {}
+        self.open_tries: Counter[JobId] = Counter()
+        self.not_refused: set[JobId] = set()
+        self.cancelled: dict[JobId, float] = {}
+        self.stories: dict[TaskKey, TaskStory] = defaultdict(TaskStory)
+        self.broken: list[str] = []
+        self.advance_workers: Callable[[float], None] = lambda _now: None
+        self.start_count = 0
+
+    def tried(self, job_id: JobId) -> None:
+        self.open_tries[job_id] += 1
+
+    def answered(self, job_id: JobId, is_refused: bool) -> None:
+        self.open_tries[job_id] -= 1
+        if not is_refused:
+            self.not_refused.add(job_id)
+
+    def step_of(self, task: TaskKey) -> StepSpec:
+        return self.jobs[task.job].spec.steps[task.step]
+
+    def resources_of(self, task: TaskKey) -> Resources:
+        return self.step_of(task).resources
+
+    def fate_of(self, task: TaskKey, run: int) -> tuple[float | None, EndKind]:
+        """Return how long a run takes, and how it ends."""
+        step = self.step_of(task)
+        if step.is_long_running:
+            if self.random.random() < 0.1:
+                return self.random.uniform(0.5, 5), EndKind.FAILED
+            return None, EndKind.DONE
+        seconds = step.estimate_ms / 1000 * self.random.uniform(0.5, 1.5)
+        if task.job in self.hopeless or self.random.random() < 0.02:
+            return seconds, EndKind.FAILED
+        return seconds, EndKind.DONE
+
+    def started(self, order: SendStart, worker: WorkerId, now: float) -> None:
+        self.start_count += 1
+        self.advance_workers(now)
+        task = order.task
+        story = self.stories[task]
+        job = self.jobs.get(task.job)
+        if job is None or job.spec.payload != order.payload:
+            self.broken.append(f'UNASKED {task}')
+            return
+        if story.running:
+            self.broken.append(
+                f'TWICE {task} run {order.run} on {worker} at {now:.3f} '
+                f'beside {story.running}'
+            )
+        story.running[order.run] = worker
+        story.starts.append(
+            (order.run, now, set(story.done), set(story.failed))
+        )
+        self.check_order(task, now)
+        self.check_limit(job, now)
+        if not self.open_tries[task.job] and task.job not in self.not_refused:
+            self.broken.append(f'REFUSED {task} at {now:.3f}')
+        cancelled_at = self.cancelled.get(task.job)
+        if cancelled_at is not None and now > cancelled_at + CANCEL_S:
+            self.broken.append(f'UNASKED {task} after its cancel')
+
+    def check_order(self, task: TaskKey, now: float) -> None:
+        job = self.jobs[task.job]
+        for earlier in job.spec.steps[task.step].after:
+            for number in range(job.spec.steps[earlier].count):
+                key = TaskKey(task.job, task.occurrence, earlier, number)
+                if not self.stories[key].done:
+                    self.broken.append(f'ORDER {task} before {key}')
+        due_ms = job.spec.due_ms(task.occurrence)
+        if due_ms and now * 1000 < due_ms - 250:
+            self.broken.append(f'ORDER {task} before its time')
+
+    def check_limit(self, job: AcceptedJob, now: float) -> None:
+        limit = self.limits.get(job.workspace)
+        if limit is None:
+            return
+        used = NOTHING
+        largest = NOTHING
+        for task, story in self.stories.items():
+            if not story.running:
+                continue
+            if self.jobs[task.job].workspace != job.workspace:
+                continue
+            resources = self.resources_of(task)
+            used = used.plus(resources)
+            if resources.cpu_millis > largest.cpu_millis:
+                largest = resources
+        allowed = limit.cpu_millis * OVERAGE + largest.cpu_millis
+        if limit.cpu_millis and used.cpu_millis > allowed:
+            self.broken.append(
+                f'QUOTA {job.workspace} {used.cpu_millis} at {now:.3f}'
+            )
+
+    def ended(
+        self,
+        task: TaskKey,
+        run: int,
+        worker: WorkerId,
+        how: EndKind,
+        now: float,
+    ) -> None:
+        story = self.stories[task]
+        story.running.pop(run, None)
+        if how is EndKind.DONE:
+            story.done.add(run)
+        elif how is EndKind.FAILED:
+            story.failed.add(run)
+
+    def lost(
+        self, task: TaskKey, run: int, worker: WorkerId, now: float
+    ) -> None:
+        self.stories[task].running.pop(run, None)
+
+    def noted(self, task: TaskKey, run: int, now: float) -> None:
+        self.stories[task].noted.add(run)
+
+    def has_all_done(self, job_id: JobId) -> bool:
+        job = self.jobs[job_id]
+        return all(
+            self.stories[TaskKey(job_id, k, s, i)].done
+            for k in range(job.spec.occurrences)
+            for s, step in enumerate(job.spec.steps)
+            for i in range(step.count)
+        )
+
+    def judge(self) -> list[str]:
+        """Return all broken rules, with those known only at the end."""
+        for task, story in self.stories.items():
+            step = self.step_of(task)
+            if step.is_long_running:
+                continue
+            for run, at, done_before, failed_before in story.starts:
+                if done_before & story.noted:
+                    self.broken.append(
+                        f'TWICE {task} run {run} at {at:.3f} after it was done'
+                    )
+                if len(failed_before & story.noted) >= self.max_attempts:
+                    self.broken.append(f'BUDGET {task} run {run}')
+        return self.broken
--- /dev/null
+++ b/tests/fleetworker.py
@@ -0,0 +1,206 @@
+"""A worker in simulated time, as the platform's pages describe it."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from primroseledge.ids import Boot
+from primroseledge.ids import ServiceId
+from primroseledge.ids import WorkerId
+from primroseledge.ids import ZoneId
+from primroseledge.jobs.actions import EndKind
+from primroseledge.jobs.actions import LookAnswered
+from primroseledge.jobs.actions import LookFailed
+from primroseledge.jobs.actions import Order
+from primroseledge.jobs.actions import OrderResult
+from primroseledge.jobs.actions import RunEnd
+from primroseledge.jobs.actions import RunningRun
+from primroseledge.jobs.actions import SendLook
+from primroseledge.jobs.actions import SendPace
+from primroseledge.jobs.actions import SendStart
+from primroseledge.jobs.resources import NOTHING
+from primroseledge.jobs.resources import Resources
+from primroseledge.jobs.task import TaskKey
+from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.jobs.worker import WorkerState
+from tests.fleetledger import Ledger
+
+MAX_LEASE_MS = 6000
+STARTUP_S = 0.3
+
+
+@dataclass(eq=False)
+class SimRun:
+    """A run on a simulated worker."""
+
+    task: TaskKey
+    number: int
+    begun_at: float
+    ends_at: float | None
+    how: EndKind
+    resources: Resources
+
+
+@dataclass(eq=False)
+class SimWorker:
+    """Runs tasks under fences and leases; ``rate`` is its clock's speed."""
+
+    ledger: Ledger
+    id: WorkerId
+    service: ServiceId
+    capacity: Resources
+    labels: tuple[str, ...]
+    boot: Boot
+    booted_at: float
+    rate: float = 1.0
+    is_alive: bool = True
+    is_gone: bool = False
+    state: WorkerState = WorkerState.READY
+    epoch: int = 0
+    deadline_ms: int = 0
+    ends_seen: int = 0
+    runs: dict[TaskKey, SimRun] = field(default_factory=dict)
+    ended: list[RunEnd] = field(default_factory=list)
+    last_number: int = 0
+    void_end: int = 0
+    over: dict[TaskKey, int] = field(default_factory=dict)
+
+    def clock_ms(self, now: float) -> int:
+        return int((now - self.booted_at) * self.rate * 1000)
+
+    def entry(self) -> WorkerEntry:
+        return WorkerEntry(
+            self.id,
+            self.boot,
+            self.service,
+            f'{self.id}:1',
+            ZoneId('z'),
+            self.state,
+            self.capacity,
+            self.labels,
+        )
+
+    def crash(self, now: float) -> None:
+        self.is_alive = False
+        for run in self.runs.values():
+            self.ledger.lost(run.task, run.number, self.id, now)
+        self.runs.clear()
+
+    def reboot(self, now: float) -> None:
+        self.is_alive = True
+        self.boot = Boot(int(now * 1000) + 1)
+        self.booted_at = now
+        self.epoch = 0
+        self.deadline_ms = 0
+        self.last_number = 0
+        self.void_end = 0
+        self.ended = []
+        self.over = {}
+
+    def advance(self, now: float) -> None:
+        """End the runs that are over, and those whose lease is."""
+        lapse_at = self.booted_at + self.deadline_ms / 1000 / self.rate
+        for run in list(self.runs.values()):
+            if run.ends_at is not None and run.ends_at <= min(now, lapse_at):
+                self.end(run, run.how, run.ends_at)
+        if now > lapse_at:
+            for run in list(self.runs.values()):
+                self.end(run, EndKind.LAPSED, lapse_at)
+            # Ends from before a lapse never count as taken note of.
+            self.void_end = self.last_number
+
+    def end(self, run: SimRun, how: EndKind, at: float) -> None:
+        del self.runs[run.task]
+        self.last_number += 1
+        self.over[run.task] = max(self.over.get(run.task, 0), run.number)
+        self.ended.append(
+            RunEnd(self.last_number, run.task, run.number, how, '')
+        )
+        self.ledger.ended(run.task, run.number, self.id, how, at)
+
+    def used(self) -> Resources:
+        used = NOTHING
+        for run in self.runs.values():
+            used = used.plus(run.resources)
+        return used
+
+    def obey(self, order: Order, epoch: int, now: float) -> OrderResult:
+        """Carry out an order that has just arrived."""
+        self.advance(now)
+        if order.target.boot != self.boot:
+            return OrderResult.OTHER_BOOT
+        if epoch < self.epoch:
+            return OrderResult.FENCED
+        self.epoch = epoch
+        if isinstance(order, SendStart):
+            return self.start(order, now)
+        if isinstance(order, SendPace):
+            return OrderResult.DONE
+        run = self.runs.get(order.task)
+        self.over[order.task] = max(self.over.get(order.task, 0), order.run)
+        if run is not None and run.number <= order.run:
+            self.end(run, EndKind.STOPPED, now)
+        return OrderResult.DONE
+
+    def start(self, order: SendStart, now: float) -> OrderResult:
+        run = self.runs.get(order.task)
+        if run is not None and run.number == order.run:
+            return OrderResult.DONE
+        if order.deadline_ms <= self.clock_ms(now):
+            return OrderResult.TOO_LATE
+        if order.run <= self.over.get(order.task, 0) or run is not None:
+            return OrderResult.OLD_RUN
+        resources = self.ledger.resources_of(order.task)
+        if not self.used().plus(resources).fits_in(self.capacity):
+            return OrderResult.NO_ROOM
+        self.extend(order.deadline_ms, now)
+        seconds, how = self.ledger.fate_of(order.task, order.run)
+        ends_at = None if seconds is None else now + seconds
+        self.runs[order.task] = SimRun(
+            order.task, order.run, now, ends_at, how, resources
+        )
+        self.ledger.started(order, self.id, now)
+        return OrderResult.DONE
+
+    def extend(self, deadline_ms: int, now: float) -> None:
+        longest = self.clock_ms(now) + MAX_LEASE_MS
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, longest))
+
+    def look(
+        self, look: SendLook, epoch: int, sent_at: float, now: float
+    ) -> LookAnswered | LookFailed:
+        """Answer a look; the caller waits for ends outside."""
+        self.advance(now)
+        result = None
+        if look.target.boot != self.boot:
+            result = OrderResult.OTHER_BOOT
+        elif epoch < self.epoch:
+            result = OrderResult.FENCED
+        if result is not None:
+            return LookFailed(self.id, look.target.boot, result)
+        self.epoch = epoch
+        if look.deadline_ms is not None:
+            self.extend(look.deadline_ms, now)
+        for end in self.ended:
+            if self.void_end < end.number <= look.stored_end:
+                self.ledger.noted(end.task, end.run, now)
+        self.ended = [e for e in self.ended if e.number > look.stored_end]
+        running = tuple(
+            RunningRun(
+                run.task,
+                run.number,
+                '',
+                100 if now > run.begun_at + STARTUP_S else 0,
+                0,
+            )
+            for run in self.runs.values()
+        )
+        return LookAnswered(
+            self.id,
+            self.boot,
+            self.clock_ms(now),
+            running,
+            tuple(self.ended[:500]),
+            look.stored_end,
+            sent_at,
+            now,
+        )
--- /dev/null
+++ b/tests/test_fleet_fuzz.py
@@ -0,0 +1,299 @@
+"""The owner's protocol and job engine under random faults.
+
+Every seed that ever broke a rule stays in ``REGRESSIONS``.
+"""
+
+from random import Random
+import unittest
+
+from primroseledge.ids import Boot
+from primroseledge.ids import JobId
+from primroseledge.ids import QueueId
+from primroseledge.ids import ServiceId
+from primroseledge.ids import WorkerId
+from primroseledge.ids import WorkspaceId
+from primroseledge.jobs.configuration import Configuration
+from primroseledge.jobs.configuration import Queue
+from primroseledge.jobs.configuration import Service
+from primroseledge.jobs.configuration import Workspace
+from primroseledge.jobs.progress import FINAL_STATES
+from primroseledge.jobs.progress import JobState
+from primroseledge.jobs.resources import Resources
+from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.jobs.spec import JobSpec
+from primroseledge.jobs.spec import StepSpec
+from tests.fleetledger import Ledger
+from tests.fleetworker import SimWorker
+from tests.fleetworld import World
+
+SEEDS = range(100, 112)
+REGRESSIONS: tuple[int, ...] = (
+    4,  # A claim whose answer came after the lease stranded the record.
+    19,  # Repeated answers of a stop put off the look that settles it.
+)
+LOAD_S = 40.0
+QUIET_S = 45.0
+MAX_ATTEMPTS = 3
+SERVICES = (ServiceId('copper'), ServiceId('iron'))
+LIMIT = Resources(40000, 0, 0)
+
+
+def make_configuration() -> Configuration:
+    return Configuration(
+        version=1,
+        queues={
+            QueueId(f'q-{service}'): Queue(
+                QueueId(f'q-{service}'),
+                'host',
+                f'/{service}/',
+                service,
+                max_attempts=MAX_ATTEMPTS,
+                slack_factor=1.6,
+                objective_s=0.6,
+            )
+            for service in SERVICES
+        },
+        services={service: Service(service) for service in SERVICES},
+        workspaces={
+            WorkspaceId('small'): Workspace(
+                WorkspaceId('small'), frozenset('a'), 1.0, LIMIT
+            ),
+            WorkspaceId('large'): Workspace(
+                WorkspaceId('large'), frozenset('b')
+            ),
+        },
+    )
+
+
+def make_workers(random: Random, ledger: Ledger) -> list[SimWorker]:
+    return [
+        SimWorker(
+            ledger,
+            WorkerId(f'w-{service}-{number}'),
+            service,
+            Resources(16000, 64000, 0),
+            ('a', f'rack-{number % 2}'),
+            Boot(900_000 + number),
+            900.0,
+            random.uniform(0.98, 1.0),
+        )
+        for service in SERVICES
+        for number in range(4)
+    ]
+
+
+def make_job(random: Random, number: int, now: float) -> AcceptedJob:
+    is_lasting = random.random() < 0.06
+    steps = []
+    for index in range(1 if is_lasting else random.randint(1, 3)):
+        steps.append(
+            StepSpec(
+                count=random.randint(1, 2 if is_lasting else 6),
+                resources=Resources(
+                    random.randint(500, 1000 if is_lasting else 4000), 500, 0
+                ),
+                estimate_ms=random.randint(200, 2500),
+                after=(index - 1,) if index else (),
+                is_long_running=is_lasting,
+                is_gang=not is_lasting and random.random() < 0.0,
+                max_unavailable=1 if is_lasting else 0,
+            )
+        )
+    return AcceptedJob(
+        id=JobId(f'{number:016x}'),
+        queue=QueueId(f'q-{random.choice(SERVICES)}'),
+        workspace=WorkspaceId(
+            'large' if is_lasting else random.choice(('small', 'large'))
+        ),
+        accepted_ms=int(now * 1000),
+        spec=JobSpec(payload=f'payload {number}', steps=tuple(steps)),
+    )
+
+
+class Play:
+    """One seed: load and faults, then quiet, then the verdict."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        configuration = make_configuration()
+        limits = {w.id: w.limit for w in configuration.workspaces.values()}
+        self.ledger = Ledger(self.random, limits, MAX_ATTEMPTS)
+        workers = make_workers(self.random, self.ledger)
+        self.world = World(seed, configuration, self.ledger, workers)
+        self.jobs: list[AcceptedJob] = []
+
+    def run(self) -> list[str]:
+        start = self.world.now + 2
+        for number in range(int(LOAD_S * 2)):
+            self.world.at(
+                start + self.random.uniform(0, LOAD_S),
+                lambda n=number: self.hand_in(n),  # type: ignore[misc]
+            )
+        for _ in range(self.random.randint(4, 10)):
+            self.world.at(start + self.random.uniform(0, LOAD_S), self.trouble)
+        self.world.run_until(start + LOAD_S)
+        self.quieten()
+        self.world.run_until(self.world.now + QUIET_S)
+        for job in self.jobs:
+            self.world.ask_state(job)
+        self.world.run_until(self.world.now + 4)
+        return self.ledger.judge() + self.unfinished()
+
+    def hand_in(self, number: int) -> None:
+        job = make_job(self.random, number, self.world.now)
+        if self.random.random() < 0.05:
+            self.ledger.hopeless.add(job.id)
+        self.jobs.append(job)
+        self.world.submit(job)
+        if self.random.random() < 0.1:
+            delay_s = self.random.uniform(0, 4)
+            self.world.later(delay_s, lambda: self.world.cancel(job))
+        for delay_s in (1.0, 3.0, 6.0):
+            self.world.later(delay_s, lambda: self.world.ask_state(job))
+        if self.random.random() < 0.1:
+            delay_s = self.random.uniform(1, 5)
+            self.world.later(delay_s, lambda: self.world.submit(job, 1))
+
+    def trouble(self) -> None:
+        kind = self.random.choice(
+            [name for name in dir(self) if name.startswith('fault_')]
+        )
+        self.world.note(kind)
+        getattr(self, kind)()
+
+    def fault_kill(self) -> None:
+        for entry in self.random.sample(
+            sorted(self.world.nodes), self.random.randint(1, 3)
+        ):
+            self.world.kill(entry, self.random.uniform(0.3, 4))
+
+    def fault_freeze(self) -> None:
+        entry = self.random.choice(sorted(self.world.nodes))
+        self.world.freeze(entry, self.random.uniform(0.5, 6))
+
+    def fault_cut_store(self) -> None:
+        entry = self.random.choice(sorted(self.world.nodes))
+        self.world.cut_store(entry, self.random.uniform(1, 8))
+
+    def fault_store_down(self) -> None:
+        storage = self.world.storage
+        storage.set_down(True, self.random.random() < 0.5)
+        self.world.later(
+            self.random.uniform(1, 7), lambda: storage.set_down(False)
+        )
+        for sim in self.world.nodes.values():
+            self.world.later(
+                0.5,
+                lambda s=sim: self.world.read_keys(s),  # type: ignore[misc]
+            )
+
+    def fault_store_loses(self) -> None:
+        ports = [s.thread.store for s in self.world.nodes.values()]
+        for port in ports:
+            port.lost_share = 0.3
+
+        def heal() -> None:
+            for port in ports:
+                port.lost_share = 0.0
+
+        self.world.later(self.random.uniform(1, 5), heal)
+
+    def fault_worker_crash(self) -> None:
+        worker = self.random.choice(list(self.world.workers.values()))
+        if not worker.is_alive:
+            return
+        worker.crash(self.world.now)
+        self.world.later(
+            self.random.uniform(0.5, 8),
+            lambda: worker.is_gone or worker.reboot(self.world.now),
+        )
+
+    def fault_worker_gone(self) -> None:
+        gone = [w for w in self.world.workers.values() if w.is_gone]
+        if len(gone) < 2:
+            worker = self.random.choice(list(self.world.workers.values()))
+            worker.crash(self.world.now)
+            worker.is_gone = True
+
+    def fault_worker_cut(self) -> None:
+        worker = self.random.choice(sorted(self.world.workers))
+        nodes = list(self.world.nodes.values())
+        cut = self.random.sample(nodes, self.random.randint(1, len(nodes)))
+        for sim in cut:
+            sim.cut_workers.add(worker)
+
+        def heal() -> None:
+            for sim in cut:
+                sim.cut_workers.discard(worker)
+
+        self.world.later(self.random.uniform(1, 12), heal)
+
+    def fault_late_orders(self) -> None:
+        self.world.late_share = 0.15
+
+        def heal() -> None:
+            self.world.late_share = 0.0
+
+        self.world.later(self.random.uniform(1, 5), heal)
+
+    def fault_lost_answers(self) -> None:
+        self.world.lost_share = 0.2
+
+        def heal() -> None:
+            self.world.lost_share = 0.0
+
+        self.world.later(self.random.uniform(1, 5), heal)
+
+    def quieten(self) -> None:
+        """End all faults at once."""
+        self.world.late_share = 0.0
+        self.world.lost_share = 0.0
+        self.world.storage.set_down(False)
+        for sim in self.world.nodes.values():
+            sim.thread.store.lost_share = 0.0
+            sim.thread.store.is_cut = False
+            sim.cut_workers.clear()
+            sim.frozen_until = min(sim.frozen_until, self.world.now)
+            self.world.read_keys(sim)
+        for worker in self.world.workers.values():
+            if not worker.is_alive and not worker.is_gone:
+                worker.reboot(self.world.now)
+
+    def unfinished(self) -> list[str]:
+        """Return accepted jobs that the owner did not bring to an end."""
+        owners = [
+            s.node.engine
+            for s in self.world.nodes.values()
+            if s.is_alive and s.node.engine is not None
+        ]
+        if len(owners) != 1:
+            return [f'{len(owners)} owners at the end']
+        found = list[str]()
+        for job in self.jobs:
+            if job.id not in self.ledger.accepted:
+                continue
+            held = owners[0].state.jobs.get(job.id)
+            if held is None:
+                found.append(f'LOST {job.id}')
+            elif held.is_long_running and held.state is JobState.QUEUED:
+                away = sum(1 for t in held.tasks() if not t.is_at_work)
+                if away:
+                    found.append(f'LOST {job.id}: {away} tasks away')
+            elif held.state not in FINAL_STATES:
+                found.append(f'LOST {job.id}: {held.state}')
+        return found
+
+
+class FleetFuzzTest(unittest.TestCase):
+    def test_random_faults_break_no_rule(self) -> None:
+        for seed in (*REGRESSIONS, *SEEDS):
+            with self.subTest(seed=seed):
+                play = Play(seed)
+                broken = play.run()
+                detail = '\n'.join([*broken[:8], *play.world.trace])
+                self.assertEqual([], broken[:8], detail)
+                self.assertGreater(play.ledger.start_count, 100)
+
+
+if __name__ == '__main__':
+    unittest.main()
