--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -47,6 +47,7 @@
 from primroseledge.cluster.steps import SendToPeer
 from primroseledge.cluster.steps import StoreBatch
 from primroseledge.cluster.steps import StoreSilent
+from primroseledge.cluster.steps import WorkerReport
 from primroseledge.cluster.steps import WorkersListed
 from primroseledge.cluster.tenure import Tenure
 from primroseledge.cluster.tenure import TenureState
@@ -59,7 +60,6 @@
 from primroseledge.jobs.actions import CancelJob
 from primroseledge.jobs.actions import LookAnswered
 from primroseledge.jobs.actions import LookFailed
-from primroseledge.jobs.actions import OrderAnswered
 from primroseledge.jobs.actions import Reply
 from primroseledge.jobs.actions import SubmitJob
 from primroseledge.jobs.configuration import Configuration
@@ -82,7 +82,7 @@
 
 RELEASE_RETRY_S: Final = 0.5
 
-LOOK_GRACE_S: Final = 6.0
+LOOK_GRACE_S: Final = 1.5
 """How long after its lease an owner without a store renews runs.
 
 A successor counts on this for workers that it cannot reach; those that
@@ -418,13 +418,15 @@
         if event.epoch == self.tenure.epoch:
             self.tenure.lose()
 
-    def take_worker_report(
-        self, report: LookAnswered | LookFailed | OrderAnswered, now: float
-    ) -> None:
-        """Take in what a worker answered."""
+    def take_worker_report(self, event: WorkerReport, now: float) -> None:
+        """Take in what a worker answered to this epoch.
+
+        Answers to an earlier epoch of ours say nothing of the fence.
+        """
         engine = self.engine
-        if engine is None:
+        if engine is None or event.epoch != self.tenure.epoch:
             return
+        report = event.report
         if isinstance(report, LookAnswered):
             engine.take_look(report, now)
         elif isinstance(report, LookFailed):
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -36,6 +36,7 @@
 from primroseledge.cluster.steps import ReplyToPeer
 from primroseledge.cluster.steps import SendToPeer
 from primroseledge.cluster.steps import StoreSilent
+from primroseledge.cluster.steps import WorkerReport
 from primroseledge.cluster.steps import WorkersListed
 from primroseledge.cluster.storethread import StoreThread
 from primroseledge.cluster.tenure import TenureState
@@ -43,9 +44,6 @@
 from primroseledge.events import Event
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import LookAnswered
-from primroseledge.jobs.actions import LookFailed
-from primroseledge.jobs.actions import OrderAnswered
 from primroseledge.jobs.actions import SendLook
 from primroseledge.jobs.actions import SendPace
 from primroseledge.jobs.actions import SendStart
@@ -290,12 +288,8 @@
     loop.node.workers_listed(item, now)
 
 
-@handles(LookAnswered, LookFailed, OrderAnswered)
-def take_report(
-    loop: NodeLoop,
-    item: LookAnswered | LookFailed | OrderAnswered,
-    now: float,
-) -> None:
+@handles(WorkerReport)
+def take_report(loop: NodeLoop, item: WorkerReport, now: float) -> None:
     """Take in what a worker answered."""
     loop.node.take_worker_report(item, now)
 
--- a/src/primroseledge/cluster/steps.py
+++ b/src/primroseledge/cluster/steps.py
@@ -9,9 +9,11 @@
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
 from primroseledge.jobs.actions import Answer
+from primroseledge.jobs.actions import LookAnswered
+from primroseledge.jobs.actions import LookFailed
+from primroseledge.jobs.actions import OrderAnswered
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.spec import AcceptedJob
-from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.owner.batch import Batch
 
@@ -167,7 +169,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EntriesRead:
-    """The list of workers, decoded."""
+class WorkerReport:
+    """What a worker answered to an order or look of this epoch."""
 
-    entries: tuple[WorkerEntry, ...]
+    epoch: Epoch
+    report: LookAnswered | LookFailed | OrderAnswered
--- a/src/primroseledge/cluster/watchthreads.py
+++ b/src/primroseledge/cluster/watchthreads.py
@@ -24,10 +24,10 @@
 from primroseledge.ids import Revision
 from primroseledge.logs import log
 
-LEASE_TTL_S: Final = 2.5
+LEASE_TTL_S: Final = 2.0
 """How long after its last renewal an owner may be replaced."""
 
-RENEW_S: Final = 0.7
+RENEW_S: Final = 0.5
 RENEW_RETRY_S: Final = 0.1
 WATCH_WAIT_S: Final = 1.5
 """Bounds how long a watch on a silent connection goes unnoticed."""
--- a/src/primroseledge/cluster/workerlinks.py
+++ b/src/primroseledge/cluster/workerlinks.py
@@ -12,6 +12,7 @@
 from primroseledge.clock import boot_time
 from primroseledge.cluster.callthread import CallThread
 from primroseledge.cluster.callthread import Inbox
+from primroseledge.cluster.steps import WorkerReport
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import LookAnswered
 from primroseledge.jobs.actions import LookFailed
@@ -61,17 +62,19 @@
         )
         self.used_at = boot_time()
 
-    def look(self, task: tuple[SendLook, Epoch]) -> LookAnswered | LookFailed:
+    def look(self, task: tuple[SendLook, Epoch]) -> WorkerReport:
         """Look at the worker."""
-        return self.look_port.look(*task)
+        look, epoch = task
+        return WorkerReport(epoch, self.look_port.look(look, epoch))
 
-    def order(self, task: tuple[Order, Epoch]) -> OrderAnswered:
+    def order(self, task: tuple[Order, Epoch]) -> WorkerReport:
         """Send an order, unless we are not the owner any more."""
         order, epoch = task
         if self.may_order(epoch):
-            return self.order_port.order(order, epoch)
+            return WorkerReport(epoch, self.order_port.order(order, epoch))
         now = boot_time()
-        return OrderAnswered(order, OrderResult.NOT_SENT, None, now, now)
+        unsent = OrderAnswered(order, OrderResult.NOT_SENT, None, now, now)
+        return WorkerReport(epoch, unsent)
 
     def close(self) -> None:
         """End both threads after their call under way."""
--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -70,6 +70,7 @@
 ) -> None:
     """Note that a run is there, and how far it is."""
     run.phase = RunPhase.RUNNING
+    run.unresolved_at = None
     run.seen_at = now
     if run.settled_at is None:
         run.settled_at = now
@@ -91,6 +92,10 @@
         run = task.run
         if run is None or (task.key, run.number) in accounted:
             continue
+        doubt_since = run.unresolved_at
+        if doubt_since is not None and look.sent_at > doubt_since:
+            # It may still arrive late; a stop keeps it from starting.
+            run.is_stop_wanted = True
         if run.settled_at is None or look.sent_at <= run.settled_at:
             continue
         state.lose_run(task, 'not listed', now)
--- a/src/primroseledge/jobs/fleetstate.py
+++ b/src/primroseledge/jobs/fleetstate.py
@@ -30,12 +30,12 @@
 class Timing:
     """Intervals of the owner, in seconds."""
 
-    lease_s: float = 5.5
-    look_wait_s: float = 1.5
+    lease_s: float = 4.5
+    look_wait_s: float = 1.0
     look_retry_s: float = 0.4
     stop_retry_s: float = 0.8
     unlisted_keep_s: float = 20.0
-    predecessor_silent_s: float = 13.0
+    predecessor_silent_s: float = 6.3
     """How long a predecessor's runs may go on at a silent worker."""
 
 
--- a/src/primroseledge/jobs/orders.py
+++ b/src/primroseledge/jobs/orders.py
@@ -129,7 +129,10 @@
     worker: Worker | None,
     now: float,
 ) -> None:
-    """Send the same run again, which is idempotent, or stop it."""
+    """Send the same run again, which is idempotent, a few times.
+
+    After that a look decides: a run that it doesn't list is stopped.
+    """
     if worker is None:
         run.phase = RunPhase.UNRESOLVED
         return
@@ -137,7 +140,7 @@
         send_start(state, task, now)
         return
     run.phase = RunPhase.UNRESOLVED
-    run.is_stop_wanted = True
+    run.unresolved_at = now
 
 
 def take_refused(
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -60,6 +60,7 @@
     settled_at: float | None = None
     seen_at: float | None = None
     send_count: int = 0
+    unresolved_at: float | None = None
     is_stop_wanted: bool = False
     stop_sent_at: float | None = None
     stop_answered_at: float | None = None
--- a/src/primroseledge/maintenance/evacuation.py
+++ b/src/primroseledge/maintenance/evacuation.py
@@ -4,13 +4,19 @@
 elsewhere, as far as the budget of their step allows.
 """
 
+from typing import Final
+
 from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.worker import Worker
+from primroseledge.jobs.worker import WorkerState
+
+SEEN_WITHIN_S: Final = 3.0
+"""Looks come back within 2 s."""
 
 
-def evacuate(state: FleetState, worker: Worker) -> None:
+def evacuate(state: FleetState, worker: Worker, now: float) -> None:
     """Stop the long-running tasks that may be unavailable now."""
     for task in list(worker.tasks.values()):
         run = task.run
@@ -20,11 +26,11 @@
             continue
         if run.phase is not RunPhase.RUNNING:
             continue
-        if may_be_unavailable(state, task):
+        if may_be_unavailable(state, task, now):
             state.stop_run(task)
 
 
-def may_be_unavailable(state: FleetState, task: Task) -> bool:
+def may_be_unavailable(state: FleetState, task: Task, now: float) -> bool:
     """Tell whether the budget of a task's step lets it be stopped.
 
     Every other task that is not at work counts against the budget,
@@ -38,12 +44,22 @@
     away = sum(
         1
         for other in step.tasks
-        if other is not task and not is_available(other)
+        if other is not task and not is_available(state, other, now)
     )
     return away < budget
 
 
-def is_available(task: Task) -> bool:
-    """Tell whether a task is at work and is to stay so."""
+def is_available(state: FleetState, task: Task, now: float) -> bool:
+    """Tell whether a task is surely at work and is to stay so.
+
+    One on a worker that has not answered for a while may be gone.
+    """
     run = task.run
-    return run is not None and task.is_at_work and not run.is_stop_wanted
+    if run is None or run.is_stop_wanted or not task.is_at_work:
+        return False
+    worker = state.workers.get(run.worker)
+    if worker is None or worker.look_failures or run.seen_at is None:
+        return False
+    if worker.entry.state is not WorkerState.READY:
+        return False
+    return now < run.seen_at + SEEN_WITHIN_S
--- a/src/primroseledge/maintenance/upkeep.py
+++ b/src/primroseledge/maintenance/upkeep.py
@@ -195,7 +195,7 @@
     if operation.step is Step.DRAINING and worker is not None:
         worker.is_draining = True
         if worker.tasks:
-            evacuate(state, worker)
+            evacuate(state, worker, now)
             if now > operation.begun_at + DRAIN_LIMIT_S:
                 give_up(state, fleet, operation)
             return
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -35,6 +35,7 @@
 from primroseledge.cluster.steps import ReplyToPeer
 from primroseledge.cluster.steps import SendToPeer
 from primroseledge.cluster.steps import StoreSilent
+from primroseledge.cluster.steps import WorkerReport
 from primroseledge.cluster.steps import WorkersListed
 from primroseledge.cluster.storethread import HANDLERS
 from primroseledge.errors import DocumentError
@@ -66,7 +67,7 @@
 
 WORKER_PREFIX = 'workers/'
 TICK_S = 0.05
-TTL_S = 2.5
+TTL_S = 2.0
 ORDER_TIMEOUT_S = 0.6
 TRIES = 5
 
@@ -398,8 +399,15 @@
     def list_workers(self) -> None:
         """Write the entries of the workers that live; drop the others."""
         self.storage.expire()
+        if self.storage.is_down:
+            if self.storage.does_lapse:
+                self.unlist_workers()
+            self.later(0.8, self.list_workers)
+            return
         for worker in self.workers.values():
             key = f'{WORKER_PREFIX}{worker.id}'
+            if self.random.random() < 0.3:
+                continue
             if worker.is_alive and key not in self.storage.items:
                 self.storage.revision += 1
                 value = str(worker.id).encode()
@@ -410,6 +418,11 @@
                 self.storage.items.pop(key, None)
         self.later(0.8, self.list_workers)
 
+    def unlist_workers(self) -> None:
+        """Drop all entries, as a store does whose leases lapse."""
+        for worker_id in self.workers:
+            self.storage.items.pop(f'{WORKER_PREFIX}{worker_id}', None)
+
     def advance_workers(self, now: float) -> None:
         """End the runs that are over, also on workers out of reach."""
         for worker in self.workers.values():
@@ -432,7 +445,7 @@
         sent_at = self.now
         if not self.is_reached(sim, worker):
             self.order_over(
-                sim, order, OrderResult.UNANSWERED, None, sent_at, True
+                sim, order, OrderResult.UNANSWERED, None, sent_at, True, epoch
             )
             return
         if self.random.random() < self.late_share:
@@ -443,17 +456,17 @@
                 ),
             )
             self.order_over(
-                sim, order, OrderResult.UNANSWERED, None, sent_at, True
+                sim, order, OrderResult.UNANSWERED, None, sent_at, True, epoch
             )
             return
         result = worker.obey(order, epoch, self.now)
         if self.random.random() < self.lost_share:
             self.order_over(
-                sim, order, OrderResult.UNANSWERED, None, sent_at, True
+                sim, order, OrderResult.UNANSWERED, None, sent_at, True, epoch
             )
             return
         clock = worker.clock_ms(self.now)
-        self.order_over(sim, order, result, clock, sent_at, False)
+        self.order_over(sim, order, result, clock, sent_at, False, epoch)
 
     def order_over(
         self,
@@ -463,6 +476,7 @@
         clock_ms: int | None,
         sent_at: float,
         is_silent: bool,
+        epoch: Epoch,
     ) -> None:
         delay_s = ORDER_TIMEOUT_S if is_silent else 0.003
         if is_silent:
@@ -471,8 +485,9 @@
 
         def deliver() -> None:
             answer = OrderAnswered(order, result, clock_ms, sent_at, self.now)
+            event = WorkerReport(epoch, answer)
             self.when_awake(
-                sim, lambda: sim.node.take_worker_report(answer, self.now)
+                sim, lambda: sim.node.take_worker_report(event, self.now)
             )
 
         self.later(delay_s, deliver)
@@ -498,7 +513,7 @@
             report = LookFailed(
                 worker.id, look.target.boot, OrderResult.UNANSWERED
             )
-            self.later(0.7, lambda: self.look_over(sim, report))
+            self.later(0.7, lambda: self.look_over(sim, report, epoch))
             return
         report = worker.look(look, epoch, sent_at, self.now)
         is_waiting = isinstance(report, LookAnswered) and not report.ends
@@ -508,13 +523,14 @@
                 lambda: self.look_arrives(sim, look, epoch, sent_at, until),
             )
             return
-        self.later(0.002, lambda: self.look_over(sim, report))
+        self.later(0.002, lambda: self.look_over(sim, report, epoch))
 
     def look_over(
-        self, sim: SimNode, report: LookAnswered | LookFailed
+        self, sim: SimNode, report: LookAnswered | LookFailed, epoch: Epoch
     ) -> None:
+        event = WorkerReport(epoch, report)
         self.when_awake(
-            sim, lambda: sim.node.take_worker_report(report, self.now)
+            sim, lambda: sim.node.take_worker_report(event, self.now)
         )
 
     # Callers
--- a/tests/test_fleet_fuzz.py
+++ b/tests/test_fleet_fuzz.py
@@ -30,6 +30,7 @@
 REGRESSIONS: tuple[int, ...] = (
     4,  # A claim whose answer came after the lease stranded the record.
     19,  # Repeated answers of a stop put off the look that settles it.
+    243,  # An answer to an earlier epoch of ours passed for a present one.
 )
 LOAD_S = 40.0
 QUIET_S = 45.0
