Lend instances from the standby pool, and give them back

A pool now asks for what its arrivals and waiting work need, takes instances of the standby pool, and drains and returns what it has not asked for during 1.2 s. Long-running tasks share a few workers.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -75,6 +75,9 @@
 LIST_WORKERS_S: Final = 1.0
 """How old the list of workers may be at the owner."""
 
+LIST_WORKERS_BUSY_S: Final = 0.3
+"""The same while instances move or have their upkeep."""
+
 GOSSIP_S: Final = 0.4
 """How often peers are asked while the store does not answer us."""
 
@@ -518,7 +521,9 @@
         if engine.is_fenced:
             self.tenure.lose()
             return []
-        if not self.is_listing and now >= self.listed_at + LIST_WORKERS_S:
+        if not self.is_listing and now >= self.listed_at + self.list_interval(
+            engine
+        ):
             self.is_listing = True
             self.steps.append(ListWorkers())
         actions, batch = engine.settle(now)
@@ -535,6 +540,12 @@
                 orders.append(action)
         return orders
 
+    def list_interval(self, engine: Engine) -> float:
+        """Return how old the list of workers may be, in seconds."""
+        if engine.fleet.operations:
+            return LIST_WORKERS_BUSY_S
+        return LIST_WORKERS_S
+
     def store_silent(self, event: StoreSilent) -> None:
         """Note that the store does not answer our watch."""
         if not self.is_store_silent:
--- a/src/primroseledge/jobs/placing.py
+++ b/src/primroseledge/jobs/placing.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Final
 
 from primroseledge.ids import WorkerId
 from primroseledge.jobs.job import StepRun
@@ -18,6 +19,9 @@
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.worker import Worker
 
+LONG_RUNNING_WORKERS: Final = 3
+"""A step's long-running tasks are spread over so many workers."""
+
 
 @dataclass(slots=True)
 class StepPlacement:
@@ -98,12 +102,20 @@
 
 
 def rank_long_running(step: StepSpec, placement: StepPlacement) -> Rank:
-    """Prefer workers and racks without tasks of the step."""
+    """Prefer a few workers that keep such tasks, and racks in turn.
+
+    The others of a pool can then be given back when demand is low.
+    """
+
+    most = max(1, -(-step.count // LONG_RUNNING_WORKERS))
 
     def rank(worker: Worker) -> tuple[float, ...]:
+        hosts = any(t.step.is_long_running for t in worker.tasks.values())
         return (
-            placement.per_worker[worker.id],
+            placement.per_worker[worker.id] >= most,
             count_disturbing(step, worker),
+            not hosts,
+            placement.per_worker[worker.id],
             placement.per_rack[worker.rack],
             used_share(worker, placement),
         )
--- a/src/primroseledge/maintenance/fleetlist.py
+++ b/src/primroseledge/maintenance/fleetlist.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from primroseledge.ids import InstanceId
+from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
 from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.worker import Worker
@@ -30,11 +31,12 @@
 
 @dataclass(slots=True)
 class Operation:
-    """An upkeep or a move under way; a move has no wave."""
+    """An upkeep under way, which has a wave, or a move, to a pool."""
 
     instance: InstanceId
     worker: WorkerId | None
     wave: WaveNumber | None
+    pool: ServiceId | None = None
     step: Step = Step.DRAINING
     begun_at: float = 0.0
     called_at: float = 0.0
@@ -54,6 +56,13 @@
     is_listing: bool = False
     asked_at: float = 0.0
     acts_from: float = 0.0
+    sized_at: float = 0.0
+    wanted: dict[ServiceId, list[tuple[float, int]]] = field(
+        default_factory=dict
+    )
+    refused_moves: set[tuple[InstanceId, ServiceId]] = field(
+        default_factory=set
+    )
 
     def take_list(self, listed: InstancesListed) -> None:
         """Take in the platform's list."""
@@ -73,11 +82,13 @@
         row = self.rows.get(operation.instance)
         if row is None:
             return True
-        return (
-            row.state is InstanceState.UP
-            and row.worker is not None
-            and row.worker != operation.worker
-        )
+        if row.state is not InstanceState.UP:
+            return False
+        if operation.pool is not None:
+            return row.pool == operation.pool
+        # An instance of a standby pool is off and has no worker.
+        is_off = row.worker is None and operation.worker is None
+        return is_off or row.worker not in (None, operation.worker)
 
     def worker_of(
         self, state: FleetState, instance: InstanceId
--- a/src/primroseledge/maintenance/listing.py
+++ b/src/primroseledge/maintenance/listing.py
@@ -7,13 +7,13 @@
 from primroseledge.maintenance.fleetlist import InstanceList
 from primroseledge.maintenance.wave import WaveState
 
-BUSY_INTERVAL_S: Final = 0.5
-IDLE_INTERVAL_S: Final = 5.0
+BUSY_INTERVAL_S: Final = 0.25
+IDLE_INTERVAL_S: Final = 2.0
 
 
 def list_instances(state: FleetState, fleet: InstanceList, now: float) -> None:
     """Read the list when it is too old for what is being done."""
-    if fleet.is_listing or not needs_list(fleet):
+    if fleet.is_listing or not needs_list(state, fleet):
         return
     is_busy = bool(fleet.operations) or not fleet.rows
     interval_s = BUSY_INTERVAL_S if is_busy else IDLE_INTERVAL_S
@@ -24,9 +24,10 @@
     state.actions.append(ListInstances())
 
 
-def needs_list(fleet: InstanceList) -> bool:
-    """Tell whether any wave is to be carried out."""
-    if fleet.operations:
+def needs_list(state: FleetState, fleet: InstanceList) -> bool:
+    """Tell whether instances are to be moved or have their upkeep."""
+    services = state.configuration.services.values()
+    if fleet.operations or any(s.is_standby for s in services):
         return True
     for number in fleet.waves:
         record = fleet.records.get(number)
--- /dev/null
+++ b/src/primroseledge/maintenance/pools.py
@@ -0,0 +1,317 @@
+"""Lend instances from the standby pool, and give them back.
+
+Instances of a standby pool are off and free; those of other pools are
+paid for by the second. A pool keeps what its jobs ask for: it grows as
+soon as work comes in faster than it can run, and shrinks when it has
+asked for less for a while, which is the hysteresis against moving back
+and forth.
+"""
+
+from math import ceil
+from typing import Final
+
+from primroseledge.events import Event
+from primroseledge.ids import InstanceId
+from primroseledge.ids import ServiceId
+from primroseledge.jobs.configuration import Service
+from primroseledge.jobs.demand import Demand
+from primroseledge.jobs.demand import measure_demand
+from primroseledge.jobs.fleetstate import FleetState
+from primroseledge.jobs.worker import Worker
+from primroseledge.jobs.worker import WorkerState
+from primroseledge.logs import log
+from primroseledge.maintenance.actions import InstanceAnswered
+from primroseledge.maintenance.actions import InstanceResult
+from primroseledge.maintenance.actions import MoveInstance
+from primroseledge.maintenance.fleetlist import InstanceList
+from primroseledge.maintenance.fleetlist import Operation
+from primroseledge.maintenance.fleetlist import Step
+from primroseledge.maintenance.wave import InstanceState
+
+MIN_POOL: Final = 3
+"""Fewer workers would lose too much with one of them."""
+
+SPARE_CORES_SHARE: Final = 0.15
+"""Room above what is asked for, for uneven tasks."""
+
+SHRINK_AFTER_S: Final = 1.2
+"""A pool must have asked for less for this long."""
+
+RETRY_S: Final = 0.7
+GIVE_UP_S: Final = 4.0
+DECIDE_EVERY_S: Final = 0.1
+
+
+def size_pools(state: FleetState, fleet: InstanceList, now: float) -> None:
+    """Begin and continue the moves that pools need."""
+    standby = find_standby(state)
+    if standby is None or not fleet.rows:
+        return
+    for operation in list(fleet.operations.values()):
+        if operation.wave is None:
+            advance_move(state, fleet, operation, now)
+    if now < fleet.acts_from or now < fleet.sized_at + DECIDE_EVERY_S:
+        return
+    fleet.sized_at = now
+    demands = measure_demand(state)
+    for service in state.configuration.services.values():
+        if service.is_standby:
+            continue
+        demand = demands[service.id]
+        wanted = wanted_size(state, fleet, service, demand, now)
+        size_pool(state, fleet, service.id, standby, wanted, now)
+
+
+def find_standby(state: FleetState) -> ServiceId | None:
+    """Return the pool whose instances are off, if there is one."""
+    for service in state.configuration.services.values():
+        if service.is_standby:
+            return service.id
+    return None
+
+
+def wanted_size(
+    state: FleetState,
+    fleet: InstanceList,
+    service: Service,
+    demand: Demand,
+    now: float,
+) -> int:
+    """Return how many workers a pool should have.
+
+    It is the most that was asked for lately.
+    """
+    rate = state.rates.get(service.id)
+    coming = rate.cores(now) if rate else 0.0
+    asked = demand.cores(coming)
+    per_worker = worker_cores(state, service.id)
+    needed = ceil(asked * (1 + SPARE_CORES_SHARE) / per_worker)
+    history = fleet.wanted.setdefault(service.id, [])
+    history.append((now, max(MIN_POOL, needed)))
+    while history[0][0] < now - SHRINK_AFTER_S:
+        history.pop(0)
+    return max(size for _, size in history)
+
+
+def worker_cores(state: FleetState, service: ServiceId) -> float:
+    """Return the processors of one worker of a pool, at least one."""
+    capacities = [
+        worker.entry.capacity.cpu_millis / 1000
+        for worker in state.workers.values()
+        if worker.entry.service == service
+    ]
+    return max(1.0, min(capacities, default=1.0))
+
+
+def size_pool(
+    state: FleetState,
+    fleet: InstanceList,
+    service: ServiceId,
+    standby: ServiceId,
+    wanted: int,
+    now: float,
+) -> None:
+    """Let a pool grow or shrink towards a size."""
+    members = pool_workers(state, service)
+    size = len(members) + count_coming(state, fleet, service)
+    if size < wanted:
+        grow(state, fleet, service, standby, wanted - size, now)
+    elif size > wanted and len(members) > wanted:
+        shrink(state, fleet, members, standby, size - wanted, now)
+
+
+def pool_workers(state: FleetState, service: ServiceId) -> list[Worker]:
+    """Return the workers of a pool that take tasks."""
+    return [
+        worker
+        for worker in state.workers.values()
+        if worker.entry.service == service
+        and worker.is_listed
+        and worker.entry.state is WorkerState.READY
+        and not worker.is_draining
+        and not worker.look_failures
+    ]
+
+
+def count_coming(
+    state: FleetState, fleet: InstanceList, service: ServiceId
+) -> int:
+    """Return how many instances are on their way to a pool.
+
+    One that is up and whose worker is not listed yet counts too.
+    """
+    unlisted = sum(
+        1
+        for row in fleet.rows.values()
+        if row.pool == service
+        and row.state is InstanceState.UP
+        and row.worker is not None
+        and row.worker not in state.workers
+        and row.id not in fleet.operations
+    )
+    return unlisted + count_operations(fleet, service)
+
+
+def count_operations(fleet: InstanceList, service: ServiceId) -> int:
+    """Return how many moves and upkeeps will bring a pool an instance."""
+    return sum(
+        1
+        for operation in fleet.operations.values()
+        if operation.pool == service
+        or (
+            operation.wave is not None
+            and operation.step is Step.AWAY
+            and home_of(fleet, operation) == service
+        )
+    )
+
+
+def home_of(fleet: InstanceList, operation: Operation) -> ServiceId | None:
+    """Return the pool that an instance belongs to."""
+    row = fleet.rows.get(operation.instance)
+    return row.pool if row else None
+
+
+def grow(
+    state: FleetState,
+    fleet: InstanceList,
+    service: ServiceId,
+    standby: ServiceId,
+    count: int,
+    now: float,
+) -> None:
+    """Keep what was to leave, then take instances from the standby pool."""
+    for operation in list(fleet.operations.values()):
+        if count <= 0:
+            return
+        is_leaving = operation.pool == standby and (
+            operation.step is Step.DRAINING
+        )
+        if is_leaving and home_of(fleet, operation) == service:
+            end_move(state, fleet, operation)
+            count -= 1
+    for instance in standby_instances(fleet, service, standby)[:count]:
+        row = fleet.rows[instance]
+        operation = Operation(
+            instance, row.worker, None, begun_at=now, pool=service
+        )
+        fleet.operations[instance] = operation
+        advance_move(state, fleet, operation, now)
+
+
+def standby_instances(
+    fleet: InstanceList, service: ServiceId, standby: ServiceId
+) -> list[InstanceId]:
+    """Return the instances that can be taken, racks in turn."""
+    per_rack = dict[str, int]()
+    for row in fleet.rows.values():
+        if row.pool == service:
+            per_rack[row.rack] = per_rack.get(row.rack, 0) + 1
+    free = [
+        row
+        for row in fleet.rows.values()
+        if row.pool == standby
+        and row.state is InstanceState.UP
+        and row.id not in fleet.operations
+        and (row.id, service) not in fleet.refused_moves
+    ]
+    free.sort(key=lambda row: (per_rack.get(row.rack, 0), row.id))
+    return [row.id for row in free]
+
+
+def shrink(
+    state: FleetState,
+    fleet: InstanceList,
+    members: list[Worker],
+    standby: ServiceId,
+    count: int,
+    now: float,
+) -> None:
+    """Drain the workers that are missed least."""
+    instance_of = {
+        row.worker: row.id
+        for row in fleet.rows.values()
+        if row.worker is not None and row.state is InstanceState.UP
+    }
+    for worker in sorted(members, key=release_rank)[:count]:
+        instance = instance_of.get(worker.id)
+        if instance is None or instance in fleet.operations:
+            continue
+        if (instance, standby) in fleet.refused_moves:
+            continue
+        if any(t.step.is_long_running for t in worker.tasks.values()):
+            continue
+        operation = Operation(
+            instance, worker.id, None, begun_at=now, pool=standby
+        )
+        fleet.operations[instance] = operation
+        advance_move(state, fleet, operation, now)
+
+
+def release_rank(worker: Worker) -> tuple[bool, int]:
+    """Rank workers; those without long-running tasks go first."""
+    lasts = any(t.step.is_long_running for t in worker.tasks.values())
+    return (lasts, len(worker.tasks))
+
+
+def advance_move(
+    state: FleetState, fleet: InstanceList, operation: Operation, now: float
+) -> None:
+    """Take a move one step further."""
+    if operation.step is Step.AWAY or operation.pool is None:
+        return
+    row = fleet.rows.get(operation.instance)
+    if row is None or row.worker != operation.worker:
+        # It started again or moved; a later decision begins anew.
+        end_move(state, fleet, operation)
+        return
+    worker = state.workers.get(operation.worker) if operation.worker else None
+    if worker is not None:
+        worker.is_draining = True
+        if worker.tasks:
+            return
+    if operation.step is Step.CALLED and now > operation.begun_at + GIVE_UP_S:
+        end_move(state, fleet, operation)
+        return
+    if now < operation.called_at + RETRY_S or now < fleet.acts_from:
+        return
+    if operation.step is Step.DRAINING:
+        operation.begun_at = now
+    operation.step = Step.CALLED
+    operation.called_at = now
+    state.actions.append(MoveInstance(operation.instance, operation.pool))
+
+
+def end_move(
+    state: FleetState, fleet: InstanceList, operation: Operation
+) -> None:
+    """Give a move up; its worker takes tasks again."""
+    fleet.operations.pop(operation.instance, None)
+    worker = state.workers.get(operation.worker) if operation.worker else None
+    if worker is not None:
+        worker.is_draining = False
+        state.to_plan.add(worker.entry.service)
+
+
+def take_move_answer(
+    state: FleetState, fleet: InstanceList, answer: InstanceAnswered
+) -> None:
+    """Take in how a move's call ended."""
+    call = answer.call
+    operation = fleet.operations.get(call.instance)
+    if not isinstance(call, MoveInstance) or operation is None:
+        return
+    if operation.pool != call.pool:
+        return
+    log(
+        Event.INSTANCE_CALLED,
+        what=f'move to {call.pool}',
+        instance=call.instance,
+        result=answer.result.value,
+    )
+    if answer.result is InstanceResult.DONE:
+        operation.step = Step.AWAY
+        operation.answered_at = answer.received_at
+    elif answer.result is InstanceResult.NO_SUCH_INSTANCE:
+        fleet.refused_moves.add((call.instance, call.pool))
+        end_move(state, fleet, operation)
--- a/src/primroseledge/maintenance/upkeep.py
+++ b/src/primroseledge/maintenance/upkeep.py
@@ -122,10 +122,12 @@
         row = fleet.rows[instance]
         if instance in fleet.operations or row.state is not InstanceState.UP:
             continue
+        service = state.configuration.services.get(row.pool)
+        is_off = service is not None and service.is_standby
         size = sum(1 for r in fleet.rows.values() if r.pool == row.pool)
         most = max(1, int(size * MAX_POOL_SHARE))
         is_crowded = away.get(row.pool, 0) >= most or row.pool in backlog
-        if is_crowded and not is_urgent:
+        if is_crowded and not (is_urgent or is_off):
             continue
         away[row.pool] = away.get(row.pool, 0) + 1
         chosen.append(instance)
--- a/src/primroseledge/maintenance/wave.py
+++ b/src/primroseledge/maintenance/wave.py
@@ -33,6 +33,7 @@
     pool: ServiceId
     state: InstanceState
     worker: WorkerId | None
+    rack: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -22,7 +22,9 @@
 from primroseledge.jobs.actions import SubmitJob
 from primroseledge.jobs.actions import Verdict
 from primroseledge.jobs.admission import find_refusal
+from primroseledge.jobs.arrivalrate import ArrivalRate
 from primroseledge.jobs.configuration import Configuration
+from primroseledge.jobs.demand import work_of
 from primroseledge.jobs.ends import end_job
 from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.fleetstate import Timing
@@ -46,6 +48,8 @@
 from primroseledge.maintenance.actions import ListFailed
 from primroseledge.maintenance.fleetlist import InstanceList
 from primroseledge.maintenance.listing import list_instances
+from primroseledge.maintenance.pools import size_pools
+from primroseledge.maintenance.pools import take_move_answer
 from primroseledge.maintenance.upkeep import carry_out_waves
 from primroseledge.maintenance.upkeep import take_upkeep_answer
 from primroseledge.owner.batch import Batch
@@ -94,12 +98,21 @@
             state.active[job_id] = job
             state.mark_dirty(job, now)
             state.ask_plan(job)
+            self.count_arrival(job, now)
         elif not job.accepted.spec.steps:
             gone = Answer(Verdict.NO_SUCH_JOB, reason='cancelled before')
             state.actions.append(Reply(event.call, gone))
             return
         self.reply_when_stored(event, job)
 
+    def count_arrival(self, job: Job, now: float) -> None:
+        """Count a new job's work for the forecast of its service."""
+        service = self.state.service_of(job)
+        work = work_of(job.accepted.spec)
+        if service is not None and work:
+            rate = self.state.rates.setdefault(service, ArrivalRate())
+            rate.add(work, now)
+
     def cancel(self, event: CancelJob, now: float) -> None:
         """Cancel a job; one that is not known yet will not run either."""
         state = self.state
@@ -199,6 +212,7 @@
         else:
             self.is_fenced |= report.result is InstanceResult.FENCED
             take_upkeep_answer(self.state, fleet, report, now)
+            take_move_answer(self.state, fleet, report)
 
     def batch_stored(self, now: float) -> None:
         """Let the effects of the stored batch follow."""
@@ -209,6 +223,7 @@
         state = self.state
         self.open_due_occurrences(now)
         carry_out_waves(state, self.fleet, now)
+        size_pools(state, self.fleet, now)
         list_instances(state, self.fleet, now)
         plan_services(state, now)
         pace_workers(state, now)
--- a/src/primroseledge/platform/instances.py
+++ b/src/primroseledge/platform/instances.py
@@ -149,6 +149,7 @@
                 ServiceId(machine.pool),
                 state,
                 WorkerId(machine.id) if machine.id else None,
+                machine.labels[1] if len(machine.labels) > 1 else '',
             )
         )
     return rows
