--- a/src/primroseledge/jobs/demand.py
+++ b/src/primroseledge/jobs/demand.py
@@ -14,7 +14,7 @@
 from primroseledge.jobs.job import DEFAULT_ESTIMATE_MS
 from primroseledge.jobs.spec import JobSpec
 
-CATCH_UP_S: Final = 0.8
+CATCH_UP_S: Final = 1.2
 """Work that waits is to be caught up with in this time."""
 
 
