--- a/src/primroseledge/maintenance/fleetlist.py
+++ b/src/primroseledge/maintenance/fleetlist.py
@@ -57,6 +57,7 @@
     asked_at: float = 0.0
     acts_from: float = 0.0
     sized_at: float = 0.0
+    watched_since: float = 0.0
     wanted: dict[ServiceId, list[tuple[float, int]]] = field(
         default_factory=dict
     )
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -52,6 +52,8 @@
             advance_move(state, fleet, operation, now)
     if now < fleet.acts_from or now < fleet.sized_at + DECIDE_EVERY_S:
         return
+    if not fleet.sized_at:
+        fleet.watched_since = now
     fleet.sized_at = now
     demands = measure_demand(state)
     for service in state.configuration.services.values():
@@ -116,7 +118,11 @@
     size = len(members) + count_coming(state, fleet, service)
     if size < wanted:
         grow(state, fleet, service, standby, wanted - size, now)
-    elif size > wanted and len(members) > wanted:
+    elif (
+        size > wanted
+        and len(members) > wanted
+        and now >= fleet.watched_since + SHRINK_AFTER_S
+    ):
         shrink(state, fleet, members, standby, size - wanted, now)
 
 
