Ask the advisory service which workers may run a step

Queues with advice could start nothing: their starts need a ticket. One call is under way at a time, few workers are named, tickets are kept for their validity and refused workers are not asked about again.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -62,6 +62,8 @@
 from primroseledge.jobs.actions import LookFailed
 from primroseledge.jobs.actions import Reply
 from primroseledge.jobs.actions import SubmitJob
+from primroseledge.jobs.advice import AdviceFailed
+from primroseledge.jobs.advice import AdviceGiven
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.logs import log
@@ -442,6 +444,13 @@
         if self.engine is not None:
             self.engine.take_instances(report, now)
 
+    def take_advice(
+        self, answer: AdviceGiven | AdviceFailed, now: float
+    ) -> None:
+        """Take in what the advisory service said."""
+        if self.engine is not None:
+            self.engine.take_advice(answer, now)
+
     # Time
 
     def settle(self, now: float) -> tuple[list[Step], list[Action]]:
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -49,6 +49,9 @@
 from primroseledge.jobs.actions import SendStart
 from primroseledge.jobs.actions import SendStop
 from primroseledge.jobs.actions import Verdict
+from primroseledge.jobs.advice import AdviceFailed
+from primroseledge.jobs.advice import AdviceGiven
+from primroseledge.jobs.advice import AskAdvice
 from primroseledge.logs import log
 from primroseledge.logs import LOGGER
 from primroseledge.maintenance.actions import InstanceAnswered
@@ -96,6 +99,7 @@
         self.store: StoreThread | None = None
         self.workers: WorkerLinks | None = None
         self.instances: CallThread | None = None
+        self.advice: CallThread | None = None
         self.inbox: collections.deque[Any] = collections.deque()
         self.waiting: dict[int, SimpleQueue[Answer]] = {}
         self.numbers = count(1)
@@ -198,6 +202,9 @@
         for order in orders:
             if isinstance(order, SendStart | SendStop | SendPace | SendLook):
                 self.workers.submit(order, node.tenure.epoch)
+            elif isinstance(order, AskAdvice):
+                if self.advice is not None:
+                    self.advice.submit(order)
             elif self.instances is not None:
                 self.instances.submit((order, node.tenure.epoch))
 
@@ -298,3 +305,11 @@
 def take_instances(loop: NodeLoop, item: InstanceReport, now: float) -> None:
     """Take in what the platform says of instances."""
     loop.node.take_instances(item, now)
+
+
+@handles(AdviceGiven, AdviceFailed)
+def take_advice(
+    loop: NodeLoop, item: AdviceGiven | AdviceFailed, now: float
+) -> None:
+    """Take in what the advisory service said."""
+    loop.node.take_advice(item, now)
--- a/src/primroseledge/events.py
+++ b/src/primroseledge/events.py
@@ -354,6 +354,12 @@
         'The platform was told to take an instance away.',
         'Nothing.',
     )
+    ADVICE_FAILED = warning(
+        711,
+        'no advice: {problem}',
+        'The advisory service did not answer; the step waits.',
+        'Look at the advisory service.',
+    )
     TRACE_DROPPED = warning(
         601,
         '{dropped} spans dropped',
--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -172,6 +172,7 @@
     )
     job.updated_ms = state.wall_ms(now)
     state.active.pop(job.accepted.id, None)
+    state.advice.forget_job(job.accepted.id)
     state.mark_dirty(job, now)
     for task in job.tasks():
         state.stop_run(task)
--- a/src/primroseledge/jobs/fleetstate.py
+++ b/src/primroseledge/jobs/fleetstate.py
@@ -11,6 +11,7 @@
 from primroseledge.ids import WorkspaceId
 from primroseledge.jobs.actions import Action
 from primroseledge.jobs.actions import Reply
+from primroseledge.jobs.advice import AdviceBook
 from primroseledge.jobs.arrivalrate import ArrivalRate
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.configuration import Queue
@@ -62,6 +63,7 @@
     to_plan: set[ServiceId] = field(default_factory=set)
     actions: list[Action] = field(default_factory=list)
     dirty_since: float | None = None
+    advice: AdviceBook = field(default_factory=AdviceBook)
     rates: dict[ServiceId, ArrivalRate] = field(default_factory=dict)
 
     def wall_ms(self, now: float) -> int:
--- a/src/primroseledge/jobs/orders.py
+++ b/src/primroseledge/jobs/orders.py
@@ -8,6 +8,7 @@
 from primroseledge.jobs.actions import SendStart
 from primroseledge.jobs.actions import SendStop
 from primroseledge.jobs.actions import target_of
+from primroseledge.jobs.advice import StepKey
 from primroseledge.jobs.ends import check_attempts
 from primroseledge.jobs.ends import find_task
 from primroseledge.jobs.fleetstate import FleetState
@@ -70,10 +71,19 @@
             job.accepted.spec.payload,
             task.checkpoint if task.step.saves_checkpoints else '',
             deadline_ms,
+            find_ticket(state, task, worker, now),
         )
     )
 
 
+def find_ticket(
+    state: FleetState, task: Task, worker: Worker, now: float
+) -> str:
+    """Return the ticket that lets a task start; empty if none is needed."""
+    key = StepKey(task.key.job, task.key.occurrence, task.key.step)
+    return state.advice.ticket_for(key, worker, now) or ''
+
+
 def start_deadline(
     state: FleetState, run: Run, worker: Worker, now: float
 ) -> int | None:
@@ -152,7 +162,10 @@
 ) -> None:
     """Plan a task anew whose start was not carried out."""
     state.finish_run(task, now)
-    if worker is not None and result is not OrderResult.NO_TICKET:
+    if worker is not None and result is OrderResult.NO_TICKET:
+        key = StepKey(task.key.job, task.key.occurrence, task.key.step)
+        state.advice.drop_ticket(key, worker.id)
+    elif worker is not None:
         worker.shuns_until = now + SHUN_S
     if result is OrderResult.INVALID:
         task.failures += 1
--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from primroseledge.ids import ServiceId
+from primroseledge.jobs.advice import step_key
 from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepRun
@@ -90,6 +91,9 @@
     now: float,
 ) -> bool:
     """Plan a step's waiting tasks; tell whether all found room."""
+    queue = state.queue_of(job)
+    if queue is not None and queue.advice is not None:
+        workers = advised_workers(state, job, step, workers, now)
     placement = count_placement(step, state.workers)
     if step.spec.is_gang:
         return plan_gang(state, job, step, workers, placement, now)
@@ -108,6 +112,26 @@
     return True
 
 
+def advised_workers(
+    state: FleetState,
+    job: Job,
+    step: StepRun,
+    workers: list[Worker],
+    now: float,
+) -> list[Worker]:
+    """Return the workers with a valid ticket; ask about others."""
+    key = step_key(job.accepted.id, step)
+    book = state.advice
+    allowed = [w for w in workers if book.ticket_for(key, w, now) is not None]
+    waiting = sum(1 for task in step.tasks if task.is_waiting)
+    free = sum(1 for w in allowed if step.spec.counted.fits_in(w.free))
+    if free < waiting:
+        ask = book.ask(step, key, workers, now)
+        if ask is not None:
+            state.actions.append(ask)
+    return allowed
+
+
 def plan_gang(
     state: FleetState,
     job: Job,
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -22,6 +22,8 @@
 from primroseledge.jobs.actions import SubmitJob
 from primroseledge.jobs.actions import Verdict
 from primroseledge.jobs.admission import find_refusal
+from primroseledge.jobs.advice import AdviceFailed
+from primroseledge.jobs.advice import AdviceGiven
 from primroseledge.jobs.arrivalrate import ArrivalRate
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.demand import work_of
@@ -201,6 +203,16 @@
         elif isinstance(answer.order, SendStop):
             take_stop_answer(self.state, answer, now)
 
+    def take_advice(
+        self, answer: AdviceGiven | AdviceFailed, now: float
+    ) -> None:
+        """Take in what the advisory service said of a step."""
+        state = self.state
+        if isinstance(answer, AdviceFailed):
+            log(Event.ADVICE_FAILED, problem=answer.problem)
+        state.advice.take(answer, state.workers, now)
+        state.to_plan.update(state.configuration.services)
+
     def take_instances(self, report: InstanceReport, now: float) -> None:
         """Take in a list of instances, or how a call about one ended."""
         fleet = self.fleet
@@ -225,6 +237,8 @@
         carry_out_waves(state, self.fleet, now)
         size_pools(state, self.fleet, now)
         list_instances(state, self.fleet, now)
+        if state.advice.steps and state.advice.under_way is None:
+            state.to_plan.update(state.configuration.services)
         plan_services(state, now)
         pace_workers(state, now)
         self.outbox.refuse_waiting(state, now)
--- /dev/null
+++ b/src/primroseledge/platform/advice.py
@@ -0,0 +1,56 @@
+"""The advisory service, over HTTP."""
+
+from typing import Final
+
+from msgspec import DecodeError
+from msgspec import json
+
+from primroseledge.clock import boot_time
+from primroseledge.httpclient import HttpClient
+from primroseledge.httpclient import NoAnswerError
+from primroseledge.httpclient import NotSentError
+from primroseledge.ids import WorkerId
+from primroseledge.jobs.advice import AdviceFailed
+from primroseledge.jobs.advice import AdviceGiven
+from primroseledge.jobs.advice import AskAdvice
+from primroseledge.platform.wire import WireAdvice
+
+CALL_TIMEOUT_S: Final = 3.0
+"""The service takes its time for each worker that is named."""
+
+OK: Final = 200
+
+
+class PlatformAdvice:
+    """Calls the service over one connection."""
+
+    def __init__(self, address: str) -> None:
+        self.client = HttpClient(address)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.client.close()
+
+    def ask(self, ask: AskAdvice) -> AdviceGiven | AdviceFailed:
+        """Ask which workers may run a step."""
+        key = ask.step
+        body = {
+            'step': f'{key.job}.{key.occurrence}.{key.step}',
+            'workers': ask.workers,
+        }
+        sent_at = boot_time()
+        try:
+            answer = self.client.call(
+                'POST', '/-/advise', json.encode(body), CALL_TIMEOUT_S
+            )
+            if answer.status != OK:
+                return AdviceFailed(ask, f'status {answer.status}')
+            advice = json.decode(answer.body, type=WireAdvice)
+        except (NotSentError, NoAnswerError, DecodeError) as error:
+            return AdviceFailed(ask, str(error))
+        return AdviceGiven(
+            ask,
+            {WorkerId(worker): ticket for worker, ticket in advice.allowed},
+            advice.validity_ms / 1000,
+            sent_at,
+        )
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -31,6 +31,7 @@
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.logs import log
+from primroseledge.platform.advice import PlatformAdvice
 from primroseledge.platform.callers import CallerApplication
 from primroseledge.platform.callers import ReadyApplication
 from primroseledge.platform.decoding import decode_configuration
@@ -157,6 +158,10 @@
         'instances',
     )
     resources.callback(loop.instances.stop)
+    if settings.advice_address:
+        advice = PlatformAdvice(settings.advice_address)
+        loop.advice = CallThread(loop, advice.ask, advice.close, 'advice')
+        resources.callback(loop.advice.stop)
     loop.workers = WorkerLinks(loop, PlatformWorker, loop.may_order)
     resources.callback(loop.workers.close)
 
