--- a/bench/capacitydaemon.py
+++ b/bench/capacitydaemon.py
@@ -20,10 +20,10 @@
 from bench.capacityfleet import documents
 from bench.capacityfleet import SHARD_SIZE
 from bench.capacityfleet import shards
-from primroseledge.documents import Document
-from primroseledge.documents import Pool
-from primroseledge.storeclient import HttpStore
-from primroseledge.storeclient import open_store
+from primroseledge.storage.documents import Document
+from primroseledge.storage.documents import Pool
+from primroseledge.storage.storeclient import HttpStore
+from primroseledge.storage.storeclient import open_store
 from standins.deployment import put
 from standins.deployment import url_of
 from standins.processes import entry_settings
--- a/bench/capacitypeers.py
+++ b/bench/capacitypeers.py
@@ -10,23 +10,23 @@
 from bench.capacityfleet import ME
 from bench.capacityfleet import RUN
 from bench.capacityfleet import wire_bytes
-from primroseledge.freshness import create_freshness
-from primroseledge.freshness import Freshness
+from primroseledge.agreement.freshness import create_freshness
+from primroseledge.agreement.freshness import Freshness
+from primroseledge.agreement.membership import create_membership
+from primroseledge.agreement.membership import Membership
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
 from primroseledge.ids import ServiceId
-from primroseledge.membership import create_membership
-from primroseledge.membership import Membership
-from primroseledge.messages import decode
-from primroseledge.messages import Echo
-from primroseledge.messages import encode
-from primroseledge.messages import Envelope
-from primroseledge.messages import Heartbeat
-from primroseledge.messages import PROTOCOL_VERSION
-from primroseledge.metrics import Metrics
-from primroseledge.outcomes import Outcome
+from primroseledge.observability.metrics import Metrics
+from primroseledge.requests.messages import decode
+from primroseledge.requests.messages import Echo
+from primroseledge.requests.messages import encode
+from primroseledge.requests.messages import Envelope
+from primroseledge.requests.messages import Heartbeat
+from primroseledge.requests.messages import PROTOCOL_VERSION
+from primroseledge.requests.outcomes import Outcome
 
 CELL: Final = CellId('main')
 
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -14,25 +14,25 @@
 
 from msgspec import json
 
-from primroseledge.configuration import create_configuration
-from primroseledge.configuration import snapshot_delta
-from primroseledge.fanout import heartbeat_peers
+from primroseledge.agreement.configuration import create_configuration
+from primroseledge.agreement.configuration import snapshot_delta
+from primroseledge.agreement.fanout import heartbeat_peers
+from primroseledge.agreement.membership import create_membership
+from primroseledge.agreement.membership import HEARTBEAT_S
+from primroseledge.agreement.membership import Membership
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.membership import create_membership
-from primroseledge.membership import HEARTBEAT_S
-from primroseledge.membership import Membership
-from primroseledge.messages import decode
-from primroseledge.messages import encode
-from primroseledge.messages import Envelope
-from primroseledge.messages import Heartbeat
-from primroseledge.messages import PROTOCOL_VERSION
-from primroseledge.store import Record
-from primroseledge.store import Snapshot
+from primroseledge.requests.messages import decode
+from primroseledge.requests.messages import encode
+from primroseledge.requests.messages import Envelope
+from primroseledge.requests.messages import Heartbeat
+from primroseledge.requests.messages import PROTOCOL_VERSION
+from primroseledge.storage.store import Record
+from primroseledge.storage.store import Snapshot
 from tests.agreement_fleet import Fleet
 
 SIZES: Final = (7, 70, 700)
--- a/bench/policylarge.py
+++ b/bench/policylarge.py
@@ -14,15 +14,15 @@
 
 from bench.policyfleet import fair_parts
 from primroseledge.ids import PoolId
-from primroseledge.sizing import decide_size
-from primroseledge.sizing import DemandSamples
-from primroseledge.sizing import find_shortage
-from primroseledge.sizing import Hold
-from primroseledge.sizing import lend
-from primroseledge.sizing import PoolLoad
-from primroseledge.sizing import rounds
-from primroseledge.sizing import SizingSettings
-from primroseledge.sizing import SizingWeights
+from primroseledge.policy.sizing import decide_size
+from primroseledge.policy.sizing import DemandSamples
+from primroseledge.policy.sizing import find_shortage
+from primroseledge.policy.sizing import Hold
+from primroseledge.policy.sizing import lend
+from primroseledge.policy.sizing import PoolLoad
+from primroseledge.policy.sizing import rounds
+from primroseledge.policy.sizing import SizingSettings
+from primroseledge.policy.sizing import SizingWeights
 
 INSTANCES: Final = 31_000
 POOLS: Final = 118
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -27,12 +27,6 @@
 from bench.requestpolicies import CELL
 from bench.requestpolicies import configuration_of
 from bench.requestpolicies import POLICIES
-from primroseledge.actions import EntryAction
-from primroseledge.actions import SendToOwner
-from primroseledge.attemptend import AttemptEnd
-from primroseledge.dispatcher import create_dispatcher
-from primroseledge.entry import Arrival
-from primroseledge.entry import EntryCore
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import GrantId
@@ -41,11 +35,17 @@
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.messages import Ask
-from primroseledge.messages import Done
-from primroseledge.messages import EndState
-from primroseledge.messages import Grant
-from primroseledge.retrybudget import RetryBudget
+from primroseledge.requests.actions import EntryAction
+from primroseledge.requests.actions import SendToOwner
+from primroseledge.requests.attemptend import AttemptEnd
+from primroseledge.requests.dispatcher import create_dispatcher
+from primroseledge.requests.entry import Arrival
+from primroseledge.requests.entry import EntryCore
+from primroseledge.requests.messages import Ask
+from primroseledge.requests.messages import Done
+from primroseledge.requests.messages import EndState
+from primroseledge.requests.messages import Grant
+from primroseledge.requests.retrybudget import RetryBudget
 from standins.deployment import Deployment
 from standins.processes import start_standin
 
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -6,7 +6,7 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.job import Job
+from primroseledge.policy.job import Job
 from standins.platform import Program
 from tests.jobworld import JobWorld
 from tests.policyfake import CrashError
--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -5,13 +5,13 @@
 from behave import when
 
 from primroseledge.errors import OperatorError
-from primroseledge.explain import explain_subject
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
-from primroseledge.operators import command_wave
-from primroseledge.operators import start_pool_wave
-from primroseledge.plan import MoveRequest
-from primroseledge.plan import WaveState
+from primroseledge.operators.explain import explain_subject
+from primroseledge.operators.operators import command_wave
+from primroseledge.operators.operators import start_pool_wave
+from primroseledge.policy.plan import MoveRequest
+from primroseledge.policy.plan import WaveState
 from tests.policyfake import CrashError
 from tests.policyworld import PolicyWorld
 from tests.policyworld import POOL
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -12,8 +12,8 @@
 from urllib3 import PoolManager
 
 from primroseledge.cli import main
-from primroseledge.documents import encode_document
-from primroseledge.documents import Service
+from primroseledge.storage.documents import encode_document
+from primroseledge.storage.documents import Service
 from standins.processes import start_standin
 from tests.fakeconnections import FakeConnections
 from tests.fakestore import LOST_AFTER
--- a/features/steps/wave_steps.py
+++ b/features/steps/wave_steps.py
@@ -20,8 +20,8 @@
 from msgspec import structs
 from msgspec import to_builtins
 
-from primroseledge.documents import Budget
-from primroseledge.keys import generate_key
+from primroseledge.storage.documents import Budget
+from primroseledge.storage.keys import generate_key
 from standins.caller import Sent
 from standins.caller import Told
 from standins.deployment import Deployment
--- /dev/null
+++ b/src/primroseledge/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry instance owns what, and which configuration is in force."""
--- a/src/primroseledge/configuration.py
+++ b/src/primroseledge/agreement/configuration.py
@@ -11,16 +11,6 @@
 from typing import Final
 from typing import TypeVar
 
-from primroseledge.documents import CONFIG_PREFIX
-from primroseledge.documents import decode_document
-from primroseledge.documents import Document
-from primroseledge.documents import document_key
-from primroseledge.documents import Instance
-from primroseledge.documents import Members
-from primroseledge.documents import Placement
-from primroseledge.documents import Pool
-from primroseledge.documents import Service
-from primroseledge.documents import Team
 from primroseledge.errors import DocumentError
 from primroseledge.ids import EntryId
 from primroseledge.ids import InstanceId
@@ -28,10 +18,20 @@
 from primroseledge.ids import Revision
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.messages import ConfigChange
-from primroseledge.messages import ConfigDelta
-from primroseledge.store import Record
-from primroseledge.store import Snapshot
+from primroseledge.requests.messages import ConfigChange
+from primroseledge.requests.messages import ConfigDelta
+from primroseledge.storage.documents import CONFIG_PREFIX
+from primroseledge.storage.documents import decode_document
+from primroseledge.storage.documents import Document
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Members
+from primroseledge.storage.documents import Placement
+from primroseledge.storage.documents import Pool
+from primroseledge.storage.documents import Service
+from primroseledge.storage.documents import Team
+from primroseledge.storage.store import Record
+from primroseledge.storage.store import Snapshot
 
 HISTORY_LENGTH: Final = 1024
 MEMBERS_KEY: Final = document_key('members', 'all')
--- a/src/primroseledge/epochevidence.py
+++ b/src/primroseledge/agreement/epochevidence.py
@@ -1,10 +1,10 @@
 """An owner's evidence that its epoch stands."""
 
-from primroseledge.freshness import majority
-from primroseledge.freshness import NEVER
-from primroseledge.freshness import nth_latest
+from primroseledge.agreement.freshness import majority
+from primroseledge.agreement.freshness import NEVER
+from primroseledge.agreement.freshness import nth_latest
+from primroseledge.agreement.takeover import INFINITY
 from primroseledge.ids import EntryId
-from primroseledge.takeover import INFINITY
 
 
 class EpochEvidence:
--- a/src/primroseledge/freshness.py
+++ b/src/primroseledge/agreement/freshness.py
@@ -15,7 +15,7 @@
 from primroseledge.ids import EntryId
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
-from primroseledge.messages import Heartbeat
+from primroseledge.requests.messages import Heartbeat
 
 NEVER: Final = float('-inf')
 UNKNOWN_AGE_S: Final = -1.0
--- a/src/primroseledge/membership.py
+++ b/src/primroseledge/agreement/membership.py
@@ -10,15 +10,15 @@
 from enum import Enum
 from typing import Final
 
+from primroseledge.agreement.freshness import NEVER
 from primroseledge.chart import load_chart
-from primroseledge.freshness import NEVER
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
-from primroseledge.messages import Echo
-from primroseledge.messages import Heartbeat
+from primroseledge.requests.messages import Echo
+from primroseledge.requests.messages import Heartbeat
 
 HEARTBEAT_S: Final = 0.5
 SUSPECT_S: Final = 1.5
--- a/src/primroseledge/membershipchanges.py
+++ b/src/primroseledge/agreement/membershipchanges.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Collection
 
-from primroseledge.changes import Change
-from primroseledge.changes import plan
-from primroseledge.documents import document_key
-from primroseledge.documents import Members
+from primroseledge.agreement.freshness import majority
 from primroseledge.errors import OperatorError
 from primroseledge.fleet import Fleet
-from primroseledge.freshness import majority
+from primroseledge.operators.changes import Change
+from primroseledge.operators.changes import plan
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import Members
 
 MEMBERS_ID = 'all'
 
--- a/src/primroseledge/ownership.py
+++ b/src/primroseledge/agreement/ownership.py
@@ -7,38 +7,38 @@
 all such evidence of earlier epochs has lapsed.
 """
 
+from primroseledge.agreement.epochevidence import EpochEvidence
+from primroseledge.agreement.freshness import NEVER
+from primroseledge.agreement.membership import Membership
+from primroseledge.agreement.ownerrecord import NO_OWNER
+from primroseledge.agreement.ownerrecord import OwnerRecord
+from primroseledge.agreement.ownershipactions import BecomeOwner
+from primroseledge.agreement.ownershipactions import FollowOwner
+from primroseledge.agreement.ownershipactions import OwnershipAction
+from primroseledge.agreement.ownershipactions import SendHeartbeat
+from primroseledge.agreement.ownershipactions import SendReport
+from primroseledge.agreement.ownershipactions import SendReportRequest
+from primroseledge.agreement.ownershipactions import StepDown
+from primroseledge.agreement.ownershipactions import WriteResult
+from primroseledge.agreement.ownershipsettings import OwnershipSettings
+from primroseledge.agreement.ownerstate import OwnerState
+from primroseledge.agreement.recordaccess import parse_owner
+from primroseledge.agreement.recordaccess import RecordAccess
+from primroseledge.agreement.recordaccess import RELEASE_POLL_S
+from primroseledge.agreement.succession import Succession
+from primroseledge.agreement.takeover import INFINITY
+from primroseledge.agreement.takeover import Takeover
 from primroseledge.chart import load_chart
-from primroseledge.epochevidence import EpochEvidence
-from primroseledge.freshness import NEVER
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.membership import Membership
-from primroseledge.messages import Heartbeat
-from primroseledge.messages import Report
-from primroseledge.messages import ReportRequest
-from primroseledge.ownerrecord import NO_OWNER
-from primroseledge.ownerrecord import OwnerRecord
-from primroseledge.ownershipactions import BecomeOwner
-from primroseledge.ownershipactions import FollowOwner
-from primroseledge.ownershipactions import OwnershipAction
-from primroseledge.ownershipactions import SendHeartbeat
-from primroseledge.ownershipactions import SendReport
-from primroseledge.ownershipactions import SendReportRequest
-from primroseledge.ownershipactions import StepDown
-from primroseledge.ownershipactions import WriteResult
-from primroseledge.ownershipsettings import OwnershipSettings
-from primroseledge.ownerstate import OwnerState
-from primroseledge.recordaccess import parse_owner
-from primroseledge.recordaccess import RecordAccess
-from primroseledge.recordaccess import RELEASE_POLL_S
-from primroseledge.store import Record
-from primroseledge.succession import Succession
-from primroseledge.takeover import INFINITY
-from primroseledge.takeover import Takeover
+from primroseledge.requests.messages import Heartbeat
+from primroseledge.requests.messages import Report
+from primroseledge.requests.messages import ReportRequest
+from primroseledge.storage.store import Record
 
 Actions = list[OwnershipAction]
 
--- a/src/primroseledge/ownershipactions.py
+++ b/src/primroseledge/agreement/ownershipactions.py
@@ -9,7 +9,7 @@
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.messages import Report
+from primroseledge.requests.messages import Report
 
 
 class WriteResult(Enum):
--- a/src/primroseledge/ownershipsettings.py
+++ b/src/primroseledge/agreement/ownershipsettings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from primroseledge.freshness import CLOCK_RATE_MARGIN
+from primroseledge.agreement.freshness import CLOCK_RATE_MARGIN
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/recordaccess.py
+++ b/src/primroseledge/agreement/recordaccess.py
@@ -2,22 +2,22 @@
 
 from typing import Final
 
+from primroseledge.agreement.freshness import NEVER
+from primroseledge.agreement.ownerrecord import decode_owner
+from primroseledge.agreement.ownerrecord import encode_owner
+from primroseledge.agreement.ownerrecord import NO_OWNER
+from primroseledge.agreement.ownerrecord import owner_key
+from primroseledge.agreement.ownerrecord import OwnerRecord
+from primroseledge.agreement.ownershipactions import ReadRecord
+from primroseledge.agreement.ownershipactions import WriteRecord
+from primroseledge.agreement.ownershipactions import WriteResult
 from primroseledge.errors import DocumentError
-from primroseledge.freshness import NEVER
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.ownerrecord import decode_owner
-from primroseledge.ownerrecord import encode_owner
-from primroseledge.ownerrecord import NO_OWNER
-from primroseledge.ownerrecord import owner_key
-from primroseledge.ownerrecord import OwnerRecord
-from primroseledge.ownershipactions import ReadRecord
-from primroseledge.ownershipactions import WriteRecord
-from primroseledge.ownershipactions import WriteResult
-from primroseledge.store import Record
+from primroseledge.storage.store import Record
 
 RETRY_S: Final = 0.05
 RELEASE_POLL_S: Final = 0.01
--- a/src/primroseledge/succession.py
+++ b/src/primroseledge/agreement/succession.py
@@ -2,15 +2,15 @@
 
 from hashlib import blake2b
 
-from primroseledge.freshness import majority
+from primroseledge.agreement.freshness import majority
+from primroseledge.agreement.membership import Membership
+from primroseledge.agreement.membership import PeerState
+from primroseledge.agreement.ownerrecord import OwnerRecord
+from primroseledge.agreement.ownershipsettings import OwnershipSettings
+from primroseledge.agreement.takeover import INFINITY
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
-from primroseledge.membership import Membership
-from primroseledge.membership import PeerState
-from primroseledge.messages import Heartbeat
-from primroseledge.ownerrecord import OwnerRecord
-from primroseledge.ownershipsettings import OwnershipSettings
-from primroseledge.takeover import INFINITY
+from primroseledge.requests.messages import Heartbeat
 
 
 class Succession:
--- a/src/primroseledge/takeover.py
+++ b/src/primroseledge/agreement/takeover.py
@@ -2,11 +2,11 @@
 
 from typing import Final
 
-from primroseledge.freshness import majority
+from primroseledge.agreement.freshness import majority
+from primroseledge.agreement.ownerrecord import OwnerRecord
 from primroseledge.ids import EntryId
 from primroseledge.ids import Incarnation
-from primroseledge.messages import Report
-from primroseledge.ownerrecord import OwnerRecord
+from primroseledge.requests.messages import Report
 
 INFINITY: Final = float('inf')
 
--- a/src/primroseledge/cli.py
+++ b/src/primroseledge/cli.py
@@ -14,25 +14,25 @@
 from click import version_option
 
 from primroseledge import __version__
-from primroseledge.changes import read_id
-from primroseledge.cli_fleet import explain
-from primroseledge.cli_fleet import fleet
-from primroseledge.cli_key import key
-from primroseledge.cli_pool import pool
-from primroseledge.cli_service import service
-from primroseledge.cli_team import team
-from primroseledge.cli_wave import wave
-from primroseledge.console import exit_on_error
-from primroseledge.documents import decode_document
-from primroseledge.documents import document_key
-from primroseledge.documents import KINDS
 from primroseledge.errors import DocumentError
 from primroseledge.errors import SettingsError
-from primroseledge.events import Event
-from primroseledge.logs import configure
-from primroseledge.logs import log
-from primroseledge.settings import load
-from primroseledge.settings import Settings
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import configure
+from primroseledge.observability.logs import log
+from primroseledge.operators.changes import read_id
+from primroseledge.operators.cli_fleet import explain
+from primroseledge.operators.cli_fleet import fleet
+from primroseledge.operators.cli_key import key
+from primroseledge.operators.cli_pool import pool
+from primroseledge.operators.cli_service import service
+from primroseledge.operators.cli_team import team
+from primroseledge.operators.cli_wave import wave
+from primroseledge.operators.console import exit_on_error
+from primroseledge.settings.settings import load
+from primroseledge.settings.settings import Settings
+from primroseledge.storage.documents import decode_document
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import KINDS
 
 SETTINGS_KIND: Final = 'settings'
 FILE = PathType(exists=True, dir_okay=False, path_type=Path)
@@ -61,7 +61,7 @@
     with exit_on_error():
         settings = load_logged(path)
         # Only here, so that other commands need not import the daemon.
-        from primroseledge.daemon import run
+        from primroseledge.gateway.daemon import run
 
         get_current_context().exit(run(settings))
 
--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -52,7 +52,6 @@
 from primroseledge.cluster.tenure import Tenure
 from primroseledge.cluster.tenure import TenureState
 from primroseledge.errors import DocumentError
-from primroseledge.events import Event
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import Action
@@ -66,10 +65,11 @@
 from primroseledge.jobs.advice import AdviceGiven
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.worker import WorkerEntry
-from primroseledge.logs import log
 from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveNumber
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 from primroseledge.owner.engine import create_engine
 from primroseledge.owner.engine import Engine
 from primroseledge.owner.recovery import restore
--- a/src/primroseledge/cluster/link.py
+++ b/src/primroseledge/cluster/link.py
@@ -23,8 +23,8 @@
 from primroseledge.cluster.messages import encode
 from primroseledge.cluster.messages import Message
 from primroseledge.errors import MessageError
-from primroseledge.events import Event
-from primroseledge.logs import log
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 
 QUEUE_MESSAGES: Final = 2000
 MAX_MESSAGE_BYTES: Final = 4 << 20
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -41,7 +41,6 @@
 from primroseledge.cluster.storethread import StoreThread
 from primroseledge.cluster.tenure import TenureState
 from primroseledge.cluster.workerlinks import WorkerLinks
-from primroseledge.events import Event
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import Answer
 from primroseledge.jobs.actions import SendLook
@@ -52,12 +51,13 @@
 from primroseledge.jobs.advice import AdviceFailed
 from primroseledge.jobs.advice import AdviceGiven
 from primroseledge.jobs.advice import AskAdvice
-from primroseledge.logs import log
-from primroseledge.logs import LOGGER
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.maintenance.actions import InstancesListed
 from primroseledge.maintenance.actions import ListFailed
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
+from primroseledge.observability.logs import LOGGER
 
 OWNER_TICK_S: Final = 0.02
 CALLS_TICK_S: Final = 0.1
--- a/src/primroseledge/cluster/storethread.py
+++ b/src/primroseledge/cluster/storethread.py
@@ -47,14 +47,14 @@
 from primroseledge.errors import DocumentError
 from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
-from primroseledge.events import Event
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.spec import AcceptedJob
-from primroseledge.logs import log
 from primroseledge.maintenance.wave import WaveRecord
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
 
 RETRY_PAUSE_S: Final = 0.12
--- a/src/primroseledge/cluster/watchthreads.py
+++ b/src/primroseledge/cluster/watchthreads.py
@@ -20,9 +20,9 @@
 from primroseledge.cluster.steps import LeaseRenewed
 from primroseledge.cluster.steps import StoreSilent
 from primroseledge.errors import StoreError
-from primroseledge.events import Event
 from primroseledge.ids import Revision
-from primroseledge.logs import log
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 
 LEASE_TTL_S: Final = 2.0
 """How long after its last renewal an owner may be replaced."""
--- a/src/primroseledge/exitcodes.py
+++ b/src/primroseledge/exitcodes.py
@@ -3,11 +3,11 @@
 from enum import IntEnum
 from typing import Final
 
-from primroseledge.applying import Result
 from primroseledge.errors import DocumentError
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import SettingsError
 from primroseledge.errors import UnreachableError
+from primroseledge.operators.applying import Result
 
 
 class ExitCode(IntEnum):
--- a/src/primroseledge/fleet.py
+++ b/src/primroseledge/fleet.py
@@ -7,16 +7,16 @@
 from typing import TypeVar
 from zlib import crc32
 
-from primroseledge.documents import CONFIG_PREFIX
-from primroseledge.documents import decode_document
-from primroseledge.documents import Document
-from primroseledge.documents import document_key
-from primroseledge.documents import Instance
-from primroseledge.documents import Placement
 from primroseledge.errors import DocumentError
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.store import Snapshot
+from primroseledge.storage.documents import CONFIG_PREFIX
+from primroseledge.storage.documents import decode_document
+from primroseledge.storage.documents import Document
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Placement
+from primroseledge.storage.store import Snapshot
 
 DocumentT = TypeVar('DocumentT', bound=Document)
 SHARD_COUNT: Final = 256
--- /dev/null
+++ b/src/primroseledge/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that serves requests: its loop, servers and threads."""
--- a/src/primroseledge/carrier.py
+++ b/src/primroseledge/gateway/carrier.py
@@ -18,8 +18,8 @@
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import Timeout
 
-from primroseledge.actions import StartAttempt
-from primroseledge.attemptend import AttemptEnd
+from primroseledge.requests.actions import StartAttempt
+from primroseledge.requests.attemptend import AttemptEnd
 
 MAX_ADDRESSES: Final = 200
 """Fewer than the pools that the pool manager keeps open."""
--- a/src/primroseledge/daemon.py
+++ b/src/primroseledge/gateway/daemon.py
@@ -13,32 +13,32 @@
 
 from cherrypy.process.wspbus import Bus
 
-from primroseledge.carrier import Carrier
-from primroseledge.controls import start_controls
-from primroseledge.events import Event
-import primroseledge.handlers  # noqa: F401  its handlers register
-from primroseledge.httprequest import RequestLimits
-from primroseledge.httpserver import adapt
-from primroseledge.httpserver import Application
-from primroseledge.httpserver import create_server
+from primroseledge.agreement.membership import Timing
+from primroseledge.gateway.carrier import Carrier
+from primroseledge.gateway.httpserver import adapt
+from primroseledge.gateway.httpserver import Application
+from primroseledge.gateway.httpserver import create_server
+from primroseledge.gateway.loop import Loop
+from primroseledge.gateway.node import create_node
+from primroseledge.gateway.node import IdMemory
+from primroseledge.gateway.node import Node
+from primroseledge.gateway.pages import Pages
+from primroseledge.gateway.peerlink import open_link
+from primroseledge.gateway.storethreads import ConfigWatcher
+from primroseledge.gateway.storethreads import RecordThread
 from primroseledge.ids import EntryId
 from primroseledge.ids import Incarnation
 from primroseledge.ids import ZoneId
-from primroseledge.logs import log
-from primroseledge.loop import Loop
-from primroseledge.membership import Timing
-from primroseledge.metrics import create_metrics
-from primroseledge.metrics import Metrics
-from primroseledge.node import create_node
-from primroseledge.node import IdMemory
-from primroseledge.node import Node
-from primroseledge.pages import Pages
-from primroseledge.peerlink import open_link
-from primroseledge.settings import Settings
-from primroseledge.storeclient import open_store
-from primroseledge.storethreads import ConfigWatcher
-from primroseledge.storethreads import RecordThread
-from primroseledge.trace import create_tracing
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
+from primroseledge.observability.metrics import create_metrics
+from primroseledge.observability.metrics import Metrics
+from primroseledge.observability.trace import create_tracing
+from primroseledge.policy.controls import start_controls
+import primroseledge.requests.handlers  # noqa: F401  its handlers register
+from primroseledge.requests.httprequest import RequestLimits
+from primroseledge.settings.settings import Settings
+from primroseledge.storage.storeclient import open_store
 
 MAX_ANSWER_BYTES: Final = 16_000_000
 PAGE_THREADS: Final = 2
--- a/src/primroseledge/listthread.py
+++ b/src/primroseledge/gateway/listthread.py
@@ -6,12 +6,12 @@
 from time import monotonic
 from typing import Final
 
-from primroseledge.actions import Action
-from primroseledge.loop import Loop
-from primroseledge.node import Node
-from primroseledge.policystate import Listing
-from primroseledge.taskservice import InstanceService
-from primroseledge.taskservice import PlatformError
+from primroseledge.gateway.loop import Loop
+from primroseledge.gateway.node import Node
+from primroseledge.policy.policystate import Listing
+from primroseledge.requests.actions import Action
+from primroseledge.storage.taskservice import InstanceService
+from primroseledge.storage.taskservice import PlatformError
 
 POLL_S: Final = 1.0
 """With the list's own lag of 2 s, a leaving upstream is noted in 3 s."""
--- a/src/primroseledge/pages.py
+++ b/src/primroseledge/gateway/pages.py
@@ -8,14 +8,14 @@
 
 from msgspec import json
 
-from primroseledge.documents import KeyRecord
-from primroseledge.events import Event
-from primroseledge.inquiry import Inquiry
-from primroseledge.keys import is_operator
-from primroseledge.logs import log
-from primroseledge.loop import Loop
-from primroseledge.metrics import CONTENT_TYPE
-from primroseledge.metrics import Metrics
+from primroseledge.gateway.loop import Loop
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
+from primroseledge.observability.metrics import CONTENT_TYPE
+from primroseledge.observability.metrics import Metrics
+from primroseledge.operators.inquiry import Inquiry
+from primroseledge.storage.documents import KeyRecord
+from primroseledge.storage.keys import is_operator
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
--- a/src/primroseledge/peerlink.py
+++ b/src/primroseledge/gateway/peerlink.py
@@ -24,11 +24,11 @@
 
 from primroseledge.errors import MessageError
 from primroseledge.ids import EntryId
-from primroseledge.messages import decode
-from primroseledge.messages import encode
-from primroseledge.messages import Envelope
-from primroseledge.messages import MAX_MESSAGE_BYTES
-from primroseledge.settings import Curve
+from primroseledge.requests.messages import decode
+from primroseledge.requests.messages import encode
+from primroseledge.requests.messages import Envelope
+from primroseledge.requests.messages import MAX_MESSAGE_BYTES
+from primroseledge.settings.settings import Curve
 
 QUEUE_MESSAGES: Final = 10_000
 LINGER_MS: Final = 200
--- a/src/primroseledge/storethreads.py
+++ b/src/primroseledge/gateway/storethreads.py
@@ -8,26 +8,26 @@
 from time import monotonic
 from typing import Final
 
-from primroseledge.actions import Action
-from primroseledge.configuration import snapshot_delta
-from primroseledge.documents import CONFIG_PREFIX
+from primroseledge.agreement.configuration import snapshot_delta
+from primroseledge.agreement.ownerrecord import owner_key
+from primroseledge.agreement.ownershipactions import ReadRecord
+from primroseledge.agreement.ownershipactions import WriteRecord
+from primroseledge.agreement.ownershipactions import WriteResult
 from primroseledge.errors import ConflictError
 from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
-from primroseledge.events import Event
+from primroseledge.gateway.loop import Loop
+from primroseledge.gateway.node import Node
 from primroseledge.ids import CellId
 from primroseledge.ids import Revision
-from primroseledge.logs import log
-from primroseledge.loop import Loop
-from primroseledge.messages import ConfigDelta
-from primroseledge.metrics import Metrics
-from primroseledge.node import Node
-from primroseledge.ownerrecord import owner_key
-from primroseledge.ownershipactions import ReadRecord
-from primroseledge.ownershipactions import WriteRecord
-from primroseledge.ownershipactions import WriteResult
-from primroseledge.store import Record
-from primroseledge.store import Store
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
+from primroseledge.observability.metrics import Metrics
+from primroseledge.requests.actions import Action
+from primroseledge.requests.messages import ConfigDelta
+from primroseledge.storage.documents import CONFIG_PREFIX
+from primroseledge.storage.store import Record
+from primroseledge.storage.store import Store
 
 WATCH_WAIT_S: Final = 0.7
 """How long one watch waits; a node's evidence is renewed as often."""
--- a/src/primroseledge/stricthttp.py
+++ b/src/primroseledge/gateway/stricthttp.py
@@ -19,8 +19,8 @@
 from cheroot.server import HTTPRequest
 from msgspec import json
 
-from primroseledge.outcomes import Outcome
-from primroseledge.outcomes import Reason
+from primroseledge.requests.outcomes import Outcome
+from primroseledge.requests.outcomes import Reason
 
 READ_TIMEOUT_S: Final = 10.0
 """Longest time that a client may take to send headers and body."""
--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-from primroseledge.events import Event
 from primroseledge.jobs.actions import EndKind
 from primroseledge.jobs.actions import LookAnswered
 from primroseledge.jobs.actions import RunEnd
@@ -17,7 +16,8 @@
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.task import TaskKey
 from primroseledge.jobs.worker import Worker
-from primroseledge.logs import log
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 
 MAX_LISTED_ENDS: Final = 500
 """A list of ends this long may be cut off; from PROTOCOL."""
--- a/src/primroseledge/jobs/fleetstate.py
+++ b/src/primroseledge/jobs/fleetstate.py
@@ -4,7 +4,6 @@
 from dataclasses import field
 from typing import Final
 
-from primroseledge.events import Event
 from primroseledge.ids import JobId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
@@ -22,7 +21,8 @@
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.worker import Worker
-from primroseledge.logs import log
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 
 MAX_LEASE_S: Final = 6.0
 """The longest lease that a worker grants; from PROTOCOL."""
--- a/src/primroseledge/jobs/looks.py
+++ b/src/primroseledge/jobs/looks.py
@@ -2,7 +2,6 @@
 
 from dataclasses import replace
 
-from primroseledge.events import Event
 from primroseledge.jobs.actions import LookAnswered
 from primroseledge.jobs.actions import LookFailed
 from primroseledge.jobs.actions import OrderResult
@@ -15,7 +14,8 @@
 from primroseledge.jobs.worker import Worker
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.jobs.worker import WorkerState
-from primroseledge.logs import log
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 
 
 def take_entries(
--- a/src/primroseledge/jobs/orders.py
+++ b/src/primroseledge/jobs/orders.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-from primroseledge.events import Event
 from primroseledge.jobs.actions import OrderAnswered
 from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import SendStart
@@ -16,7 +15,8 @@
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.worker import Worker
-from primroseledge.logs import log
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 
 MAX_SENDS: Final = 3
 """How often an unanswered start is sent before it is stopped instead."""
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -10,7 +10,6 @@
 from math import ceil
 from typing import Final
 
-from primroseledge.events import Event
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.jobs.configuration import Service
@@ -19,7 +18,6 @@
 from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.worker import Worker
 from primroseledge.jobs.worker import WorkerState
-from primroseledge.logs import log
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import MoveInstance
@@ -27,6 +25,8 @@
 from primroseledge.maintenance.fleetlist import Operation
 from primroseledge.maintenance.fleetlist import Step
 from primroseledge.maintenance.wave import InstanceState
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 
 MIN_POOL: Final = 3
 """Fewer workers would lose too much with one of them."""
--- a/src/primroseledge/maintenance/upkeep.py
+++ b/src/primroseledge/maintenance/upkeep.py
@@ -7,12 +7,10 @@
 
 from typing import Final
 
-from primroseledge.events import Event
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.worker import Worker
-from primroseledge.logs import log
 from primroseledge.maintenance.actions import BeginUpkeep
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
@@ -24,6 +22,8 @@
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.maintenance.wave import WaveState
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 
 ROUND_S: Final = 5.0
 """Time that one instance's drain, upkeep and return take."""
--- /dev/null
+++ b/src/primroseledge/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- a/src/primroseledge/events.py
+++ b/src/primroseledge/observability/events.py
@@ -94,7 +94,7 @@
         'Mend the named field; try `primroseledge config check`.',
     )
     SETTINGS_SEEN = info(
-        107,
+        108,
         'the settings file has changed',
         'The platform has written the settings anew.',
         'Nothing; a changed address is used after a restart.',
@@ -292,6 +292,12 @@
         'A plan or job record cannot be read, or there is a defect.',
         'Look at the record; report the problem if it is right.',
     )
+    TRACE_DROPPED = warning(
+        601,
+        '{dropped} spans dropped',
+        'Spans came faster than they could be exported.',
+        'Lower `trace.sample` or look at the endpoint.',
+    )
     JOB_ACCEPTED = info(
         701,
         'job {job} of workspace {workspace} taken for queue {queue}: '
@@ -360,9 +366,3 @@
         'The advisory service did not answer; the step waits.',
         'Look at the advisory service.',
     )
-    TRACE_DROPPED = warning(
-        601,
-        '{dropped} spans dropped',
-        'Spans came faster than they could be exported.',
-        'Lower `trace.sample` or look at the endpoint.',
-    )
--- a/src/primroseledge/logs.py
+++ b/src/primroseledge/observability/logs.py
@@ -14,8 +14,8 @@
 
 from msgspec import json
 
-from primroseledge.events import Event
-from primroseledge.keys import redact_keys
+from primroseledge.observability.events import Event
+from primroseledge.storage.keys import redact_keys
 
 LOGGER: Final = getLogger('primroseledge')
 FieldValue = str | int | float | bool | None
--- a/src/primroseledge/metrics.py
+++ b/src/primroseledge/observability/metrics.py
@@ -19,8 +19,8 @@
 from primroseledge.ids import PoolId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.outcomes import Outcome
-from primroseledge.outcomes import Reason
+from primroseledge.requests.outcomes import Outcome
+from primroseledge.requests.outcomes import Reason
 
 CONTENT_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 WAIT_BUCKETS_S: Final = (
--- a/src/primroseledge/requesttrace.py
+++ b/src/primroseledge/observability/requesttrace.py
@@ -7,9 +7,9 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
-from primroseledge.trace import Hop
-from primroseledge.trace import HopSpan
-from primroseledge.trace import Tracing
+from primroseledge.observability.trace import Hop
+from primroseledge.observability.trace import HopSpan
+from primroseledge.observability.trace import Tracing
 
 WallClock = Callable[[], float]
 
--- a/src/primroseledge/spanexport.py
+++ b/src/primroseledge/observability/spanexport.py
@@ -18,8 +18,8 @@
 from urllib3 import PoolManager
 
 from primroseledge import __version__
-from primroseledge.keys import redact_keys
-from primroseledge.settings import Trace
+from primroseledge.settings.settings import Trace
+from primroseledge.storage.keys import redact_keys
 
 BATCH_SPANS: Final = 256
 IDLE_WAIT_S: Final = 0.25
--- a/src/primroseledge/trace.py
+++ b/src/primroseledge/observability/trace.py
@@ -18,10 +18,10 @@
 from opentelemetry.trace import StatusCode
 
 from primroseledge import __version__
-from primroseledge.settings import Settings
-from primroseledge.spanexport import create_exporter
-from primroseledge.spanexport import SpanQueue
-from primroseledge.traceparent import read_traceparent
+from primroseledge.observability.spanexport import create_exporter
+from primroseledge.observability.spanexport import SpanQueue
+from primroseledge.observability.traceparent import read_traceparent
+from primroseledge.settings.settings import Settings
 
 Attribute = str | int | float | bool
 
--- /dev/null
+++ b/src/primroseledge/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line and the changes that it makes."""
--- a/src/primroseledge/applying.py
+++ b/src/primroseledge/operators/applying.py
@@ -5,22 +5,22 @@
 from enum import Enum
 from typing import Final
 
-from primroseledge.changes import Change
-from primroseledge.documents import encode_document
 from primroseledge.errors import ConflictError
 from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
-from primroseledge.history import chain
-from primroseledge.history import encode_entry
-from primroseledge.history import history_key
-from primroseledge.history import history_prefix
-from primroseledge.history import HistoryEntry
-from primroseledge.history import read_entries
-from primroseledge.history import stale_entries
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.store import Record
-from primroseledge.store import Store
+from primroseledge.operators.changes import Change
+from primroseledge.operators.history import chain
+from primroseledge.operators.history import encode_entry
+from primroseledge.operators.history import history_key
+from primroseledge.operators.history import history_prefix
+from primroseledge.operators.history import HistoryEntry
+from primroseledge.operators.history import read_entries
+from primroseledge.operators.history import stale_entries
+from primroseledge.storage.documents import encode_document
+from primroseledge.storage.store import Record
+from primroseledge.storage.store import Store
 
 MAX_SENDS: Final = 3
 """How often one write is sent while its answer is lost."""
--- a/src/primroseledge/changes.py
+++ b/src/primroseledge/operators/changes.py
@@ -14,18 +14,18 @@
 from msgspec import structs
 from msgspec import ValidationError
 
-from primroseledge.documents import decode_document
-from primroseledge.documents import Document
-from primroseledge.documents import document_key
-from primroseledge.documents import KeyRecord
-from primroseledge.documents import Pool
-from primroseledge.documents import Service
-from primroseledge.documents import Team
 from primroseledge.errors import DocumentError
 from primroseledge.errors import OperatorError
 from primroseledge.fleet import Fleet
 from primroseledge.ids import KeyId
 from primroseledge.ids import Revision
+from primroseledge.storage.documents import decode_document
+from primroseledge.storage.documents import Document
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import KeyRecord
+from primroseledge.storage.documents import Pool
+from primroseledge.storage.documents import Service
+from primroseledge.storage.documents import Team
 
 DocumentT = TypeVar('DocumentT', bound=Document)
 
--- a/src/primroseledge/cli_fleet.py
+++ b/src/primroseledge/operators/cli_fleet.py
@@ -9,20 +9,20 @@
 from click import UsageError
 from msgspec import to_builtins
 
-from primroseledge.changes import require
-from primroseledge.connections import decode_explanations
-from primroseledge.connections import EntryStatus
-from primroseledge.console import Console
-from primroseledge.console import ENTRIES_VARIABLE
-from primroseledge.console import operator_command
-from primroseledge.documents import Members
+from primroseledge.agreement.membershipchanges import MEMBERS_ID
+from primroseledge.agreement.membershipchanges import set_members
 from primroseledge.errors import OperatorError
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import UnreachableError
 from primroseledge.exitcodes import ExitCode
-from primroseledge.membershipchanges import MEMBERS_ID
-from primroseledge.membershipchanges import set_members
-from primroseledge.rendering import Row
+from primroseledge.operators.changes import require
+from primroseledge.operators.connections import decode_explanations
+from primroseledge.operators.connections import EntryStatus
+from primroseledge.operators.console import Console
+from primroseledge.operators.console import ENTRIES_VARIABLE
+from primroseledge.operators.console import operator_command
+from primroseledge.operators.rendering import Row
+from primroseledge.storage.documents import Members
 
 
 @group()
--- a/src/primroseledge/cli_key.py
+++ b/src/primroseledge/operators/cli_key.py
@@ -6,13 +6,13 @@
 from msgspec import json
 from msgspec import to_builtins
 
-from primroseledge.changes import give_key
-from primroseledge.changes import require
-from primroseledge.changes import withdraw_key
-from primroseledge.console import Console
-from primroseledge.console import operator_command
-from primroseledge.documents import Team
-from primroseledge.keys import generate_key
+from primroseledge.operators.changes import give_key
+from primroseledge.operators.changes import require
+from primroseledge.operators.changes import withdraw_key
+from primroseledge.operators.console import Console
+from primroseledge.operators.console import operator_command
+from primroseledge.storage.documents import Team
+from primroseledge.storage.keys import generate_key
 
 
 @group()
--- a/src/primroseledge/cli_pool.py
+++ b/src/primroseledge/operators/cli_pool.py
@@ -8,19 +8,19 @@
 from msgspec import convert
 from msgspec import ValidationError
 
-from primroseledge.changes import set_pool
-from primroseledge.console import Console
-from primroseledge.console import operator_command
-from primroseledge.documents import Instance
-from primroseledge.documents import Pool
-from primroseledge.documents import Service
 from primroseledge.errors import OperatorError
 from primroseledge.fleet import Fleet
-from primroseledge.placementchanges import add_instance
-from primroseledge.placementchanges import move_instance
-from primroseledge.placementchanges import review_drain
-from primroseledge.placementchanges import set_draining
-from primroseledge.rendering import Row
+from primroseledge.operators.changes import set_pool
+from primroseledge.operators.console import Console
+from primroseledge.operators.console import operator_command
+from primroseledge.operators.rendering import Row
+from primroseledge.policy.placementchanges import add_instance
+from primroseledge.policy.placementchanges import move_instance
+from primroseledge.policy.placementchanges import review_drain
+from primroseledge.policy.placementchanges import set_draining
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Pool
+from primroseledge.storage.documents import Service
 
 
 @group()
--- a/src/primroseledge/cli_service.py
+++ b/src/primroseledge/operators/cli_service.py
@@ -13,25 +13,25 @@
 from click import Path as PathType
 from msgspec import to_builtins
 
-from primroseledge.applying import read_record
-from primroseledge.changes import apply_service
-from primroseledge.changes import Change
-from primroseledge.changes import require
-from primroseledge.console import Console
-from primroseledge.console import operator_command
-from primroseledge.diffs import diff_documents
-from primroseledge.documents import decode_document
-from primroseledge.documents import Document
-from primroseledge.documents import document_key
-from primroseledge.documents import Service
 from primroseledge.errors import DocumentError
 from primroseledge.errors import OperatorError
 from primroseledge.fleet import Fleet
-from primroseledge.history import chain
-from primroseledge.history import history_prefix
-from primroseledge.history import HistoryEntry
-from primroseledge.history import read_entries
-from primroseledge.rendering import Row
+from primroseledge.operators.applying import read_record
+from primroseledge.operators.changes import apply_service
+from primroseledge.operators.changes import Change
+from primroseledge.operators.changes import require
+from primroseledge.operators.console import Console
+from primroseledge.operators.console import operator_command
+from primroseledge.operators.diffs import diff_documents
+from primroseledge.operators.history import chain
+from primroseledge.operators.history import history_prefix
+from primroseledge.operators.history import HistoryEntry
+from primroseledge.operators.history import read_entries
+from primroseledge.operators.rendering import Row
+from primroseledge.storage.documents import decode_document
+from primroseledge.storage.documents import Document
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import Service
 
 FILE = PathType(exists=True, dir_okay=False, path_type=Path)
 
--- a/src/primroseledge/cli_team.py
+++ b/src/primroseledge/operators/cli_team.py
@@ -4,15 +4,15 @@
 from click import group
 from click import option
 
-from primroseledge.changes import delete_team
-from primroseledge.changes import require
-from primroseledge.changes import set_team
-from primroseledge.console import Console
-from primroseledge.console import operator_command
-from primroseledge.documents import Service
-from primroseledge.documents import Team
 from primroseledge.fleet import Fleet
-from primroseledge.rendering import Row
+from primroseledge.operators.changes import delete_team
+from primroseledge.operators.changes import require
+from primroseledge.operators.changes import set_team
+from primroseledge.operators.console import Console
+from primroseledge.operators.console import operator_command
+from primroseledge.operators.rendering import Row
+from primroseledge.storage.documents import Service
+from primroseledge.storage.documents import Team
 
 
 @group()
--- a/src/primroseledge/cli_wave.py
+++ b/src/primroseledge/operators/cli_wave.py
@@ -10,11 +10,6 @@
 from click import group
 from click import option
 
-from primroseledge.changes import require
-from primroseledge.console import Console
-from primroseledge.console import operator_command
-from primroseledge.documents import CONFIG_PREFIX
-from primroseledge.documents import Pool
 from primroseledge.errors import OperatorError
 from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
@@ -23,15 +18,20 @@
 from primroseledge.fleet import read_fleet
 from primroseledge.ids import PoolId
 from primroseledge.ids import WriteId
-from primroseledge.operators import command_wave
-from primroseledge.operators import start_pool_wave
-from primroseledge.plan import Plan
-from primroseledge.plan import Wave
-from primroseledge.records import Records
-from primroseledge.rendering import Row
-from primroseledge.store import Store
-from primroseledge.wavestatus import find_plans
-from primroseledge.wavestatus import show_plan
+from primroseledge.operators.changes import require
+from primroseledge.operators.console import Console
+from primroseledge.operators.console import operator_command
+from primroseledge.operators.operators import command_wave
+from primroseledge.operators.operators import start_pool_wave
+from primroseledge.operators.rendering import Row
+from primroseledge.policy.plan import Plan
+from primroseledge.policy.plan import Wave
+from primroseledge.policy.wavestatus import find_plans
+from primroseledge.policy.wavestatus import show_plan
+from primroseledge.storage.documents import CONFIG_PREFIX
+from primroseledge.storage.documents import Pool
+from primroseledge.storage.records import Records
+from primroseledge.storage.store import Store
 
 UNKNOWN_NEXT = (
     'it may have taken effect; see primroseledge wave status, and run the '
--- a/src/primroseledge/connections.py
+++ b/src/primroseledge/operators/connections.py
@@ -15,7 +15,7 @@
 
 from primroseledge.errors import OperatorError
 from primroseledge.errors import UnreachableError
-from primroseledge.store import Store
+from primroseledge.storage.store import Store
 
 
 class EntryStatus(Struct, frozen=True):
@@ -64,7 +64,7 @@
         self, urls: Sequence[str], timeout_s: float, credentials: str
     ) -> AbstractContextManager[Store]:
         """Open the store; the block closes it."""
-        from primroseledge.storeclient import open_store
+        from primroseledge.storage.storeclient import open_store
 
         return closing(open_store(urls, timeout_s, credentials))
 
--- a/src/primroseledge/diffs.py
+++ b/src/primroseledge/operators/diffs.py
@@ -8,7 +8,7 @@
 from msgspec import json
 from msgspec import to_builtins
 
-from primroseledge.documents import Document
+from primroseledge.storage.documents import Document
 
 HIDDEN_FIELDS: Final = ('salt', 'digest')
 
--- a/src/primroseledge/force.py
+++ b/src/primroseledge/operators/force.py
@@ -4,8 +4,8 @@
 from enum import Enum
 from typing import Final
 
-from primroseledge.connections import EntryStatus
 from primroseledge.ids import Revision
+from primroseledge.operators.connections import EntryStatus
 
 LAPSE_S: Final = 2.5
 """Evidence for a view without the change has lapsed after this time."""
--- a/src/primroseledge/history.py
+++ b/src/primroseledge/operators/history.py
@@ -14,9 +14,9 @@
 from msgspec import Struct
 from msgspec import ValidationError
 
-from primroseledge.documents import CONFIG_PREFIX
 from primroseledge.ids import WriteId
-from primroseledge.store import Record
+from primroseledge.storage.documents import CONFIG_PREFIX
+from primroseledge.storage.store import Record
 
 HISTORY_PREFIX: Final = 'history/'
 MAX_ENTRIES: Final = 50
--- a/src/primroseledge/inquiry.py
+++ b/src/primroseledge/operators/inquiry.py
@@ -9,14 +9,14 @@
 
 from msgspec import Struct
 
-from primroseledge.actions import Action
-from primroseledge.dispatcher import Dispatcher
-from primroseledge.explain import explain
+from primroseledge.gateway.node import Node
 from primroseledge.ids import CellId
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
-from primroseledge.messages import EndState
-from primroseledge.node import Node
+from primroseledge.operators.explain import explain
+from primroseledge.requests.actions import Action
+from primroseledge.requests.dispatcher import Dispatcher
+from primroseledge.requests.messages import EndState
 
 
 class Answer(Struct, frozen=True):
--- a/src/primroseledge/operators.py
+++ b/src/primroseledge/operators/operators.py
@@ -13,12 +13,12 @@
 from primroseledge.errors import ConflictError
 from primroseledge.errors import OperatorError
 from primroseledge.ids import PoolId
-from primroseledge.plan import command
-from primroseledge.plan import Plan
-from primroseledge.plan import plan_key
-from primroseledge.plan import start_wave
-from primroseledge.plan import Wave
-from primroseledge.records import Records
+from primroseledge.policy.plan import command
+from primroseledge.policy.plan import Plan
+from primroseledge.policy.plan import plan_key
+from primroseledge.policy.plan import start_wave
+from primroseledge.policy.plan import Wave
+from primroseledge.storage.records import Records
 
 MAX_TRIES: Final = 5
 
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -4,7 +4,6 @@
 after events and plans, looks and gathers what is to be stored.
 """
 
-from primroseledge.events import Event
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
 from primroseledge.ids import WorkspaceId
@@ -43,7 +42,6 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.worker import WorkerEntry
-from primroseledge.logs import log
 from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import InstancesListed
@@ -54,6 +52,8 @@
 from primroseledge.maintenance.pools import take_move_answer
 from primroseledge.maintenance.upkeep import carry_out_waves
 from primroseledge.maintenance.upkeep import take_upkeep_answer
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
 from primroseledge.owner.outbox import Outbox
 
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-from primroseledge.events import Event
 from primroseledge.jobs.actions import Answer
 from primroseledge.jobs.actions import Verdict
 from primroseledge.jobs.fleetstate import FleetState
@@ -12,8 +11,9 @@
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
-from primroseledge.logs import log
 from primroseledge.maintenance.fleetlist import InstanceList
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
 
 MAX_RECORDS: Final = 30
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -26,11 +26,11 @@
 from primroseledge.cluster.watchthreads import LeaseThread
 from primroseledge.cluster.watchthreads import WatchThread
 from primroseledge.cluster.workerlinks import WorkerLinks
-from primroseledge.events import Event
 from primroseledge.ids import EntryId
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.worker import WorkerEntry
-from primroseledge.logs import log
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 from primroseledge.platform.advice import PlatformAdvice
 from primroseledge.platform.callers import CallerApplication
 from primroseledge.platform.callers import ReadyApplication
--- a/src/primroseledge/platform/instances.py
+++ b/src/primroseledge/platform/instances.py
@@ -8,7 +8,6 @@
 from msgspec import json
 
 from primroseledge.clock import boot_time
-from primroseledge.events import Event
 from primroseledge.httpclient import HttpClient
 from primroseledge.httpclient import NoAnswerError
 from primroseledge.httpclient import NotSentError
@@ -17,7 +16,6 @@
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
-from primroseledge.logs import log
 from primroseledge.maintenance.actions import BeginUpkeep
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceCall
@@ -29,6 +27,8 @@
 from primroseledge.maintenance.actions import MoveInstance
 from primroseledge.maintenance.wave import InstanceRow
 from primroseledge.maintenance.wave import InstanceState
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 from primroseledge.platform.wire import WireMachine
 from primroseledge.platform.wire import WireMachines
 from primroseledge.platform.wire import WireRefusal
--- a/src/primroseledge/platform/store.py
+++ b/src/primroseledge/platform/store.py
@@ -22,13 +22,13 @@
 from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
 from primroseledge.errors import StoreUnavailableError
-from primroseledge.events import Event
 from primroseledge.httpclient import HttpAnswer
 from primroseledge.httpclient import HttpClient
 from primroseledge.httpclient import NoAnswerError
 from primroseledge.httpclient import NotSentError
 from primroseledge.ids import Revision
-from primroseledge.logs import log
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 from primroseledge.platform.wire import WireCommitted
 from primroseledge.platform.wire import WireEvents
 from primroseledge.platform.wire import WireItem
--- a/src/primroseledge/platform/workers.py
+++ b/src/primroseledge/platform/workers.py
@@ -8,7 +8,6 @@
 from msgspec import json
 
 from primroseledge.clock import boot_time
-from primroseledge.events import Event
 from primroseledge.httpclient import HttpAnswer
 from primroseledge.httpclient import HttpClient
 from primroseledge.httpclient import NoAnswerError
@@ -26,7 +25,8 @@
 from primroseledge.jobs.actions import SendStart
 from primroseledge.jobs.actions import SendStop
 from primroseledge.jobs.actions import Target
-from primroseledge.logs import log
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 from primroseledge.platform.names import END_KINDS
 from primroseledge.platform.names import format_task
 from primroseledge.platform.names import parse_task
--- /dev/null
+++ b/src/primroseledge/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance, capacity and jobs by the product's own protocols."""
--- a/src/primroseledge/budget.py
+++ b/src/primroseledge/policy/budget.py
@@ -15,12 +15,12 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from primroseledge.documents import Budget
-from primroseledge.explain import Explanation
-from primroseledge.explain import Rule
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import ZoneId
+from primroseledge.operators.explain import Explanation
+from primroseledge.operators.explain import Rule
+from primroseledge.storage.documents import Budget
 
 CLAIMS_PREFIX: Final = 'claims/'
 
--- a/src/primroseledge/claimbook.py
+++ b/src/primroseledge/policy/claimbook.py
@@ -8,21 +8,21 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from primroseledge.budget import add_claim
-from primroseledge.budget import add_failures
-from primroseledge.budget import check_claim
-from primroseledge.budget import claims_key
-from primroseledge.budget import drop_failures
-from primroseledge.budget import FailureWindow
-from primroseledge.budget import Ledger
-from primroseledge.budget import release_claim
-from primroseledge.documents import Service
-from primroseledge.explain import Explanation
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import ZoneId
-from primroseledge.records import Records
-from primroseledge.records import Versioned
+from primroseledge.operators.explain import Explanation
+from primroseledge.policy.budget import add_claim
+from primroseledge.policy.budget import add_failures
+from primroseledge.policy.budget import check_claim
+from primroseledge.policy.budget import claims_key
+from primroseledge.policy.budget import drop_failures
+from primroseledge.policy.budget import FailureWindow
+from primroseledge.policy.budget import Ledger
+from primroseledge.policy.budget import release_claim
+from primroseledge.storage.documents import Service
+from primroseledge.storage.records import Records
+from primroseledge.storage.records import Versioned
 
 
 class ClaimBook:
--- a/src/primroseledge/controlinput.py
+++ b/src/primroseledge/policy/controlinput.py
@@ -8,25 +8,25 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from primroseledge.configuration import Configuration
-from primroseledge.dispatcher import Dispatcher
-from primroseledge.documents import DEFAULT_CELL
-from primroseledge.documents import Instance
-from primroseledge.documents import Placement
-from primroseledge.documents import Pool
-from primroseledge.documents import Service
-from primroseledge.documents import Team
+from primroseledge.agreement.configuration import Configuration
 from primroseledge.ids import CellId
 from primroseledge.ids import Epoch
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
 from primroseledge.ids import Revision
 from primroseledge.ids import TeamId
-from primroseledge.jobadmission import JobInput
-from primroseledge.plan import InstanceView
-from primroseledge.plan import PoolInput
-from primroseledge.policystate import Listing
-from primroseledge.taskservice import InstanceStatus
+from primroseledge.policy.jobadmission import JobInput
+from primroseledge.policy.plan import InstanceView
+from primroseledge.policy.plan import PoolInput
+from primroseledge.policy.policystate import Listing
+from primroseledge.requests.dispatcher import Dispatcher
+from primroseledge.storage.documents import DEFAULT_CELL
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Placement
+from primroseledge.storage.documents import Pool
+from primroseledge.storage.documents import Service
+from primroseledge.storage.documents import Team
+from primroseledge.storage.taskservice import InstanceStatus
 
 TasksByWorker = Mapping[InstanceId, tuple[str, ...]]
 Epochs = tuple[tuple[CellId, Epoch], ...]
--- a/src/primroseledge/controls.py
+++ b/src/primroseledge/policy/controls.py
@@ -5,19 +5,19 @@
 from itertools import count
 from typing import Final
 
-from primroseledge.controlthread import ControlThread
+from primroseledge.gateway.listthread import ListThread
+from primroseledge.gateway.loop import Loop
 from primroseledge.ids import WriteId
-from primroseledge.jobcontroller import JobController
-from primroseledge.listthread import ListThread
-from primroseledge.loop import Loop
-from primroseledge.metrics import Metrics
-from primroseledge.plan import WaveSettings
-from primroseledge.poolrounds import PoolRounds
-from primroseledge.records import Records
-from primroseledge.settings import Settings
-from primroseledge.storeclient import open_store
-from primroseledge.taskserviceclient import HttpPlatform
-from primroseledge.taskserviceclient import open_platform
+from primroseledge.observability.metrics import Metrics
+from primroseledge.policy.controlthread import ControlThread
+from primroseledge.policy.jobcontroller import JobController
+from primroseledge.policy.plan import WaveSettings
+from primroseledge.policy.poolrounds import PoolRounds
+from primroseledge.settings.settings import Settings
+from primroseledge.storage.records import Records
+from primroseledge.storage.storeclient import open_store
+from primroseledge.storage.taskserviceclient import HttpPlatform
+from primroseledge.storage.taskserviceclient import open_platform
 
 SETTLE_FRESHNESS: Final = 3.0
 """A drain has settled after so many times the freshness of views.
--- a/src/primroseledge/controlthread.py
+++ b/src/primroseledge/policy/controlthread.py
@@ -12,28 +12,28 @@
 from threading import Thread
 from typing import Final
 
-from primroseledge.actions import Action
-from primroseledge.controlinput import ControlRequest
-from primroseledge.controlinput import Epochs
-from primroseledge.controlinput import job_input
-from primroseledge.controlinput import pool_input
-from primroseledge.controlinput import take_request
-from primroseledge.controlinput import TasksByWorker
-from primroseledge.events import Event
+from primroseledge.gateway.loop import Loop
+from primroseledge.gateway.node import Node
 from primroseledge.ids import CellId
 from primroseledge.ids import Epoch
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
-from primroseledge.jobcontroller import JobController
-from primroseledge.jobcontroller import JobReport
-from primroseledge.logs import log
-from primroseledge.loop import Loop
-from primroseledge.node import Node
-from primroseledge.plan import StepReport
-from primroseledge.policystate import ControlNews
-from primroseledge.poolrounds import PoolRounds
-from primroseledge.taskservice import PlatformError
-from primroseledge.taskservice import TaskState
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
+from primroseledge.policy.controlinput import ControlRequest
+from primroseledge.policy.controlinput import Epochs
+from primroseledge.policy.controlinput import job_input
+from primroseledge.policy.controlinput import pool_input
+from primroseledge.policy.controlinput import take_request
+from primroseledge.policy.controlinput import TasksByWorker
+from primroseledge.policy.jobcontroller import JobController
+from primroseledge.policy.jobcontroller import JobReport
+from primroseledge.policy.plan import StepReport
+from primroseledge.policy.policystate import ControlNews
+from primroseledge.policy.poolrounds import PoolRounds
+from primroseledge.requests.actions import Action
+from primroseledge.storage.taskservice import PlatformError
+from primroseledge.storage.taskservice import TaskState
 
 STEP_S: Final = 1.0
 
--- a/src/primroseledge/jobadmission.py
+++ b/src/primroseledge/policy/jobadmission.py
@@ -13,22 +13,22 @@
 
 from msgspec.structs import replace
 
-from primroseledge.documents import Instance
-from primroseledge.documents import Team
-from primroseledge.explain import Explanation
-from primroseledge.explain import Rule
 from primroseledge.ids import InstanceId
 from primroseledge.ids import TeamId
-from primroseledge.job import ACTIVE
-from primroseledge.job import Job
-from primroseledge.job import JobState
-from primroseledge.job import next_attempt
-from primroseledge.job import running_by_team
-from primroseledge.placing import Estimator
-from primroseledge.placing import find_impossible
-from primroseledge.placing import place
-from primroseledge.placing import URGENT_PART
-from primroseledge.placing import Worker
+from primroseledge.operators.explain import Explanation
+from primroseledge.operators.explain import Rule
+from primroseledge.policy.job import ACTIVE
+from primroseledge.policy.job import Job
+from primroseledge.policy.job import JobState
+from primroseledge.policy.job import next_attempt
+from primroseledge.policy.job import running_by_team
+from primroseledge.policy.placing import Estimator
+from primroseledge.policy.placing import find_impossible
+from primroseledge.policy.placing import place
+from primroseledge.policy.placing import URGENT_PART
+from primroseledge.policy.placing import Worker
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Team
 
 MAX_STARTS_PER_STEP: Final = 50
 
--- a/src/primroseledge/memorywatch.py
+++ b/src/primroseledge/policy/memorywatch.py
@@ -6,16 +6,16 @@
 from dataclasses import field
 from typing import Final
 
-from primroseledge.documents import Instance
-from primroseledge.job import Job
-from primroseledge.job import JobState
-from primroseledge.placing import can_restore
-from primroseledge.placing import Estimator
-from primroseledge.placing import Relief
-from primroseledge.placing import relieve
-from primroseledge.placing import TaskUse
-from primroseledge.taskservice import TaskState
-from primroseledge.taskservice import TaskStatus
+from primroseledge.policy.job import Job
+from primroseledge.policy.job import JobState
+from primroseledge.policy.placing import can_restore
+from primroseledge.policy.placing import Estimator
+from primroseledge.policy.placing import Relief
+from primroseledge.policy.placing import relieve
+from primroseledge.policy.placing import TaskUse
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.taskservice import TaskState
+from primroseledge.storage.taskservice import TaskStatus
 
 REPORT_AHEAD_S: Final = 5.0
 MIN_REPORT_GAP_S: Final = 0.5
--- a/src/primroseledge/placementbook.py
+++ b/src/primroseledge/policy/placementbook.py
@@ -9,14 +9,14 @@
 
 from msgspec.structs import replace
 
-from primroseledge.documents import document_key
-from primroseledge.documents import Instance
-from primroseledge.documents import Placement
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
 from primroseledge.ids import Revision
-from primroseledge.records import MISSING
-from primroseledge.records import Records
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Placement
+from primroseledge.storage.records import MISSING
+from primroseledge.storage.records import Records
 
 
 class PlacementBook:
--- a/src/primroseledge/placementchanges.py
+++ b/src/primroseledge/policy/placementchanges.py
@@ -6,17 +6,17 @@
 
 from msgspec.structs import replace
 
-from primroseledge.changes import Change
-from primroseledge.changes import plan
-from primroseledge.changes import require
-from primroseledge.documents import document_key
-from primroseledge.documents import Instance
-from primroseledge.documents import Placement
-from primroseledge.documents import Pool
-from primroseledge.documents import Service
 from primroseledge.errors import OperatorError
 from primroseledge.fleet import Fleet
 from primroseledge.fleet import shard_of
+from primroseledge.operators.changes import Change
+from primroseledge.operators.changes import plan
+from primroseledge.operators.changes import require
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Placement
+from primroseledge.storage.documents import Pool
+from primroseledge.storage.documents import Service
 
 
 def add_instance(fleet: Fleet, instance: Instance) -> Change:
--- a/src/primroseledge/placing.py
+++ b/src/primroseledge/policy/placing.py
@@ -17,12 +17,12 @@
 from math import sqrt
 from typing import Final
 
-from primroseledge.documents import Instance
-from primroseledge.explain import Explanation
-from primroseledge.explain import Rule
 from primroseledge.ids import InstanceId
 from primroseledge.ids import RackId
-from primroseledge.job import Job
+from primroseledge.operators.explain import Explanation
+from primroseledge.operators.explain import Rule
+from primroseledge.policy.job import Job
+from primroseledge.storage.documents import Instance
 
 PRIOR_DEVIATION: Final = 0.7
 PRIOR_WEIGHT: Final = 2.0
--- a/src/primroseledge/plan.py
+++ b/src/primroseledge/policy/plan.py
@@ -16,14 +16,14 @@
 from msgspec.structs import replace
 
 from primroseledge.chart import load_chart
-from primroseledge.documents import Instance
-from primroseledge.documents import Service
 from primroseledge.errors import ChartError
 from primroseledge.errors import OperatorError
-from primroseledge.explain import Explanation
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
 from primroseledge.ids import Revision
+from primroseledge.operators.explain import Explanation
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Service
 
 PLANS_PREFIX: Final = 'plans/'
 
--- a/src/primroseledge/policystate.py
+++ b/src/primroseledge/policy/policystate.py
@@ -9,14 +9,14 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from primroseledge.explain import Explanation
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
-from primroseledge.job import Job
-from primroseledge.jobcontroller import JobReport
-from primroseledge.plan import StepReport
-from primroseledge.taskservice import InstanceStatus
-from primroseledge.taskservice import Life
+from primroseledge.operators.explain import Explanation
+from primroseledge.policy.job import Job
+from primroseledge.policy.jobcontroller import JobReport
+from primroseledge.policy.plan import StepReport
+from primroseledge.storage.taskservice import InstanceStatus
+from primroseledge.storage.taskservice import Life
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/sizing.py
+++ b/src/primroseledge/policy/sizing.py
@@ -14,15 +14,15 @@
 from math import ceil
 from typing import Final
 
-from primroseledge.explain import Explanation
-from primroseledge.explain import Rule
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
-from primroseledge.plan import IN_FLIGHT
-from primroseledge.plan import InstanceView
-from primroseledge.plan import Plan
-from primroseledge.plan import PoolView
-from primroseledge.plan import Step
+from primroseledge.operators.explain import Explanation
+from primroseledge.operators.explain import Rule
+from primroseledge.policy.plan import IN_FLIGHT
+from primroseledge.policy.plan import InstanceView
+from primroseledge.policy.plan import Plan
+from primroseledge.policy.plan import PoolView
+from primroseledge.policy.plan import Step
 
 SECONDS_PER_HOUR: Final = 3600.0
 MAX_SAMPLES: Final = 60
--- a/src/primroseledge/wave.py
+++ b/src/primroseledge/policy/wave.py
@@ -13,26 +13,26 @@
 
 from msgspec.structs import replace
 
-from primroseledge.explain import Explanation
-from primroseledge.explain import Rule
 from primroseledge.ids import InstanceId
-from primroseledge.plan import Action
-from primroseledge.plan import Decision
-from primroseledge.plan import ENDED
-from primroseledge.plan import FORWARD
-from primroseledge.plan import IN_FLIGHT
-from primroseledge.plan import InstanceView
-from primroseledge.plan import Kind
-from primroseledge.plan import move_wave
-from primroseledge.plan import operation_id
-from primroseledge.plan import Plan
-from primroseledge.plan import SETTLED
-from primroseledge.plan import Situation
-from primroseledge.plan import Step
-from primroseledge.plan import StepState
-from primroseledge.plan import Wave
-from primroseledge.plan import WaveSettings
-from primroseledge.plan import WaveState
+from primroseledge.operators.explain import Explanation
+from primroseledge.operators.explain import Rule
+from primroseledge.policy.plan import Action
+from primroseledge.policy.plan import Decision
+from primroseledge.policy.plan import ENDED
+from primroseledge.policy.plan import FORWARD
+from primroseledge.policy.plan import IN_FLIGHT
+from primroseledge.policy.plan import InstanceView
+from primroseledge.policy.plan import Kind
+from primroseledge.policy.plan import move_wave
+from primroseledge.policy.plan import operation_id
+from primroseledge.policy.plan import Plan
+from primroseledge.policy.plan import SETTLED
+from primroseledge.policy.plan import Situation
+from primroseledge.policy.plan import Step
+from primroseledge.policy.plan import StepState
+from primroseledge.policy.plan import Wave
+from primroseledge.policy.plan import WaveSettings
+from primroseledge.policy.plan import WaveState
 
 MAX_WIDTH: Final = 64
 
--- a/src/primroseledge/wavestatus.py
+++ b/src/primroseledge/policy/wavestatus.py
@@ -5,27 +5,27 @@
 from msgspec import json
 from msgspec import MsgspecError
 
-from primroseledge.connections import decode_explanations
-from primroseledge.console import Console
-from primroseledge.documents import Service
 from primroseledge.errors import OperatorError
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.fleet import Fleet
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
-from primroseledge.plan import ENDED
-from primroseledge.plan import FORWARD
-from primroseledge.plan import IN_FLIGHT
-from primroseledge.plan import Plan
-from primroseledge.plan import PLANS_PREFIX
-from primroseledge.plan import SETTLED
-from primroseledge.plan import Step
-from primroseledge.plan import Wave
-from primroseledge.plan import WaveState
-from primroseledge.rendering import Row
-from primroseledge.sizing import rounds
-from primroseledge.store import Store
-from primroseledge.wave import estimate_s
+from primroseledge.operators.connections import decode_explanations
+from primroseledge.operators.console import Console
+from primroseledge.operators.rendering import Row
+from primroseledge.policy.plan import ENDED
+from primroseledge.policy.plan import FORWARD
+from primroseledge.policy.plan import IN_FLIGHT
+from primroseledge.policy.plan import Plan
+from primroseledge.policy.plan import PLANS_PREFIX
+from primroseledge.policy.plan import SETTLED
+from primroseledge.policy.plan import Step
+from primroseledge.policy.plan import Wave
+from primroseledge.policy.plan import WaveState
+from primroseledge.policy.sizing import rounds
+from primroseledge.policy.wave import estimate_s
+from primroseledge.storage.documents import Service
+from primroseledge.storage.store import Store
 
 
 def find_plans(store: Store) -> dict[PoolId, Plan]:
--- /dev/null
+++ b/src/primroseledge/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: their entry, the dispatch by an owner, their ends."""
--- a/src/primroseledge/actions.py
+++ b/src/primroseledge/requests/actions.py
@@ -3,18 +3,18 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from primroseledge.events import Event
+from primroseledge.agreement.ownershipactions import ReadRecord
+from primroseledge.agreement.ownershipactions import WriteRecord
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import GrantId
 from primroseledge.ids import InstanceId
 from primroseledge.ids import RequestId
 from primroseledge.ids import TeamId
-from primroseledge.logs import FieldValue
-from primroseledge.messages import AnyMessage
-from primroseledge.outcomes import Reason
-from primroseledge.ownershipactions import ReadRecord
-from primroseledge.ownershipactions import WriteRecord
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import FieldValue
+from primroseledge.requests.messages import AnyMessage
+from primroseledge.requests.outcomes import Reason
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/admission.py
+++ b/src/primroseledge/requests/admission.py
@@ -4,20 +4,20 @@
 from dataclasses import field
 from typing import Final
 
-from primroseledge.actions import SendToEntry
-from primroseledge.configuration import Configuration
-from primroseledge.documents import Service
-from primroseledge.fairqueue import FairQueue
-from primroseledge.fairqueue import Waiting
+from primroseledge.agreement.configuration import Configuration
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import PoolId
 from primroseledge.ids import ServiceId
-from primroseledge.messages import Ask
-from primroseledge.messages import EndState
-from primroseledge.messages import Refuse
-from primroseledge.outcomes import Reason
-from primroseledge.runningwork import RunningWork
+from primroseledge.requests.actions import SendToEntry
+from primroseledge.requests.fairqueue import FairQueue
+from primroseledge.requests.fairqueue import Waiting
+from primroseledge.requests.messages import Ask
+from primroseledge.requests.messages import EndState
+from primroseledge.requests.messages import Refuse
+from primroseledge.requests.outcomes import Reason
+from primroseledge.requests.runningwork import RunningWork
+from primroseledge.storage.documents import Service
 
 MIN_RETRY_AFTER_S: Final = 1.0
 MAX_RETRY_AFTER_S: Final = 30.0
--- a/src/primroseledge/attemptend.py
+++ b/src/primroseledge/requests/attemptend.py
@@ -3,8 +3,8 @@
 from enum import Enum
 from typing import Final
 
-from primroseledge.messages import EndState
-from primroseledge.outcomes import Reason
+from primroseledge.requests.messages import EndState
+from primroseledge.requests.outcomes import Reason
 
 
 class AttemptEnd(Enum):
--- a/src/primroseledge/attempthistory.py
+++ b/src/primroseledge/requests/attempthistory.py
@@ -8,8 +8,8 @@
 from msgspec import structs
 
 from primroseledge.ids import GrantId
-from primroseledge.messages import Carried
-from primroseledge.messages import EndState
+from primroseledge.requests.messages import Carried
+from primroseledge.requests.messages import EndState
 
 HISTORY_S: Final = 600.0
 MAX_HISTORY: Final = 5_000
--- a/src/primroseledge/fairqueue.py
+++ b/src/primroseledge/requests/fairqueue.py
@@ -17,7 +17,7 @@
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.messages import Ask
+from primroseledge.requests.messages import Ask
 
 LaneKey = tuple[bool, EntryId]
 
--- a/src/primroseledge/grantledger.py
+++ b/src/primroseledge/requests/grantledger.py
@@ -12,9 +12,9 @@
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.messages import Carried
-from primroseledge.messages import EndState
-from primroseledge.messages import Grant
+from primroseledge.requests.messages import Carried
+from primroseledge.requests.messages import EndState
+from primroseledge.requests.messages import Grant
 
 
 @dataclass(slots=True)
--- a/src/primroseledge/httprequest.py
+++ b/src/primroseledge/requests/httprequest.py
@@ -9,13 +9,13 @@
 from uuid import UUID
 from uuid import uuid4
 
-from primroseledge.documents import NAME_PATTERN
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
-from primroseledge.outcomes import Reason
-from primroseledge.requestcheck import RequestHead
-from primroseledge.requestmemory import OWN_ID_PREFIX
+from primroseledge.requests.outcomes import Reason
+from primroseledge.requests.requestcheck import RequestHead
+from primroseledge.requests.requestmemory import OWN_ID_PREFIX
+from primroseledge.storage.documents import NAME_PATTERN
 
 Environ = dict[str, Any]
 
--- a/src/primroseledge/keyring.py
+++ b/src/primroseledge/requests/keyring.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from primroseledge.configuration import Configuration
-from primroseledge.documents import KeyRecord
+from primroseledge.agreement.configuration import Configuration
 from primroseledge.ids import KeyId
 from primroseledge.ids import Revision
 from primroseledge.ids import TeamId
-from primroseledge.keys import is_key_valid
-from primroseledge.keys import parse_key
+from primroseledge.storage.documents import KeyRecord
+from primroseledge.storage.keys import is_key_valid
+from primroseledge.storage.keys import parse_key
 
 
 @dataclass(slots=True)
--- a/src/primroseledge/limits.py
+++ b/src/primroseledge/requests/limits.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from primroseledge.configuration import Configuration
+from primroseledge.agreement.configuration import Configuration
 from primroseledge.ids import EntryId
 from primroseledge.ids import TeamId
 
--- a/src/primroseledge/messages.py
+++ b/src/primroseledge/requests/messages.py
@@ -23,7 +23,7 @@
 from primroseledge.ids import Revision
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.outcomes import Reason
+from primroseledge.requests.outcomes import Reason
 
 PROTOCOL_VERSION = 1
 MAX_MESSAGE_BYTES = 16_000_000
--- a/src/primroseledge/requestcheck.py
+++ b/src/primroseledge/requests/requestcheck.py
@@ -2,17 +2,17 @@
 
 from dataclasses import dataclass
 
-from primroseledge.configuration import Configuration
-from primroseledge.documents import Service
-from primroseledge.entry import Arrival
+from primroseledge.agreement.configuration import Configuration
 from primroseledge.ids import CellId
 from primroseledge.ids import KeyId
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.keyring import Keyring
-from primroseledge.keys import parse_key
-from primroseledge.outcomes import Reason
+from primroseledge.requests.entry import Arrival
+from primroseledge.requests.keyring import Keyring
+from primroseledge.requests.outcomes import Reason
+from primroseledge.storage.documents import Service
+from primroseledge.storage.keys import parse_key
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/requestmemory.py
+++ b/src/primroseledge/requests/requestmemory.py
@@ -11,8 +11,8 @@
 from typing import Final
 
 from primroseledge.ids import RequestId
-from primroseledge.messages import Remembered
-from primroseledge.outcomes import Reason
+from primroseledge.requests.messages import Remembered
+from primroseledge.requests.outcomes import Reason
 
 MAX_REMEMBERED: Final = 20_000
 """Bounds the memory; a report of it stays below the message limit."""
--- a/src/primroseledge/runningwork.py
+++ b/src/primroseledge/requests/runningwork.py
@@ -5,20 +5,20 @@
 from dataclasses import field
 
 from primroseledge.constants import RUN_MARGIN_S
-from primroseledge.grantledger import GrantLedger
-from primroseledge.grantledger import Running
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import GrantId
-from primroseledge.limits import TeamLimits
-from primroseledge.messages import Ask
-from primroseledge.messages import Carried
-from primroseledge.messages import EndState
-from primroseledge.messages import Handover
-from primroseledge.messages import Report
-from primroseledge.outcomes import Reason
-from primroseledge.requestmemory import RequestMemory
-from primroseledge.slots import Slots
+from primroseledge.requests.grantledger import GrantLedger
+from primroseledge.requests.grantledger import Running
+from primroseledge.requests.limits import TeamLimits
+from primroseledge.requests.messages import Ask
+from primroseledge.requests.messages import Carried
+from primroseledge.requests.messages import EndState
+from primroseledge.requests.messages import Handover
+from primroseledge.requests.messages import Report
+from primroseledge.requests.outcomes import Reason
+from primroseledge.requests.requestmemory import RequestMemory
+from primroseledge.requests.slots import Slots
 
 
 @dataclass(slots=True)
--- a/src/primroseledge/sharedistance.py
+++ b/src/primroseledge/requests/sharedistance.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping
 from collections.abc import Set
 
-from primroseledge.documents import Team
 from primroseledge.ids import TeamId
+from primroseledge.storage.documents import Team
 
 
 def measure_distances(
--- a/src/primroseledge/slots.py
+++ b/src/primroseledge/requests/slots.py
@@ -8,10 +8,10 @@
 from heapq import heappush
 from typing import Final
 
-from primroseledge.configuration import Configuration
-from primroseledge.documents import Instance
+from primroseledge.agreement.configuration import Configuration
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
+from primroseledge.storage.documents import Instance
 
 ZONE_SLACK_SLOTS: Final = 2
 """How many more free slots another zone must have to be preferred."""
--- a/src/primroseledge/upstreamhealth.py
+++ b/src/primroseledge/requests/upstreamhealth.py
@@ -4,15 +4,15 @@
 from dataclasses import field
 from typing import Final
 
-from primroseledge.configuration import Configuration
-from primroseledge.ejection import Ejection
-from primroseledge.ejection import may_eject
-from primroseledge.grantledger import Running
+from primroseledge.agreement.configuration import Configuration
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
-from primroseledge.messages import Done
-from primroseledge.messages import EndState
-from primroseledge.slots import Slots
+from primroseledge.requests.ejection import Ejection
+from primroseledge.requests.ejection import may_eject
+from primroseledge.requests.grantledger import Running
+from primroseledge.requests.messages import Done
+from primroseledge.requests.messages import EndState
+from primroseledge.requests.slots import Slots
 
 REFUSAL_PAUSE_S: Final = 0.1
 MAX_REFUSAL_PAUSE_S: Final = 2.0
--- /dev/null
+++ b/src/primroseledge/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings of an entry instance, and their checks."""
--- a/src/primroseledge/settings.py
+++ b/src/primroseledge/settings/settings.py
@@ -15,12 +15,12 @@
 from msgspec import Struct
 from msgspec import ValidationError
 
-from primroseledge.documents import KeyRecord
-from primroseledge.documents import NAME_PATTERN
 from primroseledge.errors import SettingsError
-from primroseledge.settingschecks import find_problems
-from primroseledge.settingserrors import explain_error
-from primroseledge.settingserrors import HIDDEN
+from primroseledge.settings.settingschecks import find_problems
+from primroseledge.settings.settingserrors import explain_error
+from primroseledge.settings.settingserrors import HIDDEN
+from primroseledge.storage.documents import KeyRecord
+from primroseledge.storage.documents import NAME_PATTERN
 
 
 class Section(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/primroseledge/settingschecks.py
+++ b/src/primroseledge/settings/settingschecks.py
@@ -9,10 +9,10 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
-from primroseledge.settingserrors import HIDDEN
+from primroseledge.settings.settingserrors import HIDDEN
 
 if TYPE_CHECKING:
-    from primroseledge.settings import Settings
+    from primroseledge.settings.settings import Settings
 
 ANY_PORT: Final = 0
 
--- a/src/primroseledge/keys.py
+++ b/src/primroseledge/storage/keys.py
@@ -15,8 +15,8 @@
 from secrets import token_hex
 from typing import Final
 
-from primroseledge.documents import KeyRecord
 from primroseledge.ids import KeyId
+from primroseledge.storage.documents import KeyRecord
 
 KEY_ID_BYTES: Final = 6
 SECRET_BYTES: Final = 32
--- a/src/primroseledge/records.py
+++ b/src/primroseledge/storage/records.py
@@ -13,8 +13,8 @@
 from primroseledge.errors import StoreUnavailableError
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.store import Record
-from primroseledge.store import Store
+from primroseledge.storage.store import Record
+from primroseledge.storage.store import Store
 
 MAX_READ_BACKS: Final = 3
 MISSING: Final = Revision(0)
--- a/src/primroseledge/storeclient.py
+++ b/src/primroseledge/storage/storeclient.py
@@ -16,12 +16,12 @@
 from primroseledge.errors import StoreUnavailableError
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.jsoncall import JsonCaller
-from primroseledge.jsoncall import LostAnswerError
-from primroseledge.jsoncall import NotReachedError
-from primroseledge.jsoncall import StatusError
-from primroseledge.store import Record
-from primroseledge.store import Snapshot
+from primroseledge.storage.jsoncall import JsonCaller
+from primroseledge.storage.jsoncall import LostAnswerError
+from primroseledge.storage.jsoncall import NotReachedError
+from primroseledge.storage.jsoncall import StatusError
+from primroseledge.storage.store import Record
+from primroseledge.storage.store import Snapshot
 
 CONFLICT: Final = 409
 NOT_ALLOWED: Final = (401, 403)
--- a/src/primroseledge/taskserviceclient.py
+++ b/src/primroseledge/storage/taskserviceclient.py
@@ -10,16 +10,16 @@
 from msgspec import to_builtins
 
 from primroseledge.ids import InstanceId
-from primroseledge.jsoncall import JsonCaller
-from primroseledge.jsoncall import LostAnswerError
-from primroseledge.jsoncall import NotReachedError
-from primroseledge.jsoncall import StatusError
-from primroseledge.taskservice import InstanceStatus
-from primroseledge.taskservice import PlatformError
-from primroseledge.taskservice import PlatformOutcomeUnknownError
-from primroseledge.taskservice import PlatformUnavailableError
-from primroseledge.taskservice import TaskSpec
-from primroseledge.taskservice import TaskStatus
+from primroseledge.storage.jsoncall import JsonCaller
+from primroseledge.storage.jsoncall import LostAnswerError
+from primroseledge.storage.jsoncall import NotReachedError
+from primroseledge.storage.jsoncall import StatusError
+from primroseledge.storage.taskservice import InstanceStatus
+from primroseledge.storage.taskservice import PlatformError
+from primroseledge.storage.taskservice import PlatformOutcomeUnknownError
+from primroseledge.storage.taskservice import PlatformUnavailableError
+from primroseledge.storage.taskservice import TaskSpec
+from primroseledge.storage.taskservice import TaskStatus
 
 AnswerT = TypeVar('AnswerT', bound=Struct)
 
--- a/standins/operator.py
+++ b/standins/operator.py
@@ -9,7 +9,7 @@
 
 from msgspec import json
 
-from primroseledge.documents import encode_document
+from primroseledge.storage.documents import encode_document
 from standins.deployment import Deployment
 from standins.deployment import SERVICE
 from standins.deployment import SLOTS
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,13 +11,13 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.taskservice import InstanceStatus
-from primroseledge.taskservice import Life
-from primroseledge.taskservice import PlatformOutcomeUnknownError
-from primroseledge.taskservice import PlatformUnavailableError
-from primroseledge.taskservice import TaskSpec
-from primroseledge.taskservice import TaskState
-from primroseledge.taskservice import TaskStatus
+from primroseledge.storage.taskservice import InstanceStatus
+from primroseledge.storage.taskservice import Life
+from primroseledge.storage.taskservice import PlatformOutcomeUnknownError
+from primroseledge.storage.taskservice import PlatformUnavailableError
+from primroseledge.storage.taskservice import TaskSpec
+from primroseledge.storage.taskservice import TaskState
+from primroseledge.storage.taskservice import TaskStatus
 
 
 @dataclass(slots=True)
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -20,9 +20,9 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.taskservice import PlatformOutcomeUnknownError
-from primroseledge.taskservice import PlatformUnavailableError
-from primroseledge.taskservice import TaskSpec
+from primroseledge.storage.taskservice import PlatformOutcomeUnknownError
+from primroseledge.storage.taskservice import PlatformUnavailableError
+from primroseledge.storage.taskservice import TaskSpec
 from standins.httpapp import Handler
 from standins.httpapp import HttpError
 from standins.httpapp import JsonApplication
--- a/standins/soakfleet.py
+++ b/standins/soakfleet.py
@@ -18,16 +18,16 @@
 from urllib3.poolmanager import PoolManager
 from urllib3.util import Timeout
 
-from primroseledge.documents import document_key
-from primroseledge.documents import Instance
-from primroseledge.documents import KeyRecord
-from primroseledge.documents import Members
-from primroseledge.documents import Placement
-from primroseledge.documents import Pool
-from primroseledge.documents import Service
-from primroseledge.documents import Team
-from primroseledge.keys import generate_key
-from primroseledge.storeclient import open_store
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import KeyRecord
+from primroseledge.storage.documents import Members
+from primroseledge.storage.documents import Placement
+from primroseledge.storage.documents import Pool
+from primroseledge.storage.documents import Service
+from primroseledge.storage.documents import Team
+from primroseledge.storage.keys import generate_key
+from primroseledge.storage.storeclient import open_store
 from standins.deployment import put
 from standins.deployment import url_of
 from standins.processes import entry_settings
--- a/tests/agreement_fleet.py
+++ b/tests/agreement_fleet.py
@@ -13,17 +13,17 @@
 from random import Random
 from typing import Any
 
-from primroseledge.configuration import MEMBERS_KEY
-from primroseledge.documents import CONFIG_PREFIX
-from primroseledge.documents import encode_document
-from primroseledge.documents import Members
+from primroseledge.agreement.configuration import MEMBERS_KEY
+from primroseledge.agreement.ownerstate import OwnerState
 from primroseledge.errors import ConflictError
 from primroseledge.ids import EntryId
 from primroseledge.ids import GrantId
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.ownerstate import OwnerState
+from primroseledge.storage.documents import CONFIG_PREFIX
+from primroseledge.storage.documents import encode_document
+from primroseledge.storage.documents import Members
 from tests.agreement_node import LIMIT
 from tests.agreement_node import Node
 from tests.agreement_store import MemoryStore
--- a/tests/agreement_store.py
+++ b/tests/agreement_store.py
@@ -5,8 +5,8 @@
 from primroseledge.errors import ConflictError
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.store import Record
-from primroseledge.store import Snapshot
+from primroseledge.storage.store import Record
+from primroseledge.storage.store import Snapshot
 
 
 class MemoryStore:
--- a/tests/fakeconnections.py
+++ b/tests/fakeconnections.py
@@ -12,7 +12,7 @@
 
 from primroseledge.cli import main
 from primroseledge.errors import UnreachableError
-from primroseledge.store import Store
+from primroseledge.storage.store import Store
 from tests.fakestore import FakeStore
 
 STORE_URL: Final = 'http://store'
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -8,8 +8,8 @@
 from primroseledge.errors import StoreUnavailableError
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.store import Record
-from primroseledge.store import Snapshot
+from primroseledge.storage.store import Record
+from primroseledge.storage.store import Snapshot
 
 DOWN = 'down'
 LOST_BEFORE = 'lost before the write'
--- a/tests/jobworld.py
+++ b/tests/jobworld.py
@@ -4,19 +4,19 @@
 
 from msgspec import json
 
-from primroseledge.documents import Instance
-from primroseledge.documents import Team
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
 from primroseledge.ids import TeamId
 from primroseledge.ids import WriteId
-from primroseledge.job import Job
-from primroseledge.job import job_key
-from primroseledge.job import JOBS_PREFIX
-from primroseledge.jobadmission import JobInput
-from primroseledge.jobcontroller import JobController
-from primroseledge.records import Records
-from primroseledge.taskservice import TaskState
+from primroseledge.policy.job import Job
+from primroseledge.policy.job import job_key
+from primroseledge.policy.job import JOBS_PREFIX
+from primroseledge.policy.jobadmission import JobInput
+from primroseledge.policy.jobcontroller import JobController
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Team
+from primroseledge.storage.records import Records
+from primroseledge.storage.taskservice import TaskState
 from standins.platform import Machine
 from standins.platform import PlatformCore
 from standins.platform import Program
--- a/tests/requests_records.py
+++ b/tests/requests_records.py
@@ -4,25 +4,25 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from primroseledge.dispatcher import Dispatcher
-from primroseledge.documents import document_key
-from primroseledge.documents import encode_document
-from primroseledge.documents import Instance
-from primroseledge.documents import Members
-from primroseledge.documents import Placement
-from primroseledge.documents import Pool
-from primroseledge.documents import Service
-from primroseledge.documents import Team
-from primroseledge.entry import Arrival
-from primroseledge.entry import EntryCore
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import RequestId
 from primroseledge.ids import Revision
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.messages import ConfigChange
-from primroseledge.messages import ConfigDelta
+from primroseledge.requests.dispatcher import Dispatcher
+from primroseledge.requests.entry import Arrival
+from primroseledge.requests.entry import EntryCore
+from primroseledge.requests.messages import ConfigChange
+from primroseledge.requests.messages import ConfigDelta
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import encode_document
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Members
+from primroseledge.storage.documents import Placement
+from primroseledge.storage.documents import Pool
+from primroseledge.storage.documents import Service
+from primroseledge.storage.documents import Team
 
 CELL = CellId('main')
 SERVICE = ServiceId('bulletin')
--- a/tests/specification.py
+++ b/tests/specification.py
@@ -12,9 +12,9 @@
 
 from minicheck import Protocol
 
+from primroseledge.agreement.epochevidence import EpochEvidence
+from primroseledge.agreement.freshness import majority
 from primroseledge.chart import load_chart
-from primroseledge.epochevidence import EpochEvidence
-from primroseledge.freshness import majority
 from primroseledge.ids import EntryId
 
 NODES: Final = (0, 1, 2)
--- a/tests/specification_views.py
+++ b/tests/specification_views.py
@@ -13,14 +13,14 @@
 
 from minicheck import Protocol
 
-from primroseledge.configuration import create_configuration
-from primroseledge.freshness import is_fresh
-from primroseledge.freshness import majority
-from primroseledge.freshness import NEVER
-from primroseledge.freshness import View
+from primroseledge.agreement.configuration import create_configuration
+from primroseledge.agreement.freshness import is_fresh
+from primroseledge.agreement.freshness import majority
+from primroseledge.agreement.freshness import NEVER
+from primroseledge.agreement.freshness import View
 from primroseledge.ids import EntryId
 from primroseledge.ids import Revision
-from primroseledge.messages import ConfigDelta
+from primroseledge.requests.messages import ConfigDelta
 
 NODES: Final = (0, 1, 2)
 MEMBERS: Final = tuple(EntryId(str(node)) for node in NODES)
--- a/tests/test_agreement_cores.py
+++ b/tests/test_agreement_cores.py
@@ -2,15 +2,19 @@
 
 from unittest import TestCase
 
-from primroseledge.configuration import create_configuration
-from primroseledge.configuration import HISTORY_LENGTH
-from primroseledge.configuration import snapshot_delta
-from primroseledge.fanout import FLAT_LIMIT
-from primroseledge.fanout import GROUP_SIZE
-from primroseledge.fanout import heartbeat_peers
-from primroseledge.freshness import create_freshness
-from primroseledge.freshness import Evidence
-from primroseledge.freshness import NEVER
+from primroseledge.agreement.configuration import create_configuration
+from primroseledge.agreement.configuration import HISTORY_LENGTH
+from primroseledge.agreement.configuration import snapshot_delta
+from primroseledge.agreement.fanout import FLAT_LIMIT
+from primroseledge.agreement.fanout import GROUP_SIZE
+from primroseledge.agreement.fanout import heartbeat_peers
+from primroseledge.agreement.freshness import create_freshness
+from primroseledge.agreement.freshness import Evidence
+from primroseledge.agreement.freshness import NEVER
+from primroseledge.agreement.membership import ChangeKind
+from primroseledge.agreement.membership import create_membership
+from primroseledge.agreement.ownerrecord import OwnerRecord
+from primroseledge.agreement.takeover import Takeover
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
@@ -18,17 +22,13 @@
 from primroseledge.ids import Revision
 from primroseledge.ids import TeamId
 from primroseledge.ids import WriteId
-from primroseledge.membership import ChangeKind
-from primroseledge.membership import create_membership
-from primroseledge.messages import ConfigChange
-from primroseledge.messages import ConfigDelta
-from primroseledge.messages import Echo
-from primroseledge.messages import Heartbeat
-from primroseledge.messages import Report
-from primroseledge.ownerrecord import OwnerRecord
-from primroseledge.store import Record
-from primroseledge.store import Snapshot
-from primroseledge.takeover import Takeover
+from primroseledge.requests.messages import ConfigChange
+from primroseledge.requests.messages import ConfigDelta
+from primroseledge.requests.messages import Echo
+from primroseledge.requests.messages import Heartbeat
+from primroseledge.requests.messages import Report
+from primroseledge.storage.store import Record
+from primroseledge.storage.store import Snapshot
 
 A, B, C = EntryId('a'), EntryId('b'), EntryId('c')
 MEMBERS = (A, B, C)
--- a/tests/test_agreement_faults.py
+++ b/tests/test_agreement_faults.py
@@ -2,11 +2,11 @@
 
 from unittest import TestCase
 
-from primroseledge.freshness import Evidence
+from primroseledge.agreement.freshness import Evidence
+from primroseledge.agreement.ownerstate import OwnerState
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
-from primroseledge.messages import ReportRequest
-from primroseledge.ownerstate import OwnerState
+from primroseledge.requests.messages import ReportRequest
 from tests.agreement_fleet import Fleet
 from tests.agreement_node import CELL
 from tests.agreement_node import Node
--- a/tests/test_agreement_fuzz.py
+++ b/tests/test_agreement_fuzz.py
@@ -13,10 +13,10 @@
 from hypothesis.strategies import sampled_from
 from hypothesis.strategies import sets
 
-from primroseledge.configuration import MEMBERS_KEY
-from primroseledge.documents import decode_document
+from primroseledge.agreement.configuration import MEMBERS_KEY
 from primroseledge.errors import DocumentError
 from primroseledge.ids import EntryId
+from primroseledge.storage.documents import decode_document
 from tests.agreement_fleet import Fleet
 from tests.agreement_node import Node
 from tests.agreement_node import RATE_SPREAD
--- a/tests/test_applying.py
+++ b/tests/test_applying.py
@@ -6,23 +6,23 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from primroseledge.applying import Applied
-from primroseledge.applying import apply_change
-from primroseledge.applying import Author
-from primroseledge.applying import MAX_SENDS
-from primroseledge.applying import Result
-from primroseledge.changes import set_team
-from primroseledge.documents import encode_document
-from primroseledge.documents import Team
 from primroseledge.fleet import read_fleet
-from primroseledge.history import chain
-from primroseledge.history import encode_entry
-from primroseledge.history import history_key
-from primroseledge.history import history_prefix
-from primroseledge.history import HistoryEntry
-from primroseledge.history import read_entries
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
+from primroseledge.operators.applying import Applied
+from primroseledge.operators.applying import apply_change
+from primroseledge.operators.applying import Author
+from primroseledge.operators.applying import MAX_SENDS
+from primroseledge.operators.applying import Result
+from primroseledge.operators.changes import set_team
+from primroseledge.operators.history import chain
+from primroseledge.operators.history import encode_entry
+from primroseledge.operators.history import history_key
+from primroseledge.operators.history import history_prefix
+from primroseledge.operators.history import HistoryEntry
+from primroseledge.operators.history import read_entries
+from primroseledge.storage.documents import encode_document
+from primroseledge.storage.documents import Team
 from tests.fakestore import DOWN
 from tests.fakestore import FakeStore
 from tests.fakestore import FINE
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -7,17 +7,17 @@
 from time import sleep
 from unittest import TestCase
 
-from primroseledge.actions import RefuseCall
-from primroseledge.carrier import Carrier
-from primroseledge.httprequest import RequestLimits
-from primroseledge.httpserver import Application
-from primroseledge.httpserver import AttemptReport
-from primroseledge.httpserver import create_server
-from primroseledge.httpserver import MIN_ACCEPTED_QUEUE
-from primroseledge.httpserver import PageBody
-from primroseledge.httpserver import ServerCall
-from primroseledge.outcomes import Reason
-from primroseledge.stricthttp import rejections
+from primroseledge.gateway.carrier import Carrier
+from primroseledge.gateway.httpserver import Application
+from primroseledge.gateway.httpserver import AttemptReport
+from primroseledge.gateway.httpserver import create_server
+from primroseledge.gateway.httpserver import MIN_ACCEPTED_QUEUE
+from primroseledge.gateway.httpserver import PageBody
+from primroseledge.gateway.httpserver import ServerCall
+from primroseledge.gateway.stricthttp import rejections
+from primroseledge.requests.actions import RefuseCall
+from primroseledge.requests.httprequest import RequestLimits
+from primroseledge.requests.outcomes import Reason
 
 LINE = 'POST /services/bulletin/work HTTP/1.1\r\nHost: a\r\n'
 LENGTH = 'Content-Length: 3\r\n'
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,18 +1,18 @@
 import unittest
 
-from primroseledge.budget import add_claim
-from primroseledge.budget import add_failures
-from primroseledge.budget import check_claim
-from primroseledge.budget import FailureWindow
-from primroseledge.budget import Ledger
-from primroseledge.budget import release_claim
-from primroseledge.documents import Budget
-from primroseledge.explain import explain
-from primroseledge.explain import Explanation
-from primroseledge.explain import REMEDIES
-from primroseledge.explain import Rule
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ZoneId
+from primroseledge.operators.explain import explain
+from primroseledge.operators.explain import Explanation
+from primroseledge.operators.explain import REMEDIES
+from primroseledge.operators.explain import Rule
+from primroseledge.policy.budget import add_claim
+from primroseledge.policy.budget import add_failures
+from primroseledge.policy.budget import check_claim
+from primroseledge.policy.budget import FailureWindow
+from primroseledge.policy.budget import Ledger
+from primroseledge.policy.budget import release_claim
+from primroseledge.storage.documents import Budget
 
 A, B, C = (InstanceId(name) for name in 'abc')
 Z1, Z2 = ZoneId('z1'), ZoneId('z2')
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -6,37 +6,37 @@
 
 from msgspec.structs import replace
 
-from primroseledge.changes import apply_service
-from primroseledge.changes import Change
-from primroseledge.changes import delete_team
-from primroseledge.changes import give_key
-from primroseledge.changes import set_pool
-from primroseledge.changes import set_team
-from primroseledge.changes import withdraw_key
-from primroseledge.diffs import diff_documents
-from primroseledge.documents import Document
-from primroseledge.documents import encode_document
-from primroseledge.documents import Instance
-from primroseledge.documents import Placement
-from primroseledge.documents import Service
-from primroseledge.documents import Team
+from primroseledge.agreement.freshness import majority
+from primroseledge.agreement.membershipchanges import do_majorities_meet
+from primroseledge.agreement.membershipchanges import set_members
 from primroseledge.errors import DocumentError
 from primroseledge.errors import OperatorError
 from primroseledge.fleet import Fleet
 from primroseledge.fleet import read_fleet
 from primroseledge.fleet import shard_of
-from primroseledge.freshness import majority
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.keys import generate_key
-from primroseledge.membershipchanges import do_majorities_meet
-from primroseledge.membershipchanges import set_members
-from primroseledge.placementchanges import add_instance
-from primroseledge.placementchanges import move_instance
-from primroseledge.placementchanges import review_drain
-from primroseledge.placementchanges import set_draining
-from primroseledge.store import Record
-from primroseledge.store import Snapshot
+from primroseledge.operators.changes import apply_service
+from primroseledge.operators.changes import Change
+from primroseledge.operators.changes import delete_team
+from primroseledge.operators.changes import give_key
+from primroseledge.operators.changes import set_pool
+from primroseledge.operators.changes import set_team
+from primroseledge.operators.changes import withdraw_key
+from primroseledge.operators.diffs import diff_documents
+from primroseledge.policy.placementchanges import add_instance
+from primroseledge.policy.placementchanges import move_instance
+from primroseledge.policy.placementchanges import review_drain
+from primroseledge.policy.placementchanges import set_draining
+from primroseledge.storage.documents import Document
+from primroseledge.storage.documents import encode_document
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Placement
+from primroseledge.storage.documents import Service
+from primroseledge.storage.documents import Team
+from primroseledge.storage.keys import generate_key
+from primroseledge.storage.store import Record
+from primroseledge.storage.store import Snapshot
 
 SERVICE = Service(id='copper', team='sales', pool='copper')
 
--- a/tests/test_chart.py
+++ b/tests/test_chart.py
@@ -2,10 +2,10 @@
 
 from unittest import TestCase
 
+from primroseledge.agreement.membership import PeerState
+from primroseledge.agreement.ownerstate import OwnerState
 from primroseledge.chart import load_chart
 from primroseledge.errors import ChartError
-from primroseledge.membership import PeerState
-from primroseledge.ownerstate import OwnerState
 from tools.charts import main
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,12 +9,12 @@
 from msgspec import json
 
 from primroseledge.cli import main
-from primroseledge.documents import encode_document
-from primroseledge.documents import Service
-from primroseledge.documents import Team
 from primroseledge.fleet import read_fleet
-from primroseledge.keys import find_valid_key
-from primroseledge.placementchanges import set_draining
+from primroseledge.policy.placementchanges import set_draining
+from primroseledge.storage.documents import encode_document
+from primroseledge.storage.documents import Service
+from primroseledge.storage.documents import Team
+from primroseledge.storage.keys import find_valid_key
 from tests.fakeconnections import FakeConnections
 from tests.fakestore import LOST_AFTER
 from tests.fakestore import LOST_BEFORE
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from primroseledge.documents import decode_document
 from primroseledge.errors import DocumentError
+from primroseledge.storage.documents import decode_document
 
 
 class DocumentTest(unittest.TestCase):
--- a/tests/test_inquiry.py
+++ b/tests/test_inquiry.py
@@ -5,14 +5,10 @@
 
 from msgspec import json
 
-from primroseledge.dispatcher import create_dispatcher
-from primroseledge.documents import Instance
-from primroseledge.documents import Pool
-from primroseledge.documents import Service
-from primroseledge.documents import Team
-from primroseledge.entry import Arrival
-from primroseledge.explain import Explanation
-from primroseledge.explain import Rule
+from primroseledge.agreement.membership import Timing
+from primroseledge.gateway.node import create_node
+from primroseledge.gateway.node import Node
+from primroseledge.gateway.pages import Pages
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
@@ -24,20 +20,24 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
 from primroseledge.ids import ZoneId
-from primroseledge.inquiry import find_answers
-from primroseledge.inquiry import Inquiry
-from primroseledge.job import Job
-from primroseledge.jobcontroller import JobReport
-from primroseledge.keys import generate_key
-from primroseledge.membership import Timing
-from primroseledge.messages import Carried
-from primroseledge.messages import EndState
-from primroseledge.metrics import create_metrics
-from primroseledge.node import create_node
-from primroseledge.node import Node
-from primroseledge.pages import Pages
-from primroseledge.plan import StepReport
-from primroseledge.policystate import ControlNews
+from primroseledge.observability.metrics import create_metrics
+from primroseledge.operators.explain import Explanation
+from primroseledge.operators.explain import Rule
+from primroseledge.operators.inquiry import find_answers
+from primroseledge.operators.inquiry import Inquiry
+from primroseledge.policy.job import Job
+from primroseledge.policy.jobcontroller import JobReport
+from primroseledge.policy.plan import StepReport
+from primroseledge.policy.policystate import ControlNews
+from primroseledge.requests.dispatcher import create_dispatcher
+from primroseledge.requests.entry import Arrival
+from primroseledge.requests.messages import Carried
+from primroseledge.requests.messages import EndState
+from primroseledge.storage.documents import Instance
+from primroseledge.storage.documents import Pool
+from primroseledge.storage.documents import Service
+from primroseledge.storage.documents import Team
+from primroseledge.storage.keys import generate_key
 
 ME = EntryId('entry-0')
 MAIN = CellId('main')
--- a/tests/test_job_fuzz.py
+++ b/tests/test_job_fuzz.py
@@ -14,9 +14,9 @@
 from primroseledge.errors import OperatorError
 from primroseledge.errors import StoreError
 from primroseledge.ids import InstanceId
-from primroseledge.job import ENDED
-from primroseledge.job import Job
-from primroseledge.jobcontroller import JobController
+from primroseledge.policy.job import ENDED
+from primroseledge.policy.job import Job
+from primroseledge.policy.jobcontroller import JobController
 from standins.platform import Program
 from tests.jobworld import JobWorld
 from tests.policyfake import CrashError
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -5,13 +5,13 @@
 
 from msgspec.structs import replace
 
-from primroseledge.documents import encode_document
-from primroseledge.documents import Team
-from primroseledge.keys import find_valid_key
-from primroseledge.keys import generate_key
-from primroseledge.keys import is_key_valid
-from primroseledge.keys import is_operator
-from primroseledge.keys import parse_key
+from primroseledge.storage.documents import encode_document
+from primroseledge.storage.documents import Team
+from primroseledge.storage.keys import find_valid_key
+from primroseledge.storage.keys import generate_key
+from primroseledge.storage.keys import is_key_valid
+from primroseledge.storage.keys import is_operator
+from primroseledge.storage.keys import parse_key
 
 
 class KeysTest(unittest.TestCase):
@@ -38,7 +38,7 @@
         self.assertFalse(is_operator((), f'Bearer {text}'))
 
     def test_salt_makes_equal_secrets_differ(self) -> None:
-        with patch('primroseledge.keys.token_hex', return_value='ab'):
+        with patch('primroseledge.storage.keys.token_hex', return_value='ab'):
             _, first = generate_key()
             _, second = generate_key()
         self.assertNotEqual(first.digest, second.digest)
@@ -59,7 +59,7 @@
 
     def test_comparison_is_in_constant_time(self) -> None:
         text, record = generate_key()
-        with patch('primroseledge.keys.compare_digest') as compare:
+        with patch('primroseledge.storage.keys.compare_digest') as compare:
             is_key_valid(record, text)
         compare.assert_called_once()
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -5,11 +5,11 @@
 
 from msgspec import json
 
-from primroseledge.events import Event
-from primroseledge.keys import generate_key
-from primroseledge.logs import configure
-from primroseledge.logs import log
-from primroseledge.logs import LOGGER
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import configure
+from primroseledge.observability.logs import log
+from primroseledge.observability.logs import LOGGER
+from primroseledge.storage.keys import generate_key
 
 
 class LogsTest(unittest.TestCase):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -6,10 +6,10 @@
 from primroseledge.ids import PoolId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.metrics import create_metrics
-from primroseledge.metrics import Direction
-from primroseledge.outcomes import Outcome
-from primroseledge.outcomes import Reason
+from primroseledge.observability.metrics import create_metrics
+from primroseledge.observability.metrics import Direction
+from primroseledge.requests.outcomes import Outcome
+from primroseledge.requests.outcomes import Reason
 
 COPPER = ServiceId('copper')
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,16 +2,10 @@
 
 import unittest
 
-from primroseledge.actions import Action
-from primroseledge.actions import RefuseCall
-from primroseledge.actions import SendToEntry
-from primroseledge.actions import StartAttempt
-from primroseledge.documents import document_key
-from primroseledge.documents import encode_document
-from primroseledge.documents import Members
-from primroseledge.documents import Service
-from primroseledge.documents import Team
-import primroseledge.handlers  # noqa: F401  its handlers register
+from primroseledge.agreement.membership import Timing
+from primroseledge.agreement.ownerrecord import OwnerRecord
+from primroseledge.agreement.ownershipactions import ReadRecord
+from primroseledge.gateway.node import create_node
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import GrantId
@@ -21,25 +15,31 @@
 from primroseledge.ids import Revision
 from primroseledge.ids import ServiceId
 from primroseledge.ids import ZoneId
-from primroseledge.keys import generate_key
-from primroseledge.membership import Timing
-from primroseledge.messages import AnyMessage
-from primroseledge.messages import Ask
-from primroseledge.messages import ConfigChange
-from primroseledge.messages import ConfigDelta
-from primroseledge.messages import Echo
-from primroseledge.messages import Envelope
-from primroseledge.messages import Grant
-from primroseledge.messages import Handover
-from primroseledge.messages import Heartbeat
-from primroseledge.messages import PROTOCOL_VERSION
-from primroseledge.messages import Report
-from primroseledge.messages import ReportRequest
-from primroseledge.node import create_node
-from primroseledge.outcomes import Reason
-from primroseledge.ownerrecord import OwnerRecord
-from primroseledge.ownershipactions import ReadRecord
-from primroseledge.requestcheck import RequestHead
+from primroseledge.requests.actions import Action
+from primroseledge.requests.actions import RefuseCall
+from primroseledge.requests.actions import SendToEntry
+from primroseledge.requests.actions import StartAttempt
+import primroseledge.requests.handlers  # noqa: F401  its handlers register
+from primroseledge.requests.messages import AnyMessage
+from primroseledge.requests.messages import Ask
+from primroseledge.requests.messages import ConfigChange
+from primroseledge.requests.messages import ConfigDelta
+from primroseledge.requests.messages import Echo
+from primroseledge.requests.messages import Envelope
+from primroseledge.requests.messages import Grant
+from primroseledge.requests.messages import Handover
+from primroseledge.requests.messages import Heartbeat
+from primroseledge.requests.messages import PROTOCOL_VERSION
+from primroseledge.requests.messages import Report
+from primroseledge.requests.messages import ReportRequest
+from primroseledge.requests.outcomes import Reason
+from primroseledge.requests.requestcheck import RequestHead
+from primroseledge.storage.documents import document_key
+from primroseledge.storage.documents import encode_document
+from primroseledge.storage.documents import Members
+from primroseledge.storage.documents import Service
+from primroseledge.storage.documents import Team
+from primroseledge.storage.keys import generate_key
 
 ME = EntryId('a')
 OWNER = EntryId('b')
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -7,16 +7,16 @@
 from zmq import curve_keypair
 from zmq import DEALER
 
+from primroseledge.gateway.peerlink import open_link
+from primroseledge.gateway.peerlink import PeerLink
 from primroseledge.ids import EntryId
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
-from primroseledge.messages import ConfigPull
-from primroseledge.messages import encode
-from primroseledge.messages import Envelope
-from primroseledge.messages import PROTOCOL_VERSION
-from primroseledge.peerlink import open_link
-from primroseledge.peerlink import PeerLink
-from primroseledge.settings import Curve
+from primroseledge.requests.messages import ConfigPull
+from primroseledge.requests.messages import encode
+from primroseledge.requests.messages import Envelope
+from primroseledge.requests.messages import PROTOCOL_VERSION
+from primroseledge.settings.settings import Curve
 from standins.processes import free_port
 
 A = EntryId('a')
--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -5,13 +5,13 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.taskservice import InstanceService
-from primroseledge.taskservice import PlatformOutcomeUnknownError
-from primroseledge.taskservice import PlatformUnavailableError
-from primroseledge.taskservice import TaskService
-from primroseledge.taskservice import TaskSpec
-from primroseledge.taskservice import TaskState
-from primroseledge.taskserviceclient import HttpPlatform
+from primroseledge.storage.taskservice import InstanceService
+from primroseledge.storage.taskservice import PlatformOutcomeUnknownError
+from primroseledge.storage.taskservice import PlatformUnavailableError
+from primroseledge.storage.taskservice import TaskService
+from primroseledge.storage.taskservice import TaskSpec
+from primroseledge.storage.taskservice import TaskState
+from primroseledge.storage.taskserviceclient import HttpPlatform
 from standins.httpapp import create_server
 from standins.platform import Machine
 from standins.platform import PlatformCore
--- a/tests/test_platformserver.py
+++ b/tests/test_platformserver.py
@@ -8,14 +8,14 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.taskservice import Life
-from primroseledge.taskservice import PlatformError
-from primroseledge.taskservice import PlatformOutcomeUnknownError
-from primroseledge.taskservice import PlatformUnavailableError
-from primroseledge.taskservice import TaskSpec
-from primroseledge.taskservice import TaskState
-from primroseledge.taskserviceclient import HttpPlatform
-from primroseledge.taskserviceclient import open_platform
+from primroseledge.storage.taskservice import Life
+from primroseledge.storage.taskservice import PlatformError
+from primroseledge.storage.taskservice import PlatformOutcomeUnknownError
+from primroseledge.storage.taskservice import PlatformUnavailableError
+from primroseledge.storage.taskservice import TaskSpec
+from primroseledge.storage.taskservice import TaskState
+from primroseledge.storage.taskserviceclient import HttpPlatform
+from primroseledge.storage.taskserviceclient import open_platform
 from standins.httpapp import create_server
 from standins.platform import PlatformCore
 from standins.platformserver import PlatformService
--- a/tests/test_pool_fuzz.py
+++ b/tests/test_pool_fuzz.py
@@ -13,11 +13,11 @@
 from primroseledge.errors import OperatorError
 from primroseledge.errors import StoreError
 from primroseledge.ids import InstanceId
-from primroseledge.operators import command_wave
-from primroseledge.operators import start_pool_wave
-from primroseledge.plan import ENDED
-from primroseledge.plan import MoveRequest
-from primroseledge.plan import WaveState
+from primroseledge.operators.operators import command_wave
+from primroseledge.operators.operators import start_pool_wave
+from primroseledge.policy.plan import ENDED
+from primroseledge.policy.plan import MoveRequest
+from primroseledge.policy.plan import WaveState
 from tests.policyfake import CrashError
 from tests.policyworld import OTHER
 from tests.policyworld import PolicyWorld
--- a/tests/test_pool_pause.py
+++ b/tests/test_pool_pause.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 import unittest
 
-from primroseledge.operators import command_wave
-from primroseledge.operators import start_pool_wave
-from primroseledge.plan import WaveState
-from primroseledge.poolcontroller import PoolController
+from primroseledge.operators.operators import command_wave
+from primroseledge.operators.operators import start_pool_wave
+from primroseledge.policy.plan import WaveState
+from primroseledge.policy.poolcontroller import PoolController
 from tests.policyworld import PolicyWorld
 from tests.policyworld import POOL
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -4,7 +4,7 @@
 from primroseledge.errors import StoreOutcomeUnknownError
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.records import Records
+from primroseledge.storage.records import Records
 from tests.policyfake import FakeStore
 
 
--- a/tests/test_requesttrace.py
+++ b/tests/test_requesttrace.py
@@ -10,9 +10,9 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
-from primroseledge.requesttrace import RequestTrace
-from primroseledge.settings import Trace
-from primroseledge.trace import create_tracing
+from primroseledge.observability.requesttrace import RequestTrace
+from primroseledge.observability.trace import create_tracing
+from primroseledge.settings.settings import Trace
 from tests.test_settings import build
 
 SAMPLED = f'00-{"a" * 32}-{"b" * 16}-01'
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,9 +6,9 @@
 from msgspec import json
 
 from primroseledge.errors import SettingsError
-from primroseledge.settings import add_credentials
-from primroseledge.settings import parse
-from primroseledge.settings import Settings
+from primroseledge.settings.settings import add_credentials
+from primroseledge.settings.settings import parse
+from primroseledge.settings.settings import Settings
 
 GOOD: dict[str, Any] = {
     'entry_id': 'entry-1',
--- a/tests/test_sharedistance.py
+++ b/tests/test_sharedistance.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from primroseledge.documents import Team
 from primroseledge.ids import TeamId
-from primroseledge.sharedistance import measure_distances
+from primroseledge.requests.sharedistance import measure_distances
+from primroseledge.storage.documents import Team
 
 A = TeamId('a')
 B = TeamId('b')
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -1,24 +1,24 @@
 from dataclasses import replace
 import unittest
 
-from primroseledge.explain import Rule
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
-from primroseledge.plan import Plan
-from primroseledge.plan import Step
-from primroseledge.plan import StepState
-from primroseledge.sizing import choose_instance
-from primroseledge.sizing import cost
-from primroseledge.sizing import decide_size
-from primroseledge.sizing import DemandSamples
-from primroseledge.sizing import find_shortage
-from primroseledge.sizing import Hold
-from primroseledge.sizing import lend
-from primroseledge.sizing import move_cost
-from primroseledge.sizing import PoolLoad
-from primroseledge.sizing import PROFILES
-from primroseledge.sizing import rounds
-from primroseledge.sizing import SizingSettings
+from primroseledge.operators.explain import Rule
+from primroseledge.policy.plan import Plan
+from primroseledge.policy.plan import Step
+from primroseledge.policy.plan import StepState
+from primroseledge.policy.sizing import choose_instance
+from primroseledge.policy.sizing import cost
+from primroseledge.policy.sizing import decide_size
+from primroseledge.policy.sizing import DemandSamples
+from primroseledge.policy.sizing import find_shortage
+from primroseledge.policy.sizing import Hold
+from primroseledge.policy.sizing import lend
+from primroseledge.policy.sizing import move_cost
+from primroseledge.policy.sizing import PoolLoad
+from primroseledge.policy.sizing import PROFILES
+from primroseledge.policy.sizing import rounds
+from primroseledge.policy.sizing import SizingSettings
 from tests.test_wave import item
 
 SETTINGS = SizingSettings()
--- a/tests/test_specification.py
+++ b/tests/test_specification.py
@@ -6,7 +6,7 @@
 from minicheck import check_safety
 from minicheck import Protocol
 
-from primroseledge.takeover import Takeover
+from primroseledge.agreement.takeover import Takeover
 from tests.specification import become_owner
 from tests.specification import INITIAL
 from tests.specification import may_act
--- a/tests/test_storeclient.py
+++ b/tests/test_storeclient.py
@@ -10,8 +10,8 @@
 from primroseledge.errors import StoreUnavailableError
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.storeclient import HttpStore
-from primroseledge.storeclient import open_store
+from primroseledge.storage.storeclient import HttpStore
+from primroseledge.storage.storeclient import open_store
 from standins.httpapp import create_server
 from standins.kvstore import KeyValueService
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -8,12 +8,12 @@
 from msgspec import json
 from msgspec.structs import replace
 
-from primroseledge.keys import generate_key
-from primroseledge.settings import Trace
-from primroseledge.spanexport import FileExporter
-from primroseledge.trace import create_tracing
-from primroseledge.trace import Hop
-from primroseledge.trace import Tracing
+from primroseledge.observability.spanexport import FileExporter
+from primroseledge.observability.trace import create_tracing
+from primroseledge.observability.trace import Hop
+from primroseledge.observability.trace import Tracing
+from primroseledge.settings.settings import Trace
+from primroseledge.storage.keys import generate_key
 from tests.test_settings import build
 
 TRACE_ID = 'a' * 32
--- a/tools/capacityrows.py
+++ b/tools/capacityrows.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from primroseledge.fanout import heartbeat_peers
+from primroseledge.agreement.fanout import heartbeat_peers
 from primroseledge.ids import EntryId
 from tools.capacityfigures import ask_bytes
 from tools.capacityfigures import BURST
--- a/tools/catalogue.py
+++ b/tools/catalogue.py
@@ -17,12 +17,12 @@
 from msgspec import Struct
 from msgspec import structs
 
-from primroseledge.events import Event
-from primroseledge.settings import Curve
-from primroseledge.settings import Maintenance
-from primroseledge.settings import Peer
-from primroseledge.settings import Settings
-from primroseledge.settings import Trace
+from primroseledge.observability.events import Event
+from primroseledge.settings.settings import Curve
+from primroseledge.settings.settings import Maintenance
+from primroseledge.settings.settings import Peer
+from primroseledge.settings.settings import Settings
+from primroseledge.settings.settings import Trace
 from tools.adapternames import find_leaked_names
 from tools.glossary import find_forbidden_words
 
