--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -49,6 +49,7 @@
 from primroseledge.cluster.steps import StoreSilent
 from primroseledge.cluster.steps import WorkerReport
 from primroseledge.cluster.steps import WorkersListed
+from primroseledge.cluster.steps import WorkersUnread
 from primroseledge.cluster.tenure import Tenure
 from primroseledge.cluster.tenure import TenureState
 from primroseledge.errors import DocumentError
@@ -77,6 +78,8 @@
 LIST_WORKERS_S: Final = 1.0
 """How old the list of workers may be at the owner."""
 
+LIST_RETRY_S: Final = 0.2
+
 LIST_WORKERS_BUSY_S: Final = 0.3
 """The same while instances move or have their upkeep."""
 
@@ -411,6 +414,12 @@
         if self.engine is not None:
             self.engine.take_entries(self.decode_workers(event.items), now)
 
+    def workers_unread(self, event: WorkersUnread, now: float) -> None:
+        """Ask for the list of workers again soon."""
+        log(Event.STORE_RETRIED, step='workers', problem=event.problem)
+        self.is_listing = False
+        self.listed_at = now - LIST_WORKERS_S + LIST_RETRY_S
+
     def batch_stored(self, event: BatchStored, now: float) -> None:
         """Let the effects of a stored batch follow."""
         if event.epoch != self.tenure.epoch or self.engine is None:
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -32,12 +32,14 @@
 from primroseledge.cluster.steps import KeysSeen
 from primroseledge.cluster.steps import LeaseLost
 from primroseledge.cluster.steps import LeaseRenewed
+from primroseledge.cluster.steps import ListWorkers
 from primroseledge.cluster.steps import OwnerReleased
 from primroseledge.cluster.steps import ReplyToPeer
 from primroseledge.cluster.steps import SendToPeer
 from primroseledge.cluster.steps import StoreSilent
 from primroseledge.cluster.steps import WorkerReport
 from primroseledge.cluster.steps import WorkersListed
+from primroseledge.cluster.steps import WorkersUnread
 from primroseledge.cluster.storethread import StoreThread
 from primroseledge.cluster.tenure import TenureState
 from primroseledge.cluster.workerlinks import WorkerLinks
@@ -97,6 +99,7 @@
         self.link = link
         self.wake_fd = wake_fd
         self.store: StoreThread | None = None
+        self.reader: StoreThread | None = None
         self.workers: WorkerLinks | None = None
         self.instances: CallThread | None = None
         self.advice: CallThread | None = None
@@ -218,6 +221,9 @@
             self.link.send(step.address, step.message)
         elif isinstance(step, ReplyToPeer):
             self.link.reply(step.identity, step.message)
+        elif isinstance(step, ListWorkers):
+            if self.reader is not None:
+                self.reader.submit(step)
         elif self.store is not None:
             self.store.submit(step)
 
@@ -295,6 +301,12 @@
     loop.node.workers_listed(item, now)
 
 
+@handles(WorkersUnread)
+def take_unread(loop: NodeLoop, item: WorkersUnread, now: float) -> None:
+    """Take in that the list of workers was not read."""
+    loop.node.workers_unread(item, now)
+
+
 @handles(WorkerReport)
 def take_report(loop: NodeLoop, item: WorkerReport, now: float) -> None:
     """Take in what a worker answered."""
--- a/src/primroseledge/cluster/steps.py
+++ b/src/primroseledge/cluster/steps.py
@@ -114,6 +114,13 @@
     items: tuple[Item, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class WorkersUnread:
+    """The list of workers could not be read."""
+
+    problem: str
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseRenewed:
     """Our lease was renewed by a call sent then."""
--- a/src/primroseledge/cluster/storethread.py
+++ b/src/primroseledge/cluster/storethread.py
@@ -43,6 +43,7 @@
 from primroseledge.cluster.steps import RestoreJobs
 from primroseledge.cluster.steps import StoreBatch
 from primroseledge.cluster.steps import WorkersListed
+from primroseledge.cluster.steps import WorkersUnread
 from primroseledge.errors import ConflictError
 from primroseledge.errors import DocumentError
 from primroseledge.errors import StoreError
@@ -114,9 +115,7 @@
             step = self.steps.get()
             if step is None:
                 return
-            result = HANDLERS[type(step)](self, step)
-            if result is not None:
-                self.inbox.post(result)
+            self.inbox.post(HANDLERS[type(step)](self, step))
 
     def pause(self) -> bool:
         """Wait before a retry; tell whether to go on."""
@@ -294,11 +293,10 @@
 @handles(ListWorkers)
 def list_workers(
     thread: StoreThread, _step: ListWorkers
-) -> WorkersListed | None:
+) -> WorkersListed | WorkersUnread:
     """Read the list of workers once."""
     try:
         listed = thread.store.read_all(thread.keys.worker_prefix)
     except StoreError as error:
-        log(Event.STORE_RETRIED, step='workers', problem=str(error))
-        return None
+        return WorkersUnread(str(error))
     return WorkersListed(listed.items)
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -93,18 +93,18 @@
         'The process ends with code 2 before it opens a socket.',
         'Mend the named field; try `primroseledge config check`.',
     )
-    SETTINGS_SEEN = info(
-        108,
-        'the settings file has changed',
-        'The platform has written the settings anew.',
-        'Nothing; a changed address is used after a restart.',
-    )
     LOOP_FAILED = error(
         107,
         'the loop failed: {problem}',
         'An error that nobody expected ended the loop; the process ends.',
         'Keep the log and report it; the platform starts it again.',
     )
+    SETTINGS_SEEN = info(
+        108,
+        'the settings file has changed',
+        'The platform has written the settings anew.',
+        'Nothing; a changed address is used after a restart.',
+    )
     STORE_READ = info(
         201,
         'configuration read at revision {revision}: {documents} documents',
@@ -196,12 +196,6 @@
         'A message was malformed, too long or of another version.',
         'Check that all entry instances run versions that fit.',
     )
-    MESSAGE_DROPPED = warning(
-        307,
-        'answer to {peer} dropped: {problem}',
-        'The peer is gone or does not read; it will ask again.',
-        'Nothing if the peer was stopped.',
-    )
     OWNER_TAKEN = info(
         304,
         'owner of cell {cell} at epoch {epoch}',
@@ -220,6 +214,12 @@
         'A new owner waits for a majority of reports.',
         'Start the missing entry instances.',
     )
+    MESSAGE_DROPPED = warning(
+        307,
+        'answer to {peer} dropped: {problem}',
+        'The peer is gone or does not read; it will ask again.',
+        'Nothing if the peer was stopped.',
+    )
     REQUEST_REFUSED = info(
         401,
         'request {request} refused: {reason}',
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -135,21 +135,26 @@
     """Start the threads that call the store and the workers."""
     names = KeyNames()
     member = MemberRecord(EntryId(settings.entry_id), settings.peer_address)
-    store = StoreThread(
-        loop,
-        open_store(settings, resources),
-        names,
-        member.entry,
-        member.address,
+    # A write that is repeated must not hold up reading the list.
+    store, reader = (
+        StoreThread(
+            loop,
+            open_store(settings, resources),
+            names,
+            member.entry,
+            member.address,
+        )
+        for _ in range(2)
     )
     lease = LeaseThread(loop, open_store(settings, resources), member)
     watch = WatchThread(
         loop, open_store(settings, resources), names.watched_prefix
     )
-    for thread in (store, lease, watch):
+    for thread in (store, reader, lease, watch):
         resources.callback(thread.stop)
         thread.start()
     loop.store = store
+    loop.reader = reader
     instances = PlatformInstances(settings.fleet_address, member.entry)
     loop.instances = CallThread(
         loop,
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -37,6 +37,7 @@
 from primroseledge.cluster.steps import StoreSilent
 from primroseledge.cluster.steps import WorkerReport
 from primroseledge.cluster.steps import WorkersListed
+from primroseledge.cluster.steps import WorkersUnread
 from primroseledge.cluster.storethread import HANDLERS
 from primroseledge.errors import DocumentError
 from primroseledge.errors import StoreError
@@ -303,8 +304,7 @@
 
     def stored(self, sim: SimNode, result: Any) -> None:
         sim.is_storing = False
-        if result is not None:
-            self.when_awake(sim, lambda: self.take_result(sim, result))
+        self.when_awake(sim, lambda: self.take_result(sim, result))
         self.next_store_step(sim)
 
     def take_result(self, sim: SimNode, result: Any) -> None:
@@ -324,6 +324,8 @@
             node.owner_released(result)
         elif isinstance(result, WorkersListed):
             node.workers_listed(result, self.now)
+        elif isinstance(result, WorkersUnread):
+            node.workers_unread(result, self.now)
 
     def renew(self, sim: SimNode) -> None:
         if not sim.is_alive:
