Suspect workers that fail or hold up what they start

A failed task is now tried elsewhere, a worker that failed two jobs in a row is left alone for 3 s and longer, and a task without progress for 1.8 s is stopped. Renewals that fail back off and are logged once.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -113,7 +113,7 @@
 
 FIRST_EPOCH: Final = Epoch(1)
 
-TAKEOVER_PAUSE_S: Final = 3.5
+TAKEOVER_PAUSE_S: Final = 3.2
 """How long after a predecessor's lease no instance is taken away."""
 
 
--- a/src/primroseledge/cluster/storethread.py
+++ b/src/primroseledge/cluster/storethread.py
@@ -222,6 +222,7 @@
             *batch_puts(step.batch, thread.keys),
         ),
     )
+    failures = 0
     while True:
         try:
             revision = thread.store.commit(transaction)
@@ -231,7 +232,9 @@
             if result is not None:
                 return result
         except StoreError as error:
-            log(Event.STORE_RETRIED, step='batch', problem=str(error))
+            if not failures:
+                log(Event.STORE_RETRIED, step='batch', problem=str(error))
+            failures += 1
         if not thread.pause() or thread.current_epoch != step.epoch:
             return Deposed(step.epoch)
 
--- a/src/primroseledge/cluster/watchthreads.py
+++ b/src/primroseledge/cluster/watchthreads.py
@@ -29,6 +29,9 @@
 
 RENEW_S: Final = 0.5
 RENEW_RETRY_S: Final = 0.1
+RENEW_BACKOFF: Final = 4
+"""The pause between failed renewals grows to so many times the first."""
+
 WATCH_WAIT_S: Final = 1.5
 """Bounds how long a watch on a silent connection goes unnoticed."""
 
@@ -58,6 +61,7 @@
     def run(self) -> None:
         """Begin leases and renew them until stopped."""
         lease: Lease | None = None
+        failures = 0
         while not self.is_stopped.is_set():
             try:
                 if lease is None:
@@ -69,9 +73,13 @@
                 self.inbox.post(LeaseLost())
                 continue
             except StoreError as error:
-                log(Event.STORE_RETRIED, step='lease', problem=str(error))
-                self.is_stopped.wait(RENEW_RETRY_S)
+                if not failures:
+                    log(Event.STORE_RETRIED, step='lease', problem=str(error))
+                failures += 1
+                pause_s = RENEW_RETRY_S * min(failures, RENEW_BACKOFF)
+                self.is_stopped.wait(pause_s)
                 continue
+            failures = 0
             self.is_stopped.wait(RENEW_S)
 
     def begin(self) -> Lease:
--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -11,6 +11,7 @@
 from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.progress import JobState
+from primroseledge.jobs.suspicion import STALL_S
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
@@ -19,6 +20,7 @@
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 
+FULL_PACE: Final = 100
 MAX_LISTED_ENDS: Final = 500
 """A list of ends this long may be cut off; from PROTOCOL."""
 
@@ -40,6 +42,7 @@
             stop_stranger(state, worker, key, number)
         elif task is not None:
             take_running(task, run, running, now)
+            stop_if_stalled(worker, task, run, now)
     if len(look.ends) < MAX_LISTED_ENDS:
         find_missing(state, worker, look, set(listed) | ended, now)
 
@@ -75,11 +78,33 @@
     if run.settled_at is None:
         run.settled_at = now
     run.load = running.load
+    if running.percent != run.progress_percent or run.progress_at is None:
+        run.progress_at = now
     run.progress_percent = running.percent
     if running.checkpoint:
         task.checkpoint = running.checkpoint
 
 
+def stop_if_stalled(worker: Worker, task: Task, run: Run, now: float) -> None:
+    """Stop a task that makes no progress, to start it elsewhere."""
+    if task.step.is_long_running or run.is_stop_wanted:
+        return
+    if run.progress_at is None or now < run.progress_at + STALL_S:
+        return
+    if task.step.is_gang or run.pace_percent < FULL_PACE:
+        return
+    log(
+        Event.RUN_STALLED,
+        task=task.key.name,
+        run=run.number,
+        worker=worker.id,
+        percent=run.progress_percent,
+    )
+    run.is_stop_wanted = True
+    task.failed_on.add(worker.id)
+    worker.conduct.failed(task.key.job, now)
+
+
 def find_missing(
     state: FleetState,
     worker: Worker,
@@ -124,10 +149,14 @@
     state.finish_run(task, now)
     if job.is_final:
         return
+    if end.kind is EndKind.DONE:
+        worker.conduct.done()
     if end.kind is EndKind.DONE and not task.step.is_long_running:
         finish_task(state, job, task, now)
     elif end.kind is EndKind.FAILED:
         task.failures += 1
+        task.failed_on.add(worker.id)
+        worker.conduct.failed(job.accepted.id, now)
         check_attempts(state, job, task, now)
 
 
--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -102,7 +102,9 @@
             continue
         if not is_within_limit(state, job, step.spec.resources):
             return False
-        worker = choose_worker(step.spec, workers, placement)
+        worker = choose_worker(
+            step.spec, avoid_failed(task, workers), placement
+        )
         if worker is None:
             return False
         # The worker counts the run itself; the placement only where.
@@ -112,6 +114,14 @@
     return True
 
 
+def avoid_failed(task: Task, workers: list[Worker]) -> list[Worker]:
+    """Leave out the workers on which a task failed, if others are left."""
+    if not task.failed_on:
+        return workers
+    others = [w for w in workers if w.id not in task.failed_on]
+    return others or workers
+
+
 def advised_workers(
     state: FleetState,
     job: Job,
--- /dev/null
+++ b/src/primroseledge/jobs/suspicion.py
@@ -0,0 +1,51 @@
+"""Suspect workers that fail or hold up what they start.
+
+It answers workers that fail everything at once, and so are always the
+emptiest, and tasks that stand still. The evidence is what a worker did
+with different jobs in a row: a job that fails by its own fault fails
+everywhere and condemns no worker. Suspicion ends by itself and comes
+back sooner and for longer when the next tasks fail too.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Final
+
+from primroseledge.ids import JobId
+
+JOBS_TO_SUSPECT: Final = 2
+"""Different jobs that must have failed in a row."""
+
+FIRST_S: Final = 3.0
+LONGEST_S: Final = 12.0
+STALL_S: Final = 1.8
+"""A task without progress for this long stands still."""
+
+
+@dataclass(slots=True)
+class Conduct:
+    """What a worker did with the tasks that it was given."""
+
+    failed_jobs: set[JobId] = field(default_factory=set)
+    suspected_s: float = 0.0
+    suspected_until: float = 0.0
+
+    def done(self) -> None:
+        """Count a task that was done."""
+        self.failed_jobs.clear()
+        self.suspected_s = 0.0
+
+    def failed(self, job: JobId, now: float) -> None:
+        """Count a task that failed or stood still."""
+        self.failed_jobs.add(job)
+        needed = 1 if self.suspected_s else JOBS_TO_SUSPECT
+        if len(self.failed_jobs) < needed:
+            return
+        longer_s = min(LONGEST_S, 2 * self.suspected_s)
+        self.suspected_s = max(FIRST_S, longer_s)
+        self.suspected_until = now + self.suspected_s
+        self.failed_jobs.clear()
+
+    def is_suspected(self, now: float) -> bool:
+        """Tell whether no tasks should be placed there now."""
+        return now < self.suspected_until
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -1,6 +1,7 @@
 """Tasks and their runs, as the owner holds them."""
 
 from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 from typing import Final
 from typing import NamedTuple
@@ -65,6 +66,7 @@
     stop_sent_at: float | None = None
     stop_answered_at: float | None = None
     progress_percent: int = 0
+    progress_at: float | None = None
     load: int = 0
     pace_percent: int = 100
     paced_at: float = 0.0
@@ -83,6 +85,7 @@
     failures: int = 0
     checkpoint: str = ''
     waiting_since: float = 0.0
+    failed_on: set[WorkerId] = field(default_factory=set)
 
     @property
     def is_waiting(self) -> bool:
--- a/src/primroseledge/jobs/worker.py
+++ b/src/primroseledge/jobs/worker.py
@@ -11,6 +11,7 @@
 from primroseledge.ids import ZoneId
 from primroseledge.jobs.resources import NOTHING
 from primroseledge.jobs.resources import Resources
+from primroseledge.jobs.suspicion import Conduct
 from primroseledge.jobs.task import Task
 
 CLOCK_SLOWNESS: Final = 0.02
@@ -111,7 +112,7 @@
     shuns_until: float = 0.0
     is_draining: bool = False
     lacks_room_until: float = 0.0
-    failure_times: list[float] = field(default_factory=list)
+    conduct: Conduct = field(default_factory=Conduct)
 
     @property
     def id(self) -> WorkerId:
@@ -138,6 +139,7 @@
             and self.was_looked_at
             and self.clock.read_ms is not None
             and now >= self.shuns_until
+            and not self.conduct.is_suspected(now)
             and not self.look_failures
         )
 
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -114,7 +114,7 @@
     now: float,
 ) -> None:
     """Let a pool grow or shrink towards a size."""
-    members = pool_workers(state, service)
+    members = pool_workers(state, service, now)
     size = len(members) + count_coming(state, fleet, service)
     if size < wanted:
         grow(state, fleet, service, standby, wanted - size, now)
@@ -126,7 +126,9 @@
         shrink(state, fleet, members, standby, size - wanted, now)
 
 
-def pool_workers(state: FleetState, service: ServiceId) -> list[Worker]:
+def pool_workers(
+    state: FleetState, service: ServiceId, now: float
+) -> list[Worker]:
     """Return the workers of a pool that take tasks."""
     return [
         worker
@@ -136,6 +138,7 @@
         and worker.entry.state is WorkerState.READY
         and not worker.is_draining
         and not worker.look_failures
+        and not worker.conduct.is_suspected(now)
     ]
 
 
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -366,3 +366,9 @@
         'The advisory service did not answer; the step waits.',
         'Look at the advisory service.',
     )
+    RUN_STALLED = warning(
+        712,
+        'task {task} run {run} on {worker} stands still at {percent} %',
+        'A task made no progress; it is stopped and starts elsewhere.',
+        'For many on one worker, look at the worker.',
+    )
--- a/tests/fleetworker.py
+++ b/tests/fleetworker.py
@@ -39,6 +39,13 @@
     how: EndKind
     resources: Resources
 
+    def percent(self, now: float) -> int:
+        """Return the progress; a long-running task is at work at 100."""
+        age_s = now - self.begun_at
+        if self.ends_at is None:
+            return 100 if age_s > STARTUP_S else 0
+        return int(100 * age_s / max(0.001, self.ends_at - self.begun_at))
+
 
 @dataclass(eq=False)
 class SimWorker:
@@ -54,6 +61,7 @@
     rate: float = 1.0
     is_alive: bool = True
     is_gone: bool = False
+    fails_all: bool = False
     state: WorkerState = WorkerState.READY
     epoch: int = 0
     deadline_ms: int = 0
@@ -154,6 +162,8 @@
             return OrderResult.NO_ROOM
         self.extend(order.deadline_ms, now)
         seconds, how = self.ledger.fate_of(order.task, order.run)
+        if self.fails_all:
+            seconds, how = 0.05, EndKind.FAILED
         ends_at = None if seconds is None else now + seconds
         self.runs[order.task] = SimRun(
             order.task, order.run, now, ends_at, how, resources
@@ -189,7 +199,7 @@
                 run.task,
                 run.number,
                 '',
-                100 if now > run.begun_at + STARTUP_S else 0,
+                run.percent(now),
                 0,
             )
             for run in self.runs.values()
--- a/tests/test_fleet_fuzz.py
+++ b/tests/test_fleet_fuzz.py
@@ -229,6 +229,15 @@
 
         self.world.later(self.random.uniform(1, 12), heal)
 
+    def fault_worker_fails_all(self) -> None:
+        worker = self.random.choice(list(self.world.workers.values()))
+        worker.fails_all = True
+
+        def heal() -> None:
+            worker.fails_all = False
+
+        self.world.later(self.random.uniform(2, 8), heal)
+
     def fault_late_orders(self) -> None:
         self.world.late_share = 0.15
 
