Plan again as time passes; forget a worker that a move or upkeep ended

The trial that printed limits ruled out the workspace's limit. Services are planned at least every 0.2 s.

--- a/src/primroseledge/jobs/fleetstate.py
+++ b/src/primroseledge/jobs/fleetstate.py
@@ -4,6 +4,7 @@
 from dataclasses import field
 from typing import Final
 
+from primroseledge.ids import Boot
 from primroseledge.ids import JobId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
@@ -45,6 +46,7 @@
 class FleetState:
     """The owner's jobs and workers.
 
+    ``ended_workers`` were ended by us and may still be listed;
     ``dirty`` are jobs whose records changed, ``planned`` the starts
     that wait to be stored, ``replies`` the answers that do.
     """
@@ -63,6 +65,8 @@
     to_plan: set[ServiceId] = field(default_factory=set)
     actions: list[Action] = field(default_factory=list)
     dirty_since: float | None = None
+    replanned_at: float = 0.0
+    ended_workers: dict[WorkerId, Boot] = field(default_factory=dict)
     advice: AdviceBook = field(default_factory=AdviceBook)
     rates: dict[ServiceId, ArrivalRate] = field(default_factory=dict)
 
--- a/src/primroseledge/jobs/looks.py
+++ b/src/primroseledge/jobs/looks.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from primroseledge.ids import Boot
 from primroseledge.jobs.actions import LookAnswered
 from primroseledge.jobs.actions import LookFailed
 from primroseledge.jobs.actions import OrderResult
@@ -36,6 +37,8 @@
 
 def take_entry(state: FleetState, entry: WorkerEntry, now: float) -> None:
     """Take in one line of the list of workers."""
+    if entry.boot <= state.ended_workers.get(entry.id, Boot(0)):
+        return
     worker = state.workers.get(entry.id)
     if worker is None:
         state.workers[entry.id] = Worker(entry)
--- a/src/primroseledge/maintenance/fleetlist.py
+++ b/src/primroseledge/maintenance/fleetlist.py
@@ -99,3 +99,13 @@
         if row is None or row.worker is None:
             return None
         return state.workers.get(row.worker)
+
+
+def drop_worker(state: FleetState, operation: Operation) -> None:
+    """Forget the worker that ended with an upkeep or a move."""
+    if operation.worker is None:
+        return
+    worker = state.workers.get(operation.worker)
+    if worker is not None and not worker.tasks:
+        del state.workers[worker.id]
+        state.ended_workers[worker.id] = worker.entry.boot
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -21,6 +21,7 @@
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import MoveInstance
+from primroseledge.maintenance.fleetlist import drop_worker
 from primroseledge.maintenance.fleetlist import InstanceList
 from primroseledge.maintenance.fleetlist import Operation
 from primroseledge.maintenance.fleetlist import Step
@@ -321,6 +322,7 @@
     if answer.result is InstanceResult.DONE:
         operation.step = Step.AWAY
         operation.answered_at = answer.received_at
+        drop_worker(state, operation)
     elif answer.result is InstanceResult.NO_SUCH_INSTANCE:
         fleet.refused_moves.add((call.instance, call.pool))
         end_move(state, fleet, operation)
--- a/src/primroseledge/maintenance/upkeep.py
+++ b/src/primroseledge/maintenance/upkeep.py
@@ -15,6 +15,7 @@
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.evacuation import evacuate
+from primroseledge.maintenance.fleetlist import drop_worker
 from primroseledge.maintenance.fleetlist import InstanceList
 from primroseledge.maintenance.fleetlist import Operation
 from primroseledge.maintenance.fleetlist import Step
@@ -263,6 +264,7 @@
     if result is InstanceResult.DONE and record is not None:
         operation.step = Step.AWAY
         operation.answered_at = answer.received_at
+        drop_worker(state, operation)
         if call.instance not in record.done:
             done = (*record.done, call.instance)
             keep(
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -4,6 +4,8 @@
 after events and plans, looks and gathers what is to be stored.
 """
 
+from typing import Final
+
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
 from primroseledge.ids import WorkspaceId
@@ -57,6 +59,7 @@
 from primroseledge.owner.batch import Batch
 from primroseledge.owner.outbox import Outbox
 
+REPLAN_S: Final = 0.2
 NO_WORKSPACE = WorkspaceId('')
 CANCELLED_BEFORE: JobSpec = JobSpec(payload='', steps=())
 """Stands for a job that was cancelled before it was handed in."""
@@ -237,7 +240,9 @@
         carry_out_waves(state, self.fleet, now)
         size_pools(state, self.fleet, now)
         list_instances(state, self.fleet, now)
-        if state.advice.steps and state.advice.under_way is None:
+        if now >= state.replanned_at + REPLAN_S:
+            # Workers may be used again as time passes, without an event.
+            state.replanned_at = now
             state.to_plan.update(state.configuration.services)
         plan_services(state, now)
         pace_workers(state, now)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -342,6 +342,20 @@
         self.assertEqual([], bench.stops())
 
 
+class RefusedStartTest(unittest.TestCase):
+    def test_a_worker_without_room_is_tried_again_later(self) -> None:
+        bench = EngineBench(ONE)
+        bench.submit(make_job('a', tasks(1)))
+        bench.store()
+        [start] = bench.starts()
+        bench.answer_start(start, OrderResult.NO_ROOM)
+        bench.store()
+        self.assertEqual([], bench.starts())
+        bench.settle(1.2)
+        bench.store()
+        self.assertEqual([2], [start.run for start in bench.starts()])
+
+
 class DrainingWorkerTest(unittest.TestCase):
     def test_it_gets_no_new_tasks(self) -> None:
         draining = worker_entry('worker-1', WorkerState.DRAINING)
--- a/tests/test_fleet_fuzz.py
+++ b/tests/test_fleet_fuzz.py
@@ -16,8 +16,10 @@
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.configuration import Service
 from primroseledge.jobs.configuration import Workspace
+from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.progress import FINAL_STATES
 from primroseledge.jobs.progress import JobState
+from primroseledge.jobs.resources import NOTHING
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
@@ -278,7 +280,7 @@
         ]
         if len(owners) != 1:
             return [f'{len(owners)} owners at the end']
-        found = list[str]()
+        found = miscounted(owners[0].state)
         for job in self.jobs:
             if job.id not in self.ledger.accepted:
                 continue
@@ -294,6 +296,33 @@
         return found
 
 
+def miscounted(state: FleetState) -> list[str]:
+    """Return the workspaces and workers whose usage is counted wrongly."""
+    usage = dict[WorkspaceId, Resources]()
+    used = dict[WorkerId, Resources]()
+    for job in state.jobs.values():
+        for task in job.tasks():
+            if task.run is None:
+                continue
+            workspace = job.accepted.workspace
+            before = usage.get(workspace, NOTHING)
+            usage[workspace] = before.plus(task.step.resources)
+            worker = task.run.worker
+            before = used.get(worker, NOTHING)
+            used[worker] = before.plus(task.step.counted)
+    found = [
+        f'MISCOUNTED {workspace}: {counted}, not {usage.get(workspace)}'
+        for workspace, counted in state.usage.items()
+        if counted != usage.get(workspace, NOTHING)
+    ]
+    found += [
+        f'MISCOUNTED {worker.id}: {worker.used}, not {used.get(worker.id)}'
+        for worker in state.workers.values()
+        if worker.used != used.get(worker.id, NOTHING)
+    ]
+    return found
+
+
 class FleetFuzzTest(unittest.TestCase):
     def test_random_faults_break_no_rule(self) -> None:
         for seed in (*REGRESSIONS, *SEEDS):
