Count work that came lately once when sizing a pool

A burst of large jobs took 27 instances for one pool: work that waited was counted as waiting and as coming.

--- a/src/primroseledge/jobs/demand.py
+++ b/src/primroseledge/jobs/demand.py
@@ -28,9 +28,11 @@
 
     def cores(self, coming_cores: float) -> float:
         """Return the processors asked for, with work to come."""
+        # Work that came lately may still wait; it is not counted twice.
         batch = max(
             self.used_cores - self.lasting_cores,
-            coming_cores + self.waiting_work / CATCH_UP_S,
+            coming_cores,
+            self.waiting_work / CATCH_UP_S,
         )
         return self.lasting_cores + batch
 
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -115,15 +115,13 @@
     now: float,
 ) -> None:
     """Let a pool grow or shrink towards a size."""
+    if now < fleet.watched_since + SHRINK_AFTER_S:
+        return
     members = pool_workers(state, service, now)
     size = len(members) + count_coming(state, fleet, service)
     if size < wanted:
         grow(state, fleet, service, standby, wanted - size, now)
-    elif (
-        size > wanted
-        and len(members) > wanted
-        and now >= fleet.watched_since + SHRINK_AFTER_S
-    ):
+    elif size > wanted and len(members) > wanted:
         shrink(state, fleet, members, standby, size - wanted, now)
 
 
