Jobs in the demo, a stand-in of the platform, and a command that shows them

standins/fleetplatform.py speaks the users' protocol over HTTP: store with leases, watches and transactions; workers with fences, leases and boots; instances. The cores of both are those of the fuzz. make demo also hands 24 jobs in through three real processes, kills the owner midway and compares what callers were told with the workers' ledger.

--- a/src/primroseledge/cli.py
+++ b/src/primroseledge/cli.py
@@ -24,6 +24,7 @@
 from primroseledge.operators.cli_fleet import fleet
 from primroseledge.operators.cli_key import key
 from primroseledge.operators.cli_pool import pool
+from primroseledge.operators.cli_running import running
 from primroseledge.operators.cli_service import service
 from primroseledge.operators.cli_team import team
 from primroseledge.operators.cli_wave import wave
@@ -49,7 +50,16 @@
     """
 
 
-for subcommand in (team, key, pool, service, fleet, wave, explain):
+for subcommand in (
+    team,
+    key,
+    pool,
+    service,
+    fleet,
+    wave,
+    explain,
+    running,
+):
     main.add_command(subcommand)
 
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -27,6 +27,7 @@
 from standins.caller import Sent
 from standins.caller import Told
 from standins.deployment import Deployment
+from standins.jobsdemo import run_jobs
 from standins.operator import Operator
 
 ENTRIES = 3
@@ -50,9 +51,12 @@
         folder = Path(resources.enter_context(TemporaryDirectory()))
         deployment = Deployment(resources, folder, ENTRIES, UPSTREAMS)
         result = Demo(deployment).run()
+    say('jobs: the same program on a stand-in of the platform')
+    result.update(run_jobs())
     print(json.encode(result).decode(), flush=True)
-    broken = ('lost', 'doubled', 'cut_by_drain')
-    return 1 if any(result[name] for name in broken) else 0
+    broken = ('lost', 'doubled', 'cut_by_drain', 'tasks_lost', 'tasks_doubled')
+    is_broken = any(result[name] for name in broken)
+    return 1 if is_broken or not result['jobs_completed'] else 0
 
 
 class Demo:
--- a/tests/fleetworker.py
+++ b/standins/workercore.py
@@ -1,7 +1,11 @@
-"""A worker in simulated time, as the platform's pages describe it."""
+"""A worker without a network, as the platform's pages describe it.
+
+What its tasks need, and what became of them, is with a ledger.
+"""
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Protocol
 
 from primroseledge.ids import Boot
 from primroseledge.ids import ServiceId
@@ -22,7 +26,38 @@
 from primroseledge.jobs.task import TaskKey
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.jobs.worker import WorkerState
-from tests.fleetledger import Ledger
+
+
+class WorkerLedger(Protocol):
+    """Says what tasks need and do, and is told what happened."""
+
+    def resources_of(self, task: TaskKey) -> Resources:
+        """Return what a task takes of a worker."""
+
+    def fate_of(self, task: TaskKey, run: int) -> tuple[float | None, EndKind]:
+        """Return how long a run takes, and how it ends."""
+
+    def started(self, order: SendStart, worker: WorkerId, now: float) -> None:
+        """Note a start."""
+
+    def ended(
+        self,
+        task: TaskKey,
+        run: int,
+        worker: WorkerId,
+        how: EndKind,
+        now: float,
+    ) -> None:
+        """Note an end."""
+
+    def lost(
+        self, task: TaskKey, run: int, worker: WorkerId, now: float
+    ) -> None:
+        """Note that a run ended with its worker."""
+
+    def noted(self, task: TaskKey, run: int, now: float) -> None:
+        """Note that the owner took note of an end."""
+
 
 MAX_LEASE_MS = 6000
 STARTUP_S = 0.3
@@ -51,7 +86,7 @@
 class SimWorker:
     """Runs tasks under fences and leases; ``rate`` is its clock's speed."""
 
-    ledger: Ledger
+    ledger: WorkerLedger
     id: WorkerId
     service: ServiceId
     capacity: Resources
@@ -73,9 +108,11 @@
     over: dict[TaskKey, int] = field(default_factory=dict)
 
     def clock_ms(self, now: float) -> int:
+        """Return the time on its own clock."""
         return int((now - self.booted_at) * self.rate * 1000)
 
     def entry(self) -> WorkerEntry:
+        """Return its line in the list of workers."""
         return WorkerEntry(
             self.id,
             self.boot,
@@ -88,12 +125,14 @@
         )
 
     def crash(self, now: float) -> None:
+        """End with all runs, at once."""
         self.is_alive = False
         for run in self.runs.values():
             self.ledger.lost(run.task, run.number, self.id, now)
         self.runs.clear()
 
     def reboot(self, now: float) -> None:
+        """Start again under the same id, knowing nothing."""
         self.is_alive = True
         self.boot = Boot(int(now * 1000) + 1)
         self.booted_at = now
@@ -117,6 +156,7 @@
             self.void_end = self.last_number
 
     def end(self, run: SimRun, how: EndKind, at: float) -> None:
+        """End a run and list it."""
         del self.runs[run.task]
         self.last_number += 1
         self.over[run.task] = max(self.over.get(run.task, 0), run.number)
@@ -126,6 +166,7 @@
         self.ledger.ended(run.task, run.number, self.id, how, at)
 
     def used(self) -> Resources:
+        """Return what its runs take."""
         used = NOTHING
         for run in self.runs.values():
             used = used.plus(run.resources)
@@ -150,6 +191,7 @@
         return OrderResult.DONE
 
     def start(self, order: SendStart, now: float) -> OrderResult:
+        """Start a run, or say why not."""
         run = self.runs.get(order.task)
         if run is not None and run.number == order.run:
             return OrderResult.DONE
@@ -172,6 +214,7 @@
         return OrderResult.DONE
 
     def extend(self, deadline_ms: int, now: float) -> None:
+        """Lengthen the lease, up to the longest."""
         longest = self.clock_ms(now) + MAX_LEASE_MS
         self.deadline_ms = max(self.deadline_ms, min(deadline_ms, longest))
 
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -61,10 +61,10 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.maintenance.wave import WaveRecord
+from standins.storagecore import SimStorage
+from standins.workercore import SimWorker
 from tests.fleetledger import Ledger
-from tests.fleetstorage import SimStorage
 from tests.fleetstorage import SimStorePort
-from tests.fleetworker import SimWorker
 
 WORKER_PREFIX = 'workers/'
 TICK_S = 0.05
--- a/tests/test_fleet_fuzz.py
+++ b/tests/test_fleet_fuzz.py
@@ -24,8 +24,8 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.spec import StepSpec
+from standins.workercore import SimWorker
 from tests.fleetledger import Ledger
-from tests.fleetworker import SimWorker
 from tests.fleetworld import World
 
 SEEDS = range(100, 112)
