Let a new owner move instances after 1 s; check the epoch before each call

The predecessor stops with its lease, and each of its queued calls now checks that it still acts, so only calls under way have to end.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -113,8 +113,12 @@
 
 FIRST_EPOCH: Final = Epoch(1)
 
-TAKEOVER_PAUSE_S: Final = 3.2
-"""How long after a predecessor's lease no instance is taken away."""
+TAKEOVER_PAUSE_S: Final = 1.0
+"""How long after a predecessor's lease no instance is taken away.
+
+The predecessor stopped with its lease; calls that it had under way carry
+the older epoch and end within this time.
+"""
 
 
 @dataclass(slots=True)
--- a/src/primroseledge/jobs/fleetstate.py
+++ b/src/primroseledge/jobs/fleetstate.py
@@ -33,12 +33,12 @@
 class Timing:
     """Intervals of the owner, in seconds."""
 
-    lease_s: float = 4.5
+    lease_s: float = 5.2
     look_wait_s: float = 1.0
     look_retry_s: float = 0.4
     stop_retry_s: float = 0.8
     unlisted_keep_s: float = 20.0
-    predecessor_silent_s: float = 6.3
+    predecessor_silent_s: float = 7.0
     """How long a predecessor's runs may go on at a silent worker."""
 
 
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -115,13 +115,15 @@
     now: float,
 ) -> None:
     """Let a pool grow or shrink towards a size."""
-    if now < fleet.watched_since + SHRINK_AFTER_S:
-        return
     members = pool_workers(state, service, now)
     size = len(members) + count_coming(state, fleet, service)
     if size < wanted:
         grow(state, fleet, service, standby, wanted - size, now)
-    elif size > wanted and len(members) > wanted:
+    elif (
+        size > wanted
+        and len(members) > wanted
+        and now >= fleet.watched_since + SHRINK_AFTER_S
+    ):
         shrink(state, fleet, members, standby, size - wanted, now)
 
 
@@ -153,8 +155,7 @@
         for row in fleet.rows.values()
         if row.pool == service
         and row.state is InstanceState.UP
-        and row.worker is not None
-        and row.worker not in state.workers
+        and (row.worker is None or row.worker not in state.workers)
         and row.id not in fleet.operations
     )
     return unlisted + count_operations(fleet, service)
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -15,6 +15,7 @@
 
 from cheroot.wsgi import Server
 
+from primroseledge.clock import boot_time
 from primroseledge.cluster.callthread import CallThread
 from primroseledge.cluster.fleetnode import Decoders
 from primroseledge.cluster.fleetnode import FleetNode
@@ -27,8 +28,14 @@
 from primroseledge.cluster.watchthreads import WatchThread
 from primroseledge.cluster.workerlinks import WorkerLinks
 from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.maintenance.actions import InstanceAnswered
+from primroseledge.maintenance.actions import InstanceCall
+from primroseledge.maintenance.actions import InstanceReport
+from primroseledge.maintenance.actions import InstanceResult
+from primroseledge.maintenance.actions import ListInstances
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.platform.advice import PlatformAdvice
@@ -158,7 +165,7 @@
     instances = PlatformInstances(settings.fleet_address, member.entry)
     loop.instances = CallThread(
         loop,
-        lambda call: instances.call(*call),
+        lambda call: call_instances(loop, instances, *call),
         instances.close,
         'instances',
     )
@@ -171,6 +178,18 @@
     resources.callback(loop.workers.close)
 
 
+def call_instances(
+    loop: NodeLoop,
+    instances: PlatformInstances,
+    call: InstanceCall,
+    epoch: Epoch,
+) -> InstanceReport:
+    """Make a call, unless we are not the owner any more."""
+    if isinstance(call, ListInstances) or loop.may_order(epoch):
+        return instances.call(call, epoch)
+    return InstanceAnswered(call, InstanceResult.REFUSED, boot_time())
+
+
 def open_store(
     settings: PlatformSettings, resources: ExitStack
 ) -> PlatformStore:
