--- a/src/primroseledge/cli.py
+++ b/src/primroseledge/cli.py
@@ -26,6 +26,7 @@
 from primroseledge.operators.cli_pool import pool
 from primroseledge.operators.cli_running import running
 from primroseledge.operators.cli_service import service
+from primroseledge.operators.cli_story import story
 from primroseledge.operators.cli_team import team
 from primroseledge.operators.cli_wave import wave
 from primroseledge.operators.console import exit_on_error
@@ -59,6 +60,7 @@
     wave,
     explain,
     running,
+    story,
 ):
     main.add_command(subcommand)
 
--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -56,6 +56,7 @@
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import Action
+from primroseledge.jobs.actions import Answer
 from primroseledge.jobs.actions import CallId
 from primroseledge.jobs.actions import CancelJob
 from primroseledge.jobs.actions import LookAnswered
@@ -158,8 +159,9 @@
 
     def forward_calls(self, now: float) -> None:
         """Send callers' requests to the owner, and end late ones."""
-        for number, answer in self.gateway.give_up(now):
-            self.steps.append(AnswerCaller(number, answer))
+        for call, answer in self.gateway.give_up(now):
+            self.log_unserved(call, answer, now)
+            self.steps.append(AnswerCaller(call.number, answer))
         owner = self.tenure.owner
         if not self.gateway.calls or owner is None:
             return
@@ -171,6 +173,22 @@
             ask = Ask(call.number, call.request)
             self.steps.append(SendToPeer(owner.address, ask))
 
+    def log_unserved(
+        self, call: PendingCall, answer: Answer, now: float
+    ) -> None:
+        """Log a request that gets no answer of an owner."""
+        owner = self.tenure.owner
+        log(
+            Event.CALL_UNSERVED,
+            kind=type(call.request).__name__,
+            job=job_of(call.request),
+            verdict=answer.verdict.value,
+            sends=call.sends,
+            declines=call.declines,
+            epoch=owner.epoch if owner else 0,
+            seconds=round(now - call.begun_at, 3),
+        )
+
     def serve_own_calls(self, now: float) -> None:
         """Take our own callers' requests as the owner."""
         for call in self.gateway.calls_to_send(self.tenure.epoch, now):
@@ -583,4 +601,13 @@
         )
 
 
+def job_of(request: CallerRequest) -> str:
+    """Return the job that a request names, or its queue."""
+    if isinstance(request, SubmitRequest):
+        return request.job.id
+    if isinstance(request, PendingRequest):
+        return request.queue
+    return request.job
+
+
 KEEPING: Final = frozenset((TenureState.OWNING, TenureState.RELEASING))
--- a/src/primroseledge/cluster/gateway.py
+++ b/src/primroseledge/cluster/gateway.py
@@ -77,9 +77,9 @@
         """End a call; tell whether it was still waiting."""
         return self.calls.pop(number, None) is not None
 
-    def give_up(self, now: float) -> list[tuple[int, Answer]]:
+    def give_up(self, now: float) -> list[tuple[PendingCall, Answer]]:
         """Return final answers for calls that won't get one in time."""
-        given_up = list[tuple[int, Answer]]()
+        given_up = list[tuple[PendingCall, Answer]]()
         for call in list(self.calls.values()):
             waited_s = now - call.begun_at
             if now < call.deadline and (
@@ -87,7 +87,7 @@
             ):
                 continue
             del self.calls[call.number]
-            given_up.append((call.number, final_answer(call)))
+            given_up.append((call, final_answer(call)))
         return given_up
 
 
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -314,7 +314,7 @@
     RUN_ORDERED = info(
         703,
         'task {task} run {run} ordered on {worker} of boot {boot} '
-        'under epoch-bound lease until {deadline_ms}',
+        'with a lease until {deadline_ms}',
         'A stored start is being sent; the time is on the worker.',
         'Nothing.',
     )
@@ -372,3 +372,10 @@
         'A task made no progress; it is stopped and starts elsewhere.',
         'For many on one worker, look at the worker.',
     )
+    CALL_UNSERVED = warning(
+        713,
+        '{kind} of {job} ends as {verdict} after {seconds} s: sent {sends} '
+        'times, {declines} of them declined, owner of epoch {epoch}',
+        'No owner answered in time; unknown means that it may have been done.',
+        'Look for events 304 and 305 of that time, and for the store (202).',
+    )
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,48 @@
+"""The story of one id, from logs."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+import unittest
+
+from click.testing import CliRunner
+
+from primroseledge.cli import main
+
+ONE = """
+{"time":"2026-01-01T00:00:01","event":701,"message":"job aa taken"}
+not a log line
+{"time":"2026-01-01T00:00:09","event":304,"message":"owner much later"}
+{"time":"2026-01-01T00:00:0
+"""
+TWO = """
+ 3.2 host-2 {"time":"2026-01-01T00:00:02","event":304,"message":"owner"}
+{"time":"2026-01-01T00:00:03","event":702,"message":"job aa is completed"}
+{"time":"2026-01-01T00:00:02","event":702,"message":"job bb is completed"}
+"""
+
+
+class StoryTest(unittest.TestCase):
+    def tell(self, name: str) -> tuple[int, list[str]]:
+        with TemporaryDirectory() as folder:
+            paths = []
+            for stem, text in (('one', ONE), ('two', TWO)):
+                path = Path(folder) / f'{stem}.log'
+                path.write_text(text)
+                paths.append(str(path))
+            result = CliRunner().invoke(main, ['story', name, *paths])
+        return result.exit_code, result.output.splitlines()
+
+    def test_lines_of_several_processes_come_in_order(self) -> None:
+        code, lines = self.tell('aa')
+        self.assertEqual(0, code)
+        self.assertEqual(3, len(lines))
+        self.assertIn('one  701  job aa taken', lines[0])
+        self.assertIn('host-2  304  owner', lines[1])
+        self.assertIn('two  702  job aa is completed', lines[2])
+
+    def test_an_unknown_id_has_its_code(self) -> None:
+        self.assertEqual(1, self.tell('cc')[0])
+
+
+if __name__ == '__main__':
+    unittest.main()
