Send instances straight to the pool that is short

Cause: when the standby pool is empty, a pool at the start of its turn waited until others had given instances back for 1.2 s, and then for two moves. While a pool finds none, others give back after 0.3 s, and what leaves them goes straight to it.

Test: an idle pool gives to one that is short.

--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -38,6 +38,9 @@
 SHRINK_AFTER_S: Final = 1.2
 """A pool must have asked for less for this long."""
 
+SHORT_SHRINK_S: Final = 0.3
+"""The same while another pool finds no instance to take."""
+
 RETRY_S: Final = 0.7
 GIVE_UP_S: Final = 4.0
 DECIDE_EVERY_S: Final = 0.1
@@ -57,9 +60,15 @@
         fleet.watched_since = now
     fleet.sized_at = now
     demands = measure_demand(state)
+    fleet.needs = {
+        service: count
+        for service, count in fleet.needs.items()
+        if service in state.configuration.services
+    }
     for service in state.configuration.services.values():
         if service.is_standby:
             continue
+        fleet.needs.pop(service.id, None)
         demand = demands[service.id]
         wanted = wanted_size(state, fleet, service, demand, now)
         size_pool(state, fleet, service.id, standby, wanted, now)
@@ -93,7 +102,8 @@
     history.append((now, max(MIN_POOL, needed)))
     while history[0][0] < now - SHRINK_AFTER_S:
         history.pop(0)
-    return max(size for _, size in history)
+    window_s = SHORT_SHRINK_S if fleet.needs else SHRINK_AFTER_S
+    return max(size for at, size in history if at >= now - window_s)
 
 
 def worker_cores(state: FleetState, service: ServiceId) -> float:
@@ -199,7 +209,12 @@
         if is_leaving and home_of(fleet, operation) == service:
             end_move(state, fleet, operation)
             count -= 1
-    for instance in standby_instances(fleet, service, standby)[:count]:
+    free = standby_instances(fleet, service, standby)[:count]
+    count -= len(free)
+    count -= redirect(fleet, service, standby, count)
+    if count > 0:
+        fleet.needs[service] = count
+    for instance in free:
         row = fleet.rows[instance]
         operation = Operation(
             instance, row.worker, None, begun_at=now, pool=service
@@ -208,6 +223,35 @@
         advance_move(state, fleet, operation, now)
 
 
+def redirect(
+    fleet: InstanceList, service: ServiceId, standby: ServiceId, count: int
+) -> int:
+    """Let instances that leave other pools come here; return how many."""
+    redirected = 0
+    for operation in fleet.operations.values():
+        if redirected >= count:
+            break
+        is_leaving = operation.pool == standby and (
+            operation.step is Step.DRAINING
+        )
+        move = (operation.instance, service)
+        if is_leaving and move not in fleet.refused_moves:
+            operation.pool = service
+            redirected += 1
+    return redirected
+
+
+def take_need(fleet: InstanceList, standby: ServiceId) -> ServiceId:
+    """Return the pool that an instance should go to."""
+    for service, count in fleet.needs.items():
+        if count > 1:
+            fleet.needs[service] = count - 1
+        else:
+            del fleet.needs[service]
+        return service
+    return standby
+
+
 def standby_instances(
     fleet: InstanceList, service: ServiceId, standby: ServiceId
 ) -> list[InstanceId]:
@@ -251,7 +295,11 @@
         if any(t.step.is_long_running for t in worker.tasks.values()):
             continue
         operation = Operation(
-            instance, worker.id, None, begun_at=now, pool=standby
+            instance,
+            worker.id,
+            None,
+            begun_at=now,
+            pool=take_need(fleet, standby),
         )
         fleet.operations[instance] = operation
         advance_move(state, fleet, operation, now)
--- a/tests/enginebench.py
+++ b/tests/enginebench.py
@@ -71,13 +71,16 @@
 
 
 def worker_entry(
-    name: str, state: WorkerState = WorkerState.READY, boot: int = 1
+    name: str,
+    service: ServiceId = COPPER,
+    state: WorkerState = WorkerState.READY,
+    boot: int = 1,
 ) -> WorkerEntry:
     """Return the entry of a worker of 16 cores."""
     return WorkerEntry(
         WorkerId(name),
         Boot(boot),
-        COPPER,
+        service,
         f'{name}:1',
         ZoneId('north'),
         state,
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -358,7 +358,7 @@
 
 class DrainingWorkerTest(unittest.TestCase):
     def test_it_gets_no_new_tasks(self) -> None:
-        draining = worker_entry('worker-1', WorkerState.DRAINING)
+        draining = worker_entry('worker-1', state=WorkerState.DRAINING)
         bench = EngineBench(draining)
         bench.submit(make_job('a', tasks(1)))
         bench.store()
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -6,6 +6,7 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
 from primroseledge.jobs.actions import SendStart
+from primroseledge.jobs.configuration import Service
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.maintenance.actions import BeginUpkeep
 from primroseledge.maintenance.actions import InstanceAnswered
@@ -30,6 +31,7 @@
 
 WORKERS = [worker_entry(f'worker-{number}') for number in range(6)]
 WAVE = WaveNumber(1)
+IRON = ServiceId('iron')
 
 
 def row(
@@ -293,6 +295,28 @@
         self.burst(bench)
         self.assertFalse(drained[0].is_draining)
 
+    def two_pools(self) -> MaintenanceBench:
+        """Return a bench with an idle pool and a short one."""
+        idle = [worker_entry(f'idle-{number}', IRON) for number in range(5)]
+        bench = MaintenanceBench(*WORKERS[:3], *idle)
+        config = bench.engine.state.configuration
+        config.services[IRON] = Service(IRON)
+        for number, entry in enumerate(idle, 3):
+            bench.rows[f'i-{number}'] = row(number, IRON, worker=entry.id)
+        return bench
+
+    def test_an_idle_pool_gives_to_one_that_is_short(self) -> None:
+        bench = self.two_pools()
+        bench.list_instances()
+        bench.settle(0.2)
+        self.burst(bench)
+        for _ in range(14):
+            bench.list_instances()
+            bench.settle(0.1)
+        moves = bench.moves()
+        self.assertEqual({COPPER}, {move.pool for move in moves})
+        self.assertEqual(2, len({move.instance for move in moves}))
+
     def test_a_refused_pool_is_not_tried_again(self) -> None:
         bench = MaintenanceBench(*WORKERS[:3])
         bench.rows['i-10'] = row(10, STANDBY)
