--- a/src/primroseledge/maintenance/evacuation.py
+++ b/src/primroseledge/maintenance/evacuation.py
@@ -34,10 +34,11 @@
     """Tell whether the budget of a task's step lets it be stopped.
 
     Every other task that is not at work counts against the budget,
-    whatever the cause.
+    whatever the cause. So does a task's own stop, also when it was not
+    at work when it was last seen: it may be by now.
     """
     budget = task.step.max_unavailable
-    if not budget or not task.is_at_work:
+    if not budget:
         return True
     job = state.jobs[task.key.job]
     step = job.steps[task.key.occurrence, task.key.step]
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -221,6 +221,15 @@
         )
         self.assertFalse(self.may_stop(bench, starts[0]))
 
+    def test_one_that_starts_up_may_be_at_work_by_now(self) -> None:
+        bench = EngineBench(*WORKERS[:3])
+        starts = self.start_watch(bench)
+        for start in starts[:2]:
+            row = running(start, percent=40)
+            bench.answer_look(start.target.worker, running=(row,))
+        self.assertFalse(self.may_stop(bench, starts[0]))
+        self.assertFalse(self.may_stop(bench, starts[1]))
+
     def test_a_task_on_a_silent_worker_counts_as_away(self) -> None:
         bench = EngineBench(*WORKERS[:3])
         starts = self.start_watch(bench)
