Split what an instance knows of the fleet from its node; leave draining workers

Long-running tasks now leave a worker that says it will go, within the budget of their step, instead of ending with it.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -4,26 +4,19 @@
 them go out. Only the loop calls it.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-from random import Random
 from typing import Any
 from typing import Final
 
-from primroseledge.cluster.fleetstore import Item
 from primroseledge.cluster.fleetstore import LeaseId
+from primroseledge.cluster.fleetview import FleetView
 from primroseledge.cluster.gateway import Gateway
 from primroseledge.cluster.gateway import PendingCall
-from primroseledge.cluster.keys import decode_member
-from primroseledge.cluster.keys import decode_owner
-from primroseledge.cluster.keys import MEMBER_PREFIX
-from primroseledge.cluster.keys import OWNER_KEY
 from primroseledge.cluster.messages import Ask
 from primroseledge.cluster.messages import CallerRequest
 from primroseledge.cluster.messages import CancelRequest
 from primroseledge.cluster.messages import Message
-from primroseledge.cluster.messages import News
 from primroseledge.cluster.messages import NewsQuery
 from primroseledge.cluster.messages import NotOwner
 from primroseledge.cluster.messages import PendingRequest
@@ -46,13 +39,11 @@
 from primroseledge.cluster.steps import RestoreJobs
 from primroseledge.cluster.steps import SendToPeer
 from primroseledge.cluster.steps import StoreBatch
-from primroseledge.cluster.steps import StoreSilent
 from primroseledge.cluster.steps import WorkerReport
 from primroseledge.cluster.steps import WorkersListed
 from primroseledge.cluster.steps import WorkersUnread
 from primroseledge.cluster.tenure import Tenure
 from primroseledge.cluster.tenure import TenureState
-from primroseledge.errors import DocumentError
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import Action
@@ -66,10 +57,7 @@
 from primroseledge.jobs.advice import AdviceFailed
 from primroseledge.jobs.advice import AdviceGiven
 from primroseledge.jobs.configuration import Configuration
-from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.maintenance.actions import InstanceReport
-from primroseledge.maintenance.wave import Wave
-from primroseledge.maintenance.wave import WaveNumber
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.owner.engine import create_engine
@@ -84,11 +72,6 @@
 LIST_WORKERS_BUSY_S: Final = 0.3
 """The same while instances move or have their upkeep."""
 
-GOSSIP_S: Final = 0.4
-"""How often peers are asked while the store does not answer us."""
-
-GOSSIP_PEERS: Final = 2
-
 RELEASE_RETRY_S: Final = 0.5
 
 LOOK_GRACE_S: Final = 1.5
@@ -99,17 +82,6 @@
 """
 
 
-@dataclass(frozen=True, slots=True)
-class Decoders:
-    """Decode what the platform's keys hold; each raises DocumentError."""
-
-    configuration_key: str
-    configuration: Callable[[bytes], Configuration]
-    worker: Callable[[Item, Configuration], WorkerEntry]
-    is_wave: Callable[[str], bool]
-    wave: Callable[[Item], Wave]
-
-
 Step = Any
 
 FIRST_EPOCH: Final = Epoch(1)
@@ -126,28 +98,32 @@
 class FleetNode:
     """All state of one entry instance."""
 
-    entry: EntryId
-    address: str
-    decoders: Decoders
-    seeds: tuple[str, ...] = ()
+    view: FleetView
     wall_offset_s: float = 0.0
-    random: Random = field(default_factory=Random)
     tenure: Tenure = field(default_factory=Tenure)
     gateway: Gateway = field(default_factory=Gateway)
-    configuration: Configuration | None = None
-    configuration_bytes: bytes = b''
-    members: dict[EntryId, str] = field(default_factory=dict)
     lease: LeaseId | None = None
     engine: Engine | None = None
     is_leaving: bool = False
-    is_store_silent: bool = False
     listed_at: float = 0.0
     is_listing: bool = False
-    gossiped_at: float = 0.0
     released_at: float = 0.0
-    waves: dict[WaveNumber, Wave] = field(default_factory=dict)
     steps: list[Step] = field(default_factory=list)
-    bad_entries: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def entry(self) -> EntryId:
+        """Return our own name."""
+        return self.view.entry
+
+    @property
+    def address(self) -> str:
+        """Return where peers reach us."""
+        return self.view.address
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force here, if there is one."""
+        return self.view.configuration
 
     # Callers
 
@@ -237,111 +213,28 @@
             if message.owner is not None:
                 self.tenure.hear_of_owner(message.owner)
         elif isinstance(message, NewsQuery):
-            self.steps.append(ReplyToPeer(sender, self.news_for(message)))
+            news = self.view.news_for(message, self.tenure)
+            self.steps.append(ReplyToPeer(sender, news))
         else:
-            self.take_news(message)
-
-    def news_for(self, query: NewsQuery) -> News:
-        """Return what we know that the asker may not."""
-        configuration = self.configuration
-        version = configuration.version if configuration else 0
-        is_newer = version > query.configuration_version
-        return News(
-            self.tenure.owner,
-            version,
-            self.configuration_bytes if is_newer else b'',
-        )
-
-    def take_news(self, news: News) -> None:
-        """Use what a peer knows."""
-        if news.owner is not None:
-            self.tenure.hear_of_owner(news.owner)
-        if news.configuration:
-            self.take_configuration(news.configuration)
-
-    def gossip(self, now: float) -> None:
-        """Ask peers while the store does not answer us."""
-        if not self.is_store_silent or now < self.gossiped_at + GOSSIP_S:
-            return
-        self.gossiped_at = now
-        others = {a for e, a in self.members.items() if e != self.entry}
-        others.update(self.seeds)
-        others.discard(self.address)
-        count = min(GOSSIP_PEERS, len(others))
-        version = self.configuration.version if self.configuration else 0
-        for address in self.random.sample(sorted(others), count):
-            self.steps.append(SendToPeer(address, NewsQuery(version)))
+            self.view.take_news(message, self.tenure)
+            self.follow_view()
 
     # The store
 
     def take_keys(self, seen: KeysSeen, now: float) -> None:
         """Take in the operators' keys and those of owner and members."""
-        self.is_store_silent = False
-        found = set[str]()
-        for item in seen.items:
-            found.add(item.key)
-            self.take_key(item)
-        if not seen.is_whole:
-            return
-        if OWNER_KEY not in found:
-            self.tenure.see_owner(None, seen.revision)
-        self.members = {
-            entry: address
-            for entry, address in self.members.items()
-            if f'{MEMBER_PREFIX}{entry}' in found
-        }
-
-    def take_key(self, item: Item) -> None:
-        """Take in one key; what cannot be read is logged."""
-        try:
-            if item.key == OWNER_KEY:
-                owner = decode_owner(item) if item.value else None
-                self.tenure.see_owner(owner, item.revision)
-            elif item.key.startswith(MEMBER_PREFIX):
-                self.take_member(item)
-            elif self.decoders.is_wave(item.key):
-                self.take_wave(item)
-            elif item.key == self.decoders.configuration_key and item.value:
-                self.take_configuration(item.value)
-        except DocumentError as error:
-            log(Event.INPUT_SKIPPED, subject=item.key, problem=str(error))
-
-    def take_member(self, item: Item) -> None:
-        """Take in where a member is reached, or that it is gone."""
-        entry = EntryId(item.key.removeprefix(MEMBER_PREFIX))
-        if item.value is None:
-            self.members.pop(entry, None)
-            return
-        self.members[entry] = decode_member(item).address
-
-    def take_wave(self, item: Item) -> None:
-        """Take in a wave that operators ask for."""
-        if item.value is None:
-            return
-        wave = self.decoders.wave(item)
-        self.waves[wave.number] = wave
-        if self.engine is not None:
-            self.engine.fleet.waves[wave.number] = wave
+        self.view.take_keys(seen, self.tenure)
+        self.follow_view()
 
-    def take_configuration(self, data: bytes) -> None:
-        """Use a configuration if it is newer; never an older one."""
-        try:
-            configuration = self.decoders.configuration(data)
-        except DocumentError as error:
-            log(
-                Event.INPUT_SKIPPED,
-                subject='configuration',
-                problem=str(error),
-            )
-            return
-        current = self.configuration
-        if current is not None and configuration.version <= current.version:
+    def follow_view(self) -> None:
+        """Let the engine use the newest configuration and waves."""
+        engine = self.engine
+        configuration = self.view.configuration
+        if engine is None or configuration is None:
             return
-        self.configuration = configuration
-        self.configuration_bytes = data
-        log(Event.CONFIG_IN_FORCE, revision=configuration.version)
-        if self.engine is not None:
-            self.engine.configure(configuration)
+        if engine.state.configuration is not configuration:
+            engine.configure(configuration)
+        engine.fleet.waves.update(self.view.waves)
 
     def lease_renewed(self, event: LeaseRenewed) -> None:
         """Note that our lease goes on."""
@@ -386,7 +279,7 @@
         if event.epoch != tenure.epoch or configuration is None:
             return
         engine = create_engine(configuration, now, self.wall_offset_s)
-        entries = self.decode_workers(event.workers)
+        entries = self.view.decode_workers(event.workers)
         restore(
             engine,
             event.accepted,
@@ -395,7 +288,7 @@
             entries,
             now,
         )
-        engine.fleet.waves = dict(self.waves)
+        engine.fleet.waves = dict(self.view.waves)
         if event.epoch > FIRST_EPOCH:
             engine.fleet.acts_from = now + TAKEOVER_PAUSE_S
         self.engine = engine
@@ -410,31 +303,14 @@
             seconds=round(now - tenure.took_over_at, 3),
         )
 
-    def decode_workers(self, items: tuple[Item, ...]) -> list[WorkerEntry]:
-        """Return the entries that can be read; log others once each."""
-        configuration = self.configuration
-        if configuration is None:
-            return []
-        entries = list[WorkerEntry]()
-        for item in items:
-            try:
-                entries.append(self.decoders.worker(item, configuration))
-            except DocumentError as error:
-                if self.bad_entries.get(item.key) != item.revision:
-                    self.bad_entries[item.key] = item.revision
-                    log(
-                        Event.INPUT_SKIPPED,
-                        subject=item.key,
-                        problem=str(error),
-                    )
-        return entries
-
     def workers_listed(self, event: WorkersListed, now: float) -> None:
         """Take in the list of workers."""
         self.is_listing = False
         self.listed_at = now
         if self.engine is not None:
-            self.engine.take_entries(self.decode_workers(event.items), now)
+            self.engine.take_entries(
+                self.view.decode_workers(event.items), now
+            )
 
     def workers_unread(self, event: WorkersUnread, now: float) -> None:
         """Ask for the list of workers again soon."""
@@ -488,7 +364,7 @@
         """Do what is due; return steps and the owner's orders."""
         self.check_tenure(now)
         self.claim(now)
-        self.gossip(now)
+        self.steps.extend(self.view.gossip(now))
         self.forward_calls(now)
         orders = self.decide(now)
         steps = self.steps
@@ -586,12 +462,6 @@
             return LIST_WORKERS_BUSY_S
         return LIST_WORKERS_S
 
-    def store_silent(self, event: StoreSilent) -> None:
-        """Note that the store does not answer our watch."""
-        if not self.is_store_silent:
-            log(Event.STORE_UNAVAILABLE, problem=event.problem)
-        self.is_store_silent = True
-
     def is_ready(self, now: float) -> bool:
         """Tell whether new callers should be sent to us."""
         return (
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -244,7 +244,7 @@
 @handles(StoreSilent)
 def take_silence(loop: NodeLoop, item: StoreSilent, now: float) -> None:
     """Take in that the store did not answer."""
-    loop.node.store_silent(item)
+    loop.node.view.store_silent(item)
 
 
 @handles(LeaseRenewed)
--- a/src/primroseledge/maintenance/evacuation.py
+++ b/src/primroseledge/maintenance/evacuation.py
@@ -30,6 +30,14 @@
             state.stop_run(task)
 
 
+def leave_draining_workers(state: FleetState, now: float) -> None:
+    """Move long-running tasks away from workers that will leave."""
+    for worker in state.workers.values():
+        is_leaving = worker.entry.state is WorkerState.DRAINING
+        if is_leaving and worker.tasks and not worker.look_failures:
+            evacuate(state, worker, now)
+
+
 def may_be_unavailable(state: FleetState, task: Task, now: float) -> bool:
     """Tell whether the budget of a task's step lets it be stopped.
 
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -48,6 +48,7 @@
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import InstancesListed
 from primroseledge.maintenance.actions import ListFailed
+from primroseledge.maintenance.evacuation import leave_draining_workers
 from primroseledge.maintenance.fleetlist import InstanceList
 from primroseledge.maintenance.listing import list_instances
 from primroseledge.maintenance.pools import size_pools
@@ -239,6 +240,7 @@
         self.open_due_occurrences(now)
         carry_out_waves(state, self.fleet, now)
         size_pools(state, self.fleet, now)
+        leave_draining_workers(state, now)
         list_instances(state, self.fleet, now)
         if now >= state.replanned_at + REPLAN_S:
             # Workers may be used again as time passes, without an event.
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -17,9 +17,10 @@
 
 from primroseledge.clock import boot_time
 from primroseledge.cluster.callthread import CallThread
-from primroseledge.cluster.fleetnode import Decoders
 from primroseledge.cluster.fleetnode import FleetNode
 from primroseledge.cluster.fleetstore import Item
+from primroseledge.cluster.fleetview import Decoders
+from primroseledge.cluster.fleetview import FleetView
 from primroseledge.cluster.keys import MemberRecord
 from primroseledge.cluster.link import open_link
 from primroseledge.cluster.nodeloop import NodeLoop
@@ -116,7 +117,7 @@
     link = open_link(settings.peer_address, identity)
     resources.callback(link.close)
     names = KeyNames()
-    node = FleetNode(
+    view = FleetView(
         EntryId(settings.entry_id),
         settings.peer_address,
         Decoders(
@@ -128,6 +129,7 @@
         ),
         settings.seeds,
     )
+    node = FleetNode(view)
     return NodeLoop(node, link, wake_fd)
 
 
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -15,10 +15,11 @@
 from random import Random
 from typing import Any
 
-from primroseledge.cluster.fleetnode import Decoders
 from primroseledge.cluster.fleetnode import FleetNode
 from primroseledge.cluster.fleetstore import Item
 from primroseledge.cluster.fleetstore import Put
+from primroseledge.cluster.fleetview import Decoders
+from primroseledge.cluster.fleetview import FleetView
 from primroseledge.cluster.messages import CallerRequest
 from primroseledge.cluster.messages import CancelRequest
 from primroseledge.cluster.messages import StateRequest
@@ -173,9 +174,10 @@
             lambda _key: False,
             self.no_wave,
         )
-        node = FleetNode(
+        view = FleetView(
             entry, f'{entry}:{life}', decoders, random=self.random
         )
+        node = FleetNode(view)
         port = SimStorePort(self.storage, self.random, self.later)
         sim = SimNode(node, SimThread(port, entry, node.address), life)
         self.nodes[entry] = sim
@@ -362,7 +364,7 @@
             listed = sim.thread.store.read_all('o')
         except StoreError as error:
             silent = StoreSilent(str(error))
-            self.when_awake(sim, lambda: sim.node.store_silent(silent))
+            self.when_awake(sim, lambda: sim.node.view.store_silent(silent))
             self.later(0.2, lambda: self.read_keys(sim))
             return
         seen = KeysSeen(listed.items, listed.revision, True)
--- a/tests/test_fleet_fuzz.py
+++ b/tests/test_fleet_fuzz.py
@@ -98,7 +98,6 @@
                 estimate_ms=random.randint(200, 2500),
                 after=(index - 1,) if index else (),
                 is_long_running=is_lasting,
-                is_gang=not is_lasting and random.random() < 0.0,
                 max_unavailable=1 if is_lasting else 0,
             )
         )
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -5,10 +5,11 @@
 
 from msgspec import msgpack
 
-from primroseledge.cluster.fleetnode import Decoders
 from primroseledge.cluster.fleetnode import FleetNode
 from primroseledge.cluster.fleetstore import Item
 from primroseledge.cluster.fleetstore import LeaseId
+from primroseledge.cluster.fleetview import Decoders
+from primroseledge.cluster.fleetview import FleetView
 from primroseledge.cluster.keys import OWNER_KEY
 from primroseledge.cluster.messages import Ask
 from primroseledge.cluster.messages import News
@@ -82,7 +83,7 @@
             lambda _key: False,
             no_wave,
         )
-        self.node = FleetNode(ME, 'entry-1:7000', decoders)
+        self.node = FleetNode(FleetView(ME, 'entry-1:7000', decoders))
         self.steps: list[Any] = []
 
     def settle(self, seconds: float = 0.0) -> list[Any]:
@@ -274,10 +275,10 @@
     def test_peers_are_asked_while_the_store_is_silent(self) -> None:
         bench = NodeBench()
         bench.see(CONFIGURATION)
-        bench.node.members[EntryId('entry-2')] = OTHER.address
+        bench.node.view.members[EntryId('entry-2')] = OTHER.address
         bench.settle(1.0)
         self.assertEqual([], bench.of(SendToPeer))
-        bench.node.store_silent(StoreSilent('refused'))
+        bench.node.view.store_silent(StoreSilent('refused'))
         bench.settle()
         self.assertEqual(
             [SendToPeer(OTHER.address, NewsQuery(1))], bench.of(SendToPeer)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -1,5 +1,6 @@
 """Waves of upkeep, moves between pools and budgets, event by event."""
 
+from dataclasses import replace
 import unittest
 
 from primroseledge.ids import InstanceId
@@ -8,6 +9,7 @@
 from primroseledge.jobs.actions import SendStart
 from primroseledge.jobs.configuration import Service
 from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.jobs.worker import WorkerState
 from primroseledge.maintenance.actions import BeginUpkeep
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
@@ -230,6 +232,21 @@
         self.assertFalse(self.may_stop(bench, starts[0]))
         self.assertFalse(self.may_stop(bench, starts[1]))
 
+    def test_tasks_leave_a_worker_that_will_go(self) -> None:
+        bench = EngineBench(*WORKERS[:4])
+        starts = self.start_watch(bench)
+        leaving = starts[0].target.worker
+        entries = [
+            replace(entry, state=WorkerState.DRAINING)
+            if entry.id == leaving
+            else entry
+            for entry in WORKERS[:4]
+        ]
+        bench.list_workers(*entries)
+        self.assertEqual(
+            [starts[0].task], [stop.task for stop in bench.stops()]
+        )
+
     def test_a_task_on_a_silent_worker_counts_as_away(self) -> None:
         bench = EngineBench(*WORKERS[:3])
         starts = self.start_watch(bench)
