--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -64,6 +64,7 @@
 OWNER_TICK_S: Final = 0.02
 CALLS_TICK_S: Final = 0.1
 IDLE_TICK_S: Final = 0.25
+TIDY_S: Final = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,7 @@
         self.is_running = True
         self.is_leaving = False
         self.is_ready = False
+        self.tidied_at = 0.0
         link.poller.register(wake_fd, PollEvent.POLLIN)
 
     # Other threads
@@ -200,6 +202,8 @@
             )
         for step in steps:
             self.carry_out(step)
+        if now >= self.tidied_at + TIDY_S:
+            self.tidy(now)
         if self.workers is None:
             return
         for order in orders:
@@ -211,6 +215,15 @@
             elif self.instances is not None:
                 self.instances.submit((order, node.tenure.epoch))
 
+    def tidy(self, now: float) -> None:
+        """Close the connections that are not used any more."""
+        self.tidied_at = now
+        if self.workers is not None:
+            self.workers.close_idle(now)
+        owner = self.node.tenure.owner
+        if owner is not None and not self.node.view.is_store_silent:
+            self.link.keep_only({owner.address})
+
     def carry_out(self, step: Any) -> None:
         """Carry out one step."""
         if isinstance(step, AnswerCaller):
--- a/src/primroseledge/cluster/workerlinks.py
+++ b/src/primroseledge/cluster/workerlinks.py
@@ -21,7 +21,7 @@
 from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import SendLook
 
-IDLE_CLOSE_S: Final = 30.0
+IDLE_CLOSE_S: Final = 10.0
 """A worker's connections close after this long without use."""
 
 
--- a/src/primroseledge/jobs/fleetstate.py
+++ b/src/primroseledge/jobs/fleetstate.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 from dataclasses import field
-from typing import Final
 
 from primroseledge.ids import Boot
 from primroseledge.ids import JobId
@@ -19,15 +18,11 @@
 from primroseledge.jobs.resources import NOTHING
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.task import Run
-from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.worker import Worker
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 
-MAX_LEASE_S: Final = 6.0
-"""The longest lease that a worker grants; from PROTOCOL."""
-
 
 @dataclass(frozen=True, slots=True)
 class Timing:
@@ -37,7 +32,6 @@
     look_wait_s: float = 1.0
     look_retry_s: float = 0.4
     stop_retry_s: float = 0.8
-    unlisted_keep_s: float = 20.0
     predecessor_silent_s: float = 7.0
     """How long a predecessor's runs may go on at a silent worker."""
 
@@ -102,9 +96,7 @@
     def begin_run(self, task: Task, worker: Worker, now: float) -> None:
         """Plan a run of a task on a worker."""
         task.last_run += 1
-        task.run = Run(
-            task.last_run, worker.id, worker.entry.boot, planned_at=now
-        )
+        task.run = Run(task.last_run, worker.id, worker.entry.boot)
         self.count_run(task, worker)
         self.planned.append(task)
         job = self.jobs[task.key.job]
@@ -124,7 +116,6 @@
         if run is None:
             return
         task.run = None
-        task.waiting_since = now
         worker = self.workers.get(run.worker)
         if worker is not None:
             worker.remove(task)
@@ -154,8 +145,3 @@
         """Want a run stopped; a planned one is not sent at all."""
         if task.run is not None:
             task.run.is_stop_wanted = True
-
-    def is_sent(self, task: Task) -> bool:
-        """Tell whether a task's run was ever ordered."""
-        run = task.run
-        return run is not None and run.phase is not RunPhase.PLANNED
--- a/src/primroseledge/jobs/orders.py
+++ b/src/primroseledge/jobs/orders.py
@@ -27,16 +27,6 @@
 SHUN_S: Final = 1.0
 """No starts on a worker for this long after it refused one."""
 
-RETRYABLE: Final = frozenset(
-    (
-        OrderResult.TOO_LATE,
-        OrderResult.NO_ROOM,
-        OrderResult.NO_TICKET,
-        OrderResult.UNHEALTHY,
-        OrderResult.NOT_SENT,
-    )
-)
-
 
 def send_start(state: FleetState, task: Task, now: float) -> None:
     """Order a run that is stored, or drop it if nobody wants it now."""
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -57,7 +57,6 @@
     worker: WorkerId
     boot: Boot
     phase: RunPhase = RunPhase.PLANNED
-    planned_at: float = 0.0
     settled_at: float | None = None
     seen_at: float | None = None
     send_count: int = 0
@@ -70,7 +69,6 @@
     load: int = 0
     pace_percent: int = 100
     paced_at: float = 0.0
-    over_since: float | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -84,7 +82,6 @@
     is_done: bool = False
     failures: int = 0
     checkpoint: str = ''
-    waiting_since: float = 0.0
     failed_on: set[WorkerId] = field(default_factory=set)
 
     @property
--- a/src/primroseledge/jobs/worker.py
+++ b/src/primroseledge/jobs/worker.py
@@ -111,7 +111,6 @@
     silent_until: float = 0.0
     shuns_until: float = 0.0
     is_draining: bool = False
-    lacks_room_until: float = 0.0
     conduct: Conduct = field(default_factory=Conduct)
 
     @property
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -86,7 +86,7 @@
         job_id = event.job.id
         job = state.jobs.get(job_id)
         if job is None:
-            refusal = find_refusal(state, event.job, now)
+            refusal = find_refusal(state, event.job)
             if refusal is not None:
                 log(Event.JOB_REFUSED, job=job_id, reason=refusal.reason)
                 state.actions.append(Reply(event.call, refusal))
--- a/src/primroseledge/platform/settings.py
+++ b/src/primroseledge/platform/settings.py
@@ -18,23 +18,48 @@
 
 SETTINGS_VARIABLE: Final = 'PRIMROSELEDGE_NODE_FILE'
 ADDRESS: Final = r'^[0-9.]+:[0-9]+$'
-Address = Annotated[str, Meta(pattern=ADDRESS)]
 
 
 class PlatformSettings(Struct, frozen=True, kw_only=True):
     """Where this process runs and whom it calls."""
 
-    entry_id: Annotated[str, Meta(min_length=1)]
-    zone: str
-    caller_address: Address
-    ready_address: Address
-    peer_address: Address
-    seed_hosts: list[str] = []
-    store_address: Address
-    fleet_address: Address
-    advice_address: str = ''
-    grace_period_s: Annotated[float, Meta(gt=0)] = 6.0
-    server_threads: Annotated[int, Meta(ge=1, le=256)] = 24
+    entry_id: Annotated[
+        str, Meta(min_length=1, description='Name of this entry instance.')
+    ]
+    zone: Annotated[str, Meta(description='Its availability zone.')]
+    caller_address: Annotated[
+        str, Meta(pattern=ADDRESS, description='Where callers connect.')
+    ]
+    ready_address: Annotated[
+        str,
+        Meta(pattern=ADDRESS, description='Where the platform asks for it.'),
+    ]
+    peer_address: Annotated[
+        str, Meta(pattern=ADDRESS, description='Where peers connect.')
+    ]
+    seed_hosts: Annotated[
+        list[str],
+        Meta(description='Peers to ask while the store is silent.'),
+    ] = []
+    store_address: Annotated[
+        str, Meta(pattern=ADDRESS, description="The platform's store.")
+    ]
+    fleet_address: Annotated[
+        str,
+        Meta(pattern=ADDRESS, description='The service of instances.'),
+    ]
+    advice_address: Annotated[
+        str,
+        Meta(description='The advisory service; empty if there is none.'),
+    ] = ''
+    grace_period_s: Annotated[
+        float,
+        Meta(gt=0, description='From SIGTERM until the process is killed.'),
+    ] = 6.0
+    server_threads: Annotated[
+        int,
+        Meta(ge=1, le=256, description='Threads that serve callers.'),
+    ] = 24
 
     @property
     def seeds(self) -> tuple[str, ...]:
--- a/src/primroseledge/platform/wire.py
+++ b/src/primroseledge/platform/wire.py
@@ -204,12 +204,6 @@
     ttl_ms: int = 0
 
 
-class WireConflict(Struct):
-    """The items of a transaction's conditions as they are."""
-
-    items: list[WireItem] = []
-
-
 class WireRefusal(Struct):
     """Why a call about an instance was refused."""
 
--- a/tools/catalogue.py
+++ b/tools/catalogue.py
@@ -18,6 +18,7 @@
 from msgspec import structs
 
 from primroseledge.observability.events import Event
+from primroseledge.platform.settings import PlatformSettings
 from primroseledge.settings.settings import Curve
 from primroseledge.settings.settings import Maintenance
 from primroseledge.settings.settings import Peer
@@ -105,6 +106,13 @@
     for name, section in SECTIONS.items():
         lines += ['', f'## {name}', '', str(section.__doc__), '']
         lines += render_section(section)
+    lines += ['', "## On the users' platform", '']
+    lines += [
+        'The settings of `primroseledge platform`; the platform fills them',
+        'in from `deploy/node.json`.',
+        '',
+    ]
+    lines += render_section(PlatformSettings)
     return '\n'.join(lines) + '\n'
 
 
