Change the pace of fillers only by figures from after the last change

Cause: a filler was slowed again and again by one figure, as nothing asked whether a look had come since.

--- a/src/primroseledge/jobs/pacing.py
+++ b/src/primroseledge/jobs/pacing.py
@@ -57,7 +57,8 @@
 ) -> None:
     """Change the pace of one task, if it is time to."""
     run = task.run
-    if run is None or now < run.paced_at + MIN_INTERVAL_S:
+    if run is None or worker.looked_at < run.paced_at + MIN_INTERVAL_S:
+        # The figures are from before the last change took effect.
         return
     percent = next_percent(run.pace_percent, strain)
     if percent == run.pace_percent:
