Bound the platform's log lines, never wait to write them, serve metrics

Cause: the platform daemon wrote its lines to standard output from the thread that decides. Counters and histograms of the platform daemon were served nowhere.

Ruled out: the library's QueueHandler with QueueListener, whose stop joins a thread that may be blocked for good.

Change: a budget of lines a second by event and level, with a counted summary (602); a thread that writes; lines beyond 4,000 waiting ones are dropped and counted. New lines once a change: store back, peer listed and gone, worker answers again, job started, call refused, pace set, stopping. SIGHUP is logged by the loop, not by the handler of the signal.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -223,7 +223,7 @@
 
     def take_keys(self, seen: KeysSeen, now: float) -> None:
         """Take in the operators' keys and those of owner and members."""
-        self.view.take_keys(seen, self.tenure)
+        self.view.take_keys(seen, self.tenure, now)
         self.follow_view()
 
     def follow_view(self) -> None:
@@ -243,6 +243,8 @@
 
     def lease_lost(self) -> None:
         """Note that the store ended our lease."""
+        if self.lease is not None:
+            log(Event.LEASE_LOST, problem='the store has ended it')
         self.lease = None
         self.tenure.lease_lost()
 
--- a/src/primroseledge/cluster/fleetview.py
+++ b/src/primroseledge/cluster/fleetview.py
@@ -61,12 +61,13 @@
     members: dict[EntryId, str] = field(default_factory=dict)
     waves: dict[WaveNumber, Wave] = field(default_factory=dict)
     is_store_silent: bool = False
+    silent_since: float = 0.0
     gossiped_at: float = 0.0
     bad_entries: dict[str, int] = field(default_factory=dict)
 
-    def take_keys(self, seen: KeysSeen, tenure: Tenure) -> None:
+    def take_keys(self, seen: KeysSeen, tenure: Tenure, now: float) -> None:
         """Take in the operators' keys and those of owner and members."""
-        self.is_store_silent = False
+        self.store_answered(now)
         found = set[str]()
         for item in seen.items:
             found.add(item.key)
@@ -75,11 +76,9 @@
             return
         if OWNER_KEY not in found:
             tenure.see_owner(None, seen.revision)
-        self.members = {
-            entry: address
-            for entry, address in self.members.items()
-            if f'{MEMBER_PREFIX}{entry}' in found
-        }
+        for entry in list(self.members):
+            if f'{MEMBER_PREFIX}{entry}' not in found:
+                self.drop_member(entry)
 
     def take_key(self, item: Item, tenure: Tenure) -> None:
         """Take in one key; what cannot be read is logged."""
@@ -100,9 +99,17 @@
         """Take in where a member is reached, or that it is gone."""
         entry = EntryId(item.key.removeprefix(MEMBER_PREFIX))
         if item.value is None:
-            self.members.pop(entry, None)
+            self.drop_member(entry)
             return
-        self.members[entry] = decode_member(item).address
+        address = decode_member(item).address
+        if self.members.get(entry) != address:
+            log(Event.PEER_UP, peer=entry)
+        self.members[entry] = address
+
+    def drop_member(self, entry: EntryId) -> None:
+        """Forget a member whose record is gone."""
+        if self.members.pop(entry, None) is not None:
+            log(Event.PEER_LEFT, peer=entry)
 
     def take_wave(self, item: Item) -> None:
         """Take in a wave that operators ask for."""
@@ -148,12 +155,20 @@
                     )
         return entries
 
-    def store_silent(self, event: StoreSilent) -> None:
+    def store_silent(self, event: StoreSilent, now: float) -> None:
         """Note that the store does not answer our watch."""
         if not self.is_store_silent:
             log(Event.STORE_UNAVAILABLE, problem=event.problem)
+            self.silent_since = now
         self.is_store_silent = True
 
+    def store_answered(self, now: float) -> None:
+        """Note that the store has answered our watch."""
+        if self.is_store_silent:
+            seconds = round(now - self.silent_since, 3)
+            log(Event.STORE_AVAILABLE, seconds=seconds)
+        self.is_store_silent = False
+
     def gossip(self, now: float) -> list[SendToPeer]:
         """Return the questions to peers while the store is silent."""
         if not self.is_store_silent or now < self.gossiped_at + GOSSIP_S:
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -44,6 +44,7 @@
 from primroseledge.cluster.tenure import TenureState
 from primroseledge.cluster.workerlinks import WorkerLinks
 from primroseledge.ids import Epoch
+from primroseledge.jobs.actions import Action
 from primroseledge.jobs.actions import Answer
 from primroseledge.jobs.actions import SendLook
 from primroseledge.jobs.actions import SendPace
@@ -58,13 +59,17 @@
 from primroseledge.maintenance.actions import InstancesListed
 from primroseledge.maintenance.actions import ListFailed
 from primroseledge.observability.events import Event
+from primroseledge.observability.fleetfigures import FleetFigures
+from primroseledge.observability.fleetmetrics import FleetMetrics
 from primroseledge.observability.logs import log
 from primroseledge.observability.logs import LOGGER
+from primroseledge.owner.figures import add_owned
 
 OWNER_TICK_S: Final = 0.02
 CALLS_TICK_S: Final = 0.1
 IDLE_TICK_S: Final = 0.25
 TIDY_S: Final = 5.0
+PUBLISH_S: Final = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +82,11 @@
     answers: 'SimpleQueue[Answer]'
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsSeen:
+    """The platform has written the settings anew."""
+
+
 Handler = Callable[['NodeLoop', Any, float], None]
 HANDLERS: Final[dict[type, Handler]] = {}
 
@@ -95,8 +105,11 @@
 class NodeLoop:
     """Runs a node: events in, steps out."""
 
-    def __init__(self, node: FleetNode, link: Link, wake_fd: int) -> None:
+    def __init__(
+        self, node: FleetNode, link: Link, wake_fd: int, metrics: FleetMetrics
+    ) -> None:
         self.node = node
+        self.metrics = metrics
         self.link = link
         self.wake_fd = wake_fd
         self.store: StoreThread | None = None
@@ -111,6 +124,7 @@
         self.is_leaving = False
         self.is_ready = False
         self.tidied_at = 0.0
+        self.published_at = 0.0
         link.poller.register(wake_fd, PollEvent.POLLIN)
 
     # Other threads
@@ -123,12 +137,17 @@
     def call(self, request: CallerRequest, wait_s: float) -> Answer:
         """Return the answer to a caller's request; blocks the caller."""
         answers: SimpleQueue[Answer] = SimpleQueue()
-        deadline = boot_time() + wait_s
+        began_at = boot_time()
+        deadline = began_at + wait_s
         self.post(CallBegun(next(self.numbers), request, deadline, answers))
         try:
-            return answers.get(timeout=wait_s + 1.0)
+            answer = answers.get(timeout=wait_s + 1.0)
         except Empty:
-            return Answer(Verdict.UNKNOWN, reason='loop')
+            answer = Answer(Verdict.UNKNOWN, reason='loop')
+        kind = type(request).__name__
+        took_s = boot_time() - began_at
+        self.metrics.call_ended(kind, answer.verdict.value, took_s)
+        return answer
 
     def may_order(self, epoch: Epoch) -> bool:
         """Tell whether an order of this epoch may still be sent."""
@@ -192,6 +211,8 @@
         now = boot_time()
         node = self.node
         node.wall_offset_s = time() - now
+        if self.is_leaving and not node.is_leaving:
+            log(Event.STOPPING, running=len(self.waiting), queued=0)
         node.is_leaving = self.is_leaving
         steps, orders = node.settle(now)
         self.is_ready = node.is_ready(now)
@@ -202,18 +223,42 @@
             )
         for step in steps:
             self.carry_out(step)
+        for order in orders:
+            self.submit(order)
+        if now >= self.published_at + PUBLISH_S:
+            self.published_at = now
+            self.metrics.publish(self.figures())
         if now >= self.tidied_at + TIDY_S:
             self.tidy(now)
-        if self.workers is None:
-            return
-        for order in orders:
-            if isinstance(order, SendStart | SendStop | SendPace | SendLook):
-                self.workers.submit(order, node.tenure.epoch)
-            elif isinstance(order, AskAdvice):
-                if self.advice is not None:
-                    self.advice.submit(order)
-            elif self.instances is not None:
-                self.instances.submit((order, node.tenure.epoch))
+
+    def submit(self, order: Action) -> None:
+        """Give an order to the thread that carries it out."""
+        epoch = self.node.tenure.epoch
+        if isinstance(order, SendStart | SendStop | SendPace | SendLook):
+            if self.workers is not None:
+                self.workers.submit(order, epoch)
+        elif isinstance(order, AskAdvice):
+            if self.advice is not None:
+                self.advice.submit(order)
+        elif self.instances is not None:
+            self.instances.submit((order, epoch))
+
+    def figures(self) -> FleetFigures:
+        """Return what this instance holds now."""
+        node = self.node
+        configuration = node.configuration
+        owner = node.tenure.owner
+        figures = FleetFigures(
+            epoch=owner.epoch if owner else 0,
+            is_ready=self.is_ready,
+            configuration_version=(
+                configuration.version if configuration else 0
+            ),
+            open_calls=len(self.waiting),
+        )
+        if node.engine is None:
+            return figures
+        return add_owned(figures, node.engine.state)
 
     def tidy(self, now: float) -> None:
         """Close the connections that are not used any more."""
@@ -248,6 +293,12 @@
     loop.node.call(item.number, item.request, item.deadline, now)
 
 
+@handles(SettingsSeen)
+def take_settings(loop: NodeLoop, item: SettingsSeen, now: float) -> None:
+    """Note that the platform has written the settings anew."""
+    log(Event.SETTINGS_SEEN)
+
+
 @handles(KeysSeen)
 def take_keys(loop: NodeLoop, item: KeysSeen, now: float) -> None:
     """Take in watched keys."""
@@ -257,7 +308,7 @@
 @handles(StoreSilent)
 def take_silence(loop: NodeLoop, item: StoreSilent, now: float) -> None:
     """Take in that the store did not answer."""
-    loop.node.view.store_silent(item)
+    loop.node.view.store_silent(item, now)
 
 
 @handles(LeaseRenewed)
--- a/src/primroseledge/cluster/storethread.py
+++ b/src/primroseledge/cluster/storethread.py
@@ -17,6 +17,7 @@
 from msgspec import DecodeError
 from msgspec import msgpack
 
+from primroseledge.clock import boot_time
 from primroseledge.cluster.callthread import Inbox
 from primroseledge.cluster.fleetstore import FleetStore
 from primroseledge.cluster.fleetstore import Put
@@ -55,6 +56,7 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.observability.events import Event
+from primroseledge.observability.fleetmetrics import FleetMetrics
 from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
 
@@ -84,7 +86,9 @@
         keys: PlatformKeys,
         entry: EntryId,
         address: str,
+        metrics: FleetMetrics,
     ) -> None:
+        self.metrics = metrics
         self.inbox = inbox
         self.store = store
         self.keys = keys
@@ -115,7 +119,14 @@
             step = self.steps.get()
             if step is None:
                 return
-            self.inbox.post(HANDLERS[type(step)](self, step))
+            began_at = boot_time()
+            result = HANDLERS[type(step)](self, step)
+            self.metrics.store_step_ended(
+                type(step).__name__,
+                type(result).__name__,
+                boot_time() - began_at,
+            )
+            self.inbox.post(result)
 
     def pause(self) -> bool:
         """Wait before a retry; tell whether to go on."""
--- a/src/primroseledge/jobs/looks.py
+++ b/src/primroseledge/jobs/looks.py
@@ -88,6 +88,12 @@
         return
     worker.is_looking = False
     worker.looked_at = now
+    if worker.look_failures:
+        log(
+            Event.WORKER_ANSWERS,
+            worker=worker.id,
+            failures=worker.look_failures,
+        )
     worker.look_failures = 0
     worker.silent_until = 0.0
     worker.told_end = max(worker.told_end, look.stored_end)
@@ -108,12 +114,12 @@
     worker.is_looking = False
     worker.looked_at = now
     worker.look_failures += 1
-    log(
-        Event.WORKER_SILENT,
-        worker=worker.id,
-        result=failure.result.value,
-        failures=worker.look_failures,
-    )
+    if worker.look_failures == 1:
+        log(
+            Event.WORKER_SILENT,
+            worker=worker.id,
+            result=failure.result.value,
+        )
     if failure.result is OrderResult.OTHER_BOOT:
         lose_all_runs(state, worker, 'another boot answered', now)
         worker.is_listed = False
--- a/src/primroseledge/jobs/orders.py
+++ b/src/primroseledge/jobs/orders.py
@@ -44,7 +44,13 @@
     worker.clock.extend(deadline_ms)
     run.phase = RunPhase.SENT
     run.send_count += 1
-    job.has_started = True
+    if not job.has_started:
+        job.has_started = True
+        log(
+            Event.JOB_STARTED,
+            job=task.key.job,
+            seconds=(state.wall_ms(now) - job.accepted.accepted_ms) / 1000,
+        )
     log(
         Event.RUN_ORDERED,
         task=task.key.name,
@@ -52,6 +58,7 @@
         worker=run.worker,
         boot=run.boot,
         deadline_ms=deadline_ms,
+        look_age=round(now - worker.looked_at, 3),
     )
     state.actions.append(
         SendStart(
--- a/src/primroseledge/jobs/pacing.py
+++ b/src/primroseledge/jobs/pacing.py
@@ -13,6 +13,8 @@
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.worker import Worker
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 
 SLOW_AT: Final = 0.85
 """Share of the objective above which fillers are slowed."""
@@ -65,6 +67,13 @@
         return
     run.paced_at = now
     run.pace_percent = percent
+    log(
+        Event.PACE_SET,
+        task=task.key.name,
+        worker=worker.id,
+        percent=percent,
+        strain=round(strain, 2),
+    )
     state.actions.append(
         SendPace(target_of(worker), task.key, run.number, percent)
     )
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -220,6 +220,12 @@
         'The peer is gone or does not read; it will ask again.',
         'Nothing if the peer was stopped.',
     )
+    PEER_LEFT = info(
+        308,
+        'peer {peer} is no longer listed',
+        'The lease of a peer has ended, or it has left.',
+        'Nothing if it was stopped; else look at its log.',
+    )
     REQUEST_REFUSED = info(
         401,
         'request {request} refused: {reason}',
@@ -298,10 +304,16 @@
         'Spans came faster than they could be exported.',
         'Lower `trace.sample` or look at the endpoint.',
     )
+    LINES_DROPPED = warning(
+        602,
+        '{dropped} lines of event {number} dropped in {seconds} s',
+        'Lines came faster than the budget allows or than they were read.',
+        'Read the metrics for the counts; look for what repeats.',
+    )
     JOB_ACCEPTED = info(
         701,
         'job {job} of workspace {workspace} taken for queue {queue}: '
-        '{tasks} tasks',
+        '{tasks} tasks, by configuration {revision}',
         'A job is being stored; its caller is answered when it is.',
         'Nothing.',
     )
@@ -314,7 +326,7 @@
     RUN_ORDERED = info(
         703,
         'task {task} run {run} ordered on {worker} of boot {boot} '
-        'with a lease until {deadline_ms}',
+        'with a lease until {deadline_ms}; its last look is {look_age} s old',
         'A stored start is being sent; the time is on the worker.',
         'Nothing.',
     )
@@ -344,7 +356,7 @@
     )
     WORKER_SILENT = warning(
         708,
-        'worker {worker} did not answer a look: {result}, {failures} in a row',
+        'worker {worker} did not answer a look: {result}',
         'No tasks are placed there until it answers.',
         'Look at the worker and the network.',
     )
@@ -379,3 +391,28 @@
         'No owner answered in time; unknown means that it may have been done.',
         'Look for events 304 and 305 of that time, and for the store (202).',
     )
+    JOB_STARTED = info(
+        714,
+        'job {job} begins after {seconds} s',
+        'The first start of a job is being sent.',
+        'For a long wait, look at the size of the pool and its workers (707).',
+    )
+    CALL_REFUSED = info(
+        715,
+        '{method} {path} refused with {status}: {reason}',
+        'A request was turned away before any owner was asked; nothing ran.',
+        'Look at the configuration in force (205), or at what was sent.',
+    )
+    WORKER_ANSWERS = info(
+        716,
+        'worker {worker} answers looks again after {failures} failures',
+        'Tasks are placed there again.',
+        'Nothing.',
+    )
+    PACE_SET = info(
+        717,
+        'task {task} on {worker} is paced to {percent} %, since {strain} of '
+        'the objective beside it is in use',
+        'A task that fills is slowed down or released beside one that serves.',
+        'Nothing; see the service that shares the worker.',
+    )
--- /dev/null
+++ b/src/primroseledge/observability/fleetmetrics.py
@@ -0,0 +1,185 @@
+"""Metrics of an entry instance on the users' platform.
+
+Decisions are counted from their log events, also those whose lines the
+budget drops, so that a page and a log never tell different stories.
+"""
+
+from collections.abc import Callable
+from logging import Handler
+from logging import LogRecord
+from typing import Any
+from typing import Final
+
+from primroseledge.observability.events import Event
+from primroseledge.observability.fleetfigures import FleetFigures
+from primroseledge.observability.metricspage import MetricsPage
+
+CALL_BUCKETS_S: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+JOB_BUCKETS_S: Final = (0.5, 1.0, 2.0, 3.0, 4.0, 6.0, 10.0, 20.0, 60.0)
+TAKEOVER_BUCKETS_S: Final = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+Fields = dict[str, Any]
+
+
+class FleetMetrics(MetricsPage):
+    """Everything that one entry instance counts and times."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.events = self.counter(
+            'events_total', 'Log events, by name; dropped lines count too.'
+        )
+        self.refusals = self.counter(
+            'jobs_refused_total', 'Jobs refused, by reason.'
+        )
+        self.runs = self.counter(
+            'runs_ended_total', 'Runs of tasks that ended, by how.'
+        )
+        self.calls = self.histogram(
+            'call_seconds',
+            "Callers' requests, by kind and verdict; a done submit is stored.",
+            CALL_BUCKETS_S,
+        )
+        self.store_steps = self.histogram(
+            'store_step_seconds',
+            'Steps at the store with their retries, by step and result.',
+            CALL_BUCKETS_S,
+        )
+        self.jobs = self.histogram(
+            'job_seconds', 'From acceptance to the final state.', JOB_BUCKETS_S
+        )
+        self.first_starts = self.histogram(
+            'first_start_seconds',
+            "From a job's acceptance to its first start.",
+            JOB_BUCKETS_S,
+        )
+        self.takeovers = self.histogram(
+            'takeover_seconds',
+            'From a won claim to deciding about jobs.',
+            TAKEOVER_BUCKETS_S,
+        )
+        self.epoch = self.gauge('epoch', 'Epoch of the owner known here.')
+        self.owner = self.gauge('is_owner', 'Whether this is the owner.')
+        self.ready = self.gauge('is_ready', 'Whether callers may come.')
+        self.version = self.gauge(
+            'configuration_version', 'Version in force here.'
+        )
+        self.open_calls = self.gauge('open_calls', 'Requests in hand.')
+        self.active_jobs = self.gauge('active_jobs', 'Jobs not ended yet.')
+        self.unstored_jobs = self.gauge(
+            'unstored_jobs', 'Jobs with changes that wait to be stored.'
+        )
+        self.tasks = self.gauge(
+            'tasks', 'Tasks by workspace, service and state.'
+        )
+        self.workers = self.gauge('workers', 'Workers by service and state.')
+
+    def call_ended(self, kind: str, verdict: str, took_s: float) -> None:
+        """Record a caller's request that got its answer."""
+        with self.lock:
+            self.calls.observe({'kind': kind, 'verdict': verdict}, took_s)
+
+    def store_step_ended(self, step: str, result: str, took_s: float) -> None:
+        """Record a step at the store."""
+        with self.lock:
+            self.store_steps.observe({'step': step, 'result': result}, took_s)
+
+    def event_logged(self, name: str, number: int, fields: Fields) -> None:
+        """Count a log event and what its fields tell."""
+        with self.lock:
+            self.events.inc({'event': name})
+            observe = OBSERVERS.get(number)
+            if observe is not None:
+                observe(self, fields)
+
+    def publish(self, figures: FleetFigures) -> None:
+        """Show what the instance holds now."""
+        with self.lock:
+            self.epoch.set({}, figures.epoch)
+            self.owner.set({}, int(figures.is_owner))
+            self.ready.set({}, int(figures.is_ready))
+            self.version.set({}, figures.configuration_version)
+            self.open_calls.set({}, figures.open_calls)
+            self.active_jobs.set({}, figures.active_jobs)
+            self.unstored_jobs.set({}, figures.unstored_jobs)
+            self.publish_owned(figures)
+
+    def publish_owned(self, figures: FleetFigures) -> None:
+        """Show the owner's tasks and workers; what is gone becomes zero."""
+        for gauge in (self.tasks, self.workers):
+            for labels, _ in gauge.get_all():
+                gauge.set(labels, 0)
+        for count in figures.tasks:
+            labels = {
+                'workspace': count.workspace,
+                'service': count.service,
+                'state': count.state,
+            }
+            self.tasks.set(labels, count.tasks)
+        for held in figures.workers:
+            labels = {'service': held.service, 'state': held.state}
+            self.workers.set(labels, held.workers)
+
+
+Observer = Callable[[FleetMetrics, Fields], None]
+OBSERVERS: Final[dict[int, Observer]] = {}
+
+
+def observes(event: Event) -> Callable[[Observer], Observer]:
+    """Register what an event adds beside its count."""
+
+    def register(observer: Observer) -> Observer:
+        OBSERVERS[event.value.number] = observer
+        return observer
+
+    return register
+
+
+@observes(Event.JOB_REFUSED)
+def count_refusal(metrics: FleetMetrics, fields: Fields) -> None:
+    """Count a refused job by its reason."""
+    metrics.refusals.inc({'reason': str(fields['reason'])})
+
+
+@observes(Event.RUN_ENDED)
+def count_run(metrics: FleetMetrics, fields: Fields) -> None:
+    """Count the end of a run by how it ended."""
+    metrics.runs.inc({'how': str(fields['how'])})
+
+
+@observes(Event.JOB_ENDED)
+def time_job(metrics: FleetMetrics, fields: Fields) -> None:
+    """Time a job until its final state."""
+    metrics.jobs.observe({'state': fields['state']}, fields['seconds'])
+
+
+@observes(Event.JOB_STARTED)
+def time_first_start(metrics: FleetMetrics, fields: Fields) -> None:
+    """Time a job until its first start."""
+    metrics.first_starts.observe({}, fields['seconds'])
+
+
+@observes(Event.JOBS_RESTORED)
+def time_takeover(metrics: FleetMetrics, fields: Fields) -> None:
+    """Time a new owner's way to its first decision."""
+    metrics.takeovers.observe({}, fields['seconds'])
+
+
+class EventCounter(Handler):
+    """Counts every event that is logged."""
+
+    def __init__(self, metrics: FleetMetrics) -> None:
+        super().__init__()
+        self.metrics = metrics
+
+    def emit(self, record: LogRecord) -> None:
+        """Count a record of the catalogue."""
+        number = getattr(record, 'event', 0)
+        name = getattr(record, 'event_name', 'library')
+        fields = getattr(record, 'event_fields', {})
+        self.metrics.event_logged(name, number, fields)
+
+
+def create_fleet_metrics() -> FleetMetrics:
+    """Return metrics with all counters at zero."""
+    return FleetMetrics()
--- a/src/primroseledge/observability/logs.py
+++ b/src/primroseledge/observability/logs.py
@@ -26,14 +26,21 @@
 
     A key or a body never goes into a field.
     """
+    if LOGGER.isEnabledFor(event.value.level):
+        LOGGER.handle(event_record(event, fields))
+
+
+def event_record(event: Event, fields: dict[str, FieldValue]) -> LogRecord:
+    """Return the record of an event."""
     info = event.value
-    if not LOGGER.isEnabledFor(info.level):
-        return
-    message = info.template.format(**fields)
-    LOGGER.log(
+    return LOGGER.makeRecord(
+        LOGGER.name,
         info.level,
+        __file__,
+        0,
         '%s',
-        message,
+        (info.template.format(**fields),),
+        None,
         extra={
             'event': info.number,
             'event_name': event.name.lower(),
@@ -71,7 +78,12 @@
 def configure(stream: TextIO | None = None, level: int = INFO) -> Handler:
     """Send this package's log lines to a stream; return the handler."""
     handler = create_handler(stream)
-    LOGGER.handlers[:] = [handler]
+    use_handlers(handler, level=level)
+    return handler
+
+
+def use_handlers(*handlers: Handler, level: int = INFO) -> None:
+    """Give this package's log records to these handlers alone."""
+    LOGGER.handlers[:] = handlers
     LOGGER.setLevel(level)
     LOGGER.propagate = False
-    return handler
--- a/src/primroseledge/observability/metrics.py
+++ b/src/primroseledge/observability/metrics.py
@@ -1,28 +1,16 @@
-"""Counters, gauges and histograms of one entry instance.
-
-Any thread may record; a lock keeps a page whole. Labels are ids of
-documents and members of enums, so their number is bounded; no label
-holds an id of a request, a key or a caller.
-"""
+"""Counters, gauges and histograms of one entry instance."""
 
 from collections.abc import Mapping
 from enum import Enum
-from threading import Lock
 from typing import Final
 
-from aioprometheus.collectors import Counter
-from aioprometheus.collectors import Gauge
-from aioprometheus.collectors import Histogram
-from aioprometheus.collectors import Registry
-from aioprometheus.renderer import render
-
 from primroseledge.ids import PoolId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
+from primroseledge.observability.metricspage import MetricsPage
 from primroseledge.requests.outcomes import Outcome
 from primroseledge.requests.outcomes import Reason
 
-CONTENT_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 WAIT_BUCKETS_S: Final = (
     *(0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25),
     *(0.5, 1.0, 2.5, 5.0, 10.0, 30.0),
@@ -41,12 +29,11 @@
     RECEIVED = 'received'
 
 
-class Metrics:
+class Metrics(MetricsPage):
     """Everything that one entry instance counts."""
 
     def __init__(self) -> None:
-        self.lock = Lock()
-        self.registry = Registry()
+        super().__init__()
         self.requests = self.counter(
             'requests_total', 'Requests ended, by service and outcome.'
         )
@@ -87,25 +74,6 @@
             "How far a team's part of the slots is from its share, 0 to 1.",
         )
 
-    def counter(self, name: str, text: str) -> Counter:
-        """Create and register a counter."""
-        return Counter(f'primroseledge_{name}', text, registry=self.registry)
-
-    def gauge(self, name: str, text: str) -> Gauge:
-        """Create and register a gauge."""
-        return Gauge(f'primroseledge_{name}', text, registry=self.registry)
-
-    def histogram(
-        self, name: str, text: str, buckets: tuple[float, ...]
-    ) -> Histogram:
-        """Create and register a histogram with buckets in seconds."""
-        return Histogram(
-            f'primroseledge_{name}',
-            text,
-            registry=self.registry,
-            buckets=list(buckets),
-        )
-
     def request_ended(self, service: ServiceId, outcome: Outcome) -> None:
         """Count a request that got its final answer."""
         with self.lock:
@@ -176,12 +144,6 @@
             for team, distance in distances.items():
                 self.share_distance.set({'team': team}, distance)
 
-    def page(self) -> bytes:
-        """Return the text that a Prometheus server scrapes."""
-        with self.lock:
-            content, _ = render(self.registry, [])
-        return bytes(content)
-
 
 def create_metrics() -> Metrics:
     """Return metrics with all counters at zero."""
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -99,6 +99,7 @@
                 workspace=event.job.workspace,
                 queue=event.job.queue,
                 tasks=sum(step.count for step in event.job.spec.steps),
+                revision=state.configuration.version,
             )
             state.jobs[job_id] = job
             state.active[job_id] = job
--- a/src/primroseledge/platform/callers.py
+++ b/src/primroseledge/platform/callers.py
@@ -23,6 +23,10 @@
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.observability.events import Event
+from primroseledge.observability.fleetmetrics import FleetMetrics
+from primroseledge.observability.logs import log
+from primroseledge.observability.metricspage import CONTENT_TYPE
 from primroseledge.platform.decoding import decode_job
 
 Environ = dict[str, Any]
@@ -94,6 +98,13 @@
         try:
             answer = self.serve(environ)
         except RequestError as error:
+            log(
+                Event.CALL_REFUSED,
+                method=str(environ.get('REQUEST_METHOD', '')),
+                path=str(environ.get('PATH_INFO', '')),
+                status=error.status,
+                reason=str(error),
+            )
             return self.respond(
                 start_response, error.status, {'error': str(error)}, 1.0
             )
@@ -232,3 +243,22 @@
         status = OK if self.is_ready() else UNAVAILABLE
         start_response(status, [('Content-Length', '0')])
         return [b'']
+
+
+class MetricsApplication:
+    """The WSGI application that shows the metrics."""
+
+    def __init__(self, metrics: FleetMetrics) -> None:
+        self.metrics = metrics
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Return the page, whatever the path."""
+        page = self.metrics.page()
+        headers = [
+            ('Content-Type', CONTENT_TYPE),
+            ('Content-Length', str(len(page))),
+        ]
+        start_response(OK, headers)
+        return [page]
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -24,6 +24,7 @@
 from primroseledge.cluster.keys import MemberRecord
 from primroseledge.cluster.link import open_link
 from primroseledge.cluster.nodeloop import NodeLoop
+from primroseledge.cluster.nodeloop import SettingsSeen
 from primroseledge.cluster.storethread import StoreThread
 from primroseledge.cluster.watchthreads import LeaseThread
 from primroseledge.cluster.watchthreads import WatchThread
@@ -38,9 +39,15 @@
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import ListInstances
 from primroseledge.observability.events import Event
+from primroseledge.observability.fleetmetrics import create_fleet_metrics
+from primroseledge.observability.fleetmetrics import EventCounter
+from primroseledge.observability.fleetmetrics import FleetMetrics
 from primroseledge.observability.logs import log
+from primroseledge.observability.logs import use_handlers
+from primroseledge.observability.logwriter import create_bounded_handler
 from primroseledge.platform.advice import PlatformAdvice
 from primroseledge.platform.callers import CallerApplication
+from primroseledge.platform.callers import MetricsApplication
 from primroseledge.platform.callers import ReadyApplication
 from primroseledge.platform.decoding import decode_configuration
 from primroseledge.platform.decoding import decode_entry
@@ -50,6 +57,7 @@
 from primroseledge.platform.store import PlatformStore
 from primroseledge.platform.workers import PlatformWorker
 
+STANDARD_OUTPUT: Final = 1
 READY_THREADS: Final = 1
 MAX_HEADER_BYTES: Final = 16384
 IDLE_CONNECTION_S: Final = 15
@@ -61,14 +69,19 @@
 def run(settings: PlatformSettings) -> int:
     """Serve until stopped; return the exit code."""
     with ExitStack() as resources:
-        loop = create_loop(settings, resources)
+        metrics = create_fleet_metrics()
+        handler = create_bounded_handler(STANDARD_OUTPUT)
+        resources.callback(handler.close)
+        use_handlers(handler, EventCounter(metrics))
+        loop = create_loop(settings, metrics, resources)
         start_threads(settings, loop, resources)
         start_servers(settings, loop, resources)
         stopper = Stopper(loop, settings.grace_period_s)
         resources.callback(stopper.cancel)
         for number in (SIGTERM, SIGINT):
             signal(number, lambda *_: stopper.begin())
-        signal(SIGHUP, lambda *_: log(Event.SETTINGS_SEEN))
+        # A handler must not log: it may interrupt a log call's lock.
+        signal(SIGHUP, lambda *_: loop.post(SettingsSeen()))
         log(
             Event.STARTED,
             entry=settings.entry_id,
@@ -76,7 +89,11 @@
             address=settings.caller_address,
         )
         loop.run()
-    log(Event.STOPPED, seconds=0, left=len(loop.waiting))
+        log(
+            Event.STOPPED,
+            seconds=stopper.passed_s(),
+            left=len(loop.waiting),
+        )
     return 0
 
 
@@ -89,6 +106,7 @@
     def __init__(self, loop: NodeLoop, grace_period_s: float) -> None:
         self.loop = loop
         self.wait_s = max(0.5, grace_period_s - STOP_MARGIN_S)
+        self.began_at = 0.0
         self.is_cancelled = ThreadEvent()
         self.thread = Thread(target=self.run, name='stop', daemon=True)
 
@@ -96,9 +114,14 @@
         """Begin the shutdown; a second signal changes nothing."""
         if self.loop.is_leaving:
             return
+        self.began_at = boot_time()
         self.loop.leave()
         self.thread.start()
 
+    def passed_s(self) -> float:
+        """Return how long ago the stop was asked for, in seconds."""
+        return round(boot_time() - self.began_at, 3)
+
     def run(self) -> None:
         """End the loop when the time is over."""
         self.is_cancelled.wait(self.wait_s)
@@ -109,7 +132,9 @@
         self.is_cancelled.set()
 
 
-def create_loop(settings: PlatformSettings, resources: ExitStack) -> NodeLoop:
+def create_loop(
+    settings: PlatformSettings, metrics: FleetMetrics, resources: ExitStack
+) -> NodeLoop:
     """Create the loop with its node and its link to peers."""
     wake_fd = eventfd(0)
     resources.callback(close, wake_fd)
@@ -130,7 +155,7 @@
         settings.seeds,
     )
     node = FleetNode(view)
-    return NodeLoop(node, link, wake_fd)
+    return NodeLoop(node, link, wake_fd, metrics)
 
 
 def decode_worker(item: Item, configuration: Configuration) -> WorkerEntry:
@@ -152,6 +177,7 @@
             names,
             member.entry,
             member.address,
+            loop.metrics,
         )
         for _ in range(2)
     )
@@ -212,10 +238,13 @@
         wall_ms,
     )
     ready = ReadyApplication(lambda: loop.is_ready)
+    metrics = MetricsApplication(loop.metrics)
     served: list[tuple[str, int, Any]] = [
         (settings.caller_address, settings.server_threads, callers),
         (settings.ready_address, READY_THREADS, ready),
     ]
+    if settings.metrics_address:
+        served.append((settings.metrics_address, READY_THREADS, metrics))
     for address, threads, application in served:
         host, _, port = address.rpartition(':')
         server = Server(
--- a/src/primroseledge/platform/settings.py
+++ b/src/primroseledge/platform/settings.py
@@ -52,6 +52,13 @@
         str,
         Meta(description='The advisory service; empty if there is none.'),
     ] = ''
+    metrics_address: Annotated[
+        str,
+        Meta(
+            pattern=f'{ADDRESS}|^$',
+            description='Where metrics are read; empty to serve none.',
+        ),
+    ] = ''
     grace_period_s: Annotated[
         float,
         Meta(gt=0, description='From SIGTERM until the process is killed.'),
--- a/standins/jobsdemo.py
+++ b/standins/jobsdemo.py
@@ -9,10 +9,8 @@
 from contextlib import ExitStack
 from dataclasses import dataclass
 from dataclasses import field
-from os import environ
 from pathlib import Path
 from subprocess import Popen
-import sys
 from tempfile import TemporaryDirectory
 from time import monotonic
 from time import sleep
@@ -26,8 +24,8 @@
 from primroseledge.httpclient import NoAnswerError
 from primroseledge.httpclient import NotSentError
 from standins.processes import free_port
+from standins.processes import start_on_platform
 from standins.processes import start_standin
-from standins.processes import stop
 
 ENTRIES: Final = 3
 WORKERS: Final = 4
@@ -82,16 +80,10 @@
             'store_address': store,
             'fleet_address': store,
         }
-        path = self.folder / f'{name}.json'
-        path.write_bytes(json.encode(settings))
-        with path.with_suffix('.log').open('wb') as log:
-            process = Popen(
-                [sys.executable, '-m', 'primroseledge', 'platform'],
-                env={**environ, 'PRIMROSELEDGE_NODE_FILE': str(path)},
-                stdout=log,
-                stderr=log,
+        with (self.folder / f'{name}.log').open('wb') as log:
+            process = start_on_platform(
+                self.resources, settings, self.folder, log.fileno()
             )
-        self.resources.callback(stop, process)
         self.entries[name] = process
         client = HttpClient(caller)
         self.resources.callback(client.close)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,16 +1,20 @@
 """Starts the stand-ins and the entry daemons as processes."""
 
 from contextlib import ExitStack
+from os import environ
 from pathlib import Path
 from socket import socket
 from subprocess import PIPE
 from subprocess import Popen
+from subprocess import STDOUT
 from subprocess import TimeoutExpired
 import sys
 from typing import Any
 
 from msgspec import json
 
+from primroseledge.platform.settings import SETTINGS_VARIABLE
+
 STOP_TIMEOUT_S = 10.0
 
 
@@ -76,6 +80,22 @@
     return process
 
 
+def start_on_platform(
+    resources: ExitStack, settings: dict[str, Any], folder: Path, output: int
+) -> Popen[bytes]:
+    """Start an entry instance on the platform; logs go to ``output``."""
+    path = folder / f'{settings["entry_id"]}.json'
+    path.write_bytes(json.encode(settings))
+    process = Popen(
+        [sys.executable, '-m', 'primroseledge', 'platform'],
+        env={**environ, SETTINGS_VARIABLE: str(path)},
+        stdout=output,
+        stderr=STDOUT,
+    )
+    resources.callback(stop, process)
+    return process
+
+
 def stop(process: Popen[bytes]) -> None:
     """End a process that this program started."""
     if process.poll() is None:
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -364,7 +364,9 @@
             listed = sim.thread.store.read_all('o')
         except StoreError as error:
             silent = StoreSilent(str(error))
-            self.when_awake(sim, lambda: sim.node.view.store_silent(silent))
+            self.when_awake(
+                sim, lambda: sim.node.view.store_silent(silent, self.now)
+            )
             self.later(0.2, lambda: self.read_keys(sim))
             return
         seen = KeysSeen(listed.items, listed.revision, True)
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -278,7 +278,7 @@
         bench.node.view.members[EntryId('entry-2')] = OTHER.address
         bench.settle(1.0)
         self.assertEqual([], bench.of(SendToPeer))
-        bench.node.view.store_silent(StoreSilent('refused'))
+        bench.node.view.store_silent(StoreSilent('refused'), bench.now)
         bench.settle()
         self.assertEqual(
             [SendToPeer(OTHER.address, NewsQuery(1))], bench.of(SendToPeer)
