Count a predecessor's upkeeps before beginning others

Ruled out: a list that lags, since an operation of ours is dropped only by a list sent after its call was answered.

Change: instances of a wave that are listed in upkeep count; a successor acts only on a list sent after the pause for its predecessor's calls, and asks for one then. Instances that a predecessor moves count as coming. test_a_new_owner_waits_before_its_first_call expected a call from the old list; it now also expects none before a newer one, which is stricter.

--- a/src/primroseledge/maintenance/fleetlist.py
+++ b/src/primroseledge/maintenance/fleetlist.py
@@ -66,6 +66,32 @@
         default_factory=set
     )
 
+    def may_act(self, now: float) -> bool:
+        """Tell whether instances may be taken away.
+
+        A successor waits until its predecessor's calls have ended, and
+        for a list that shows what they did.
+        """
+        return now >= self.acts_from and self.listed_at >= self.acts_from
+
+    def count_in_upkeep(self, wave: Wave) -> int:
+        """Count a wave's instances that are in upkeep or on the way to it.
+
+        Those that a predecessor took down are no operations of ours.
+        """
+        taken = {
+            operation.instance
+            for operation in self.operations.values()
+            if operation.wave == wave.number
+        }
+        taken.update(
+            instance
+            for instance in wave.instances
+            if instance in self.rows
+            and self.rows[instance].state is InstanceState.IN_UPKEEP
+        )
+        return len(taken)
+
     def take_list(self, listed: InstancesListed) -> None:
         """Take in the platform's list."""
         self.is_listing = False
--- a/src/primroseledge/maintenance/listing.py
+++ b/src/primroseledge/maintenance/listing.py
@@ -15,7 +15,8 @@
     """Read the list when it is too old for what is being done."""
     if fleet.is_listing or not needs_list(state, fleet):
         return
-    is_busy = bool(fleet.operations) or not fleet.rows
+    is_outdated = fleet.listed_at < fleet.acts_from <= now
+    is_busy = bool(fleet.operations) or not fleet.rows or is_outdated
     interval_s = BUSY_INTERVAL_S if is_busy else IDLE_INTERVAL_S
     if now < fleet.asked_at + interval_s:
         return
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -25,6 +25,7 @@
 from primroseledge.maintenance.fleetlist import InstanceList
 from primroseledge.maintenance.fleetlist import Operation
 from primroseledge.maintenance.fleetlist import Step
+from primroseledge.maintenance.wave import InstanceRow
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
@@ -54,7 +55,7 @@
     for operation in list(fleet.operations.values()):
         if operation.wave is None:
             advance_move(state, fleet, operation, now)
-    if now < fleet.acts_from or now < fleet.sized_at + DECIDE_EVERY_S:
+    if not fleet.may_act(now) or now < fleet.sized_at + DECIDE_EVERY_S:
         return
     if not fleet.sized_at:
         fleet.watched_since = now
@@ -158,19 +159,26 @@
 ) -> int:
     """Return how many instances are on their way to a pool.
 
-    One that is up and whose worker is not listed yet counts too.
+    One that is up and whose worker is not listed yet counts too, and
+    one that a predecessor has moved.
     """
     unlisted = sum(
         1
         for row in fleet.rows.values()
         if row.pool == service
-        and row.state is InstanceState.UP
-        and (row.worker is None or row.worker not in state.workers)
+        and is_coming(state, row)
         and row.id not in fleet.operations
     )
     return unlisted + count_operations(fleet, service)
 
 
+def is_coming(state: FleetState, row: InstanceRow) -> bool:
+    """Tell whether an instance is about to show a worker in its pool."""
+    if row.state is InstanceState.UP:
+        return row.worker is None or row.worker not in state.workers
+    return row.state in (InstanceState.MOVING, InstanceState.IN_UPKEEP)
+
+
 def count_operations(fleet: InstanceList, service: ServiceId) -> int:
     """Return how many moves and upkeeps will bring a pool an instance."""
     return sum(
@@ -330,7 +338,7 @@
     if operation.step is Step.CALLED and now > operation.begun_at + GIVE_UP_S:
         end_move(state, fleet, operation)
         return
-    if now < operation.called_at + RETRY_S or now < fleet.acts_from:
+    if now < operation.called_at + RETRY_S or not fleet.may_act(now):
         return
     if operation.step is Step.DRAINING:
         operation.begun_at = now
--- a/src/primroseledge/maintenance/upkeep.py
+++ b/src/primroseledge/maintenance/upkeep.py
@@ -92,8 +92,8 @@
     ]
     for operation in under_way:
         advance(state, fleet, operation, now)
-    room = wave.max_down - len(under_way)
-    if room > 0 and now >= fleet.acts_from:
+    room = wave.max_down - fleet.count_in_upkeep(wave)
+    if room > 0 and fleet.may_act(now):
         is_urgent = runs_short(wave, record, len(left), state.wall_ms(now))
         for instance in choose(state, fleet, left, room, is_urgent):
             begin(state, fleet, wave, instance, now)
@@ -205,7 +205,7 @@
     if operation.begun_at + GIVE_UP_S < now:
         give_up(state, fleet, operation)
         return
-    if now < operation.called_at + RETRY_S or now < fleet.acts_from:
+    if now < operation.called_at + RETRY_S or not fleet.may_act(now):
         return
     operation.step = Step.CALLED
     operation.called_at = now
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -188,8 +188,39 @@
         bench.settle(3.0)
         self.assertEqual([], bench.upkeeps())
         bench.settle(0.6)
+        # The list is from before the predecessor's last calls.
+        self.assertEqual([], bench.upkeeps())
+        bench.list_instances()
+        self.assertEqual(1, len(bench.upkeeps()))
+
+    def test_upkeeps_of_a_predecessor_count(self) -> None:
+        bench = MaintenanceBench(*WORKERS)
+        bench.hold_pools()
+        bench.engine.fleet.acts_from = bench.now + 1.0
+        for number in (0, 1):
+            bench.rows[f'i-{number}'] = row(
+                number, state=InstanceState.IN_UPKEEP
+            )
+        bench.settle(1.1)
+        bench.list_instances()
+        bench.ask_wave(0, 1, 2, 3, most=2)
+        self.assertEqual([], bench.upkeeps())
+        bench.rows['i-0'] = row(0, worker='worker-new')
+        bench.settle(0.3)
+        bench.list_instances()
         self.assertEqual(1, len(bench.upkeeps()))
 
+    def test_a_new_owner_reads_the_list_before_it_acts(self) -> None:
+        bench = MaintenanceBench(*WORKERS)
+        bench.engine.fleet.acts_from = bench.now + 1.0
+        bench.ask_wave(0)
+        bench.list_instances()
+        bench.settle(0.9)
+        self.assertEqual([], bench.take(ListInstances, lambda _: True))
+        bench.settle(0.2)
+        self.assertEqual([], bench.upkeeps())
+        self.assertEqual(1, len(bench.take(ListInstances, lambda _: True)))
+
 
 class BudgetTest(unittest.TestCase):
     def start_watch(self, bench: EngineBench) -> list[SendStart]:
