Ask pools for what jobs take, not for the rate of a short burst

Change: what is asked for is the work in use and waiting, and 0.8 times the width of what came in the last second, but no more than the rate of three seconds; batch tasks go to the fullest worker, long-running hosts first; a pool that has enough is below its least size for 2.5 s before it grows; 80 ms between a look and the next. JsonCaller calls through the one HttpClient.

--- a/src/primroseledge/httpclient.py
+++ b/src/primroseledge/httpclient.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from urllib3.connectionpool import HTTPConnectionPool
+from urllib3.connectionpool import HTTPSConnectionPool
 from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
@@ -42,11 +43,14 @@
 
 
 class HttpClient:
-    """Keeps a few connections to one address."""
+    """Keeps a few connections to one address, by TLS if asked to."""
 
-    def __init__(self, address: str, connections: int = 1) -> None:
+    def __init__(
+        self, address: str, connections: int = 1, is_secure: bool = False
+    ) -> None:
         host, _, port = address.rpartition(':')
-        self.pool = HTTPConnectionPool(
+        kind = HTTPSConnectionPool if is_secure else HTTPConnectionPool
+        self.pool = kind(
             host,
             int(port),
             maxsize=connections,
--- a/src/primroseledge/jobs/arrivalrate.py
+++ b/src/primroseledge/jobs/arrivalrate.py
@@ -1,25 +1,65 @@
-"""The rate at which work is handed in."""
+"""What was handed in lately, and at which rate.
+
+It answers the begin of a turn of demand, when a few arrivals must tell
+how many will follow. The time from the oldest arrival of the window until
+now is what the later ones are divided by, so that one arrival alone, how
+large it may be, tells no rate.
+"""
 
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Final
 
-RATE_WINDOW_S: Final = 1.5
+RATE_WINDOW_S: Final = 3.0
+RECENT_S: Final = 1.0
+MIN_SPAN_S: Final = 0.5
+"""Arrivals closer than this came together and tell no rate."""
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A job that was handed in.
+
+    ``work`` is in processor-seconds, ``width`` are the processors that
+    its first steps take at once.
+    """
+
+    at: float
+    work: float
+    width: float
+
+
+@dataclass(frozen=True, slots=True)
+class Rate:
+    """Processor-seconds that come a second, and the recent width."""
+
+    work: float = 0.0
+    recent_width: float = 0.0
 
 
 @dataclass(slots=True)
 class ArrivalRate:
-    """The work handed in lately, in processor-seconds."""
+    """The jobs handed in lately."""
 
-    arrivals: deque[tuple[float, float]] = field(default_factory=deque)
+    arrivals: deque[Arrival] = field(default_factory=deque)
 
-    def add(self, work: float, now: float) -> None:
-        """Count a job's work."""
-        self.arrivals.append((now, work))
+    def add(self, arrival: Arrival) -> None:
+        """Count a job."""
+        self.arrivals.append(arrival)
 
-    def cores(self, now: float) -> float:
-        """Return the processors that this rate keeps busy."""
-        while self.arrivals and self.arrivals[0][0] < now - RATE_WINDOW_S:
+    def measure(self, now: float) -> Rate:
+        """Return the rate of the last arrivals."""
+        while self.arrivals and self.arrivals[0].at < now - RATE_WINDOW_S:
             self.arrivals.popleft()
-        return sum(work for _, work in self.arrivals) / RATE_WINDOW_S
+        if len(self.arrivals) < 2:
+            return Rate()
+        first = self.arrivals[0]
+        span_s = max(MIN_SPAN_S, now - first.at)
+        work = sum(arrival.work for arrival in self.arrivals) - first.work
+        recent = sum(
+            arrival.width
+            for arrival in self.arrivals
+            if arrival.at > now - RECENT_S
+        )
+        return Rate(work / span_s, recent)
--- a/src/primroseledge/jobs/demand.py
+++ b/src/primroseledge/jobs/demand.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from primroseledge.ids import ServiceId
+from primroseledge.jobs.arrivalrate import Rate
 from primroseledge.jobs.fleetstate import FleetState
 from primroseledge.jobs.job import DEFAULT_ESTIMATE_MS
 from primroseledge.jobs.spec import JobSpec
@@ -17,6 +18,9 @@
 CATCH_UP_S: Final = 1.2
 """Work that waits is to be caught up with in this time."""
 
+LOOKAHEAD_S: Final = 0.8
+"""Time until an instance that is moved takes tasks."""
+
 
 @dataclass(slots=True)
 class Demand:
@@ -26,15 +30,16 @@
     lasting_cores: float = 0.0
     waiting_work: float = 0.0
 
-    def cores(self, coming_cores: float) -> float:
-        """Return the processors asked for, with work to come."""
-        # Work that came lately may still wait; it is not counted twice.
-        batch = max(
-            self.used_cores - self.lasting_cores,
-            coming_cores,
-            self.waiting_work / CATCH_UP_S,
-        )
-        return self.lasting_cores + batch
+    def cores(self, rate: Rate) -> float:
+        """Return the processors asked for by the time they can be there.
+
+        Until then jobs go on coming at this rate, but no more than what
+        comes in a second can be at work for long.
+        """
+        present = self.used_cores - self.lasting_cores
+        present += self.waiting_work / CATCH_UP_S
+        coming = min(present + rate.recent_width * LOOKAHEAD_S, rate.work)
+        return self.lasting_cores + max(present, coming)
 
 
 def work_of(spec: JobSpec) -> float:
@@ -49,6 +54,15 @@
     )
 
 
+def width_of(spec: JobSpec) -> float:
+    """Return the processors that a job's first steps take at once."""
+    return sum(
+        step.count * step.counted.cpu_millis / 1000
+        for step in spec.steps
+        if not step.after and not step.is_long_running
+    )
+
+
 def measure_demand(state: FleetState) -> dict[ServiceId, Demand]:
     """Return what each service's jobs ask for now."""
     demands = {service: Demand() for service in state.configuration.services}
--- a/src/primroseledge/jobs/looks.py
+++ b/src/primroseledge/jobs/looks.py
@@ -1,6 +1,7 @@
 """Decide when to look at which worker, and what silence means."""
 
 from dataclasses import replace
+from typing import Final
 
 from primroseledge.ids import Boot
 from primroseledge.jobs.actions import LookAnswered
@@ -18,6 +19,9 @@
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 
+END_PAUSE_S: Final = 0.08
+"""Time between an answered look and the next at a worker in use."""
+
 
 def take_entries(
     state: FleetState, entries: list[WorkerEntry], now: float
@@ -161,7 +165,8 @@
     if worker.seen_end > worker.stored_end:
         # Its ends are being stored; asking now would list them again.
         return now >= worker.looked_at + timing.look_retry_s
-    return True
+    # Ends that come close together are listed by one look.
+    return now >= worker.looked_at + END_PAUSE_S
 
 
 def is_in_use(state: FleetState, worker: Worker) -> bool:
--- a/src/primroseledge/jobs/placing.py
+++ b/src/primroseledge/jobs/placing.py
@@ -96,11 +96,16 @@
 
 
 def rank_batch(step: StepSpec, placement: StepPlacement) -> Rank:
-    """Prefer the rack near the data, then the emptiest worker."""
+    """Prefer the rack near the data, then the fullest worker.
+
+    The others get empty sooner and can be given back. Those with
+    long-running tasks stay in any case.
+    """
 
     def rank(worker: Worker) -> tuple[float, ...]:
         is_far = bool(step.data_rack) and worker.rack != step.data_rack
-        return (is_far, used_share(worker, placement))
+        hosts = any(t.step.is_long_running for t in worker.tasks.values())
+        return (is_far, not hosts, -used_share(worker, placement))
 
     return rank
 
--- a/src/primroseledge/maintenance/fleetlist.py
+++ b/src/primroseledge/maintenance/fleetlist.py
@@ -61,6 +61,7 @@
     wanted: dict[ServiceId, list[tuple[float, int]]] = field(
         default_factory=dict
     )
+    below_floor: dict[ServiceId, float] = field(default_factory=dict)
     needs: dict[ServiceId, int] = field(default_factory=dict)
     refused_moves: set[tuple[InstanceId, ServiceId]] = field(
         default_factory=set
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -12,6 +12,7 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
+from primroseledge.jobs.arrivalrate import Rate
 from primroseledge.jobs.configuration import Service
 from primroseledge.jobs.demand import Demand
 from primroseledge.jobs.demand import measure_demand
@@ -33,6 +34,12 @@
 MIN_POOL: Final = 3
 """Fewer workers would lose too much with one of them."""
 
+FLOOR_WAIT_S: Final = 2.5
+"""A pool that has enough is below its least size for this long first.
+
+Its own workers may be about to start, or to come back.
+"""
+
 SPARE_CORES_SHARE: Final = 0.15
 """Room above what is asked for, for uneven tasks."""
 
@@ -71,8 +78,8 @@
             continue
         fleet.needs.pop(service.id, None)
         demand = demands[service.id]
-        wanted = wanted_size(state, fleet, service, demand, now)
-        size_pool(state, fleet, service.id, standby, wanted, now)
+        asked = asked_size(state, fleet, service, demand, now)
+        size_pool(state, fleet, service.id, standby, asked, now)
 
 
 def find_standby(state: FleetState) -> ServiceId | None:
@@ -83,24 +90,20 @@
     return None
 
 
-def wanted_size(
+def asked_size(
     state: FleetState,
     fleet: InstanceList,
     service: Service,
     demand: Demand,
     now: float,
 ) -> int:
-    """Return how many workers a pool should have.
-
-    It is the most that was asked for lately.
-    """
-    rate = state.rates.get(service.id)
-    coming = rate.cores(now) if rate else 0.0
-    asked = demand.cores(coming)
+    """Return the most workers that a pool's jobs asked for lately."""
+    arrivals = state.rates.get(service.id)
+    asked = demand.cores(arrivals.measure(now) if arrivals else Rate())
     per_worker = worker_cores(state, service.id)
     needed = ceil(asked * (1 + SPARE_CORES_SHARE) / per_worker)
     history = fleet.wanted.setdefault(service.id, [])
-    history.append((now, max(MIN_POOL, needed)))
+    history.append((now, needed))
     while history[0][0] < now - SHRINK_AFTER_S:
         history.pop(0)
     window_s = SHORT_SHRINK_S if fleet.needs else SHRINK_AFTER_S
@@ -122,12 +125,19 @@
     fleet: InstanceList,
     service: ServiceId,
     standby: ServiceId,
-    wanted: int,
+    asked: int,
     now: float,
 ) -> None:
     """Let a pool grow or shrink towards a size."""
     members = pool_workers(state, service, now)
     size = len(members) + count_coming(state, fleet, service)
+    wanted = max(MIN_POOL, asked)
+    if size >= wanted:
+        fleet.below_floor.pop(service, None)
+    elif size >= asked:
+        since = fleet.below_floor.setdefault(service, now)
+        if now < since + FLOOR_WAIT_S:
+            return
     if size < wanted:
         grow(state, fleet, service, standby, wanted - size, now)
     elif (
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -25,8 +25,10 @@
 from primroseledge.jobs.admission import find_refusal
 from primroseledge.jobs.advice import AdviceFailed
 from primroseledge.jobs.advice import AdviceGiven
+from primroseledge.jobs.arrivalrate import Arrival
 from primroseledge.jobs.arrivalrate import ArrivalRate
 from primroseledge.jobs.configuration import Configuration
+from primroseledge.jobs.demand import width_of
 from primroseledge.jobs.demand import work_of
 from primroseledge.jobs.ends import end_job
 from primroseledge.jobs.fleetstate import FleetState
@@ -118,7 +120,7 @@
         work = work_of(job.accepted.spec)
         if service is not None and work:
             rate = self.state.rates.setdefault(service, ArrivalRate())
-            rate.add(work, now)
+            rate.add(Arrival(now, work, width_of(job.accepted.spec)))
 
     def cancel(self, event: CancelJob, now: float) -> None:
         """Cancel a job; one that is not known yet will not run either."""
--- a/src/primroseledge/storage/jsoncall.py
+++ b/src/primroseledge/storage/jsoncall.py
@@ -3,19 +3,25 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from contextlib import ExitStack
+from dataclasses import dataclass
 from typing import Any
+from typing import Final
+from urllib.parse import urlencode
+from urllib.parse import urlsplit
 
 from msgspec import json
-from urllib3.exceptions import ConnectTimeoutError
-from urllib3.exceptions import HTTPError
-from urllib3.exceptions import NewConnectionError
-from urllib3.poolmanager import PoolManager
-from urllib3.util import Timeout
 
 from primroseledge.errors import PrimroseledgeError
+from primroseledge.httpclient import HttpClient
+from primroseledge.httpclient import NoAnswerError
+from primroseledge.httpclient import NotSentError
 
-OK = 200
-DOWN = 503
+OK: Final = 200
+DOWN: Final = 503
+CONNECTIONS: Final = 4
+"""Threads that share a caller and may wait for answers at once."""
+
+DEFAULT_PORTS: Final = {'http': 80, 'https': 443}
 
 
 class CallError(PrimroseledgeError):
@@ -39,6 +45,14 @@
         self.text = text
 
 
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A client of one URL, and the path that the URL begins with."""
+
+    client: HttpClient
+    path: str
+
+
 class JsonCaller:
     """Keeps connections to one service and makes calls.
 
@@ -52,11 +66,12 @@
         timeout_s: float,
         headers: Mapping[str, str] | None = None,
     ) -> None:
-        self.urls = tuple(url.rstrip('/') for url in urls)
         self.timeout_s = timeout_s
+        self.headers = headers
         self.resources = ExitStack()
-        self.pool = PoolManager(retries=False, headers=headers)
-        self.resources.callback(self.pool.clear)
+        self.endpoints = [create_endpoint(url) for url in urls]
+        for endpoint in self.endpoints:
+            self.resources.callback(endpoint.client.close)
 
     def close(self) -> None:
         """Close the connections."""
@@ -75,38 +90,53 @@
         Raises NotReachedError, LostAnswerError and StatusError.
         """
         last = NotReachedError('no URL is set')
-        for url in self.urls:
+        for endpoint in self.endpoints:
             try:
-                return self.call_url(f'{url}/{path}', method, fields, wait_s)
+                return self.call_one(endpoint, path, method, fields, wait_s)
             except NotReachedError as error:
                 last = error
         raise last
 
-    def call_url(
-        self, url: str, method: str, fields: Mapping[str, Any], wait_s: float
+    def call_one(
+        self,
+        endpoint: Endpoint,
+        path: str,
+        method: str,
+        fields: Mapping[str, Any],
+        wait_s: float,
     ) -> bytes:
         """Make one call to one URL."""
         is_get = method == 'GET'
+        target = f'{endpoint.path}/{path}'
+        if is_get and fields:
+            target = f'{target}?{urlencode(fields)}'
         try:
-            response = self.pool.request(
+            answer = endpoint.client.call(
                 method,
-                url,
-                fields=dict(fields) if is_get else None,
-                body=None if is_get else json.encode(fields),
-                timeout=Timeout(
-                    connect=self.timeout_s, read=self.timeout_s + wait_s
-                ),
+                target,
+                None if is_get else json.encode(fields),
+                self.timeout_s + wait_s,
+                self.headers,
             )
-            data = response.data
-        except (NewConnectionError, ConnectTimeoutError) as error:
+        except NotSentError as error:
             raise NotReachedError(str(error)) from error
-        except HTTPError as error:
+        except NoAnswerError as error:
             # A read has no effect, so its answer's loss is no doubt.
             kind = NotReachedError if is_get else LostAnswerError
             raise kind(str(error)) from error
-        if response.status == DOWN:
+        if answer.status == DOWN:
             raise NotReachedError('the service is down')
-        if response.status != OK:
-            text = data.decode(errors='replace')
-            raise StatusError(response.status, text)
-        return data
+        if answer.status != OK:
+            text = answer.body.decode(errors='replace')
+            raise StatusError(answer.status, text)
+        return answer.body
+
+
+def create_endpoint(url: str) -> Endpoint:
+    """Return the endpoint of an ``http`` or ``https`` URL."""
+    parts = urlsplit(url)
+    port = parts.port or DEFAULT_PORTS.get(parts.scheme, 80)
+    client = HttpClient(
+        f'{parts.hostname}:{port}', CONNECTIONS, parts.scheme == 'https'
+    )
+    return Endpoint(client, parts.path.rstrip('/'))
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -6,6 +6,7 @@
 from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import RunningRun
 from primroseledge.jobs.actions import Verdict
+from primroseledge.jobs.looks import END_PAUSE_S
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.progress import TaskRecord
@@ -51,6 +52,7 @@
         self.assertEqual((1, 0), (worker.seen_end, worker.stored_end))
         bench.store()
         self.assertEqual(1, worker.stored_end)
+        bench.settle(END_PAUSE_S)
         last = bench.looks()[-1]
         self.assertEqual(1, last.stored_end)
 
