Hand the fleet over to the youngest instance, without a pause if settled

Ruled out: an owner that names its successor, which saves one more call and needs the successor's lease in the member's record; shorter leases of runs.

Change: members note when they began, and claim in that order, the youngest first, 0.1 s apart. A leaving owner plans nothing more, waits up to 1 s for its calls that take instances away and says in the ledger that none is under way; its successor then needs no pause. Records lie under one prefix and are read by one listing.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -74,6 +74,12 @@
 
 RELEASE_RETRY_S: Final = 0.5
 
+SETTLE_WAIT_S: Final = 1.0
+"""How long a leaving owner waits for calls that take instances away."""
+
+CLAIM_STEP_S: Final = 0.1
+"""How long each member lets the one before it claim first."""
+
 LOOK_GRACE_S: Final = 1.5
 """How long after its lease an owner without a store renews runs.
 
@@ -108,6 +114,9 @@
     listed_at: float = 0.0
     is_listing: bool = False
     released_at: float = 0.0
+    vacant_at: float | None = None
+    leaving_at: float | None = None
+    is_predecessor_settled: bool = False
     steps: list[Step] = field(default_factory=list)
 
     @property
@@ -256,14 +265,23 @@
             return
         if self.configuration is None or not self.tenure.may_claim(now):
             return
+        if not self.is_our_turn(now):
+            return
         self.tenure.claimed_at = now
         self.tenure.move('claim')
         self.steps.append(ClaimOwner(self.lease))
 
+    def is_our_turn(self, now: float) -> bool:
+        """Tell whether those that should claim before us had time to."""
+        if self.vacant_at is None:
+            self.vacant_at = now
+        return now >= self.vacant_at + CLAIM_STEP_S * self.view.claim_rank()
+
     def claim_won(self, event: ClaimWon, now: float) -> None:
         """Read the jobs as the new owner."""
         self.tenure.claim_won(event.owner, event.ledger_revision, now)
         if self.tenure.state is TenureState.RESTORING:
+            self.is_predecessor_settled = event.is_settled
             log(Event.OWNER_TAKEN, cell='fleet', epoch=event.owner.epoch)
             self.steps.append(RestoreJobs(event.owner.epoch))
 
@@ -291,7 +309,7 @@
             now,
         )
         engine.fleet.waves = dict(self.view.waves)
-        if event.epoch > FIRST_EPOCH:
+        if event.epoch > FIRST_EPOCH and not self.is_predecessor_settled:
             engine.fleet.acts_from = now + TAKEOVER_PAUSE_S
         self.engine = engine
         self.listed_at = now
@@ -376,6 +394,8 @@
     def check_tenure(self, now: float) -> None:
         """Drop the jobs when we do not own the fleet any more."""
         state = self.tenure.state
+        if not self.tenure.is_vacant:
+            self.vacant_at = None
         if self.engine is not None and state not in KEEPING:
             log(
                 Event.OWNER_LOST,
@@ -386,7 +406,7 @@
         if self.tenure.is_stranded(self.entry):
             self.release_stranded(now)
         if self.is_leaving:
-            self.release()
+            self.release(now)
 
     def release_stranded(self, now: float) -> None:
         """Remove an owner's record of ours on which nobody acts."""
@@ -396,15 +416,22 @@
         self.released_at = now
         self.steps.append(ReleaseOwner(owner.epoch, None))
 
-    def release(self) -> None:
+    def release(self, now: float) -> None:
         """Give the fleet to another instance before we stop."""
         tenure = self.tenure
         engine = self.engine
         if tenure.state is TenureState.OWNING and engine is not None:
-            if engine.outbox.under_way is None:
+            engine.is_closing = True
+            if self.leaving_at is None:
+                self.leaving_at = now
+            is_settled = not engine.fleet.calls_under_way
+            is_overdue = now >= self.leaving_at + SETTLE_WAIT_S
+            if engine.outbox.under_way is None and (is_settled or is_overdue):
                 tenure.move('release')
                 self.steps.append(
-                    ReleaseOwner(tenure.epoch, tenure.ledger_revision)
+                    ReleaseOwner(
+                        tenure.epoch, tenure.ledger_revision, is_settled
+                    )
                 )
         elif tenure.state in (TenureState.FOLLOWING, TenureState.CLAIMING):
             tenure.move('retire')
--- a/src/primroseledge/cluster/fleetview.py
+++ b/src/primroseledge/cluster/fleetview.py
@@ -14,6 +14,7 @@
 from primroseledge.cluster.keys import decode_member
 from primroseledge.cluster.keys import decode_owner
 from primroseledge.cluster.keys import MEMBER_PREFIX
+from primroseledge.cluster.keys import MemberRecord
 from primroseledge.cluster.keys import OWNER_KEY
 from primroseledge.cluster.messages import News
 from primroseledge.cluster.messages import NewsQuery
@@ -58,7 +59,7 @@
     random: Random = field(default_factory=Random)
     configuration: Configuration | None = None
     configuration_bytes: bytes = b''
-    members: dict[EntryId, str] = field(default_factory=dict)
+    members: dict[EntryId, MemberRecord] = field(default_factory=dict)
     waves: dict[WaveNumber, Wave] = field(default_factory=dict)
     is_store_silent: bool = False
     silent_since: float = 0.0
@@ -101,10 +102,26 @@
         if item.value is None:
             self.drop_member(entry)
             return
-        address = decode_member(item).address
-        if self.members.get(entry) != address:
+        member = decode_member(item)
+        if self.members.get(entry) != member:
             log(Event.PEER_UP, peer=entry)
-        self.members[entry] = address
+        self.members[entry] = member
+
+    def claim_rank(self) -> int:
+        """Return how many members should become the owner before us.
+
+        The youngest is first: where instances are restarted in turn, it
+        has its restart behind it.
+        """
+        own = self.members.get(self.entry)
+        if own is None:
+            return len(self.members)
+        return sum(
+            1
+            for member in self.members.values()
+            if (-member.started_ms, member.entry)
+            < (-own.started_ms, own.entry)
+        )
 
     def drop_member(self, entry: EntryId) -> None:
         """Forget a member whose record is gone."""
@@ -174,7 +191,7 @@
         if not self.is_store_silent or now < self.gossiped_at + GOSSIP_S:
             return []
         self.gossiped_at = now
-        others = {a for e, a in self.members.items() if e != self.entry}
+        others = {m.address for m in self.members.values()}
         others.update(self.seeds)
         others.discard(self.address)
         count = min(GOSSIP_PEERS, len(others))
--- a/src/primroseledge/cluster/keys.py
+++ b/src/primroseledge/cluster/keys.py
@@ -16,23 +16,30 @@
 OWNER_KEY: Final = 'owner/record'
 MEMBER_PREFIX: Final = 'owner/members/'
 LEDGER_KEY: Final = 'ledger'
-JOB_PREFIX: Final = 'jobs/'
-PROGRESS_PREFIX: Final = 'progress/'
-WAVE_PREFIX: Final = 'waves/'
+RECORD_PREFIX: Final = 'records/'
+JOB_PREFIX: Final = 'records/jobs/'
+PROGRESS_PREFIX: Final = 'records/progress/'
+WAVE_PREFIX: Final = 'records/waves/'
 
 
 class LedgerRecord(Struct, frozen=True, array_like=True):
-    """Who wrote last, and the number of the write within its epoch."""
+    """Who wrote last, and the number of the write within its epoch.
+
+    ``is_settled`` says that an owner has left without a call under way
+    that takes an instance away.
+    """
 
     epoch: Epoch
     number: int
+    is_settled: bool = False
 
 
 class MemberRecord(Struct, frozen=True, array_like=True):
-    """Where peers reach an entry instance."""
+    """Where peers reach an entry instance, and when it began."""
 
     entry: EntryId
     address: str
+    started_ms: int = 0
 
 
 RecordT = TypeVar('RecordT', bound=Struct)
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -66,6 +66,7 @@
 from primroseledge.owner.figures import add_owned
 
 OWNER_TICK_S: Final = 0.02
+VACANT_TICK_S: Final = 0.05
 CALLS_TICK_S: Final = 0.1
 IDLE_TICK_S: Final = 0.25
 TIDY_S: Final = 5.0
@@ -202,6 +203,8 @@
         """Return how long to wait for something to happen."""
         if self.node.tenure.state is TenureState.OWNING:
             return int(OWNER_TICK_S * 1000)
+        if self.node.tenure.is_vacant:
+            return int(VACANT_TICK_S * 1000)
         if self.node.gateway.calls:
             return int(CALLS_TICK_S * 1000)
         return int(IDLE_TICK_S * 1000)
--- a/src/primroseledge/cluster/steps.py
+++ b/src/primroseledge/cluster/steps.py
@@ -27,10 +27,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimWon:
-    """Our record as owner is stored."""
+    """Our record as owner is stored.
+
+    ``is_settled`` says that the predecessor left no call under way.
+    """
 
     owner: OwnerView
     ledger_revision: Revision
+    is_settled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +97,7 @@
 
     epoch: Epoch
     ledger_revision: Revision | None
+    is_settled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/cluster/storethread.py
+++ b/src/primroseledge/cluster/storethread.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from contextlib import ExitStack
 from queue import SimpleQueue
 from threading import Event as ThreadEvent
@@ -20,6 +21,7 @@
 from primroseledge.clock import boot_time
 from primroseledge.cluster.callthread import Inbox
 from primroseledge.cluster.fleetstore import FleetStore
+from primroseledge.cluster.fleetstore import Item
 from primroseledge.cluster.fleetstore import Put
 from primroseledge.cluster.fleetstore import Transaction
 from primroseledge.cluster.keys import decode_ledger
@@ -30,6 +32,7 @@
 from primroseledge.cluster.keys import LedgerRecord
 from primroseledge.cluster.keys import OWNER_KEY
 from primroseledge.cluster.keys import PROGRESS_PREFIX
+from primroseledge.cluster.keys import RECORD_PREFIX
 from primroseledge.cluster.keys import WAVE_PREFIX
 from primroseledge.cluster.messages import OwnerView
 from primroseledge.cluster.steps import BatchStored
@@ -61,6 +64,8 @@
 from primroseledge.owner.batch import Batch
 
 RETRY_PAUSE_S: Final = 0.12
+LAST_NUMBER: Final = -1
+"""The number of the write with which an owner leaves."""
 
 StoreStep = ClaimOwner | RestoreJobs | StoreBatch | ReleaseOwner | ListWorkers
 
@@ -158,6 +163,7 @@
         return ClaimLost(str(error))
     epoch = Epoch(ledger.epoch + 1 if ledger else 1)
     revision = item.revision if item else Revision(0)
+    is_settled = ledger is not None and ledger.is_settled
     owner = OwnerView(epoch, thread.entry, thread.address)
     transaction = Transaction(
         {OWNER_KEY: Revision(0), LEDGER_KEY: revision},
@@ -167,14 +173,16 @@
         ),
     )
     try:
-        return ClaimWon(owner, store.commit(transaction))
+        return ClaimWon(owner, store.commit(transaction), is_settled)
     except StoreOutcomeUnknownError:
-        return check_claim(store, owner)
+        return check_claim(store, owner, is_settled)
     except StoreError as error:
         return ClaimLost(str(error))
 
 
-def check_claim(store: FleetStore, owner: OwnerView) -> ClaimWon | ClaimLost:
+def check_claim(
+    store: FleetStore, owner: OwnerView, is_settled: bool
+) -> ClaimWon | ClaimLost:
     """Read whether a claim whose answer was lost has been made."""
     try:
         found = store.read(OWNER_KEY)
@@ -183,7 +191,7 @@
             return ClaimLost('the answer was lost')
     except (StoreError, DocumentError) as error:
         return ClaimLost(str(error))
-    return ClaimWon(owner, ledger.revision)
+    return ClaimWon(owner, ledger.revision, is_settled)
 
 
 @handles(RestoreJobs)
@@ -193,11 +201,7 @@
     """Read all records, again and again until the store answers."""
     while True:
         try:
-            accepted = read_records(thread.store, JOB_PREFIX, AcceptedJob)
-            progress = read_records(
-                thread.store, PROGRESS_PREFIX, ProgressRecord
-            )
-            waves = read_records(thread.store, WAVE_PREFIX, WaveRecord)
+            records = thread.store.read_all(RECORD_PREFIX).items
             workers = thread.store.read_all(thread.keys.worker_prefix).items
         except StoreError as error:
             log(Event.STORE_RETRIED, step='restore', problem=str(error))
@@ -205,14 +209,22 @@
                 return Deposed(step.epoch)
             continue
         return JobsRestored(
-            step.epoch, tuple(accepted), tuple(progress), tuple(waves), workers
+            step.epoch,
+            tuple(decode_records(records, JOB_PREFIX, AcceptedJob)),
+            tuple(decode_records(records, PROGRESS_PREFIX, ProgressRecord)),
+            tuple(decode_records(records, WAVE_PREFIX, WaveRecord)),
+            workers,
         )
 
 
-def read_records(store: FleetStore, prefix: str, kind: type) -> list[Any]:
+def decode_records(
+    items: Iterable[Item], prefix: str, kind: type
+) -> list[Any]:
     """Return the records under a prefix; a malformed one is logged."""
     records = list[Any]()
-    for item in store.read_all(prefix).items:
+    for item in items:
+        if not item.key.startswith(prefix):
+            continue
         try:
             records.append(msgpack.decode(item.value or b'', type=kind))
         except DecodeError as error:
@@ -288,8 +300,13 @@
     """Remove our record; without an answer its lease will end it."""
     try:
         revision = step.ledger_revision or read_ledger_revision(thread, step)
+        settled = LedgerRecord(step.epoch, LAST_NUMBER, step.is_settled)
         thread.store.commit(
-            Transaction({LEDGER_KEY: revision}, removals=(OWNER_KEY,))
+            Transaction(
+                {LEDGER_KEY: revision},
+                (Put(LEDGER_KEY, encode_value(settled)),),
+                removals=(OWNER_KEY,),
+            )
         )
     except (StoreError, DocumentError) as error:
         log(Event.STORE_RETRIED, step='release', problem=str(error))
--- a/src/primroseledge/jobs/demand.py
+++ b/src/primroseledge/jobs/demand.py
@@ -18,8 +18,8 @@
 CATCH_UP_S: Final = 1.2
 """Work that waits is to be caught up with in this time."""
 
-LOOKAHEAD_S: Final = 0.8
-"""Time until an instance that is moved takes tasks."""
+LOOKAHEAD_S: Final = 0.5
+"""Jobs like those of the last second are expected for this long."""
 
 
 @dataclass(slots=True)
@@ -31,10 +31,9 @@
     waiting_work: float = 0.0
 
     def cores(self, rate: Rate) -> float:
-        """Return the processors asked for by the time they can be there.
+        """Return the processors asked for, with those of jobs to come.
 
-        Until then jobs go on coming at this rate, but no more than what
-        comes in a second can be at work for long.
+        For long, no more can be at work than the rate of work keeps busy.
         """
         present = self.used_cores - self.lasting_cores
         present += self.waiting_work / CATCH_UP_S
--- a/src/primroseledge/maintenance/fleetlist.py
+++ b/src/primroseledge/maintenance/fleetlist.py
@@ -56,6 +56,7 @@
     is_listing: bool = False
     asked_at: float = 0.0
     acts_from: float = 0.0
+    calls_under_way: int = 0
     sized_at: float = 0.0
     watched_since: float = 0.0
     wanted: dict[ServiceId, list[tuple[float, int]]] = field(
--- a/src/primroseledge/operators/cli_running.py
+++ b/src/primroseledge/operators/cli_running.py
@@ -26,7 +26,7 @@
 from primroseledge.cluster.keys import OWNER_KEY
 from primroseledge.cluster.keys import PROGRESS_PREFIX
 from primroseledge.cluster.keys import WAVE_PREFIX
-from primroseledge.cluster.storethread import read_records
+from primroseledge.cluster.storethread import decode_records
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import StoreError
 from primroseledge.exitcodes import code_of
@@ -111,10 +111,16 @@
 def jobs(source: Source, has_ended: bool) -> None:
     """Show the jobs that have not ended, and where their tasks run."""
     with source.open() as store:
-        accepted = read_records(store, JOB_PREFIX, AcceptedJob)
+        accepted = decode_records(
+            store.read_all(JOB_PREFIX).items, JOB_PREFIX, AcceptedJob
+        )
         progress = {
             record.id: record
-            for record in read_records(store, PROGRESS_PREFIX, ProgressRecord)
+            for record in decode_records(
+                store.read_all(PROGRESS_PREFIX).items,
+                PROGRESS_PREFIX,
+                ProgressRecord,
+            )
         }
         rows = (describe_job(job, progress.get(job.id)) for job in accepted)
         final = {state.value for state in FINAL_STATES}
@@ -169,7 +175,9 @@
 def waves(source: Source) -> None:
     """Show how far the waves of upkeep have come."""
     with source.open() as store:
-        for wave in read_records(store, WAVE_PREFIX, WaveRecord):
+        for wave in decode_records(
+            store.read_all(WAVE_PREFIX).items, WAVE_PREFIX, WaveRecord
+        ):
             row = {
                 'wave': wave.number,
                 'state': wave.state.value,
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -46,10 +46,12 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.maintenance.actions import BeginUpkeep
 from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import InstancesListed
 from primroseledge.maintenance.actions import ListFailed
+from primroseledge.maintenance.actions import MoveInstance
 from primroseledge.maintenance.evacuation import leave_draining_workers
 from primroseledge.maintenance.fleetlist import InstanceList
 from primroseledge.maintenance.listing import list_instances
@@ -76,6 +78,7 @@
         self.outbox = Outbox()
         self.fleet = InstanceList()
         self.is_fenced = False
+        self.is_closing = False
 
     def configure(self, configuration: Configuration) -> None:
         """Use a newer configuration."""
@@ -229,6 +232,7 @@
             fleet.is_listing = False
             log(Event.LIST_FAILED, problem=report.problem)
         else:
+            fleet.calls_under_way -= 1
             self.is_fenced |= report.result is InstanceResult.FENCED
             take_upkeep_answer(self.state, fleet, report, now)
             take_move_answer(self.state, fleet, report)
@@ -240,6 +244,22 @@
     def settle(self, now: float) -> tuple[list[Action], Batch | None]:
         """Plan and look; return what to do and what to store."""
         state = self.state
+        if not self.is_closing:
+            self.plan(now)
+        pace_workers(state, now)
+        self.outbox.refuse_waiting(state, now)
+        batch = self.outbox.take_batch(state, self.fleet, now)
+        look_at_workers(state, now)
+        actions = state.actions
+        state.actions = []
+        self.fleet.calls_under_way += sum(
+            isinstance(a, BeginUpkeep | MoveInstance) for a in actions
+        )
+        return actions, batch
+
+    def plan(self, now: float) -> None:
+        """Plan starts, upkeeps and moves."""
+        state = self.state
         self.open_due_occurrences(now)
         carry_out_waves(state, self.fleet, now)
         size_pools(state, self.fleet, now)
@@ -250,13 +270,6 @@
             state.replanned_at = now
             state.to_plan.update(state.configuration.services)
         plan_services(state, now)
-        pace_workers(state, now)
-        self.outbox.refuse_waiting(state, now)
-        batch = self.outbox.take_batch(state, self.fleet, now)
-        look_at_workers(state, now)
-        actions = state.actions
-        state.actions = []
-        return actions, batch
 
     def look_only(self, now: float) -> list[Action]:
         """Renew the leases of what runs; start and store nothing."""
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -168,7 +168,9 @@
 ) -> None:
     """Start the threads that call the store and the workers."""
     names = KeyNames()
-    member = MemberRecord(EntryId(settings.entry_id), settings.peer_address)
+    member = MemberRecord(
+        EntryId(settings.entry_id), settings.peer_address, wall_ms()
+    )
     # A write that is repeated must not hold up reading the list.
     store, reader = (
         StoreThread(
