List where a story may begin: the slowest jobs, the refused requests

Claims wait at most 0.5 s for younger members, so that many members whose records have not lapsed yet hold up nobody.

--- a/src/primroseledge/cli.py
+++ b/src/primroseledge/cli.py
@@ -26,6 +26,7 @@
 from primroseledge.operators.cli_pool import pool
 from primroseledge.operators.cli_running import running
 from primroseledge.operators.cli_service import service
+from primroseledge.operators.cli_story import candidates
 from primroseledge.operators.cli_story import story
 from primroseledge.operators.cli_team import team
 from primroseledge.operators.cli_wave import wave
@@ -61,6 +62,7 @@
     explain,
     running,
     story,
+    candidates,
 ):
     main.add_command(subcommand)
 
--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -80,6 +80,9 @@
 CLAIM_STEP_S: Final = 0.1
 """How long each member lets the one before it claim first."""
 
+CLAIM_WAIT_S: Final = 0.5
+"""The longest that a member waits for others that may be gone."""
+
 LOOK_GRACE_S: Final = 1.5
 """How long after its lease an owner without a store renews runs.
 
@@ -275,7 +278,8 @@
         """Tell whether those that should claim before us had time to."""
         if self.vacant_at is None:
             self.vacant_at = now
-        return now >= self.vacant_at + CLAIM_STEP_S * self.view.claim_rank()
+        wait_s = min(CLAIM_STEP_S * self.view.claim_rank(), CLAIM_WAIT_S)
+        return now >= self.vacant_at + wait_s
 
     def claim_won(self, event: ClaimWon, now: float) -> None:
         """Read the jobs as the new owner."""
--- a/src/primroseledge/operators/story.py
+++ b/src/primroseledge/operators/story.py
@@ -3,11 +3,15 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from dataclasses import dataclass
+from dataclasses import field
 from typing import Any
+from typing import Final
 
 from msgspec import DecodeError
 from msgspec import json
 
+from primroseledge.observability.events import Event
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class LogLine:
@@ -17,6 +21,7 @@
     process: str
     event: int
     message: str
+    fields: dict[str, Any] = field(default_factory=dict, compare=False)
 
 
 def read_lines(process: str, text: Iterable[str]) -> Iterator[LogLine]:
@@ -39,6 +44,7 @@
             prefix[-1] if prefix else process,
             int(fields.get('event', 0)),
             str(fields.get('message', '')),
+            dict(fields.get('fields', {})),
         )
 
 
@@ -61,5 +67,33 @@
     ]
 
 
+def find_slowest(lines: Iterable[LogLine], count: int) -> list[LogLine]:
+    """Return the ends of the jobs that took longest, the worst first."""
+    ends = [line for line in lines if line.event == JOB_ENDED]
+    ends.sort(key=duration_of, reverse=True)
+    return ends[:count]
+
+
+def duration_of(line: LogLine) -> float:
+    """Return how long a job took, in seconds."""
+    return float(line.fields.get('seconds', 0.0))
+
+
+def find_refused(lines: Iterable[LogLine], count: int) -> list[LogLine]:
+    """Return the first requests that were turned away or not answered."""
+    refused = [line for line in lines if line.event in REFUSALS]
+    return sorted(refused)[:count]
+
+
+JOB_ENDED: Final = Event.JOB_ENDED.value.number
+REFUSALS: Final = frozenset(
+    event.value.number
+    for event in (
+        Event.REQUEST_REFUSED,
+        Event.JOB_REFUSED,
+        Event.CALL_UNSERVED,
+        Event.CALL_REFUSED,
+    )
+)
 COMMON_EVENTS = frozenset((202, 203, 205, 211, 304, 305))
 """Store, configuration, jobs read by an owner, owners."""
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -6,6 +6,7 @@
 from msgspec import msgpack
 
 from primroseledge.cluster.fleetnode import CLAIM_STEP_S
+from primroseledge.cluster.fleetnode import CLAIM_WAIT_S
 from primroseledge.cluster.fleetnode import FleetNode
 from primroseledge.cluster.fleetnode import SETTLE_WAIT_S
 from primroseledge.cluster.fleetstore import Item
@@ -238,6 +239,14 @@
         self.see_members(bench, 7000, 5000, 5000)
         self.assertEqual(1, len(bench.of(ClaimOwner)))
 
+    def test_nobody_waits_long_for_members_that_may_be_gone(self) -> None:
+        bench = NodeBench()
+        bench.renew()
+        self.see_members(bench, *range(5000, 5040))
+        self.assertEqual([], bench.of(ClaimOwner))
+        bench.settle(CLAIM_WAIT_S)
+        self.assertEqual(1, len(bench.of(ClaimOwner)))
+
     def test_older_members_let_the_younger_claim(self) -> None:
         bench = NodeBench()
         bench.renew()
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -21,6 +21,18 @@
 """
 
 
+ENDS = """
+{"time":"2026-01-01T00:00:01","event":702,"message":"job aa is completed",\
+"fields":{"seconds":1.5}}
+{"time":"2026-01-01T00:00:02","event":702,"message":"job bb is completed",\
+"fields":{"seconds":9.5}}
+{"time":"2026-01-01T00:00:03","event":702,"message":"job cc is completed",\
+"fields":{"seconds":4.5}}
+{"time":"2026-01-01T00:00:05","event":715,"message":"GET refused"}
+{"time":"2026-01-01T00:00:04","event":706,"message":"job dd refused"}
+"""
+
+
 class StoryTest(unittest.TestCase):
     def tell(self, name: str) -> tuple[int, list[str]]:
         with TemporaryDirectory() as folder:
@@ -40,6 +52,31 @@
         self.assertIn('host-2  304  owner', lines[1])
         self.assertIn('two  702  job aa is completed', lines[2])
 
+    def find(self, *options: str) -> tuple[int, list[str]]:
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / 'one.log'
+            path.write_text(ENDS)
+            command = ['candidates', *options, str(path)]
+            result = CliRunner().invoke(main, command)
+        return result.exit_code, result.output.splitlines()
+
+    def test_the_slowest_jobs_come_first(self) -> None:
+        code, lines = self.find('--slowest', '--limit', '2')
+        self.assertEqual(0, code)
+        self.assertEqual(2, len(lines))
+        self.assertIn('job bb is completed', lines[0])
+        self.assertIn('job cc is completed', lines[1])
+
+    def test_refusals_of_all_places_are_found(self) -> None:
+        code, lines = self.find('--refused')
+        self.assertEqual(0, code)
+        self.assertEqual(
+            ['706', '715'], [line.split('  ')[2] for line in lines]
+        )
+
+    def test_a_kind_is_needed(self) -> None:
+        self.assertEqual(2, self.find()[0])
+
     def test_an_unknown_id_has_its_code(self) -> None:
         self.assertEqual(1, self.tell('cc')[0])
 
