Let leaving instances claim nothing and short pools be helped at once

Ruled out: workers and store, by their events.

Change: whoever leaves removes its record as a member; the time of watching is the short one while a pool is short.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -32,6 +32,7 @@
 from primroseledge.cluster.steps import JobsRestored
 from primroseledge.cluster.steps import KeysSeen
 from primroseledge.cluster.steps import LeaseRenewed
+from primroseledge.cluster.steps import LeaveMembers
 from primroseledge.cluster.steps import ListWorkers
 from primroseledge.cluster.steps import OwnerReleased
 from primroseledge.cluster.steps import ReleaseOwner
@@ -410,7 +411,7 @@
         if self.tenure.is_stranded(self.entry):
             self.release_stranded(now)
         if self.is_leaving:
-            self.release(now)
+            self.leave(now)
 
     def release_stranded(self, now: float) -> None:
         """Remove an owner's record of ours on which nobody acts."""
@@ -420,16 +421,22 @@
         self.released_at = now
         self.steps.append(ReleaseOwner(owner.epoch, None))
 
+    def leave(self, now: float) -> None:
+        """Stop being a member, and the owner if we are."""
+        if self.leaving_at is None:
+            self.leaving_at = now
+            self.steps.append(LeaveMembers())
+        self.release(now)
+
     def release(self, now: float) -> None:
         """Give the fleet to another instance before we stop."""
         tenure = self.tenure
         engine = self.engine
         if tenure.state is TenureState.OWNING and engine is not None:
             engine.is_closing = True
-            if self.leaving_at is None:
-                self.leaving_at = now
             is_settled = not engine.fleet.calls_under_way
-            is_overdue = now >= self.leaving_at + SETTLE_WAIT_S
+            waited_s = now - (self.leaving_at or now)
+            is_overdue = waited_s >= SETTLE_WAIT_S
             if engine.outbox.under_way is None and (is_settled or is_overdue):
                 tenure.move('release')
                 self.steps.append(
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -32,7 +32,9 @@
 from primroseledge.cluster.steps import KeysSeen
 from primroseledge.cluster.steps import LeaseLost
 from primroseledge.cluster.steps import LeaseRenewed
+from primroseledge.cluster.steps import LeaveMembers
 from primroseledge.cluster.steps import ListWorkers
+from primroseledge.cluster.steps import MemberLeft
 from primroseledge.cluster.steps import OwnerReleased
 from primroseledge.cluster.steps import ReplyToPeer
 from primroseledge.cluster.steps import SendToPeer
@@ -282,7 +284,7 @@
             self.link.send(step.address, step.message)
         elif isinstance(step, ReplyToPeer):
             self.link.reply(step.identity, step.message)
-        elif isinstance(step, ListWorkers):
+        elif isinstance(step, ListWorkers | LeaveMembers):
             if self.reader is not None:
                 self.reader.submit(step)
         elif self.store is not None:
@@ -362,6 +364,11 @@
     loop.node.owner_released(item)
 
 
+@handles(MemberLeft)
+def take_left(loop: NodeLoop, item: MemberLeft, now: float) -> None:
+    """Take in that we are no member any more; nothing follows."""
+
+
 @handles(WorkersListed)
 def take_workers(loop: NodeLoop, item: WorkersListed, now: float) -> None:
     """Take in the list of workers."""
--- a/src/primroseledge/cluster/steps.py
+++ b/src/primroseledge/cluster/steps.py
@@ -107,6 +107,16 @@
     epoch: Epoch
 
 
+@dataclass(frozen=True, slots=True)
+class LeaveMembers:
+    """Remove our record as a member, so that nobody waits for us."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberLeft:
+    """Our record as a member is gone, or goes with its lease."""
+
+
 @dataclass(frozen=True, slots=True)
 class ListWorkers:
     """Read the list of workers."""
--- a/src/primroseledge/cluster/storethread.py
+++ b/src/primroseledge/cluster/storethread.py
@@ -30,6 +30,7 @@
 from primroseledge.cluster.keys import JOB_PREFIX
 from primroseledge.cluster.keys import LEDGER_KEY
 from primroseledge.cluster.keys import LedgerRecord
+from primroseledge.cluster.keys import MEMBER_PREFIX
 from primroseledge.cluster.keys import OWNER_KEY
 from primroseledge.cluster.keys import PROGRESS_PREFIX
 from primroseledge.cluster.keys import RECORD_PREFIX
@@ -41,7 +42,9 @@
 from primroseledge.cluster.steps import ClaimWon
 from primroseledge.cluster.steps import Deposed
 from primroseledge.cluster.steps import JobsRestored
+from primroseledge.cluster.steps import LeaveMembers
 from primroseledge.cluster.steps import ListWorkers
+from primroseledge.cluster.steps import MemberLeft
 from primroseledge.cluster.steps import OwnerReleased
 from primroseledge.cluster.steps import ReleaseOwner
 from primroseledge.cluster.steps import RestoreJobs
@@ -67,7 +70,14 @@
 LAST_NUMBER: Final = -1
 """The number of the write with which an owner leaves."""
 
-StoreStep = ClaimOwner | RestoreJobs | StoreBatch | ReleaseOwner | ListWorkers
+StoreStep = (
+    ClaimOwner
+    | RestoreJobs
+    | StoreBatch
+    | ReleaseOwner
+    | LeaveMembers
+    | ListWorkers
+)
 
 
 class PlatformKeys(Protocol):
@@ -313,6 +323,18 @@
     return OwnerReleased(step.epoch)
 
 
+@handles(LeaveMembers)
+def leave_members(thread: StoreThread, _step: LeaveMembers) -> MemberLeft:
+    """Remove our record; without an answer its lease will end it."""
+    try:
+        thread.store.commit(
+            Transaction(removals=(f'{MEMBER_PREFIX}{thread.entry}',))
+        )
+    except StoreError as error:
+        log(Event.STORE_RETRIED, step='leave', problem=str(error))
+    return MemberLeft()
+
+
 def read_ledger_revision(thread: StoreThread, step: ReleaseOwner) -> Revision:
     """Return the ledger's revision; raises StoreError and DocumentError."""
     item = thread.store.read(LEDGER_KEY)
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -106,8 +106,12 @@
     history.append((now, needed))
     while history[0][0] < now - SHRINK_AFTER_S:
         history.pop(0)
-    window_s = SHORT_SHRINK_S if fleet.needs else SHRINK_AFTER_S
-    return max(size for at, size in history if at >= now - window_s)
+    return max(size for at, size in history if at >= now - window_of(fleet))
+
+
+def window_of(fleet: InstanceList) -> float:
+    """Return for how long a pool must have asked for less to shrink."""
+    return SHORT_SHRINK_S if fleet.needs else SHRINK_AFTER_S
 
 
 def worker_cores(state: FleetState, service: ServiceId) -> float:
@@ -143,7 +147,7 @@
     elif (
         size > wanted
         and len(members) > wanted
-        and now >= fleet.watched_since + SHRINK_AFTER_S
+        and now >= fleet.watched_since + window_of(fleet)
     ):
         shrink(state, fleet, members, standby, size - wanted, now)
 
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -30,6 +30,7 @@
 from primroseledge.cluster.steps import JobsRestored
 from primroseledge.cluster.steps import KeysSeen
 from primroseledge.cluster.steps import LeaseRenewed
+from primroseledge.cluster.steps import LeaveMembers
 from primroseledge.cluster.steps import ListWorkers
 from primroseledge.cluster.steps import ReleaseOwner
 from primroseledge.cluster.steps import ReplyToPeer
@@ -184,6 +185,15 @@
             bench.of(ReleaseOwner),
         )
 
+    def test_whoever_leaves_is_no_member_any_more(self) -> None:
+        bench = NodeBench()
+        bench.renew()
+        bench.node.is_leaving = True
+        bench.settle()
+        self.assertEqual([LeaveMembers()], bench.of(LeaveMembers))
+        bench.settle()
+        self.assertEqual([], bench.of(LeaveMembers))
+
     def test_a_leaving_owner_waits_for_its_calls(self) -> None:
         bench = NodeBench()
         bench.become_owner()
