--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -18,8 +18,12 @@
 from primroseledge.cluster.fleetnode import FleetNode
 from primroseledge.cluster.fleetstore import Item
 from primroseledge.cluster.fleetstore import Put
+from primroseledge.cluster.fleetstore import Transaction
 from primroseledge.cluster.fleetview import Decoders
 from primroseledge.cluster.fleetview import FleetView
+from primroseledge.cluster.keys import encode_value
+from primroseledge.cluster.keys import MEMBER_PREFIX
+from primroseledge.cluster.keys import MemberRecord
 from primroseledge.cluster.messages import CallerRequest
 from primroseledge.cluster.messages import CancelRequest
 from primroseledge.cluster.messages import StateRequest
@@ -71,6 +75,7 @@
 TICK_S = 0.05
 TTL_S = 2.0
 ORDER_TIMEOUT_S = 0.6
+STOP_S = 4.5
 TRIES = 5
 
 
@@ -108,6 +113,7 @@
     node: FleetNode
     thread: SimThread
     life: int = 0
+    started_at: float = 0.0
     is_alive: bool = True
     frozen_until: float = 0.0
     cut_workers: set[WorkerId] = field(default_factory=set)
@@ -127,7 +133,9 @@
         ledger: Ledger,
         workers: list[SimWorker],
         node_count: int = 3,
+        has_members: bool = False,
     ) -> None:
+        self.has_members = has_members
         self.random = Random(seed)
         self.now = 1000.0
         self.order = count()
@@ -179,7 +187,8 @@
         )
         node = FleetNode(view)
         port = SimStorePort(self.storage, self.random, self.later)
-        sim = SimNode(node, SimThread(port, entry, node.address), life)
+        thread = SimThread(port, entry, node.address)
+        sim = SimNode(node, thread, life, self.now)
         self.nodes[entry] = sim
         self.later(self.random.uniform(0.0, 0.1), lambda: self.tick(sim))
         self.later(self.random.uniform(0.0, 0.1), lambda: self.renew(sim))
@@ -206,6 +215,20 @@
         life = sim.life + 1
         self.later(restart_s, lambda: self.restart(entry, life))
 
+    def stop(self, entry: EntryId, restart_s: float) -> None:
+        """Ask a process to stop, as SIGTERM does; it ends after a while."""
+        sim = self.nodes[entry]
+        if not sim.is_alive or sim.node.is_leaving:
+            return
+        self.note(f'stop {entry}')
+        sim.node.is_leaving = True
+        self.later(STOP_S, lambda: self.end(sim, restart_s))
+
+    def end(self, sim: SimNode, restart_s: float) -> None:
+        """End one life of a process, if it was not killed before."""
+        if self.nodes[sim.node.entry] is sim:
+            self.kill(sim.node.entry, restart_s)
+
     def restart(self, entry: EntryId, life: int) -> None:
         self.boot(entry, life)
 
@@ -329,6 +352,15 @@
         elif isinstance(result, WorkersUnread):
             node.workers_unread(result, self.now)
 
+    def join(self, sim: SimNode) -> None:
+        """Store a member's record under its lease."""
+        entry = sim.node.entry
+        started_ms = int(sim.started_at * 1000)
+        member = MemberRecord(entry, sim.node.address, started_ms)
+        key = f'{MEMBER_PREFIX}{entry}'
+        put = Put(key, encode_value(member), sim.lease)
+        sim.thread.store.commit(Transaction(puts=(put,)))
+
     def renew(self, sim: SimNode) -> None:
         if not sim.is_alive:
             return
@@ -340,6 +372,8 @@
         try:
             if sim.lease is None:
                 sim.lease = sim.thread.store.grant_lease(TTL_S).id
+                if self.has_members:
+                    self.join(sim)
             else:
                 sim.thread.store.renew_lease(sim.lease)
             renewed = LeaseRenewed(sim.lease, sent_at, TTL_S)
--- a/tests/test_fleet_fuzz.py
+++ b/tests/test_fleet_fuzz.py
@@ -3,6 +3,7 @@
 Every seed that ever broke a rule stays in ``REGRESSIONS``.
 """
 
+from collections.abc import Iterable
 from random import Random
 import unittest
 
@@ -29,6 +30,7 @@
 from tests.fleetworld import World
 
 SEEDS = range(100, 112)
+ROLLING_SEEDS = range(200, 208)
 REGRESSIONS: tuple[int, ...] = (
     4,  # A claim whose answer came after the lease stranded the record.
     19,  # Repeated answers of a stop put off the look that settles it.
@@ -115,13 +117,21 @@
 class Play:
     """One seed: load and faults, then quiet, then the verdict."""
 
+    has_members = False
+
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
         configuration = make_configuration()
         limits = {w.id: w.limit for w in configuration.workspaces.values()}
         self.ledger = Ledger(self.random, limits, MAX_ATTEMPTS)
         workers = make_workers(self.random, self.ledger)
-        self.world = World(seed, configuration, self.ledger, workers)
+        self.world = World(
+            seed,
+            configuration,
+            self.ledger,
+            workers,
+            has_members=self.has_members,
+        )
         self.jobs: list[AcceptedJob] = []
 
     def run(self) -> list[str]:
@@ -295,6 +305,31 @@
         return found
 
 
+class RollingPlay(Play):
+    """Also stops instances gracefully, one by one, and repeats jobs."""
+
+    has_members = True
+
+    def fault_stop(self) -> None:
+        entry = self.random.choice(sorted(self.world.nodes))
+        self.world.stop(entry, self.random.uniform(0.3, 2))
+
+    def fault_stop_in_turn(self) -> None:
+        gap_s = self.random.uniform(0.5, 3)
+        entries = sorted(self.world.nodes)
+        self.random.shuffle(entries)
+        for number, entry in enumerate(entries):
+            self.world.later(
+                number * gap_s,
+                lambda e=entry: self.world.stop(e, 0.5),  # type: ignore[misc]
+            )
+
+    def fault_stop_and_lose(self) -> None:
+        """Stop the instances in turn while the store loses answers."""
+        self.fault_store_loses()
+        self.fault_stop_in_turn()
+
+
 def miscounted(state: FleetState) -> list[str]:
     """Return the workspaces and workers whose usage is counted wrongly."""
     usage = dict[WorkspaceId, Resources]()
@@ -324,9 +359,15 @@
 
 class FleetFuzzTest(unittest.TestCase):
     def test_random_faults_break_no_rule(self) -> None:
-        for seed in (*REGRESSIONS, *SEEDS):
+        self.check(Play, (*REGRESSIONS, *SEEDS))
+
+    def test_instances_stopped_in_turn_break_no_rule(self) -> None:
+        self.check(RollingPlay, ROLLING_SEEDS)
+
+    def check(self, kind: type[Play], seeds: Iterable[int]) -> None:
+        for seed in seeds:
             with self.subTest(seed=seed):
-                play = Play(seed)
+                play = kind(seed)
                 broken = play.run()
                 detail = '\n'.join([*broken[:8], *play.world.trace])
                 self.assertEqual([], broken[:8], detail)
