Let strong instances own the fleet before young ones

There the youngest claimed first, whatever it could carry: of 40 instances 32 have half a processor and 10 Mbit/s.

Change: cluster/succession.py; members say what they can compute; the strongest claim first, the youngest of equals before the others, and weak ones wait 1.5 s.

--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -43,6 +43,7 @@
 from primroseledge.cluster.steps import WorkerReport
 from primroseledge.cluster.steps import WorkersListed
 from primroseledge.cluster.steps import WorkersUnread
+from primroseledge.cluster.succession import claim_wait_s
 from primroseledge.cluster.tenure import Tenure
 from primroseledge.cluster.tenure import TenureState
 from primroseledge.ids import EntryId
@@ -78,12 +79,6 @@
 SETTLE_WAIT_S: Final = 1.0
 """How long a leaving owner waits for calls that take instances away."""
 
-CLAIM_STEP_S: Final = 0.1
-"""How long each member lets the one before it claim first."""
-
-CLAIM_WAIT_S: Final = 0.5
-"""The longest that a member waits for others that may be gone."""
-
 LOOK_GRACE_S: Final = 1.5
 """How long after its lease an owner without a store renews runs.
 
@@ -279,7 +274,7 @@
         """Tell whether those that should claim before us had time to."""
         if self.vacant_at is None:
             self.vacant_at = now
-        wait_s = min(CLAIM_STEP_S * self.view.claim_rank(), CLAIM_WAIT_S)
+        wait_s = claim_wait_s(self.view.members, self.entry)
         return now >= self.vacant_at + wait_s
 
     def claim_won(self, event: ClaimWon, now: float) -> None:
--- a/src/primroseledge/cluster/fleetview.py
+++ b/src/primroseledge/cluster/fleetview.py
@@ -107,22 +107,6 @@
             log(Event.PEER_UP, peer=entry)
         self.members[entry] = member
 
-    def claim_rank(self) -> int:
-        """Return how many members should become the owner before us.
-
-        The youngest is first: where instances are restarted in turn, it
-        has its restart behind it.
-        """
-        own = self.members.get(self.entry)
-        if own is None:
-            return len(self.members)
-        return sum(
-            1
-            for member in self.members.values()
-            if (-member.started_ms, member.entry)
-            < (-own.started_ms, own.entry)
-        )
-
     def drop_member(self, entry: EntryId) -> None:
         """Forget a member whose record is gone."""
         if self.members.pop(entry, None) is not None:
--- a/src/primroseledge/cluster/keys.py
+++ b/src/primroseledge/cluster/keys.py
@@ -35,11 +35,15 @@
 
 
 class MemberRecord(Struct, frozen=True, array_like=True):
-    """Where peers reach an entry instance, and when it began."""
+    """Where peers reach an entry instance, and what it is fit for.
+
+    ``started_ms`` is the time of day when its process began.
+    """
 
     entry: EntryId
     address: str
     started_ms: int = 0
+    processor_millis: int = 0
 
 
 RecordT = TypeVar('RecordT', bound=Struct)
--- /dev/null
+++ b/src/primroseledge/cluster/succession.py
@@ -0,0 +1,44 @@
+"""Who claims the fleet first when it has no owner.
+
+It answers two loads: a fleet whose instances are restarted in turn, where
+the youngest has its restart behind it, and one of unequal instances, where
+the owner's work would slow a small one down.
+"""
+
+from collections.abc import Mapping
+from typing import Final
+
+from primroseledge.cluster.keys import MemberRecord
+from primroseledge.ids import EntryId
+
+STEP_S: Final = 0.1
+"""How long each member lets the one before it claim first."""
+
+LONGEST_S: Final = 0.5
+"""The longest that a member waits for others that may be gone."""
+
+WEAK_S: Final = 1.5
+"""The wait of a member that is weak beside others."""
+
+WEAK_SHARE: Final = 0.5
+"""A member with less than this share of the strongest one's is weak."""
+
+
+def claim_wait_s(
+    members: Mapping[EntryId, MemberRecord], entry: EntryId
+) -> float:
+    """Return how long a member lets others claim, in seconds."""
+    own = members.get(entry)
+    if own is None:
+        return LONGEST_S if members else 0.0
+    strongest = max(member.processor_millis for member in members.values())
+    if own.processor_millis < WEAK_SHARE * strongest:
+        return WEAK_S
+    own_rank = rank_of(own)
+    before = sum(1 for m in members.values() if rank_of(m) < own_rank)
+    return min(STEP_S * before, LONGEST_S)
+
+
+def rank_of(member: MemberRecord) -> tuple[int, int, str]:
+    """Return what members are ordered by; the smallest claims first."""
+    return (-member.processor_millis, -member.started_ms, member.entry)
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -169,7 +169,10 @@
     """Start the threads that call the store and the workers."""
     names = KeyNames()
     member = MemberRecord(
-        EntryId(settings.entry_id), settings.peer_address, wall_ms()
+        EntryId(settings.entry_id),
+        settings.peer_address,
+        wall_ms(),
+        settings.processor_millis,
     )
     # A write that is repeated must not hold up reading the list.
     store, reader = (
--- a/src/primroseledge/platform/settings.py
+++ b/src/primroseledge/platform/settings.py
@@ -52,6 +52,14 @@
         str,
         Meta(description='The advisory service; empty if there is none.'),
     ] = ''
+    processor_share: Annotated[
+        float,
+        Meta(gt=0, description='Share of a processor that this one has.'),
+    ] = 1.0
+    processor_speed: Annotated[
+        float,
+        Meta(gt=0, description='How fast that processor is, 1 is usual.'),
+    ] = 1.0
     metrics_address: Annotated[
         str,
         Meta(
@@ -68,6 +76,11 @@
         Meta(ge=1, le=256, description='Threads that serve callers.'),
     ] = 24
 
+    @property
+    def processor_millis(self) -> int:
+        """Return what this instance can compute, in thousandths."""
+        return int(self.processor_share * self.processor_speed * 1000)
+
     @property
     def seeds(self) -> tuple[str, ...]:
         """Return the addresses of peers to ask without the store."""
