--- a/src/primroseledge/cluster/fleetnode.py
+++ b/src/primroseledge/cluster/fleetnode.py
@@ -44,6 +44,7 @@
 from primroseledge.cluster.steps import WorkersListed
 from primroseledge.cluster.steps import WorkersUnread
 from primroseledge.cluster.succession import claim_wait_s
+from primroseledge.cluster.succession import is_weak
 from primroseledge.cluster.tenure import Tenure
 from primroseledge.cluster.tenure import TenureState
 from primroseledge.ids import EntryId
@@ -76,6 +77,9 @@
 
 RELEASE_RETRY_S: Final = 0.5
 
+STEADY_S: Final = 10.0
+"""How long a weak instance owns the fleet before it gives it up."""
+
 SETTLE_WAIT_S: Final = 1.0
 """How long a leaving owner waits for calls that take instances away."""
 
@@ -114,7 +118,7 @@
     is_listing: bool = False
     released_at: float = 0.0
     vacant_at: float | None = None
-    leaving_at: float | None = None
+    has_left: bool = False
     is_predecessor_settled: bool = False
     steps: list[Step] = field(default_factory=list)
 
@@ -407,6 +411,19 @@
             self.release_stranded(now)
         if self.is_leaving:
             self.leave(now)
+        elif self.should_step_down(now):
+            self.release(now)
+
+    def should_step_down(self, now: float) -> bool:
+        """Tell whether a stronger instance should own the fleet.
+
+        It may have been away when we took over.
+        """
+        if self.tenure.state is not TenureState.OWNING:
+            return False
+        if now < self.tenure.took_over_at + STEADY_S:
+            return False
+        return is_weak(self.view.members, self.entry)
 
     def release_stranded(self, now: float) -> None:
         """Remove an owner's record of ours on which nobody acts."""
@@ -418,29 +435,28 @@
 
     def leave(self, now: float) -> None:
         """Stop being a member, and the owner if we are."""
-        if self.leaving_at is None:
-            self.leaving_at = now
+        if not self.has_left:
+            self.has_left = True
             self.steps.append(LeaveMembers())
         self.release(now)
+        if self.tenure.state in (TenureState.FOLLOWING, TenureState.CLAIMING):
+            self.tenure.move('retire')
 
     def release(self, now: float) -> None:
-        """Give the fleet to another instance before we stop."""
+        """Give the fleet to another instance, once little is under way."""
         tenure = self.tenure
         engine = self.engine
-        if tenure.state is TenureState.OWNING and engine is not None:
-            engine.is_closing = True
-            is_settled = not engine.fleet.calls_under_way
-            waited_s = now - (self.leaving_at or now)
-            is_overdue = waited_s >= SETTLE_WAIT_S
-            if engine.outbox.under_way is None and (is_settled or is_overdue):
-                tenure.move('release')
-                self.steps.append(
-                    ReleaseOwner(
-                        tenure.epoch, tenure.ledger_revision, is_settled
-                    )
-                )
-        elif tenure.state in (TenureState.FOLLOWING, TenureState.CLAIMING):
-            tenure.move('retire')
+        if tenure.state is not TenureState.OWNING or engine is None:
+            return
+        if engine.closing_at is None:
+            engine.closing_at = now
+        is_settled = not engine.fleet.calls_under_way
+        is_overdue = now >= engine.closing_at + SETTLE_WAIT_S
+        if engine.outbox.under_way is None and (is_settled or is_overdue):
+            tenure.move('release')
+            self.steps.append(
+                ReleaseOwner(tenure.epoch, tenure.ledger_revision, is_settled)
+            )
 
     def give_up_fleet(self) -> None:
         """Stop deciding after a defect; another owner reads the store."""
--- a/src/primroseledge/cluster/succession.py
+++ b/src/primroseledge/cluster/succession.py
@@ -31,14 +31,22 @@
     own = members.get(entry)
     if own is None:
         return LONGEST_S if members else 0.0
-    strongest = max(member.processor_millis for member in members.values())
-    if own.processor_millis < WEAK_SHARE * strongest:
+    if is_weak(members, entry):
         return WEAK_S
     own_rank = rank_of(own)
     before = sum(1 for m in members.values() if rank_of(m) < own_rank)
     return min(STEP_S * before, LONGEST_S)
 
 
+def is_weak(members: Mapping[EntryId, MemberRecord], entry: EntryId) -> bool:
+    """Tell whether a member should leave the fleet to a stronger one."""
+    own = members.get(entry)
+    if own is None:
+        return False
+    strongest = max(member.processor_millis for member in members.values())
+    return own.processor_millis < WEAK_SHARE * strongest
+
+
 def rank_of(member: MemberRecord) -> tuple[int, int, str]:
     """Return what members are ordered by; the smallest claims first."""
     return (-member.processor_millis, -member.started_ms, member.entry)
--- a/src/primroseledge/observability/logbudget.py
+++ b/src/primroseledge/observability/logbudget.py
@@ -15,13 +15,13 @@
 from primroseledge.observability.events import Event
 
 WINDOW_S: Final = 1.0
-LINES_PER_EVENT: Final = 200
+LINES_PER_EVENT: Final = 400
 """Lines of one event in a window."""
 
-LINES_PER_KEPT_EVENT: Final = 400
+LINES_PER_KEPT_EVENT: Final = 600
 """The same for events that callers ask about."""
 
-LINES_BELOW_WARNING: Final = 800
+LINES_BELOW_WARNING: Final = 1_200
 LINES_FROM_WARNING: Final = 400
 """Lines of all events of these levels in a window."""
 
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -78,7 +78,7 @@
         self.outbox = Outbox()
         self.fleet = InstanceList()
         self.is_fenced = False
-        self.is_closing = False
+        self.closing_at: float | None = None
 
     def configure(self, configuration: Configuration) -> None:
         """Use a newer configuration."""
@@ -244,7 +244,7 @@
     def settle(self, now: float) -> tuple[list[Action], Batch | None]:
         """Plan and look; return what to do and what to store."""
         state = self.state
-        if not self.is_closing:
+        if self.closing_at is None:
             self.plan(now)
         pace_workers(state, now)
         self.outbox.refuse_waiting(state, now)
--- a/tests/test_fleetnode.py
+++ b/tests/test_fleetnode.py
@@ -7,6 +7,7 @@
 
 from primroseledge.cluster.fleetnode import FleetNode
 from primroseledge.cluster.fleetnode import SETTLE_WAIT_S
+from primroseledge.cluster.fleetnode import STEADY_S
 from primroseledge.cluster.fleetstore import Item
 from primroseledge.cluster.fleetstore import LeaseId
 from primroseledge.cluster.fleetview import Decoders
@@ -30,6 +31,7 @@
 from primroseledge.cluster.steps import LeaseRenewed
 from primroseledge.cluster.steps import LeaveMembers
 from primroseledge.cluster.steps import ListWorkers
+from primroseledge.cluster.steps import OwnerReleased
 from primroseledge.cluster.steps import ReleaseOwner
 from primroseledge.cluster.steps import ReplyToPeer
 from primroseledge.cluster.steps import RestoreJobs
@@ -242,6 +244,34 @@
             items.append(Item(key, msgpack.encode(member), Revision(9)))
         bench.see(CONFIGURATION, *items)
 
+    def show_processors(self, bench: NodeBench, *millis: int) -> None:
+        """Show ourselves, and others, with what they can compute."""
+        for number, processor_millis in enumerate(millis, 1):
+            entry = EntryId(f'entry-{number}')
+            bench.node.view.members[entry] = MemberRecord(
+                entry, f'{entry}:7000', 5000, processor_millis
+            )
+
+    def test_a_weak_owner_gives_the_fleet_to_a_strong_one(self) -> None:
+        bench = NodeBench()
+        bench.become_owner()
+        self.show_processors(bench, 500, 2000)
+        bench.settle(1.0)
+        self.assertEqual([], bench.of(ReleaseOwner))
+        bench.settle(STEADY_S)
+        self.assertEqual(1, len(bench.of(ReleaseOwner)))
+        bench.node.owner_released(OwnerReleased(Epoch(1)))
+        bench.renew()
+        self.assertIs(TenureState.FOLLOWING, bench.node.tenure.state)
+        self.assertIsNone(bench.node.engine)
+
+    def test_an_owner_among_equals_stays(self) -> None:
+        bench = NodeBench()
+        bench.become_owner()
+        self.show_processors(bench, 1000, 1500, 900)
+        bench.settle(STEADY_S)
+        self.assertEqual([], bench.of(ReleaseOwner))
+
     def test_the_youngest_member_claims_first(self) -> None:
         bench = NodeBench()
         bench.renew()
