Answer whoever waits when an instance's loop ends

The loop ends 4.5 s after SIGTERM; a request that a server thread had read just before waited for an answer that nobody gave any more, until its connection was closed.

Ruled out: the hand-over, which had ended 4 s before; callers on new connections, which are refused by then.

Change: at its end the loop gives every waiting call its final answer (not run if it was never sent, else unknown), and calls that come later get theirs at once.

--- a/src/primroseledge/cluster/gateway.py
+++ b/src/primroseledge/cluster/gateway.py
@@ -90,6 +90,12 @@
             given_up.append((call, final_answer(call)))
         return given_up
 
+    def give_up_all(self) -> list[tuple[PendingCall, Answer]]:
+        """Return final answers for all calls, when the process ends."""
+        calls = list(self.calls.values())
+        self.calls.clear()
+        return [(call, final_answer(call)) for call in calls]
+
 
 def final_answer(call: PendingCall) -> Answer:
     """Return what a caller is told without an owner's answer."""
--- a/src/primroseledge/cluster/nodeloop.py
+++ b/src/primroseledge/cluster/nodeloop.py
@@ -21,6 +21,8 @@
 from primroseledge.clock import boot_time
 from primroseledge.cluster.callthread import CallThread
 from primroseledge.cluster.fleetnode import FleetNode
+from primroseledge.cluster.gateway import final_answer
+from primroseledge.cluster.gateway import PendingCall
 from primroseledge.cluster.link import Link
 from primroseledge.cluster.messages import CallerRequest
 from primroseledge.cluster.steps import AnswerCaller
@@ -124,6 +126,7 @@
         self.waiting: dict[int, SimpleQueue[Answer]] = {}
         self.numbers = count(1)
         self.is_running = True
+        self.is_over = False
         self.is_leaving = False
         self.is_ready = False
         self.tidied_at = 0.0
@@ -143,6 +146,8 @@
         began_at = boot_time()
         deadline = began_at + wait_s
         self.post(CallBegun(next(self.numbers), request, deadline, answers))
+        if self.is_over:
+            self.end_begun(began_at)
         try:
             answer = answers.get(timeout=wait_s + 1.0)
         except Empty:
@@ -179,6 +184,30 @@
                 self.turn()
             except Exception as error:
                 self.recover(error)
+        self.finish()
+
+    def finish(self) -> None:
+        """Answer all that wait, as nobody will after the loop's end."""
+        self.is_over = True
+        now = boot_time()
+        for call, answer in self.node.gateway.give_up_all():
+            self.node.log_unserved(call, answer, now)
+            self.carry_out(AnswerCaller(call.number, answer))
+        self.end_begun(now)
+
+    def end_begun(self, now: float) -> None:
+        """Answer the calls that the loop never took; any thread may."""
+        while self.inbox:
+            try:
+                item = self.inbox.popleft()
+            except IndexError:
+                # Another thread was faster.
+                return
+            if isinstance(item, CallBegun):
+                call = PendingCall(
+                    item.number, item.request, now, item.deadline
+                )
+                item.answers.put(final_answer(call))
 
     def turn(self) -> None:
         """Take what has come in, and carry out what follows from it."""
