Go on without metrics when their port is taken

Ruled out: a port out of the settings, since the deploy file names one port.

Change: a metrics server that cannot bind is logged (109), and callers are served all the same.

Figures: tests/test_nodeloop.py, which failed before with OSError.

--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -105,6 +105,12 @@
         'The platform has written the settings anew.',
         'Nothing; a changed address is used after a restart.',
     )
+    METRICS_NOT_SERVED = warning(
+        109,
+        'no metrics on {address}: {problem}',
+        'The port is taken; everything else goes on.',
+        'Choose another `metrics_address`.',
+    )
     STORE_READ = info(
         201,
         'configuration read at revision {revision}: {documents} documents',
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -7,6 +7,7 @@
 from signal import SIGINT
 from signal import signal
 from signal import SIGTERM
+from socket import create_server
 from threading import Event as ThreadEvent
 from threading import Thread
 from time import time
@@ -58,7 +59,7 @@
 from primroseledge.platform.workers import PlatformWorker
 
 STANDARD_OUTPUT: Final = 1
-READY_THREADS: Final = 1
+PAGE_THREADS: Final = 1
 MAX_HEADER_BYTES: Final = 16384
 IDLE_CONNECTION_S: Final = 15
 ACCEPT_BACKLOG: Final = 512
@@ -235,37 +236,60 @@
 def start_servers(
     settings: PlatformSettings, loop: NodeLoop, resources: ExitStack
 ) -> None:
-    """Start the HTTP servers for callers and for readiness."""
+    """Start the HTTP servers for callers, readiness and metrics."""
     callers = CallerApplication(
         loop,
         lambda: loop.node.configuration,
         lambda: loop.is_leaving,
         wall_ms,
     )
+    threads = settings.server_threads
+    start_server(settings.caller_address, threads, callers, resources)
     ready = ReadyApplication(lambda: loop.is_ready)
+    start_server(settings.ready_address, PAGE_THREADS, ready, resources)
+    if not settings.metrics_address:
+        return
     metrics = MetricsApplication(loop.metrics)
-    served: list[tuple[str, int, Any]] = [
-        (settings.caller_address, settings.server_threads, callers),
-        (settings.ready_address, READY_THREADS, ready),
-    ]
-    if settings.metrics_address:
-        served.append((settings.metrics_address, READY_THREADS, metrics))
-    for address, threads, application in served:
-        host, _, port = address.rpartition(':')
-        server = Server(
-            (host, int(port)),
-            application,
-            numthreads=threads,
-            max=threads,
-            request_queue_size=ACCEPT_BACKLOG,
-            timeout=IDLE_CONNECTION_S,
-            shutdown_timeout=1,
+    try:
+        # A server that cannot bind leaves its socket open.
+        with create_server(split_address(settings.metrics_address)):
+            pass
+        start_server(
+            settings.metrics_address, PAGE_THREADS, metrics, resources
         )
-        server.max_request_header_size = MAX_HEADER_BYTES
-        server.prepare()
-        thread = Thread(target=server.serve, name='http', daemon=True)
-        thread.start()
-        resources.callback(server.stop)
+    except OSError as error:
+        # Callers are served all the same.
+        log(
+            Event.METRICS_NOT_SERVED,
+            address=settings.metrics_address,
+            problem=str(error),
+        )
+
+
+def start_server(
+    address: str, threads: int, application: Any, resources: ExitStack
+) -> None:
+    """Start an HTTP server; raises OSError when its port is taken."""
+    server = Server(
+        split_address(address),
+        application,
+        numthreads=threads,
+        max=threads,
+        request_queue_size=ACCEPT_BACKLOG,
+        timeout=IDLE_CONNECTION_S,
+        shutdown_timeout=1,
+    )
+    server.max_request_header_size = MAX_HEADER_BYTES
+    server.prepare()
+    thread = Thread(target=server.serve, name='http', daemon=True)
+    thread.start()
+    resources.callback(server.stop)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
 
 
 def wall_ms() -> int:
--- a/tests/test_nodeloop.py
+++ b/tests/test_nodeloop.py
@@ -1,18 +1,21 @@
 """The loop of an entry instance, where its threads meet."""
 
 from contextlib import ExitStack
+from socket import socket
 from threading import Thread
 from time import monotonic
 from time import sleep
 import unittest
 
 from primroseledge.cluster.messages import StateRequest
+from primroseledge.httpclient import HttpClient
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
 from primroseledge.jobs.actions import Answer
 from primroseledge.jobs.actions import Verdict
 from primroseledge.observability.fleetmetrics import create_fleet_metrics
 from primroseledge.platform.daemon import create_loop
+from primroseledge.platform.daemon import start_servers
 from primroseledge.platform.settings import PlatformSettings
 from standins.processes import free_port
 
@@ -21,6 +24,36 @@
 AT_ONCE_S = 1.0
 
 
+class ServersTest(unittest.TestCase):
+    def test_a_port_that_is_taken_costs_the_metrics_only(self) -> None:
+        resources = ExitStack()
+        self.addCleanup(resources.close)
+        taken = resources.enter_context(socket())
+        taken.bind(('127.0.0.1', 0))
+        taken.listen()
+        peers, callers, ready, store = (
+            f'127.0.0.1:{free_port()}' for _ in range(4)
+        )
+        settings = PlatformSettings(
+            entry_id='entry-0',
+            zone='north',
+            caller_address=callers,
+            ready_address=ready,
+            peer_address=peers,
+            store_address=store,
+            fleet_address=store,
+            metrics_address=f'127.0.0.1:{taken.getsockname()[1]}',
+        )
+        loop = create_loop(settings, create_fleet_metrics(), resources)
+        with self.assertLogs('primroseledge') as logged:
+            start_servers(settings, loop, resources)
+        self.assertIn('no metrics on', logged.output[0])
+        client = HttpClient(ready)
+        resources.callback(client.close)
+        answer = client.call('GET', '/', None, AT_ONCE_S)
+        self.assertEqual(503, answer.status)
+
+
 class EndOfLoopTest(unittest.TestCase):
     def setUp(self) -> None:
         resources = ExitStack()
