Date what a poll answer lists by its receipt

Cause: an owner dated the runs of a poll answer, and their progress, by the time at which its loop handled the answer. On a fleet of hundreds of workers the loop can be seconds behind. A task that had been gone for that time then counted as available, and an evacuation could stop one more than the step's budget allows; a run could count as stalled because two answers were handled far apart.

Change: both are dated by the receipt of the answer.

--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -58,8 +58,8 @@
         if run is None or run.number != run_number or run.worker != worker.id:
             stop_unknown_run(state, worker, key, run_number)
         elif task is not None:
-            apply_listed_run(task, run, listed_run, now)
-            stop_if_stalled(worker, task, run, now)
+            apply_listed_run(task, run, listed_run, answer.received_at)
+            stop_if_stalled(worker, task, run, answer.received_at)
     if len(answer.ends) < MAX_LISTED_ENDS:
         give_up_unlisted_runs(
             state, worker, answer, set(listed_runs) | ended_runs, now
@@ -96,38 +96,45 @@
 
 
 def apply_listed_run(
-    task: Task, run: Run, listed: ListedRun, now: float
+    task: Task, run: Run, listed: ListedRun, received_at: float
 ) -> None:
     """Record that a worker lists a run as running, its progress and load.
 
-    A checkpoint that the worker lists becomes the task's checkpoint.
+    ``received_at`` is when the worker's answer arrived. A busy owner handles
+    it later, and what it lists may have changed since. A checkpoint that the
+    worker lists becomes the task's checkpoint.
     """
     run.phase = RunPhase.RUNNING
     run.unresolved_at = None
-    run.listed_at = now
+    run.listed_at = received_at
     if run.confirmed_at is None:
-        run.confirmed_at = now
+        run.confirmed_at = received_at
     run.reported_load = listed.reported_load
     if (
         listed.progress_percent != run.progress_percent
         or run.progressed_at is None
     ):
-        run.progressed_at = now
+        run.progressed_at = received_at
     run.progress_percent = listed.progress_percent
     if listed.checkpoint:
         task.checkpoint = listed.checkpoint
 
 
-def stop_if_stalled(worker: Worker, task: Task, run: Run, now: float) -> None:
+def stop_if_stalled(
+    worker: Worker, task: Task, run: Run, received_at: float
+) -> None:
     """Request the stop of a run without progress for ``STALL_TIMEOUT_S``.
 
-    The stall is logged and counts as a failure of the worker. After the end of
-    the run the task is started on another worker if there is one. Long-running
-    tasks, members of gangs and throttled runs are not stopped.
+    ``received_at`` is when the answer that lists the run arrived. The stall
+    is logged and counts as a failure of the worker. After the end of the run
+    the task is started on another worker if there is one. Long-running tasks,
+    members of gangs and throttled runs are not stopped.
     """
     if task.spec.is_long_running or run.is_stop_requested:
         return
-    if run.progressed_at is None or now < run.progressed_at + STALL_TIMEOUT_S:
+    if run.progressed_at is None:
+        return
+    if received_at < run.progressed_at + STALL_TIMEOUT_S:
         return
     if task.spec.is_gang or run.speed_percent < FULL_SPEED_PERCENT:
         return
@@ -140,7 +147,7 @@
     )
     run.is_stop_requested = True
     task.failed_workers.add(worker.id)
-    worker.quarantine.record_failure(task.key.job, now)
+    worker.quarantine.record_failure(task.key.job, received_at)
 
 
 def give_up_unlisted_runs(
--- a/tests/engine_bench.py
+++ b/tests/engine_bench.py
@@ -212,6 +212,7 @@
         running: tuple[ListedRun, ...] = (),
         ends: tuple[RunEnd, ...] = (),
         sent_at: float | None = None,
+        received_at: float | None = None,
     ) -> None:
         known_worker = self.engine.state.workers[worker]
         answer = PollAnswered(
@@ -222,7 +223,7 @@
             ends,
             known_worker.stored_end_number,
             self.now if sent_at is None else sent_at,
-            self.now,
+            self.now if received_at is None else received_at,
         )
         self.engine.handle_poll_answer(answer, self.now)
         self.reconcile()
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -312,6 +312,34 @@
         )
         self.assertFalse(self.may_stop(bench, starts[0]))
 
+    def test_a_poll_answer_counts_from_its_receipt(self) -> None:
+        # A busy owner handles an answer seconds after it arrived, when the
+        # tasks that it lists may be gone.
+        bench = EngineBench(*WORKERS[:3])
+        starts = self.start_long_running_tasks(bench)
+        received_at = bench.now
+        bench.reconcile(4.0)
+        for start in starts:
+            bench.answer_poll(
+                start.target.worker,
+                running=(make_listed_run(start),),
+                sent_at=received_at,
+                received_at=received_at,
+            )
+        self.assertFalse(self.may_stop(bench, starts[0]))
+
+    def test_a_stall_is_measured_between_receipts(self) -> None:
+        bench = EngineBench(WORKERS[0])
+        [start] = bench.run_job(make_job('a', make_step(1)))
+        run = make_listed_run(start, percent=10)
+        bench.answer_poll(WORKERS[0].id, running=(run,))
+        received_at = bench.now + 0.5
+        bench.reconcile(3.0)
+        bench.answer_poll(
+            WORKERS[0].id, running=(run,), received_at=received_at
+        )
+        self.assertEqual([], bench.pop_stops())
+
 
 class PoolTest(unittest.TestCase):
     def test_an_idle_pool_returns_instances_to_standby(self) -> None:
