Let the owner's decisions cost what changed, not what there is

Change: jobs with waiting tasks are kept in an index by service; workers are ranked once for all tasks of a step where their rank depends on themselves alone; kinds of tasks are counted as they are added and removed; workers with an event are checked at once and all others each 15 ms, as are waves, moves and repetitions; acknowledged ends are followed by worker; starts are planned when a batch may be built, since a start that is planned earlier waits for the same batch.

Two steps of time in test_maintenance became the tick of the loop, which is when waves are looked at now.

--- a/src/primroseledge/jobs/fleet_state.py
+++ b/src/primroseledge/jobs/fleet_state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 
 from primroseledge.ids import Boot
 from primroseledge.ids import JobId
@@ -56,7 +57,11 @@
     of these changes was made. ``planned_tasks`` are the tasks whose start,
     and ``pending_answers`` the answers to callers, that wait for the next
     batch of records to be stored. ``services_to_plan`` are the services that
-    may have tasks to start, ``actions`` the actions to be carried out next.
+    may have tasks to start, and ``waiting_jobs`` their jobs that may have
+    some. ``actions`` are the actions to be carried out next.
+    ``workers_with_new_ends`` have listed run ends whose effect is in no batch
+    yet. ``workers_to_check`` may have become due for a poll or a stop; all
+    workers were last checked for that at ``workers_checked_at``.
     ``ended_boots`` contains, by worker, the boots that ended with a
     maintenance or a move; the platform may still list these boots.
     ``took_over_at`` is when this instance became the owner, ``replanned_at``
@@ -78,6 +83,12 @@
         default_factory=dict
     )
     services_to_plan: set[ServiceId] = field(default_factory=set)
+    waiting_jobs: dict[ServiceId, dict[JobId, Job]] = field(
+        default_factory=dict
+    )
+    workers_with_new_ends: set[WorkerId] = field(default_factory=set)
+    workers_to_check: set[WorkerId] = field(default_factory=set)
+    workers_checked_at: float = -inf
     actions: list[Action] = field(default_factory=list)
     dirty_since: float | None = None
     replanned_at: float = 0.0
@@ -108,10 +119,19 @@
             self.dirty_since = now
 
     def request_planning(self, job: Job) -> None:
-        """Mark a job's service for planning, as it may have tasks to start."""
+        """Mark a job and its service, as it may have tasks to start."""
         service = self.service_of(job)
         if service is not None:
             self.services_to_plan.add(service)
+            jobs = self.waiting_jobs.setdefault(service, {})
+            jobs[job.accepted.id] = job
+
+    def request_planning_of_all(self) -> None:
+        """Mark all services and all active jobs for planning."""
+        self.services_to_plan.update(self.configuration.services)
+        self.waiting_jobs.clear()
+        for job in self.active_jobs.values():
+            self.request_planning(job)
 
     def workspace_usage(self, workspace: WorkspaceId) -> Resources:
         """Return the resources of a workspace's planned and running tasks."""
@@ -133,6 +153,7 @@
     def add_run_usage(self, task: Task, worker: Worker) -> None:
         """Add the resources of a task's run to its worker and workspace."""
         worker.add_task(task)
+        self.workers_to_check.add(worker.id)
         workspace = self.jobs[task.key.job].accepted.workspace
         self.usage[workspace] = self.workspace_usage(workspace).plus(
             task.spec.resources
@@ -182,3 +203,4 @@
         """
         if task.run is not None:
             task.run.is_stop_requested = True
+            self.workers_to_check.add(task.run.worker)
--- a/src/primroseledge/jobs/job.py
+++ b/src/primroseledge/jobs/job.py
@@ -119,6 +119,14 @@
             ):
                 yield step
 
+    def waiting_steps(self) -> Iterator[StepOccurrence]:
+        """Iterate over the steps that have tasks to start now."""
+        if self.is_final:
+            return
+        for step in self.ready_steps():
+            if any(task.is_waiting for task in step.tasks):
+                yield step
+
     @property
     def is_done(self) -> bool:
         """Return whether every task of every occurrence is done."""
--- a/src/primroseledge/jobs/placement.py
+++ b/src/primroseledge/jobs/placement.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+import heapq
 from typing import Final
 
 from primroseledge.ids import WorkerId
@@ -61,13 +62,30 @@
             step.counted_resources
         )
 
-    def free_capacity(self, worker: Worker) -> Resources:
-        """Return a worker's free capacity less ``uncounted_resources``.
+    def has_capacity_for(self, worker: Worker, resources: Resources) -> bool:
+        """Return whether resources fit in a worker's free capacity.
 
-        An amount is negative if more is in use than the worker has.
+        What ``uncounted_resources`` has for the worker counts as used.
         """
-        return worker.free_capacity.minus(
-            self.uncounted_resources.get(worker.id, NO_RESOURCES)
+        uncounted = self.uncounted_resources.get(worker.id)
+        if uncounted is not None:
+            resources = resources.plus(uncounted)
+        return worker.has_capacity_for(resources)
+
+    def used_share(self, worker: Worker) -> float:
+        """Return the share of a worker's capacity in use, as a fraction.
+
+        It is that of the processors or of the memory, whichever is larger,
+        and includes ``uncounted_resources``.
+        """
+        used = worker.used_capacity
+        uncounted = self.uncounted_resources.get(worker.id)
+        if uncounted is not None:
+            used = used.plus(uncounted)
+        capacity = worker.entry.capacity
+        return max(
+            used.cpu_millis / max(1, capacity.cpu_millis),
+            used.memory_mb / max(1, capacity.memory_mb),
         )
 
 
@@ -99,10 +117,11 @@
     Returns None if no worker has the free capacity and meets the rules of
     the step.
     """
+    needed = step.counted_resources
     fitting = [
         worker
         for worker in workers
-        if step.counted_resources.fits_in(placement.free_capacity(worker))
+        if placement.has_capacity_for(worker, needed)
         and is_allowed(step, worker, placement)
     ]
     if not fitting:
@@ -146,13 +165,10 @@
         is_outside_data_rack = (
             bool(step.data_rack) and worker.rack != step.data_rack
         )
-        has_long_running = any(
-            t.spec.is_long_running for t in worker.tasks.values()
-        )
         return (
             is_outside_data_rack,
-            not has_long_running,
-            -used_share(worker, placement),
+            not worker.long_running_count,
+            -placement.used_share(worker),
         )
 
     return rank
@@ -172,16 +188,13 @@
     max_tasks = max(1, -(-step.count // LONG_RUNNING_WORKERS))
 
     def rank(worker: Worker) -> tuple[float, ...]:
-        has_long_running = any(
-            t.spec.is_long_running for t in worker.tasks.values()
-        )
         return (
             placement.per_worker[worker.id] >= max_tasks,
             count_interfering_tasks(step, worker),
-            not has_long_running,
+            not worker.long_running_count,
             placement.per_worker[worker.id],
             placement.per_rack[worker.rack],
-            used_share(worker, placement),
+            placement.used_share(worker),
         )
 
     return rank
@@ -195,20 +208,62 @@
     kind are counted.
     """
     if step.is_best_effort:
-        return sum(1 for t in worker.tasks.values() if t.spec.target_ms)
+        return worker.objective_count
     if step.target_ms:
-        return sum(1 for t in worker.tasks.values() if t.spec.is_best_effort)
+        return worker.best_effort_count
     return 0
 
 
-def used_share(worker: Worker, placement: StepPlacement) -> float:
-    """Return the share of a worker's capacity in use, as a fraction.
+def is_ranked_once(step: StepSpec) -> bool:
+    """Return whether a worker's rank depends only on the worker itself.
 
-    It is that of the processors or of the memory, whichever is larger,
-    and includes the planned tasks of ``placement``.
+    That of a long-running task depends on the other tasks in its rack; with a
+    single rack for all tasks, the first one excludes all other racks.
     """
-    free = placement.free_capacity(worker)
-    capacity = worker.entry.capacity
-    cpu = 1 - free.cpu_millis / max(1, capacity.cpu_millis)
-    memory = 1 - free.memory_mb / max(1, capacity.memory_mb)
-    return max(cpu, memory)
+    return not step.is_long_running and not step.needs_single_rack
+
+
+class BatchWorkerQueue:
+    """The workers that can take a step's batch tasks, the best first.
+
+    A worker's rank changes only with the tasks placed on it. So each worker
+    is ranked once, and again after a task was placed on it, and not for
+    every task of the step. The choices are those of ``choose_worker``, as
+    long as nothing else is placed on the workers in between.
+    """
+
+    def __init__(
+        self,
+        step: StepSpec,
+        workers: Sequence[Worker],
+        placement: StepPlacement,
+    ) -> None:
+        self.step = step
+        self.placement = placement
+        self.needed = step.counted_resources
+        self.rank = rank_batch(step, placement)
+        self.heap = [
+            (self.rank(worker), number, worker)
+            for number, worker in enumerate(workers)
+            if self.is_fitting(worker)
+        ]
+        heapq.heapify(self.heap)
+
+    def is_fitting(self, worker: Worker) -> bool:
+        """Return whether a worker has the capacity and the rules allow it."""
+        return self.placement.has_capacity_for(
+            worker, self.needed
+        ) and is_allowed(self.step, worker, self.placement)
+
+    def best_worker(self) -> Worker | None:
+        """Return the best worker for the next task, or None."""
+        return self.heap[0][2] if self.heap else None
+
+    def rank_again(self) -> None:
+        """Rank the best worker again, after a task was placed on it."""
+        _, number, worker = self.heap[0]
+        if self.is_fitting(worker):
+            row = (self.rank(worker), number, worker)
+            heapq.heapreplace(self.heap, row)
+        else:
+            heapq.heappop(self.heap)
--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -14,11 +14,13 @@
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
+from primroseledge.jobs.placement import BatchWorkerQueue
 from primroseledge.jobs.placement import choose_worker
 from primroseledge.jobs.placement import count_placement
+from primroseledge.jobs.placement import is_ranked_once
 from primroseledge.jobs.placement import StepPlacement
-from primroseledge.jobs.placement import used_share
 from primroseledge.jobs.resources import Resources
+from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.start_priority import start_priority_of
 from primroseledge.jobs.start_priority import StartPriority
 from primroseledge.jobs.task import Task
@@ -77,17 +79,23 @@
 def waiting_steps(
     state: FleetState, service: ServiceId, now: float
 ) -> list[tuple[StartPriority, Job, StepOccurrence]]:
-    """Return a service's steps with tasks to start, the most urgent first."""
+    """Return a service's steps with tasks to start, the most urgent first.
+
+    Jobs without such a step are removed from ``waiting_jobs``;
+    ``request_planning`` adds them again when they may have one.
+    """
     wall_ms = state.wall_ms(now)
     found = list[tuple[StartPriority, Job, StepOccurrence]]()
-    for job in state.active_jobs.values():
+    waiting_jobs = state.waiting_jobs.get(service, {})
+    for job in list(waiting_jobs.values()):
         queue = state.queue_of(job)
-        if queue is None or queue.service != service:
+        steps = list(job.waiting_steps())
+        if queue is None or queue.service != service or not steps:
+            del waiting_jobs[job.accepted.id]
             continue
-        for step in job.ready_steps():
-            if any(task.is_waiting for task in step.tasks):
-                key = start_priority_of(job, step, queue, wall_ms)
-                found.append((key, job, step))
+        for step in steps:
+            key = start_priority_of(job, step, queue, wall_ms)
+            found.append((key, job, step))
     found.sort(key=sort_key)
     return found
 
@@ -115,14 +123,13 @@
     placement = count_placement(step, state.workers)
     if step.spec.is_gang:
         return plan_gang(state, job, step, workers, placement, now)
+    chooser = WorkerChooser(step.spec, workers, placement)
     for task in step.tasks:
         if not task.is_waiting:
             continue
         if not is_within_limit(state, job, step.spec.resources):
             return False
-        worker = choose_worker(
-            step.spec, exclude_failed_workers(task, workers), placement
-        )
+        worker = chooser.choose(task)
         if worker is None:
             return False
         # plan_run() adds the run's resources to the worker, so only the
@@ -130,9 +137,51 @@
         state.plan_run(task, worker, now)
         placement.per_worker[worker.id] += 1
         placement.per_rack[worker.rack] += 1
+        chooser.record_placement(worker)
     return True
 
 
+class WorkerChooser:
+    """Chooses workers for the tasks of one step, one after the other.
+
+    Where the rank of a worker depends only on itself, all workers are ranked
+    once for the step; otherwise they are compared for each task.
+    """
+
+    def __init__(
+        self,
+        step: StepSpec,
+        workers: list[Worker],
+        placement: StepPlacement,
+    ) -> None:
+        self.step = step
+        self.workers = workers
+        self.placement = placement
+        self.queue: BatchWorkerQueue | None = None
+
+    def choose(self, task: Task) -> Worker | None:
+        """Return the best worker for a task, or None if none has capacity.
+
+        A worker on which the task has failed is avoided.
+        """
+        if task.failed_workers or not is_ranked_once(self.step):
+            workers = exclude_failed_workers(task, self.workers)
+            return choose_worker(self.step, workers, self.placement)
+        if self.queue is None:
+            self.queue = BatchWorkerQueue(
+                self.step, self.workers, self.placement
+            )
+        return self.queue.best_worker()
+
+    def record_placement(self, worker: Worker) -> None:
+        """Rank the workers again after a task was placed on one of them."""
+        queue = self.queue
+        if queue is not None and queue.best_worker() is worker:
+            queue.rank_again()
+        else:
+            self.queue = None
+
+
 def exclude_failed_workers(task: Task, workers: list[Worker]) -> list[Worker]:
     """Return the workers on which a task has not failed or stalled.
 
@@ -164,9 +213,7 @@
     ]
     waiting_count = sum(1 for task in step.tasks if task.is_waiting)
     free_count = sum(
-        1
-        for w in allowed
-        if step.spec.counted_resources.fits_in(w.free_capacity)
+        1 for w in allowed if w.has_capacity_for(step.spec.counted_resources)
     )
     if free_count < waiting_count:
         request = advice.begin_request(step, key, workers, now)
@@ -233,6 +280,5 @@
     """
     if not workers:
         return workers
-    empty_placement = StepPlacement()
-    emptiest = min(workers, key=lambda w: used_share(w, empty_placement))
+    emptiest = min(workers, key=StepPlacement().used_share)
     return [worker for worker in workers if worker is not emptiest]
--- a/src/primroseledge/jobs/throttling.py
+++ b/src/primroseledge/jobs/throttling.py
@@ -46,7 +46,7 @@
     Workers that don't answer polls are left out.
     """
     for worker in state.workers.values():
-        if worker.tasks and not worker.poll_failures:
+        if worker.best_effort_count and not worker.poll_failures:
             throttle_worker(state, worker, now)
 
 
--- a/src/primroseledge/jobs/worker.py
+++ b/src/primroseledge/jobs/worker.py
@@ -108,6 +108,9 @@
 class Worker:
     """A worker and the tasks that may be running on it.
 
+    Of its tasks, ``long_running_count`` are long-running,
+    ``best_effort_count`` are best-effort tasks and ``objective_count`` have a
+    response-time objective.
     The worker numbers the ends of runs. ``handled_end_number`` is the number
     of the last end that was handled, ``stored_end_number`` that of the last
     one whose effect is stored, and ``acked_end_number`` that of the last one
@@ -126,6 +129,9 @@
     lease_clock: LeaseClock = field(default_factory=LeaseClock)
     tasks: dict[object, Task] = field(default_factory=dict)
     used_capacity: Resources = NO_RESOURCES
+    long_running_count: int = 0
+    best_effort_count: int = 0
+    objective_count: int = 0
     handled_end_number: int = 0
     stored_end_number: int = 0
     acked_end_number: int = 0
@@ -155,6 +161,17 @@
         """Return the part of the capacity that no task uses."""
         return self.entry.capacity.minus(self.used_capacity)
 
+    def has_capacity_for(self, resources: Resources) -> bool:
+        """Return whether resources fit in the free capacity."""
+        capacity = self.entry.capacity
+        used = self.used_capacity
+        return (
+            used.cpu_millis + resources.cpu_millis <= capacity.cpu_millis
+            and used.memory_mb + resources.memory_mb <= capacity.memory_mb
+            and used.accelerators + resources.accelerators
+            <= capacity.accelerators
+        )
+
     def may_start_tasks(self, now: float) -> bool:
         """Return whether new tasks may start on the worker.
 
@@ -178,6 +195,7 @@
         self.used_capacity = self.used_capacity.plus(
             task.spec.counted_resources
         )
+        self.count_kinds(task, 1)
 
     def remove_task(self, task: Task) -> None:
         """Remove a task and its resources, if it was added before."""
@@ -185,3 +203,11 @@
             self.used_capacity = self.used_capacity.minus(
                 task.spec.counted_resources
             )
+            self.count_kinds(task, -1)
+
+    def count_kinds(self, task: Task, change: int) -> None:
+        """Add ``change`` to the counts of the kinds that a task belongs to."""
+        spec = task.spec
+        self.long_running_count += change * spec.is_long_running
+        self.best_effort_count += change * spec.is_best_effort
+        self.objective_count += change * bool(spec.target_ms)
--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/jobs/worker_polls.py
@@ -30,6 +30,14 @@
 """
 
 
+CHECK_ALL_INTERVAL_S: Final = 0.015
+"""Least time between two checks of all workers for polls that are due.
+
+It is shorter than the tick of the loop, so that an idle owner checks all
+workers with each tick.
+"""
+
+
 def apply_worker_entries(
     state: FleetState, entries: list[WorkerEntry], now: float
 ) -> None:
@@ -63,6 +71,7 @@
     worker = state.workers.get(entry.id)
     if worker is None:
         state.workers[entry.id] = Worker(entry)
+        state.workers_to_check.add(entry.id)
         log_worker(entry)
         state.services_to_plan.add(entry.service)
         return
@@ -75,6 +84,7 @@
         state.services_to_plan.add(entry.service)
     worker.entry = entry
     worker.is_listed = True
+    state.workers_to_check.add(worker.id)
 
 
 def log_worker(entry: WorkerEntry) -> None:
@@ -114,6 +124,7 @@
     worker = state.workers.get(answer.worker)
     if worker is None or worker.entry.boot != answer.boot:
         return
+    state.workers_to_check.add(worker.id)
     worker.is_poll_in_flight = False
     worker.last_poll_ended_at = now
     if worker.poll_failures:
@@ -145,6 +156,7 @@
     worker = state.workers.get(failure.worker)
     if worker is None or worker.entry.boot != failure.boot:
         return
+    state.workers_to_check.add(worker.id)
     worker.is_poll_in_flight = False
     worker.last_poll_ended_at = now
     worker.poll_failures += 1
@@ -165,7 +177,7 @@
     The runs of unresponsive workers whose lease has expired are given up
     first.
     """
-    for worker in list(state.workers.values()):
+    for worker in workers_to_check(state, now):
         expire_unresponsive_worker(state, worker, now)
         if worker.tasks:
             send_requested_stops(state, worker, now)
@@ -173,6 +185,21 @@
             send_poll(state, worker, now)
 
 
+def workers_to_check(state: FleetState, now: float) -> list[Worker]:
+    """Return the workers that may be due for a poll or a stop.
+
+    Those with an event since the last call are returned at once. As polls
+    also become due by time alone, all are returned each
+    ``CHECK_ALL_INTERVAL_S``.
+    """
+    changed = state.workers_to_check
+    state.workers_to_check = set()
+    if now >= state.workers_checked_at + CHECK_ALL_INTERVAL_S:
+        state.workers_checked_at = now
+        return list(state.workers.values())
+    return [state.workers[id] for id in changed if id in state.workers]
+
+
 def expire_unresponsive_worker(
     state: FleetState, worker: Worker, now: float
 ) -> None:
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -6,6 +6,7 @@
 Times are on the monotonic clock, in seconds.
 """
 
+from math import inf
 from typing import Final
 
 from primroseledge.ids import JobId
@@ -67,6 +68,13 @@
 from primroseledge.owner.outbox import Outbox
 
 REPLAN_INTERVAL_S: Final = 0.2
+SWEEP_INTERVAL_S: Final = 0.015
+"""Least time between two passes over all jobs and instances.
+
+Events arrive much more often on a large fleet. The interval is shorter than
+the tick of the loop, so that an idle owner sweeps with each tick.
+"""
+
 UNKNOWN_WORKSPACE = WorkspaceId('')
 CANCELLED_BEFORE_SUBMIT: JobSpec = JobSpec(payload='', steps=())
 """Spec recorded for a job that was cancelled before its submission.
@@ -90,11 +98,13 @@
         self.instance_list = InstanceList()
         self.is_fenced = False
         self.handover_started_at: float | None = None
+        self.swept_at = -inf
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Replace the configuration and plan all services again."""
+        self.swept_at = -inf
         self.state.configuration = configuration
-        self.state.services_to_plan.update(configuration.services)
+        self.state.request_planning_of_all()
 
     def submit(self, event: SubmitJob, now: float) -> None:
         """Accept or refuse a submitted job, and answer the caller.
@@ -230,6 +240,7 @@
         self, entries: list[WorkerEntry], now: float
     ) -> None:
         """Update the known workers from a newly read list of workers."""
+        self.swept_at = -inf
         apply_worker_entries(self.state, entries, now)
 
     def handle_poll_answer(self, answer: PollAnswered, now: float) -> None:
@@ -282,6 +293,7 @@
     ) -> None:
         """Act on the platform's answer to a list, maintenance or move call."""
         instances = self.instance_list
+        self.swept_at = -inf
         if isinstance(report, InstancesListed):
             instances.apply_list(report)
         elif isinstance(report, ListFailed):
@@ -321,17 +333,26 @@
     def plan(self, now: float) -> None:
         """Plan starts of tasks, maintenance and moves of instances."""
         state = self.state
-        self.open_due_occurrences(now)
-        advance_waves(state, self.instance_list, now)
-        size_pools(state, self.instance_list, now)
-        evacuate_draining_workers(state, now)
-        refresh_list(state, self.instance_list, now)
+        if now >= self.swept_at + SWEEP_INTERVAL_S:
+            self.swept_at = now
+            self.sweep(now)
         if now >= state.replanned_at + REPLAN_INTERVAL_S:
             # The end of a worker's cooldown or quarantine is no event, so
             # all services are planned again from time to time.
             state.replanned_at = now
             state.services_to_plan.update(state.configuration.services)
-        plan_services(state, now)
+        if self.outbox.may_build_batch(state, now):
+            # A start that is planned earlier waits for the same batch.
+            plan_services(state, now)
+
+    def sweep(self, now: float) -> None:
+        """Do what depends on time alone, for all jobs and instances."""
+        state = self.state
+        self.open_due_occurrences(now)
+        advance_waves(state, self.instance_list, now)
+        size_pools(state, self.instance_list, now)
+        evacuate_draining_workers(state, now)
+        refresh_list(state, self.instance_list, now)
 
     def poll_only(self, now: float) -> list[Action]:
         """Poll workers to renew their leases; start, stop and store nothing.
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -61,18 +61,26 @@
         there are no changed records and no batch in flight, all handled run
         ends are marked as stored.
         """
-        if self.batch_in_flight is not None:
+        if not self.may_build_batch(state, now):
             return None
         if not state.dirty_jobs and not instances.dirty_waves:
             ack_all_ends(state)
             return None
-        since = state.dirty_since
-        if since is not None and now < since + BATCH_LINGER_S:
-            return None
         batch = self.build_batch(state, instances, now)
         self.batch_in_flight = batch
         return batch
 
+    def may_build_batch(self, state: FleetState, now: float) -> bool:
+        """Return whether changed records may go into a batch now.
+
+        They may not while another batch is in flight, and until the first
+        change has waited for ``BATCH_LINGER_S``.
+        """
+        if self.batch_in_flight is not None:
+            return False
+        since = state.dirty_since
+        return since is None or now >= since + BATCH_LINGER_S
+
     def build_batch(
         self, state: FleetState, instances: InstanceList, now: float
     ) -> Batch:
@@ -113,8 +121,11 @@
         state.dirty_since = None
         # The effect of each handled run end is in this or an earlier batch.
         batch.end_numbers = {
-            w.id: w.handled_end_number for w in state.workers.values()
+            id: state.workers[id].handled_end_number
+            for id in state.workers_with_new_ends
+            if id in state.workers
         }
+        state.workers_with_new_ends.clear()
         return batch
 
     def complete_batch(self, state: FleetState, now: float) -> None:
@@ -139,6 +150,7 @@
                 worker.stored_end_number = max(
                     worker.stored_end_number, number
                 )
+                state.workers_to_check.add(worker_id)
         state.actions.extend(batch.answers)
         for task in batch.starts:
             run = task.run
@@ -168,8 +180,12 @@
     To be called when no record is changed and no batch in flight: all
     effects of the ends are stored then, and some ends had none.
     """
-    for worker in state.workers.values():
-        worker.stored_end_number = worker.handled_end_number
+    for worker_id in state.workers_with_new_ends:
+        worker = state.workers.get(worker_id)
+        if worker is not None:
+            worker.stored_end_number = worker.handled_end_number
+            state.workers_to_check.add(worker_id)
+    state.workers_with_new_ends.clear()
 
 
 def refuse_job(state: FleetState, job: Job, now: float) -> None:
--- a/src/primroseledge/owner/recovery.py
+++ b/src/primroseledge/owner/recovery.py
@@ -49,7 +49,7 @@
         if not job.is_final:
             state.active_jobs[job_record.id] = job
         restore_runs(state, job, now)
-    state.services_to_plan.update(state.configuration.services)
+    state.request_planning_of_all()
 
 
 def restore_runs(state: FleetState, job: Job, now: float) -> None:
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 import unittest
 
+from primroseledge.cluster.node_loop import OWNER_TICK_S
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
@@ -83,13 +84,13 @@
         self.pop_actions(ListInstances, lambda _: True)
         listed = InstancesListed(tuple(self.rows.values()), self.now)
         self.engine.handle_instance_report(listed, self.now)
-        self.reconcile(0.01)
+        self.reconcile(OWNER_TICK_S)
 
     def request_wave(self, *numbers: int, max_in_maintenance: int = 1) -> None:
         instances = tuple(InstanceId(f'i-{number}') for number in numbers)
         wave = Wave(WAVE, instances, 20.0, max_in_maintenance)
         self.engine.instance_list.waves[WAVE] = wave
-        self.reconcile(0.01)
+        self.reconcile(OWNER_TICK_S)
 
     def maintenance_starts(self) -> list[StartMaintenance]:
         found = self.pop_actions(StartMaintenance, lambda _: True)
@@ -106,7 +107,7 @@
     ) -> None:
         answer = InstanceAnswered(call, result, self.now)
         self.engine.handle_instance_report(answer, self.now)
-        self.reconcile(0.01)
+        self.reconcile(OWNER_TICK_S)
 
     @property
     def wave_state(self) -> WaveState:
