Keep steps that can't start from holding up others

Cause: a planning pass ended after 12 steps that could not be placed. Steps that only waited for their workspace's limit or for advice counted, and long-running steps, which come first, counted with batch steps; each of them also took the emptiest worker out of the pass.

Change: only steps without capacity count, long-running and batch steps each by themselves; at most a quarter of the workers is kept free for long-running tasks; a step that needs at least as much as one that fits nowhere is not tried again in the pass, so a long queue without capacity costs little.

--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -7,6 +7,7 @@
 the long-running task.
 """
 
+from enum import Enum
 from typing import Final
 
 from primroseledge.ids import ServiceId
@@ -27,11 +28,16 @@
 from primroseledge.jobs.worker import Worker
 
 MAX_UNPLACED_STEPS: Final = 12
-"""Number of steps with unplaced tasks at which a planning pass ends.
+"""Number of unplaced steps of a kind after which a pass skips this kind.
 
-This bounds the time of a pass when a service has no free capacity left.
+The kinds are long-running and batch steps. This bounds the time of a pass
+when a service has no free capacity left. Steps that wait for something else,
+such as their workspace's limit, don't count.
 """
 
+MAX_EXCLUDED_SHARE: Final = 0.25
+"""Largest share of workers kept free for long-running tasks; at least one."""
+
 MAX_PLANNED_STARTS: Final = 64
 """Number of planned starts at which a planning pass ends.
 
@@ -52,7 +58,8 @@
 def plan_service(state: FleetState, service: ServiceId, now: float) -> None:
     """Plan the starts of one service's waiting tasks.
 
-    The pass ends at ``MAX_PLANNED_STARTS`` or ``MAX_UNPLACED_STEPS``.
+    The pass ends at ``MAX_PLANNED_STARTS``, and for a kind of steps at
+    ``MAX_UNPLACED_STEPS``.
     """
     waiting = waiting_steps(state, service, now)
     if not waiting:
@@ -62,18 +69,75 @@
         for worker in state.workers.values()
         if worker.entry.service == service and worker.may_start_tasks(now)
     ]
-    unplaced_steps = 0
+    shortage = CapacityShortage(len(workers))
     for _, job, step in waiting:
         if len(state.planned_tasks) >= MAX_PLANNED_STARTS:
             state.services_to_plan.add(service)
             return
-        if plan_step(state, job, step, workers, now):
+        if shortage.affects(step.spec):
+            continue
+        if plan_step(state, job, step, workers, now) is not (
+            StepPlan.NO_CAPACITY
+        ):
             continue
-        unplaced_steps += 1
-        if step.spec.is_long_running:
+        shortage.record(step.spec)
+        if step.spec.is_long_running and shortage.may_exclude_worker():
             workers = exclude_emptiest_worker(workers)
-        if unplaced_steps >= MAX_UNPLACED_STEPS:
-            return
+
+
+class StepPlan(Enum):
+    """The outcome of planning a step's starts.
+
+    ``PLACED``: all its waiting tasks, or those of a gang later.
+    ``NO_CAPACITY``: no worker could take one of them. ``NOT_ALLOWED``: it
+    waits for its workspace's limit or for the advisory service.
+    """
+
+    PLACED = 'placed'
+    NO_CAPACITY = 'no capacity'
+    NOT_ALLOWED = 'not allowed'
+
+
+class CapacityShortage:
+    """What could not be placed in one planning pass.
+
+    A step that needs at least as much as one that fits on no worker need not
+    be tried, so a long queue costs little while there is no capacity.
+    """
+
+    def __init__(self, worker_count: int) -> None:
+        self.max_excluded = max(1, int(worker_count * MAX_EXCLUDED_SHARE))
+        self.excluded = 0
+        self.unplaced = {False: 0, True: 0}
+        self.unplaceable: list[Resources] = []
+
+    def affects(self, step: StepSpec) -> bool:
+        """Return whether a step need not be tried in this pass."""
+        if self.unplaced[step.is_long_running] >= MAX_UNPLACED_STEPS:
+            return True
+        needed = step.counted_resources
+        return any(least.fits_in(needed) for least in self.unplaceable)
+
+    def record(self, step: StepSpec) -> None:
+        """Record that a step could not be placed."""
+        self.unplaced[step.is_long_running] += 1
+        if not has_placement_rules(step):
+            self.unplaceable.append(step.counted_resources)
+
+    def may_exclude_worker(self) -> bool:
+        """Return whether one more worker may be kept free, and count it."""
+        self.excluded += 1
+        return self.excluded <= self.max_excluded
+
+
+def has_placement_rules(step: StepSpec) -> bool:
+    """Return whether a step's rules exclude workers that have capacity."""
+    return bool(
+        step.is_gang
+        or step.needs_single_rack
+        or step.required_label
+        or step.max_per_worker
+    )
 
 
 def waiting_steps(
@@ -111,34 +175,36 @@
     step: StepOccurrence,
     workers: list[Worker],
     now: float,
-) -> bool:
+) -> StepPlan:
     """Plan the starts of a step's waiting tasks.
 
-    Returns whether all of them could be placed. If one cannot be placed, the
-    tasks before it stay planned; of a gang, no task is planned then.
+    If a task cannot be placed, the tasks before it stay planned; of a gang,
+    no task is planned then.
     """
     queue = state.queue_of(job)
+    no_worker = StepPlan.NO_CAPACITY
     if queue is not None and queue.advice is not None:
         workers = advised_workers(state, job, step, workers, now)
+        no_worker = StepPlan.NOT_ALLOWED
     placement = count_placement(step, state.workers)
     if step.spec.is_gang:
-        return plan_gang(state, job, step, workers, placement, now)
+        return plan_gang(state, job, step, workers, placement, no_worker, now)
     chooser = WorkerChooser(step.spec, workers, placement)
     for task in step.tasks:
         if not task.is_waiting:
             continue
         if not is_within_limit(state, job, step.spec.resources):
-            return False
+            return StepPlan.NOT_ALLOWED
         worker = chooser.choose(task)
         if worker is None:
-            return False
+            return no_worker
         # plan_run() adds the run's resources to the worker, so only the
         # counts of the placement are updated here.
         state.plan_run(task, worker, now)
         placement.per_worker[worker.id] += 1
         placement.per_rack[worker.rack] += 1
         chooser.record_placement(worker)
-    return True
+    return StepPlan.PLACED
 
 
 class WorkerChooser:
@@ -228,23 +294,25 @@
     step: StepOccurrence,
     workers: list[Worker],
     placement: StepPlacement,
+    no_worker: StepPlan,
     now: float,
-) -> bool:
+) -> StepPlan:
     """Plan the starts of all tasks of a gang, or of none.
 
-    Returns False if the gang could not be placed. If one of its tasks has a
-    run or is done, nothing is planned and the gang counts as placed.
+    Returns ``no_worker`` if there is none for one of them. If one of the
+    tasks has a run or is done, nothing is planned and the gang counts as
+    placed.
     """
     if not all(task.is_waiting for task in step.tasks):
-        return True
+        return StepPlan.PLACED
     count = len(step.tasks)
     if not is_within_limit(state, job, step.spec.resources.times(count)):
-        return False
+        return StepPlan.NOT_ALLOWED
     placed_tasks = list[tuple[Task, Worker]]()
     for task in step.tasks:
         worker = choose_worker(step.spec, workers, placement)
         if worker is None:
-            return False
+            return no_worker
         placement.add_task(worker, step.spec)
         placed_tasks.append((task, worker))
     # All tasks of a gang get the same run number and start from the same
@@ -255,7 +323,7 @@
         task.last_run_number = last_run
         task.checkpoint = checkpoint
         state.plan_run(task, worker, now)
-    return True
+    return StepPlan.PLACED
 
 
 def is_within_limit(state: FleetState, job: Job, added: Resources) -> bool:
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -9,17 +9,22 @@
 from random import Random
 import unittest
 
+from msgspec import structs
+
 from bench.job_fleet import JobFleet
 from bench.job_load import small_shape
 from primroseledge.ids import Boot
 from primroseledge.ids import JobId
 from primroseledge.ids import WorkerId
+from primroseledge.ids import WorkspaceId
 from primroseledge.ids import ZoneId
+from primroseledge.jobs.configuration import Workspace
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.placement import choose_worker
 from primroseledge.jobs.placement import count_placement
+from primroseledge.jobs.planning import MAX_UNPLACED_STEPS
 from primroseledge.jobs.planning import WorkerChooser
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.resources import Resources
@@ -144,6 +149,55 @@
         self.assertEqual(0, worker.best_effort_count)
 
 
+class ShortageTest(unittest.TestCase):
+    """Steps that can't start must not keep others from starting."""
+
+    def submit_limited(self, bench: EngineBench, count: int) -> None:
+        """Submit jobs that wait for the limit of their workspace."""
+        for number in range(count):
+            bench.submit(make_job(f'limited-{number}', make_step(1, 3000)))
+
+    def test_steps_at_their_limit_let_other_workspaces_start(self) -> None:
+        bench = EngineBench(
+            make_worker_entry('worker-1'), limit=Resources(2000, 0, 0)
+        )
+        other = WorkspaceId('other')
+        configuration = bench.engine.state.configuration
+        configuration.workspaces[other] = Workspace(other, frozenset())
+        self.submit_limited(bench, MAX_UNPLACED_STEPS + 3)
+        job = structs.replace(
+            make_job('z', make_step(1)), workspace=other, accepted_ms=200_000
+        )
+        bench.submit(job)
+        bench.store_changes()
+        self.assertEqual(
+            [job.id], [start.task.job for start in bench.pop_starts()]
+        )
+
+    def test_unplaced_long_running_steps_let_batch_steps_start(self) -> None:
+        bench = EngineBench(
+            *(make_worker_entry(f'worker-{number}') for number in range(8))
+        )
+        for number in range(MAX_UNPLACED_STEPS + 3):
+            step = make_step(1, 17_000, is_long_running=True, max_per_worker=1)
+            bench.submit(make_job(f'long-{number}', step))
+        bench.submit(make_job('z', make_step(1)))
+        bench.store_changes()
+        self.assertEqual(
+            ['z'], [start.task.job for start in bench.pop_starts()]
+        )
+
+    def test_smaller_steps_start_when_larger_ones_do_not_fit(self) -> None:
+        bench = EngineBench(make_worker_entry('worker-1'))
+        for number in range(MAX_UNPLACED_STEPS + 3):
+            bench.submit(make_job(f'large-{number}', make_step(1, 17_000)))
+        bench.submit(make_job('z', make_step(1)))
+        bench.store_changes()
+        self.assertEqual(
+            ['z'], [start.task.job for start in bench.pop_starts()]
+        )
+
+
 class IndexTest(unittest.TestCase):
     def check_index(self, state: FleetState) -> None:
         """Check that the index has each job with tasks to start."""
