Keep a reserve in pools, and see bursts from their newest arrivals

Cause: bursts of five times the mean begin within tenths of a second, and an instance joins a pool about two seconds after it is asked for. The rate of arrivals was taken over all of the last three seconds, so the quiet ones before a burst lowered it for as long. Free instances went to the pools in the order of the configuration: the last one starved when there were too few.

Change: a pool shrinks no further than a share of an equal part of all instances, or than its peak of the last minutes once it was observed that long; the rate is the highest that the newest arrivals show; free instances are divided by what each pool lacks, and released ones go to the largest shortfall that the platform lets them move to. pools.py is split into sizing, moves and the reserve. make bench-jobs plays loads by turns on the engine and compares with pools without a reserve, with fixed pools, and with first come first served.

--- a/bench/job_load.py
+++ b/bench/job_load.py
@@ -37,6 +37,10 @@
 """Share of the windows and workspaces that count as the worst ones."""
 
 
+SIZE_SHAPE: Final = 2.8
+"""Shape of the gamma distribution of the sizes of jobs."""
+
+
 @dataclass(frozen=True)
 class JobKind:
     """The jobs of one service.
@@ -247,7 +251,8 @@
     shape: LoadShape, kind: JobKind, at: float, random: Random
 ) -> Submission:
     """Return a job of a kind, of random size and a rough estimate."""
-    count = round(min(kind.tasks * random.expovariate(1), kind.tasks * 4))
+    size = random.gammavariate(SIZE_SHAPE, 1 / SIZE_SHAPE)
+    count = round(kind.tasks * size)
     first = StepSpec(
         count=max(1, count),
         resources=Resources(int(kind.cores * 1000), 64, 0),
--- /dev/null
+++ b/bench/jobs.py
@@ -0,0 +1,146 @@
+"""Compare policies of the owner on the same loads of jobs; print JSON.
+
+Run as ``python -m bench.jobs [--quick]``. Each load is played in virtual
+time with each policy; see ``Outcome.figures`` for what is measured. A policy
+replaces decisions of the product by simpler ones.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextlib import ExitStack
+from json import dumps
+import logging
+from statistics import fmean
+from sys import argv
+from typing import Final
+from unittest import mock
+
+from bench.job_fleet import JobFleet
+from bench.job_load import large_shape
+from bench.job_load import LoadShape
+from bench.job_load import small_shape
+from primroseledge.jobs.configuration import Queue
+from primroseledge.jobs.job import Job
+from primroseledge.jobs.job import StepOccurrence
+from primroseledge.jobs.placement import Rank
+from primroseledge.jobs.placement import StepPlacement
+from primroseledge.jobs.spec import StepSpec
+from primroseledge.jobs.start_priority import StartPriority
+from primroseledge.jobs.worker import Worker
+
+SEEDS: Final = {'small': (1, 2, 3, 4), 'large': (1,)}
+
+Policy = Callable[[], Iterator[None]]
+POLICIES: dict[str, Policy] = {}
+
+
+def register_policy(name: str) -> Callable[[Policy], Policy]:
+    """Register the decorated function as a policy to compare."""
+
+    def register(policy: Policy) -> Policy:
+        POLICIES[name] = policy
+        return policy
+
+    return register
+
+
+@register_policy('product')
+def product_policy() -> Iterator[None]:
+    """Leave all decisions as they are."""
+    yield
+
+
+@register_policy('no reserve')
+def no_reserve() -> Iterator[None]:
+    """Let pools shrink to their least size between bursts."""
+    with mock.patch(
+        'primroseledge.maintenance.pool_reserve.RESERVE_SHARE', 0.0
+    ):
+        yield
+
+
+@register_policy('fixed pools')
+def fixed_pools() -> Iterator[None]:
+    """Move no instance between pools."""
+    with ExitStack() as stack:
+        for name in ('grow', 'shrink'):
+            target = f'primroseledge.maintenance.pools.{name}'
+            stack.enter_context(mock.patch(target, autospec=True))
+        yield
+
+
+@register_policy('first come first served, first fit')
+def first_come_first_served() -> Iterator[None]:
+    """Start jobs in order of their acceptance on the first worker that fits.
+
+    Pools keep no reserve.
+    """
+    with ExitStack() as stack:
+        stack.enter_context(
+            mock.patch(
+                'primroseledge.jobs.planning.start_priority_of',
+                acceptance_order,
+            )
+        )
+        stack.enter_context(
+            mock.patch('primroseledge.jobs.placement.rank_batch', first_fit)
+        )
+        stack.enter_context(contextmanager(no_reserve)())
+        yield
+
+
+def acceptance_order(
+    job: Job, step: StepOccurrence, queue: Queue, wall_ms: int
+) -> StartPriority:
+    """Return a priority that follows the order of acceptance."""
+    accepted = job.accepted
+    return StartPriority(
+        not step.spec.is_long_running,
+        False,
+        0,
+        accepted.accepted_ms,
+        accepted.id,
+        step.number,
+    )
+
+
+def first_fit(step: StepSpec, placement: StepPlacement) -> Rank:
+    """Return a rank under which all workers are equal."""
+
+    def rank(worker: Worker) -> tuple[float, ...]:
+        return (0.0,)
+
+    return rank
+
+
+def measure(shape: LoadShape, policy: Policy) -> dict[str, float]:
+    """Return the mean figures of a policy over the seeds of a load."""
+    with contextmanager(policy)():
+        figures = [
+            JobFleet(shape, seed).play().figures()
+            for seed in SEEDS[shape.name]
+        ]
+    return {
+        name: round(fmean(row[name] for row in figures), 3)
+        for name in figures[0]
+    }
+
+
+def main() -> None:
+    """Print the figures of all loads and policies as JSON."""
+    logging.disable(logging.CRITICAL)
+    shapes = [small_shape()]
+    if '--quick' not in argv:
+        shapes.append(large_shape())
+    result = {
+        shape.name: {
+            name: measure(shape, policy) for name, policy in POLICIES.items()
+        }
+        for shape in shapes
+    }
+    print(dumps(result, indent=1))
+
+
+if __name__ == '__main__':
+    main()
--- a/src/primroseledge/jobs/arrival_rate.py
+++ b/src/primroseledge/jobs/arrival_rate.py
@@ -1,13 +1,15 @@
 """Measure the rate at which work was submitted during the last seconds.
 
-At the beginning of a burst the rate has to be estimated from a few jobs. The
-work of all arrivals in the window but the oldest is divided by the time since
-that oldest one. A single job therefore gives no rate, however large it is.
+At the beginning of a burst the rate has to be estimated from a few jobs, and
+the jobs from before the burst must not lower it. So the rate is the highest
+one that the newest arrivals show, however many of them are taken. A single
+job gives no rate, however large it is.
 """
 
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from statistics import fmean
 from typing import Final
 
 RATE_WINDOW_S: Final = 3.0
@@ -22,6 +24,9 @@
 Jobs that were submitted together would otherwise give a far too high rate.
 """
 
+MIN_BURST_ARRIVALS: Final = 3
+"""Fewest arrivals that show a higher rate than all of the window."""
+
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
@@ -72,14 +77,25 @@
             self.arrivals.popleft()
         if len(self.arrivals) < 2:
             return Rate()
-        oldest = self.arrivals[0]
-        span_s = max(MIN_RATE_SPAN_S, now - oldest.arrived_at)
-        core_s = (
-            sum(arrival.core_s for arrival in self.arrivals) - oldest.core_s
-        )
         recent_initial_cores = sum(
             arrival.initial_cores
             for arrival in self.arrivals
             if arrival.arrived_at > now - RECENT_WINDOW_S
         )
-        return Rate(core_s / span_s, recent_initial_cores)
+        return Rate(self.highest_cores(now), recent_initial_cores)
+
+    def highest_cores(self, now: float) -> float:
+        """Return the highest rate that the newest arrivals show, in cores.
+
+        For each number of arrivals, their work is divided by the time since
+        the arrival before them. All jobs count with the mean work, as one
+        large job would otherwise look like a burst.
+        """
+        newest_first = list(reversed(self.arrivals))
+        mean_core_s = fmean(arrival.core_s for arrival in newest_first)
+        last = len(newest_first) - 1
+        jobs_per_s = 0.0
+        for count in {last, *range(MIN_BURST_ARRIVALS, last)}:
+            span_s = now - newest_first[count].arrived_at
+            jobs_per_s = max(jobs_per_s, count / max(MIN_RATE_SPAN_S, span_s))
+        return jobs_per_s * mean_core_s
--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -10,6 +10,7 @@
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.worker import Worker
 from primroseledge.maintenance.actions import InstancesListed
+from primroseledge.maintenance.pool_reserve import DemandPeak
 from primroseledge.maintenance.wave import InstanceRow
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.maintenance.wave import Wave
@@ -66,9 +67,10 @@
     those whose record is to be stored. ``pools_observed_since`` is when pools
     were first sized, and ``pools_sized_at`` when they last were; 0 if never.
     ``desired_size_history`` holds times and desired sizes, in workers.
-    ``below_min_since`` is since when a pool that meets its demand has been
-    below the least size. ``shortfalls`` is how many instances each pool still
-    lacks, because none was free. ``refused_moves`` are not tried again.
+    ``demand_peaks`` are the largest of them. ``below_reserve_since`` is since
+    when a pool that meets its demand has been below its reserve.
+    ``shortfalls`` is how many instances each pool still lacks, because none
+    was free. ``refused_moves`` are not tried again.
     Times are on the monotonic clock.
     """
 
@@ -87,7 +89,8 @@
     desired_size_history: dict[ServiceId, list[tuple[float, int]]] = field(
         default_factory=dict
     )
-    below_min_since: dict[ServiceId, float] = field(default_factory=dict)
+    demand_peaks: dict[ServiceId, DemandPeak] = field(default_factory=dict)
+    below_reserve_since: dict[ServiceId, float] = field(default_factory=dict)
     shortfalls: dict[ServiceId, int] = field(default_factory=dict)
     refused_moves: set[tuple[InstanceId, ServiceId]] = field(
         default_factory=set
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -3,14 +3,14 @@
 Instances of the standby pool are off and free of charge; those of other
 pools are paid for by the second. A pool is sized by the demand of its jobs:
 it grows as soon as work arrives faster than it can run, and shrinks only
-when the demand has been lower for a while. This hysteresis keeps instances
-from moving back and forth.
+when the demand has been lower for a while, and not below its reserve. This
+hysteresis keeps instances from moving back and forth.
 """
 
+from dataclasses import dataclass
 from math import ceil
 from typing import Final
 
-from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.jobs.arrival_rate import Rate
 from primroseledge.jobs.configuration import Service
@@ -19,26 +19,18 @@
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.worker import Worker
 from primroseledge.jobs.worker import WorkerState
-from primroseledge.maintenance.actions import InstanceAnswered
-from primroseledge.maintenance.actions import InstanceResult
-from primroseledge.maintenance.actions import MoveInstance
 from primroseledge.maintenance.instance_list import InstanceList
-from primroseledge.maintenance.instance_list import Operation
-from primroseledge.maintenance.instance_list import OperationState
-from primroseledge.maintenance.instance_list import remove_ended_worker
-from primroseledge.maintenance.wave import InstanceRow
-from primroseledge.maintenance.wave import InstanceState
-from primroseledge.observability.events import Event
-from primroseledge.observability.logs import log
-
-MIN_POOL_WORKERS: Final = 3
-"""Least size of a pool, in workers.
-
-With fewer workers, the loss of one would take too much of its capacity.
-"""
-
-BELOW_MIN_WAIT_S: Final = 2.5
-"""Delay before a pool that meets its demand grows to ``MIN_POOL_WORKERS``.
+from primroseledge.maintenance.pool_moves import advance_move
+from primroseledge.maintenance.pool_moves import count_free_instances
+from primroseledge.maintenance.pool_moves import count_incoming
+from primroseledge.maintenance.pool_moves import grow
+from primroseledge.maintenance.pool_moves import shrink
+from primroseledge.maintenance.pool_reserve import DemandPeak
+from primroseledge.maintenance.pool_reserve import divide_instances
+from primroseledge.maintenance.pool_reserve import reserve_size
+
+BELOW_RESERVE_WAIT_S: Final = 2.5
+"""Delay before a pool that meets its demand grows to its reserve.
 
 In this time workers of its own may start or come back, so that no instance
 need be moved. A pool that does not meet its demand grows at once.
@@ -47,7 +39,7 @@
 SPARE_CORES_SHARE: Final = 0.15
 """Share of cores above the demand, because tasks don't fill workers evenly."""
 
-SHRINK_WINDOW_S: Final = 1.2
+SHRINK_WINDOW_S: Final = 0.6
 """A pool shrinks only after its desired size was lower for this long.
 
 Otherwise instances would move back and forth when the demand varies.
@@ -59,11 +51,25 @@
 This makes other pools release instances to it sooner.
 """
 
-MOVE_RETRY_INTERVAL_S: Final = 0.7
-MOVE_TIMEOUT_S: Final = 4.0
 SIZING_INTERVAL_S: Final = 0.1
 
 
+@dataclass(frozen=True, slots=True)
+class PoolTarget:
+    """The size that a pool should have, in workers.
+
+    ``members`` are the workers that can be given tasks. ``size`` also counts
+    instances that are about to join, and ``desired`` is the size that the
+    present demand needs; ``target`` may be larger.
+    """
+
+    service: ServiceId
+    members: list[Worker]
+    size: int
+    desired: int
+    target: int
+
+
 def size_pools(state: FleetState, instances: InstanceList, now: float) -> None:
     """Size all pools, and continue the moves that are in progress.
 
@@ -85,19 +91,109 @@
     if not instances.pools_sized_at:
         instances.pools_observed_since = now
     instances.pools_sized_at = now
-    demands = measure_demand(state)
     instances.shortfalls = {
         service: count
         for service, count in instances.shortfalls.items()
         if service in state.configuration.services
     }
+    targets = find_targets(state, instances, now)
+    grow_pools(state, instances, targets, standby, now)
+    for pool in targets:
+        shrink_pool(state, instances, pool, standby, now)
+
+
+def find_targets(
+    state: FleetState, instances: InstanceList, now: float
+) -> list[PoolTarget]:
+    """Return the sizes that all pools but the standby pool should have."""
+    demands = measure_demand(state)
+    targets = list[PoolTarget]()
     for service in state.configuration.services.values():
         if service.is_standby:
             continue
         instances.shortfalls.pop(service.id, None)
         demand = demands[service.id]
         desired = find_desired_size(state, instances, service, demand, now)
-        size_pool(state, instances, service.id, standby, desired, now)
+        members = pool_workers(state, service.id, now)
+        size = len(members) + count_incoming(state, instances, service.id)
+        reserve = find_reserve(state, instances, service.id, desired, now)
+        targets.append(
+            PoolTarget(
+                service.id, members, size, desired, max(reserve, desired)
+            )
+        )
+    return targets
+
+
+def find_reserve(
+    state: FleetState,
+    instances: InstanceList,
+    service: ServiceId,
+    desired: int,
+    now: float,
+) -> int:
+    """Record a pool's desired size, and return its reserve, in workers."""
+    peak = instances.demand_peaks.setdefault(service, DemandPeak(now))
+    peak.record(desired, now)
+    pool_count = sum(
+        not service.is_standby
+        for service in state.configuration.services.values()
+    )
+    return reserve_size(len(instances.rows), pool_count, peak.recent())
+
+
+def grow_pools(
+    state: FleetState,
+    instances: InstanceList,
+    targets: list[PoolTarget],
+    standby: ServiceId,
+    now: float,
+) -> None:
+    """Add instances to the pools that are smaller than their targets."""
+    lacking = {
+        pool.service: pool.target - pool.size
+        for pool in targets
+        if is_growth_due(instances, pool, now)
+    }
+    free = count_free_instances(instances, standby)
+    for service, part in divide_instances(free, lacking).items():
+        grow(state, instances, service, standby, lacking[service], part, now)
+
+
+def is_growth_due(
+    instances: InstanceList, pool: PoolTarget, now: float
+) -> bool:
+    """Return whether a pool should grow now.
+
+    One that meets its demand grows to its reserve only after
+    ``BELOW_RESERVE_WAIT_S``.
+    """
+    if pool.size >= pool.target:
+        instances.below_reserve_since.pop(pool.service, None)
+        return False
+    if pool.size < pool.desired:
+        return True
+    since = instances.below_reserve_since.setdefault(pool.service, now)
+    return now >= since + BELOW_RESERVE_WAIT_S
+
+
+def shrink_pool(
+    state: FleetState,
+    instances: InstanceList,
+    pool: PoolTarget,
+    standby: ServiceId,
+    now: float,
+) -> None:
+    """Release workers of a pool that is larger than its target.
+
+    No pool shrinks until pools have been observed for a whole shrink window.
+    """
+    if pool.size <= pool.target or len(pool.members) <= pool.target:
+        return
+    window_s = current_shrink_window_s(instances)
+    if now >= instances.pools_observed_since + window_s:
+        count = pool.size - pool.target
+        shrink(state, instances, pool.members, standby, count, now)
 
 
 def find_standby_pool(state: FleetState) -> ServiceId | None:
@@ -155,40 +251,6 @@
     return max(1.0, min(capacities, default=1.0))
 
 
-def size_pool(
-    state: FleetState,
-    instances: InstanceList,
-    service: ServiceId,
-    standby: ServiceId,
-    desired: int,
-    now: float,
-) -> None:
-    """Grow or shrink a pool towards ``desired`` workers.
-
-    The target is at least ``MIN_POOL_WORKERS``. A pool that has as many as
-    desired grows to that minimum only after ``BELOW_MIN_WAIT_S``. No pool
-    shrinks until pools have been observed for a whole shrink window.
-    """
-    members = pool_workers(state, service, now)
-    size = len(members) + count_incoming(state, instances, service)
-    target = max(MIN_POOL_WORKERS, desired)
-    if size >= target:
-        instances.below_min_since.pop(service, None)
-    elif size >= desired:
-        since = instances.below_min_since.setdefault(service, now)
-        if now < since + BELOW_MIN_WAIT_S:
-            return
-    if size < target:
-        grow(state, instances, service, standby, target - size, now)
-    elif (
-        size > target
-        and len(members) > target
-        and now
-        >= instances.pools_observed_since + current_shrink_window_s(instances)
-    ):
-        shrink(state, instances, members, standby, size - target, now)
-
-
 def pool_workers(
     state: FleetState, service: ServiceId, now: float
 ) -> list[Worker]:
@@ -206,289 +268,3 @@
         and not worker.poll_failures
         and not worker.quarantine.is_active(now)
     ]
-
-
-def count_incoming(
-    state: FleetState, instances: InstanceList, service: ServiceId
-) -> int:
-    """Return how many instances are about to add a worker to a pool.
-
-    These are the instances that this owner's operations will add, and other
-    ones listed in the pool that are moving, in maintenance or up without a
-    known worker. An earlier owner may have moved those.
-    """
-    without_operation = sum(
-        1
-        for row in instances.rows.values()
-        if row.pool == service
-        and is_incoming(state, row)
-        and row.id not in instances.operations
-    )
-    return without_operation + count_incoming_operations(instances, service)
-
-
-def is_incoming(state: FleetState, row: InstanceRow) -> bool:
-    """Return whether an instance is about to have a worker in its pool."""
-    if row.state is InstanceState.UP:
-        return row.worker is None or row.worker not in state.workers
-    return row.state in (InstanceState.MOVING, InstanceState.IN_MAINTENANCE)
-
-
-def count_incoming_operations(
-    instances: InstanceList, service: ServiceId
-) -> int:
-    """Return how many operations will add an instance to a pool.
-
-    These are moves to the pool, and maintenance of its own instances that
-    are already down.
-    """
-    return sum(
-        1
-        for operation in instances.operations.values()
-        if operation.target_pool == service
-        or (
-            operation.wave_number is not None
-            and operation.state is OperationState.AWAITING_RETURN
-            and pool_of(instances, operation) == service
-        )
-    )
-
-
-def pool_of(instances: InstanceList, operation: Operation) -> ServiceId | None:
-    """Return the pool that an operation's instance is in, if it is listed."""
-    row = instances.rows.get(operation.instance)
-    return row.pool if row else None
-
-
-def grow(
-    state: FleetState,
-    instances: InstanceList,
-    service: ServiceId,
-    standby: ServiceId,
-    count: int,
-    now: float,
-) -> None:
-    """Add up to ``count`` instances to a pool.
-
-    First the pool keeps its own instances that drain to go to the standby
-    pool, then free ones are moved from the standby pool, then instances that
-    other pools release are redirected. What is still missing is recorded as
-    the pool's shortfall; pools that shrink later release instances to it.
-    """
-    for operation in list(instances.operations.values()):
-        if count <= 0:
-            return
-        is_leaving = operation.target_pool == standby and (
-            operation.state is OperationState.DRAINING
-        )
-        if is_leaving and pool_of(instances, operation) == service:
-            cancel_move(state, instances, operation)
-            count -= 1
-    free = standby_instances(instances, service, standby)[:count]
-    count -= len(free)
-    count -= redirect_moves(instances, service, standby, count)
-    if count > 0:
-        instances.shortfalls[service] = count
-    for instance in free:
-        row = instances.rows[instance]
-        operation = Operation(
-            instance, row.worker, None, started_at=now, target_pool=service
-        )
-        instances.operations[instance] = operation
-        advance_move(state, instances, operation, now)
-
-
-def redirect_moves(
-    instances: InstanceList, service: ServiceId, standby: ServiceId, count: int
-) -> int:
-    """Redirect up to ``count`` moves to a pool; return how many were.
-
-    These are moves from other pools to the standby pool whose instances still
-    drain.
-    """
-    redirected = 0
-    for operation in instances.operations.values():
-        if redirected >= count:
-            break
-        is_leaving = operation.target_pool == standby and (
-            operation.state is OperationState.DRAINING
-        )
-        move = (operation.instance, service)
-        if is_leaving and move not in instances.refused_moves:
-            operation.target_pool = service
-            redirected += 1
-    return redirected
-
-
-def pop_target_pool(instances: InstanceList, standby: ServiceId) -> ServiceId:
-    """Return the pool for an instance that another pool releases.
-
-    It is a pool with a shortfall, whose shortfall is reduced by one, or else
-    the standby pool.
-    """
-    for service, count in instances.shortfalls.items():
-        if count > 1:
-            instances.shortfalls[service] = count - 1
-        else:
-            del instances.shortfalls[service]
-        return service
-    return standby
-
-
-def standby_instances(
-    instances: InstanceList, service: ServiceId, standby: ServiceId
-) -> list[InstanceId]:
-    """Return the standby instances that may be moved to a pool.
-
-    Those in racks where the pool has the fewest instances come first.
-    """
-    per_rack = dict[str, int]()
-    for row in instances.rows.values():
-        if row.pool == service:
-            per_rack[row.rack] = per_rack.get(row.rack, 0) + 1
-    free = [
-        row
-        for row in instances.rows.values()
-        if row.pool == standby
-        and row.state is InstanceState.UP
-        and row.id not in instances.operations
-        and (row.id, service) not in instances.refused_moves
-    ]
-    free.sort(key=lambda row: (per_rack.get(row.rack, 0), row.id))
-    return [row.id for row in free]
-
-
-def shrink(
-    state: FleetState,
-    instances: InstanceList,
-    members: list[Worker],
-    standby: ServiceId,
-    count: int,
-    now: float,
-) -> None:
-    """Begin to release up to ``count`` of a pool's workers.
-
-    The ones with the fewest tasks come first; workers with long-running tasks
-    stay. Each is drained and its instance moved to a pool with a shortfall or
-    to the standby pool.
-    """
-    instance_of = {
-        row.worker: row.id
-        for row in instances.rows.values()
-        if row.worker is not None and row.state is InstanceState.UP
-    }
-    for worker in sorted(members, key=release_rank)[:count]:
-        instance = instance_of.get(worker.id)
-        if instance is None or instance in instances.operations:
-            continue
-        if (instance, standby) in instances.refused_moves:
-            continue
-        if any(t.spec.is_long_running for t in worker.tasks.values()):
-            continue
-        operation = Operation(
-            instance,
-            worker.id,
-            None,
-            started_at=now,
-            target_pool=pop_target_pool(instances, standby),
-        )
-        instances.operations[instance] = operation
-        advance_move(state, instances, operation, now)
-
-
-def release_rank(worker: Worker) -> tuple[bool, int]:
-    """Return a worker's sort key; the lowest is released first.
-
-    Workers without long-running tasks come first, then those with few tasks.
-    """
-    has_long_running = any(
-        t.spec.is_long_running for t in worker.tasks.values()
-    )
-    return (has_long_running, len(worker.tasks))
-
-
-def advance_move(
-    state: FleetState,
-    instances: InstanceList,
-    operation: Operation,
-    now: float,
-) -> None:
-    """Continue a move: drain the worker, then send the call, and retry it.
-
-    The move is cancelled if the instance's worker has changed, or if the call
-    has not succeeded ``MOVE_TIMEOUT_S`` after it was first sent.
-    """
-    if (
-        operation.state is OperationState.AWAITING_RETURN
-        or operation.target_pool is None
-    ):
-        return
-    row = instances.rows.get(operation.instance)
-    if row is None or row.worker != operation.worker:
-        # The instance has restarted, moved or is gone. The next sizing of
-        # the pools decides anew.
-        cancel_move(state, instances, operation)
-        return
-    worker = state.workers.get(operation.worker) if operation.worker else None
-    if worker is not None:
-        worker.is_drained_by_owner = True
-        if worker.tasks:
-            return
-    if (
-        operation.state is OperationState.CALL_SENT
-        and now > operation.started_at + MOVE_TIMEOUT_S
-    ):
-        cancel_move(state, instances, operation)
-        return
-    if (
-        now < operation.call_sent_at + MOVE_RETRY_INTERVAL_S
-        or not instances.may_change_instances(now)
-    ):
-        return
-    if operation.state is OperationState.DRAINING:
-        operation.started_at = now
-    operation.state = OperationState.CALL_SENT
-    operation.call_sent_at = now
-    state.actions.append(
-        MoveInstance(operation.instance, operation.target_pool)
-    )
-
-
-def cancel_move(
-    state: FleetState, instances: InstanceList, operation: Operation
-) -> None:
-    """Cancel a move, and make its worker available for tasks again."""
-    instances.operations.pop(operation.instance, None)
-    worker = state.workers.get(operation.worker) if operation.worker else None
-    if worker is not None:
-        worker.is_drained_by_owner = False
-        state.services_to_plan.add(worker.entry.service)
-
-
-def handle_move_answer(
-    state: FleetState, instances: InstanceList, answer: InstanceAnswered
-) -> None:
-    """Act on the result of a move call; ignore that of another operation.
-
-    A move that the platform refuses with ``NO_SUCH_INSTANCE`` is cancelled
-    and not tried again. After any other failure ``advance_move`` retries.
-    """
-    call = answer.call
-    operation = instances.operations.get(call.instance)
-    if not isinstance(call, MoveInstance) or operation is None:
-        return
-    if operation.target_pool != call.pool:
-        return
-    log(
-        Event.INSTANCE_CALLED,
-        what=f'move to {call.pool}',
-        instance=call.instance,
-        result=answer.result.value,
-    )
-    if answer.result is InstanceResult.DONE:
-        operation.state = OperationState.AWAITING_RETURN
-        operation.answered_at = answer.received_at
-        remove_ended_worker(state, operation)
-    elif answer.result is InstanceResult.NO_SUCH_INSTANCE:
-        instances.refused_moves.add((call.instance, call.pool))
-        cancel_move(state, instances, operation)
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -58,7 +58,7 @@
 from primroseledge.maintenance.evacuation import evacuate_draining_workers
 from primroseledge.maintenance.instance_list import InstanceList
 from primroseledge.maintenance.list_refresh import refresh_list
-from primroseledge.maintenance.pools import handle_move_answer
+from primroseledge.maintenance.pool_moves import handle_move_answer
 from primroseledge.maintenance.pools import size_pools
 from primroseledge.maintenance.rolling_maintenance import advance_waves
 from primroseledge.maintenance.rolling_maintenance import handle_wave_answer
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -48,6 +48,17 @@
         self.assertAlmostEqual(80.0, measured.cores)
         self.assertAlmostEqual(25.0, measured.recent_initial_cores)
 
+    def test_arrivals_before_a_burst_do_not_lower_its_rate(self) -> None:
+        quiet = [8.0, 9.0]
+        burst = [10 + 0.1 * number for number in range(6)]
+        measured = arrivals([*quiet, *burst]).measure(10.5)
+        self.assertAlmostEqual(100.0, measured.cores)
+
+    def test_one_large_job_among_small_ones_is_no_burst(self) -> None:
+        rate = arrivals([10 + 0.5 * number for number in range(4)], 1.0)
+        rate.add(Arrival(12.0, 90.0, 5.0))
+        self.assertLess(rate.measure(12.5).cores, 60.0)
+
     def test_arrivals_outside_the_window_are_dropped(self) -> None:
         rate = arrivals([10.0, 10.1, 10.2])
         self.assertEqual(Rate(), rate.measure(10.3 + RATE_WINDOW_S))
