Store first what something waits for, and ack ends job by job

Besides, the changed jobs went into batches in the order of their first change, callers behind ends for which nothing waits; and the ends of all workers were acknowledged only with a batch in which no job was left over, which a busy owner with a slow store may not have for long.

Change: such a worker is polled each 0.15 s; jobs for which a caller, a start or the report of a final state waits come first, one other job on three of them; an end is acknowledged once its own job is stored, and those of the ends before it on that worker.

--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -62,7 +62,6 @@
 
 TICK_S: Final = 0.02
 ONE_WAY_S: Final = 0.0005
-STORE_S: Final = 0.008
 MOVE_CALL_S: Final = 0.015
 MIGRATION_S: Final = 1.5
 WORKER_LIST_S: Final = 0.3
@@ -232,7 +231,7 @@
             nonlocal actions
             actions, batch = self.engine.reconcile(self.now)
             if batch is not None:
-                self.after(STORE_S, self.complete_batch)
+                self.after(self.shape.store_s, self.complete_batch)
 
         self.measure(step)
         for action in actions:
--- a/bench/job_load.py
+++ b/bench/job_load.py
@@ -65,7 +65,7 @@
     ``workers`` is the number of instances of each pool at the beginning, and
     ``standby_workers`` that of the standby pool. A turn lasts ``turn_s``;
     ``peak`` and ``valley`` are the load in and between the turns, as
-    multiples of the mean.
+    multiples of the mean. ``store_s`` is how long the store takes to answer.
     """
 
     name: str
@@ -80,6 +80,7 @@
     valley: float = 0.05
     lead_s: float = 6.0
     length_s: float = 34.0
+    store_s: float = 0.008
 
 
 @dataclass(frozen=True)
--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -49,8 +49,7 @@
     for end in sorted(answer.ends, key=end_sort_key):
         ended_runs.add((end.task, end.run_number))
         if end.number > worker.handled_end_number:
-            worker.handled_end_number = end.number
-            state.workers_with_new_ends.add(worker.id)
+            state.record_end(worker, end.number, end.task.job)
             handle_run_end(state, worker, end, now)
     listed_runs = {(run.task, run.run_number): run for run in answer.running}
     for (key, run_number), listed_run in listed_runs.items():
--- a/src/primroseledge/jobs/fleet_state.py
+++ b/src/primroseledge/jobs/fleet_state.py
@@ -1,8 +1,10 @@
 """The owner's state: jobs, workers, and the changes to be stored."""
 
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from math import inf
+from typing import NamedTuple
 
 from primroseledge.ids import Boot
 from primroseledge.ids import JobId
@@ -47,6 +49,13 @@
     """
 
 
+class UnstoredEnd(NamedTuple):
+    """The number of a handled run end, and the job whose record it changed."""
+
+    number: int
+    job: JobId
+
+
 @dataclass(slots=True)
 class FleetState:
     """All jobs and workers of the owner, and its pending changes and actions.
@@ -59,9 +68,10 @@
     batch of records to be stored. ``services_to_plan`` are the services that
     may have tasks to start, and ``waiting_jobs`` their jobs that may have
     some. ``actions`` are the actions to be carried out next.
-    ``workers_with_new_ends`` have listed run ends whose effect is in no batch
-    yet. ``workers_to_check`` may have become due for a poll or a stop; all
-    workers were last checked for that at ``workers_checked_at``.
+    ``unstored_ends`` are the handled run ends whose effect is in no batch yet,
+    in the order of their numbers. ``workers_to_check`` may have become due for
+    a poll or a stop; all workers were last checked for that at
+    ``workers_checked_at``.
     ``ended_boots`` contains, by worker, the boots that ended with a
     maintenance or a move; the platform may still list these boots.
     ``took_over_at`` is when this instance became the owner, ``replanned_at``
@@ -86,7 +96,9 @@
     waiting_jobs: dict[ServiceId, dict[JobId, Job]] = field(
         default_factory=dict
     )
-    workers_with_new_ends: set[WorkerId] = field(default_factory=set)
+    unstored_ends: dict[WorkerId, deque[UnstoredEnd]] = field(
+        default_factory=dict
+    )
     workers_to_check: set[WorkerId] = field(default_factory=set)
     workers_checked_at: float = -inf
     actions: list[Action] = field(default_factory=list)
@@ -137,6 +149,12 @@
         """Return the resources of a workspace's planned and running tasks."""
         return self.usage.get(workspace, NO_RESOURCES)
 
+    def record_end(self, worker: Worker, number: int, job: JobId) -> None:
+        """Record that a run end was handled, whose effect is to be stored."""
+        worker.handled_end_number = number
+        ends = self.unstored_ends.setdefault(worker.id, deque())
+        ends.append(UnstoredEnd(number, job))
+
     def plan_run(self, task: Task, worker: Worker, now: float) -> None:
         """Assign a task to a worker as a new run.
 
--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/jobs/worker_polls.py
@@ -30,6 +30,13 @@
 """
 
 
+UNSTORED_POLL_INTERVAL_S: Final = 0.15
+"""Replaces ``POLL_INTERVAL_S`` while a worker has ends that are not stored.
+
+A poll then lists these ends again, without waiting for another one. With a
+slow store, polls at the shorter interval would mostly do that.
+"""
+
 CHECK_ALL_INTERVAL_S: Final = 0.015
 """Least time between two checks of all workers for polls that are due.
 
@@ -108,6 +115,7 @@
     ``is_drained_by_owner`` is kept.
     """
     give_up_all_runs(state, worker, 'the worker restarted', now)
+    state.unstored_ends.pop(worker.id, None)
     new_worker = Worker(entry)
     new_worker.is_poll_in_flight = False
     new_worker.is_drained_by_owner = worker.is_drained_by_owner
@@ -242,8 +250,8 @@
         return False
     if worker.handled_end_number > worker.stored_end_number:
         # The effects of its last ends are not stored yet, and a poll now
-        # would list these ends again.
-        return now >= worker.last_poll_ended_at + timing.poll_retry_s
+        # would list these ends again. Other runs may end meanwhile.
+        return now >= worker.last_poll_ended_at + UNSTORED_POLL_INTERVAL_S
     return now >= worker.last_poll_ended_at + POLL_INTERVAL_S
 
 
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -4,9 +4,12 @@
 on are stored.
 """
 
+from collections import deque
 from dataclasses import dataclass
 from typing import Final
 
+from primroseledge.ids import JobId
+from primroseledge.ids import WorkerId
 from primroseledge.jobs.actions import Answer
 from primroseledge.jobs.actions import Verdict
 from primroseledge.jobs.fleet_state import FleetState
@@ -26,6 +29,9 @@
 The store accepts 32 entries in one transaction, the ledger among them.
 """
 
+URGENT_JOBS_IN_A_ROW: Final = 3
+"""Number of urgent jobs in a batch before one that is not urgent."""
+
 BATCH_LINGER_S: Final = 0.015
 """Delay after the first change, so that later ones share its transaction."""
 
@@ -87,9 +93,9 @@
         """Build a batch of all changed waves and as many jobs as fit in.
 
         A wave takes two records, as does a job that is not stored yet. A
-        planned start goes into the batch of its job. The numbers of the run
-        ends that workers may discard are added only if all changed jobs fit
-        in, as the effect of an end may be in any of them.
+        planned start goes into the batch of its job. Workers may discard a
+        run end once the batch with its job, and those of the ends before it,
+        are stored.
         """
         self.number += 1
         batch = Batch(self.number, built_at=now)
@@ -98,7 +104,7 @@
         ]
         instances.dirty_waves.clear()
         free_records = MAX_RECORDS_PER_BATCH - 2 * len(batch.waves)
-        for job_id in list(state.dirty_jobs):
+        for job_id in order_changed_jobs(state):
             job = state.jobs[job_id]
             record_count = 1 if job.is_stored else 2
             if record_count > free_records:
@@ -116,16 +122,9 @@
         state.planned_tasks = [
             t for t in state.planned_tasks if t.key.job not in included
         ]
-        if state.dirty_jobs:
-            return batch
-        state.dirty_since = None
-        # The effect of each handled run end is in this or an earlier batch.
-        batch.end_numbers = {
-            id: state.workers[id].handled_end_number
-            for id in state.workers_with_new_ends
-            if id in state.workers
-        }
-        state.workers_with_new_ends.clear()
+        if not state.dirty_jobs:
+            state.dirty_since = None
+        batch.end_numbers = pop_stored_ends(state)
         return batch
 
     def complete_batch(self, state: FleetState, now: float) -> None:
@@ -174,18 +173,60 @@
             refuse_job(state, job, now)
 
 
+def order_changed_jobs(state: FleetState) -> list[JobId]:
+    """Return the changed jobs in the order in which to store them.
+
+    When the store is slow, not all fit in a batch. First come those for which
+    something waits: a caller, a start, or the report of a final state. One of
+    the others follows on every ``URGENT_JOBS_IN_A_ROW`` of them, so that
+    workers can discard the ends of their runs.
+    """
+    with_starts = {task.key.job for task in state.planned_tasks}
+    urgent = list[JobId]()
+    others = deque[JobId]()
+    for job_id in state.dirty_jobs:
+        job = state.jobs[job_id]
+        is_urgent = (
+            job_id in with_starts
+            or job_id in state.pending_answers
+            or (job.is_final and job.stored_state is not job.state)
+        )
+        (urgent if is_urgent else others).append(job_id)
+    ordered = list[JobId]()
+    for number, job_id in enumerate(urgent, 1):
+        ordered.append(job_id)
+        if others and number % URGENT_JOBS_IN_A_ROW == 0:
+            ordered.append(others.popleft())
+    return [*ordered, *others]
+
+
+def pop_stored_ends(state: FleetState) -> dict[WorkerId, int]:
+    """Return the last run end of each worker that is stored with a batch.
+
+    To be called when the batch is built. An end is stored with it if neither
+    its own job nor that of an earlier end of the worker is left to store.
+    """
+    stored = dict[WorkerId, int]()
+    for worker_id, ends in list(state.unstored_ends.items()):
+        while ends and ends[0].job not in state.dirty_jobs:
+            stored[worker_id] = ends.popleft().number
+        if not ends:
+            del state.unstored_ends[worker_id]
+    return stored
+
+
 def ack_all_ends(state: FleetState) -> None:
     """Mark all handled run ends as stored, so that workers may discard them.
 
     To be called when no record is changed and no batch in flight: all
     effects of the ends are stored then, and some ends had none.
     """
-    for worker_id in state.workers_with_new_ends:
+    for worker_id in state.unstored_ends:
         worker = state.workers.get(worker_id)
         if worker is not None:
             worker.stored_end_number = worker.handled_end_number
             state.workers_to_check.add(worker_id)
-    state.workers_with_new_ends.clear()
+    state.unstored_ends.clear()
 
 
 def refuse_job(state: FleetState, job: Job, now: float) -> None:
