Refuse new jobs at once while the store is known to be down

The watch of the store noticed its return only with the next change, up to 1.5 s later.

Change: owner/store_health.py decides: a batch without an answer for a second, or a watch that has failed for 0.3 s with no batch stored since. Such jobs are refused at once, to be sent again after 1 s; they are in no batch, so it is true that they have not run. A watch after a failed one asks for an answer within 0.1 s. Events 213 and 214 say when batches take long and when they no longer do.

--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -16,10 +16,12 @@
 
 from msgspec import structs
 
+from bench.job_load import CALLER_DEADLINE_S
 from bench.job_load import LoadShape
 from bench.job_load import make_configuration
 from bench.job_load import make_long_running
 from bench.job_load import make_submissions
+from bench.job_load import MAX_RETRIES
 from bench.job_load import objective_s
 from bench.job_load import Outcome
 from bench.job_load import STANDBY
@@ -72,6 +74,15 @@
 RACK_SIZE: Final = 8
 
 
+@dataclass(frozen=True)
+class Call:
+    """A caller's submission of a job, and how often it was refused before."""
+
+    submission: Submission
+    sent_at: float
+    retries: int
+
+
 @dataclass(eq=False)
 class SimRun:
     """A run on a simulated worker."""
@@ -126,7 +137,7 @@
             s.job.id: s for s in self.outcome.submissions + self.long_running
         }
         self.started = set[JobId]()
-        self.job_of_call: dict[int, JobId] = {}
+        self.calls: dict[int, Call] = {}
 
     def at(self, when: float, action: Callable[[], None]) -> None:
         heappush(self.events, (when, next(self.numbers), action))
@@ -217,26 +228,38 @@
         self.measure(step)
         self.is_reconcile_due = True
 
-    def submit(self, submission: Submission) -> None:
+    def submit(self, submission: Submission, retries: int = 0) -> None:
         job = replace_accepted(submission, self.now)
         call = CallId('', next(self.numbers))
-        self.job_of_call[call.number] = job.id
+        self.calls[call.number] = Call(submission, self.now, retries)
         event = SubmitJob(call, job)
         self.post(lambda: self.engine.submit(event, self.now))
 
     def reconcile(self) -> None:
         actions: list[Action] = []
+        outage = self.current_outage()
+        self.engine.outbox.store_health.unavailable_since = (
+            outage[0] if outage else None
+        )
 
         def step() -> None:
             nonlocal actions
             actions, batch = self.engine.reconcile(self.now)
             if batch is not None:
-                self.after(self.shape.store_s, self.complete_batch)
+                ready_at = max(self.now, outage[1] if outage else 0.0)
+                self.at(ready_at + self.shape.store_s, self.complete_batch)
 
         self.measure(step)
         for action in actions:
             self.execute(action)
 
+    def current_outage(self) -> tuple[float, float] | None:
+        """Return begin and end of the store's outage, if there is one."""
+        if self.shape.store_outage is None:
+            return None
+        begin, end = (self.begin + at for at in self.shape.store_outage)
+        return (begin, end) if begin <= self.now < end else None
+
     def complete_batch(self) -> None:
         self.post(lambda: self.engine.handle_batch_stored(self.now))
         self.record_completed_jobs()
@@ -269,11 +292,21 @@
         elif isinstance(action, MoveInstance):
             self.after(MOVE_CALL_S, lambda: self.move(action))
         elif isinstance(action, SendAnswer):
-            self.record_answer(action)
+            self.handle_answer(action)
 
-    def record_answer(self, action: SendAnswer) -> None:
-        if action.answer.verdict is Verdict.REFUSED:
-            self.outcome.refused.add(self.job_of_call[action.call.number])
+    def handle_answer(self, action: SendAnswer) -> None:
+        """Have a refused caller retry when told, within its deadline."""
+        call = self.calls[action.call.number]
+        if action.answer.verdict is not Verdict.REFUSED:
+            return
+        self.outcome.held_s.append(self.now - call.sent_at)
+        submission = call.submission
+        retry_at = self.now + action.answer.retry_after_s
+        gives_up_at = self.begin + submission.at + CALLER_DEADLINE_S
+        if call.retries >= MAX_RETRIES or retry_at > gives_up_at:
+            self.outcome.refused.add(submission.job.id)
+            return
+        self.at(retry_at, lambda: self.submit(submission, call.retries + 1))
 
     # Workers
 
--- a/bench/job_load.py
+++ b/bench/job_load.py
@@ -66,6 +66,7 @@
     ``standby_workers`` that of the standby pool. A turn lasts ``turn_s``;
     ``peak`` and ``valley`` are the load in and between the turns, as
     multiples of the mean. ``store_s`` is how long the store takes to answer.
+    ``store_outage`` is when it stops to answer, and when it answers again.
     """
 
     name: str
@@ -81,6 +82,14 @@
     lead_s: float = 6.0
     length_s: float = 34.0
     store_s: float = 0.008
+    store_outage: tuple[float, float] | None = None
+
+
+CALLER_DEADLINE_S: Final = 3.0
+"""Time in which a caller tries to submit a job."""
+
+MAX_RETRIES: Final = 4
+"""Number of times that a caller submits a refused job again."""
 
 
 @dataclass(frozen=True)
@@ -97,14 +106,16 @@
     """What the callers of one load got, and what it cost.
 
     ``job_ratios`` are the times that jobs took as a multiple of their
-    objective, or None for a job that did not complete, by submission.
-    ``pool_s`` are the seconds of instances in pools, ``engine_s`` the
-    processor time of the engine.
+    objective. ``refused`` are the jobs whose callers gave up after a refusal,
+    ``held_s`` how long each refusal took to be sent. ``pool_s`` are the
+    seconds of instances in pools, ``engine_s`` the processor time of the
+    engine.
     """
 
     submissions: list[Submission] = field(default_factory=list)
     job_ratios: dict[JobId, float] = field(default_factory=dict)
     refused: set[JobId] = field(default_factory=set)
+    held_s: list[float] = field(default_factory=list)
     started_after: list[float] = field(default_factory=list)
     pool_s: float = 0.0
     moves: int = 0
--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -604,6 +604,11 @@
                 return engine.poll_only(now)
             return []
         engine.state.wall_offset_s = self.wall_offset_s
+        engine.outbox.store_health.unavailable_since = (
+            self.view.store_unavailable_since
+            if self.view.is_store_unavailable
+            else None
+        )
         if engine.is_fenced:
             self.ownership.lose_ownership()
             return []
--- a/src/primroseledge/cluster/watch_threads.py
+++ b/src/primroseledge/cluster/watch_threads.py
@@ -44,6 +44,12 @@
 
 WATCH_RETRY_S: Final = 0.15
 
+FIRST_WATCH_TIMEOUT_S: Final = 0.1
+"""Longest wait of a watch call after a failed one, in seconds.
+
+A store without changes to report shows so that it answers again.
+"""
+
 
 class LeaseThread:
     """Keeps a lease, with this instance's member record bound to it."""
@@ -133,19 +139,25 @@
         All keys are read again if the store no longer keeps the changes.
         """
         after: Revision | None = None
+        timeout_s = WATCH_TIMEOUT_S
         while not self.is_stopped.is_set():
             try:
-                after = self.read_or_watch(after)
+                after = self.read_or_watch(after, timeout_s)
+                timeout_s = WATCH_TIMEOUT_S
             except HistoryLostError:
                 after = None
             except StoreError as error:
+                timeout_s = FIRST_WATCH_TIMEOUT_S
                 self.inbox.post(StoreUnavailable(str(error)))
                 self.is_stopped.wait(WATCH_RETRY_S)
 
-    def read_or_watch(self, after: Revision | None) -> Revision:
+    def read_or_watch(
+        self, after: Revision | None, timeout_s: float
+    ) -> Revision:
         """Post all keys, or the changes after a revision.
 
-        Returns the revision after which to watch next.
+        The store waits up to ``timeout_s`` for a change. Returns the revision
+        after which to watch next.
         """
         if after is None:
             listed = self.store.read_all(self.prefix)
@@ -153,7 +165,7 @@
                 WatchedKeysRead(listed.items, listed.revision, True)
             )
             return listed.revision
-        changed = self.store.watch(self.prefix, after, WATCH_TIMEOUT_S)
+        changed = self.store.watch(self.prefix, after, timeout_s)
         self.inbox.post(
             WatchedKeysRead(changed.items, changed.revision, False)
         )
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -184,6 +184,18 @@
         'The platform did not answer; upkeep and moves wait.',
         'Look at the platform if it goes on.',
     )
+    STORE_SLOW = warning(
+        213,
+        'the store took {seconds} s for a batch; {changed} more jobs wait',
+        'Starts and final states wait for the store.',
+        'Look at the platform; jobs may complete late until event 214.',
+    )
+    STORE_FAST_AGAIN = info(
+        214,
+        'the store took {seconds} s for a batch',
+        'The store is as fast as usual again.',
+        'Nothing.',
+    )
     PEER_UP = info(
         301,
         'peer {peer} is alive',
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from dataclasses import field
 from typing import Final
 
 from primroseledge.ids import JobId
@@ -22,6 +23,8 @@
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
+from primroseledge.owner.store_health import RETRY_AFTER_S
+from primroseledge.owner.store_health import StoreHealth
 
 MAX_RECORDS_PER_BATCH: Final = 30
 """Most job and wave records per transaction, besides the owner's ledger.
@@ -35,15 +38,8 @@
 BATCH_LINGER_S: Final = 0.015
 """Delay after the first change, so that later ones share its transaction."""
 
-MAX_STORE_WAIT_S: Final = 1.0
-"""Time within which a batch must be stored.
-
-Afterwards new jobs that are not in a batch yet are refused, so that their
-callers need not wait for a store that does not answer.
-"""
-
-RETRY_AFTER_S: Final = 2.0
-"""Time after which callers of refused jobs should retry."""
+SLOW_BATCH_S: Final = 0.15
+"""Time to store a batch from which on the store counts as slow."""
 
 
 @dataclass(slots=True)
@@ -51,11 +47,14 @@
     """Builds an owner's batches and carries out the effects of stored ones.
 
     ``number`` is that of the last batch built. ``batch_in_flight`` is the
-    batch that is being stored and is not confirmed yet.
+    batch that is being stored and is not confirmed yet. ``is_store_slow``
+    says that the last batch took ``SLOW_BATCH_S`` or longer.
     """
 
     number: int = 0
     batch_in_flight: Batch | None = None
+    store_health: StoreHealth = field(default_factory=StoreHealth)
+    is_store_slow: bool = False
 
     def next_batch(
         self, state: FleetState, instances: InstanceList, now: float
@@ -138,6 +137,8 @@
         if batch is None:
             return
         self.batch_in_flight = None
+        self.store_health.stored_at = now
+        self.log_slow_store(state, now - batch.built_at)
         for record in batch.progress:
             job = state.jobs.get(record.id)
             if job is not None:
@@ -156,16 +157,32 @@
             if run is not None and run.phase is RunPhase.PLANNED:
                 send_start(state, task, now)
 
+    def log_slow_store(self, state: FleetState, took_s: float) -> None:
+        """Log when batches begin to take long, and when they no longer do.
+
+        ``took_s`` is how long the last batch took, in seconds.
+        """
+        is_slow = took_s >= SLOW_BATCH_S
+        if is_slow == self.is_store_slow:
+            return
+        self.is_store_slow = is_slow
+        log(
+            Event.STORE_SLOW if is_slow else Event.STORE_FAST_AGAIN,
+            seconds=round(took_s, 3),
+            changed=len(state.dirty_jobs),
+        )
+
     def refuse_unstored_jobs(self, state: FleetState, now: float) -> None:
-        """Refuse new jobs if the batch in flight is not stored in time.
+        """Refuse new jobs while the store fails.
 
         Only jobs that are in no batch are refused, as the store certainly
         does not have them and they can never run.
         """
         batch = self.batch_in_flight
-        if batch is None or now < batch.built_at + MAX_STORE_WAIT_S:
+        built_at = batch.built_at if batch else None
+        if not self.store_health.is_failing(built_at, now):
             return
-        in_flight = {record.id for record in batch.accepted}
+        in_flight = {record.id for record in batch.accepted} if batch else ()
         for job_id in list(state.pending_answers):
             job = state.jobs[job_id]
             if job.is_stored or job_id in in_flight:
