Count only batches sent in an outage as a sign that the store answers

Change: only a batch that was sent after the watch had failed, and stored, shows that only the watch is cut off.

--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -137,7 +137,7 @@
         if batch is None:
             return
         self.batch_in_flight = None
-        self.store_health.stored_at = now
+        self.store_health.stored_batch_sent_at = batch.built_at
         self.log_slow_store(state, now - batch.built_at)
         for record in batch.progress:
             job = state.jobs.get(record.id)
--- a/src/primroseledge/owner/store_health.py
+++ b/src/primroseledge/owner/store_health.py
@@ -31,19 +31,19 @@
     """What the owner knows about the store.
 
     ``unavailable_since`` is since when this instance's watch of the store has
-    failed, or None. ``stored_at`` is when the last batch was stored. Times
-    are on the owner's monotonic clock.
+    failed, or None. ``stored_batch_sent_at`` is when the last batch that was
+    stored had been sent. Times are on the owner's monotonic clock.
     """
 
     unavailable_since: float | None = None
-    stored_at: float = 0.0
+    stored_batch_sent_at: float = 0.0
 
     def is_failing(self, batch_built_at: float | None, now: float) -> bool:
         """Return whether a job that arrives now can't be stored in time.
 
         ``batch_built_at`` is the time of the batch in flight, or None. A
-        batch that was stored since the watch failed shows that only the
-        watch is cut off.
+        batch that was sent since the watch failed, and stored, shows that only
+        the watch is cut off.
         """
         if (
             batch_built_at is not None
@@ -51,6 +51,6 @@
         ):
             return True
         since = self.unavailable_since
-        if since is None or self.stored_at >= since:
+        if since is None or self.stored_batch_sent_at >= since:
             return False
         return now >= since + MIN_OUTAGE_S
--- a/tests/test_store_health.py
+++ b/tests/test_store_health.py
@@ -43,8 +43,12 @@
         self.assertFalse(health.is_failing(None, 10.0 + MIN_OUTAGE_S / 2))
         self.assertTrue(health.is_failing(None, 10.0 + MIN_OUTAGE_S))
 
+    def test_a_batch_sent_before_the_outage_proves_nothing(self) -> None:
+        health = StoreHealth(unavailable_since=10.0, stored_batch_sent_at=9.99)
+        self.assertTrue(health.is_failing(None, 15.0))
+
     def test_a_stored_batch_shows_that_only_the_watch_is_cut(self) -> None:
-        health = StoreHealth(unavailable_since=10.0, stored_at=10.1)
+        health = StoreHealth(unavailable_since=10.0, stored_batch_sent_at=10.1)
         self.assertFalse(health.is_failing(None, 15.0))
 
 
