--- a/Makefile
+++ b/Makefile
@@ -16,10 +16,10 @@
 	$(BIN)/python -m standins.demo
 
 test: $(STAMP)
-	$(BIN)/python -m tools.runtests
+	$(BIN)/python -m tools.run_tests
 
 lint: $(STAMP)
-	$(BIN)/python -m tools.runtests lint
+	$(BIN)/python -m tools.run_tests lint
 
 format: $(STAMP)
 	$(BIN)/ruff check --fix src standins features tests bench tools
@@ -29,10 +29,10 @@
 	$(BIN)/mypy
 
 features: $(STAMP)
-	$(BIN)/python -m tools.runtests features
+	$(BIN)/python -m tools.run_tests features
 
 fuzz: $(STAMP)
-	$(BIN)/python -m tools.runtests unit
+	$(BIN)/python -m tools.run_tests unit
 
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
--- a/bench/capacitydaemon.py
+++ b/bench/capacity_daemon.py
@@ -17,13 +17,13 @@
 from urllib3.exceptions import HTTPError
 from urllib3.poolmanager import PoolManager
 
-from bench.capacityfleet import documents
-from bench.capacityfleet import SHARD_SIZE
-from bench.capacityfleet import shards
+from bench.capacity_fleet import documents
+from bench.capacity_fleet import SHARD_SIZE
+from bench.capacity_fleet import shards
 from primroseledge.storage.documents import Document
 from primroseledge.storage.documents import Pool
-from primroseledge.storage.storeclient import HttpStore
-from primroseledge.storage.storeclient import open_store
+from primroseledge.storage.store_client import HttpStore
+from primroseledge.storage.store_client import open_store
 from standins.deployment import put
 from standins.deployment import url_of
 from standins.processes import entry_settings
@@ -83,7 +83,7 @@
         folder = Path(resources.enter_context(TemporaryDirectory()))
         self.situation = situation
         self.pool = PoolManager(retries=False)
-        _, self.store_port = start_standin(resources, 'standins.kvstore')
+        _, self.store_port = start_standin(resources, 'standins.kv_store')
         url = f'http://127.0.0.1:{self.store_port}'
         self.store: HttpStore = open_store([url], 5.0)
         resources.callback(self.store.close)
--- a/bench/capacitypeers.py
+++ b/bench/capacity_peers.py
@@ -7,9 +7,9 @@
 from bench.capacity import probe
 from bench.capacity import PROBES
 from bench.capacity import time_us
-from bench.capacityfleet import ME
-from bench.capacityfleet import RUN
-from bench.capacityfleet import wire_bytes
+from bench.capacity_fleet import ME
+from bench.capacity_fleet import RUN
+from bench.capacity_fleet import wire_bytes
 from primroseledge.agreement.freshness import create_freshness
 from primroseledge.agreement.freshness import Freshness
 from primroseledge.agreement.membership import create_membership
--- a/bench/forwarder.py
+++ b/bench/forwarder.py
@@ -9,7 +9,7 @@
 from msgspec import json
 from urllib3.poolmanager import PoolManager
 
-from standins.httpapp import serve_until_stopped
+from standins.http_app import serve_until_stopped
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -18,11 +18,11 @@
 from tracemalloc import stop as stop_tracing
 from typing import Final
 
-from bench.policyfleet import fair_parts
-from bench.policyfleet import Fleet
-from bench.policyfleet import FleetShape
-from bench.policyfleet import TEAM_SHARES
-from bench.policylarge import measure_large
+from bench.policy_fleet import fair_parts
+from bench.policy_fleet import Fleet
+from bench.policy_fleet import FleetShape
+from bench.policy_fleet import TEAM_SHARES
+from bench.policy_large import measure_large
 from primroseledge.ids import InstanceId
 from primroseledge.ids import PoolId
 from primroseledge.ids import Revision
--- a/bench/policyfleet.py
+++ b/bench/policy_fleet.py
@@ -23,7 +23,7 @@
 from primroseledge.policy.plan import PoolInput
 from primroseledge.policy.plan import StepReport
 from primroseledge.policy.plan import WaveSettings
-from primroseledge.policy.poolcontroller import PoolController
+from primroseledge.policy.pool_controller import PoolController
 from primroseledge.storage.documents import Budget
 from primroseledge.storage.documents import document_key
 from primroseledge.storage.documents import encode_document
@@ -33,7 +33,7 @@
 from primroseledge.storage.records import Records
 from standins.platform import Machine
 from standins.platform import PlatformCore
-from tests.policyfake import FakeStore
+from tests.policy_fake import FakeStore
 
 SHARD: Final = 's0'
 DRAIN_S: Final = 3.0
--- a/bench/policylarge.py
+++ b/bench/policy_large.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import Final
 
-from bench.policyfleet import fair_parts
+from bench.policy_fleet import fair_parts
 from primroseledge.ids import PoolId
 from primroseledge.policy.sizing import decide_size
 from primroseledge.policy.sizing import DemandSamples
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -19,14 +19,14 @@
 from msgspec import json
 from urllib3.poolmanager import PoolManager
 
-from bench.requestload import PERIOD_S
-from bench.requestload import SERVICES
-from bench.requestload import SHARES
-from bench.requestload import TIMEOUT_S
-from bench.requestload import World
-from bench.requestpolicies import CELL
-from bench.requestpolicies import configuration_of
-from bench.requestpolicies import POLICIES
+from bench.request_load import PERIOD_S
+from bench.request_load import SERVICES
+from bench.request_load import SHARES
+from bench.request_load import TIMEOUT_S
+from bench.request_load import World
+from bench.request_policies import CELL
+from bench.request_policies import configuration_of
+from bench.request_policies import POLICIES
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import GrantId
@@ -37,7 +37,7 @@
 from primroseledge.ids import TeamId
 from primroseledge.requests.actions import EntryAction
 from primroseledge.requests.actions import SendToOwner
-from primroseledge.requests.attemptend import AttemptEnd
+from primroseledge.requests.attempt_end import AttemptEnd
 from primroseledge.requests.dispatcher import create_dispatcher
 from primroseledge.requests.entry import Arrival
 from primroseledge.requests.entry import EntryCore
@@ -45,7 +45,7 @@
 from primroseledge.requests.messages import Done
 from primroseledge.requests.messages import EndState
 from primroseledge.requests.messages import Grant
-from primroseledge.requests.retrybudget import RetryBudget
+from primroseledge.requests.retry_budget import RetryBudget
 from standins.deployment import Deployment
 from standins.processes import start_standin
 
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -8,8 +8,8 @@
 from primroseledge.ids import JobId
 from primroseledge.policy.job import Job
 from standins.platform import Program
-from tests.jobworld import JobWorld
-from tests.policyfake import CrashError
+from tests.job_world import JobWorld
+from tests.policy_fake import CrashError
 
 
 @given('a job fleet of 4 workers in 2 racks')
--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -12,10 +12,10 @@
 from primroseledge.operators.operators import start_pool_wave
 from primroseledge.policy.plan import MoveRequest
 from primroseledge.policy.plan import WaveState
-from tests.policyfake import CrashError
-from tests.policyworld import PolicyWorld
-from tests.policyworld import POOL
-from tests.policyworld import SERVICES
+from tests.policy_fake import CrashError
+from tests.policy_world import PolicyWorld
+from tests.policy_world import POOL
+from tests.policy_world import SERVICES
 
 MAX_SECONDS = 2000
 
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -15,9 +15,9 @@
 from primroseledge.storage.documents import encode_document
 from primroseledge.storage.documents import Service
 from standins.processes import start_standin
-from tests.fakeconnections import FakeConnections
-from tests.fakestore import LOST_AFTER
-from tests.fakestore import LOST_BEFORE
+from tests.fake_connections import FakeConnections
+from tests.fake_store import LOST_AFTER
+from tests.fake_store import LOST_BEFORE
 
 KEY = 'config/service/copper'
 
@@ -154,7 +154,7 @@
 
 @given('the operator uses a store in another process')
 def step_network(context: Any) -> None:
-    _, port = start_standin(context.resources, 'standins.kvstore')
+    _, port = start_standin(context.resources, 'standins.kv_store')
     context.store_url = f'http://127.0.0.1:{port}'
 
 
--- a/src/primroseledge/agreement/ownership.py
+++ b/src/primroseledge/agreement/ownership.py
@@ -7,24 +7,24 @@
 all such evidence of earlier epochs has lapsed.
 """
 
-from primroseledge.agreement.epochevidence import EpochEvidence
+from primroseledge.agreement.epoch_evidence import EpochEvidence
 from primroseledge.agreement.freshness import NEVER
 from primroseledge.agreement.membership import Membership
-from primroseledge.agreement.ownerrecord import NO_OWNER
-from primroseledge.agreement.ownerrecord import OwnerRecord
-from primroseledge.agreement.ownershipactions import BecomeOwner
-from primroseledge.agreement.ownershipactions import FollowOwner
-from primroseledge.agreement.ownershipactions import OwnershipAction
-from primroseledge.agreement.ownershipactions import SendHeartbeat
-from primroseledge.agreement.ownershipactions import SendReport
-from primroseledge.agreement.ownershipactions import SendReportRequest
-from primroseledge.agreement.ownershipactions import StepDown
-from primroseledge.agreement.ownershipactions import WriteResult
-from primroseledge.agreement.ownershipsettings import OwnershipSettings
-from primroseledge.agreement.ownerstate import OwnerState
-from primroseledge.agreement.recordaccess import parse_owner
-from primroseledge.agreement.recordaccess import RecordAccess
-from primroseledge.agreement.recordaccess import RELEASE_POLL_S
+from primroseledge.agreement.owner_record import NO_OWNER
+from primroseledge.agreement.owner_record import OwnerRecord
+from primroseledge.agreement.owner_state import OwnerState
+from primroseledge.agreement.ownership_actions import BecomeOwner
+from primroseledge.agreement.ownership_actions import FollowOwner
+from primroseledge.agreement.ownership_actions import OwnershipAction
+from primroseledge.agreement.ownership_actions import SendHeartbeat
+from primroseledge.agreement.ownership_actions import SendReport
+from primroseledge.agreement.ownership_actions import SendReportRequest
+from primroseledge.agreement.ownership_actions import StepDown
+from primroseledge.agreement.ownership_actions import WriteResult
+from primroseledge.agreement.ownership_settings import OwnershipSettings
+from primroseledge.agreement.record_access import parse_owner
+from primroseledge.agreement.record_access import RecordAccess
+from primroseledge.agreement.record_access import RELEASE_POLL_S
 from primroseledge.agreement.succession import Succession
 from primroseledge.agreement.takeover import INFINITY
 from primroseledge.agreement.takeover import Takeover
--- a/src/primroseledge/agreement/succession.py
+++ b/src/primroseledge/agreement/succession.py
@@ -5,8 +5,8 @@
 from primroseledge.agreement.freshness import majority
 from primroseledge.agreement.membership import Membership
 from primroseledge.agreement.membership import PeerState
-from primroseledge.agreement.ownerrecord import OwnerRecord
-from primroseledge.agreement.ownershipsettings import OwnershipSettings
+from primroseledge.agreement.owner_record import OwnerRecord
+from primroseledge.agreement.ownership_settings import OwnershipSettings
 from primroseledge.agreement.takeover import INFINITY
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
--- a/src/primroseledge/agreement/takeover.py
+++ b/src/primroseledge/agreement/takeover.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from primroseledge.agreement.freshness import majority
-from primroseledge.agreement.ownerrecord import OwnerRecord
+from primroseledge.agreement.owner_record import OwnerRecord
 from primroseledge.ids import EntryId
 from primroseledge.ids import Incarnation
 from primroseledge.requests.messages import Report
--- a/src/primroseledge/cluster/node_loop.py
+++ b/src/primroseledge/cluster/node_loop.py
@@ -64,8 +64,8 @@
 from primroseledge.maintenance.actions import InstancesListed
 from primroseledge.maintenance.actions import ListFailed
 from primroseledge.observability.events import Event
-from primroseledge.observability.fleetfigures import FleetFigures
-from primroseledge.observability.fleetmetrics import FleetMetrics
+from primroseledge.observability.fleet_figures import FleetFigures
+from primroseledge.observability.fleet_metrics import FleetMetrics
 from primroseledge.observability.logs import log
 from primroseledge.observability.logs import LOGGER
 from primroseledge.owner.fleet_counts import add_owner_counts
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -63,7 +63,7 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.observability.events import Event
-from primroseledge.observability.fleetmetrics import FleetMetrics
+from primroseledge.observability.fleet_metrics import FleetMetrics
 from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
 
--- a/src/primroseledge/gateway/carrier.py
+++ b/src/primroseledge/gateway/carrier.py
@@ -19,7 +19,7 @@
 from urllib3.util import Timeout
 
 from primroseledge.requests.actions import StartAttempt
-from primroseledge.requests.attemptend import AttemptEnd
+from primroseledge.requests.attempt_end import AttemptEnd
 
 MAX_ADDRESSES: Final = 200
 """Fewer than the pools that the pool manager keeps open."""
--- a/src/primroseledge/gateway/daemon.py
+++ b/src/primroseledge/gateway/daemon.py
@@ -15,17 +15,17 @@
 
 from primroseledge.agreement.membership import Timing
 from primroseledge.gateway.carrier import Carrier
-from primroseledge.gateway.httpserver import adapt
-from primroseledge.gateway.httpserver import Application
-from primroseledge.gateway.httpserver import create_server
+from primroseledge.gateway.http_server import adapt
+from primroseledge.gateway.http_server import Application
+from primroseledge.gateway.http_server import create_server
 from primroseledge.gateway.loop import Loop
 from primroseledge.gateway.node import create_node
 from primroseledge.gateway.node import IdMemory
 from primroseledge.gateway.node import Node
 from primroseledge.gateway.pages import Pages
-from primroseledge.gateway.peerlink import open_link
-from primroseledge.gateway.storethreads import ConfigWatcher
-from primroseledge.gateway.storethreads import RecordThread
+from primroseledge.gateway.peer_link import open_link
+from primroseledge.gateway.store_threads import ConfigWatcher
+from primroseledge.gateway.store_threads import RecordThread
 from primroseledge.ids import EntryId
 from primroseledge.ids import Incarnation
 from primroseledge.ids import ZoneId
@@ -36,9 +36,9 @@
 from primroseledge.observability.trace import create_tracing
 from primroseledge.policy.controls import start_controls
 import primroseledge.requests.handlers  # noqa: F401  its handlers register
-from primroseledge.requests.httprequest import RequestLimits
+from primroseledge.requests.http_request import RequestLimits
 from primroseledge.settings.settings import Settings
-from primroseledge.storage.storeclient import open_store
+from primroseledge.storage.store_client import open_store
 
 MAX_ANSWER_BYTES: Final = 16_000_000
 PAGE_THREADS: Final = 2
--- a/src/primroseledge/gateway/listthread.py
+++ b/src/primroseledge/gateway/list_thread.py
@@ -8,10 +8,10 @@
 
 from primroseledge.gateway.loop import Loop
 from primroseledge.gateway.node import Node
-from primroseledge.policy.policystate import Listing
+from primroseledge.policy.policy_state import Listing
 from primroseledge.requests.actions import Action
-from primroseledge.storage.taskservice import InstanceService
-from primroseledge.storage.taskservice import PlatformError
+from primroseledge.storage.task_service import InstanceService
+from primroseledge.storage.task_service import PlatformError
 
 POLL_S: Final = 1.0
 """With the list's own lag of 2 s, a leaving upstream is noted in 3 s."""
--- a/src/primroseledge/gateway/loop.py
+++ b/src/primroseledge/gateway/loop.py
@@ -19,13 +19,13 @@
 from zmq import Poller
 from zmq import POLLIN
 
-from primroseledge.agreement.ownershipactions import ReadRecord
-from primroseledge.agreement.ownershipactions import WriteRecord
-from primroseledge.gateway.httpserver import AttemptReport
-from primroseledge.gateway.httpserver import ServerCall
+from primroseledge.agreement.ownership_actions import ReadRecord
+from primroseledge.agreement.ownership_actions import WriteRecord
+from primroseledge.gateway.http_server import AttemptReport
+from primroseledge.gateway.http_server import ServerCall
 from primroseledge.gateway.node import Node
-from primroseledge.gateway.peerlink import PeerLink
-from primroseledge.gateway.stricthttp import rejections
+from primroseledge.gateway.peer_link import PeerLink
+from primroseledge.gateway.strict_http import rejections
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.observability.metrics import Direction
--- a/src/primroseledge/gateway/node.py
+++ b/src/primroseledge/gateway/node.py
@@ -22,10 +22,10 @@
 from primroseledge.agreement.membership import Timing
 from primroseledge.agreement.ownership import create_ownership
 from primroseledge.agreement.ownership import Ownership
-from primroseledge.agreement.ownershipactions import OwnershipAction
-from primroseledge.agreement.ownershipactions import WriteRecord
-from primroseledge.agreement.ownershipactions import WriteResult
-from primroseledge.agreement.ownershipsettings import OwnershipSettings
+from primroseledge.agreement.ownership_actions import OwnershipAction
+from primroseledge.agreement.ownership_actions import WriteRecord
+from primroseledge.agreement.ownership_actions import WriteResult
+from primroseledge.agreement.ownership_settings import OwnershipSettings
 from primroseledge.constants import RUN_MARGIN_S
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
@@ -33,14 +33,14 @@
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
 from primroseledge.ids import ZoneId
-from primroseledge.policy.policystate import Listing
-from primroseledge.policy.policystate import PolicyState
+from primroseledge.policy.policy_state import Listing
+from primroseledge.policy.policy_state import PolicyState
 from primroseledge.requests.actions import Action
 from primroseledge.requests.actions import RefuseCall
 from primroseledge.requests.actions import SendToEntry
 from primroseledge.requests.actions import SendToOwner
-from primroseledge.requests.attemptend import AttemptEnd
-from primroseledge.requests.attempthistory import AttemptHistory
+from primroseledge.requests.attempt_end import AttemptEnd
+from primroseledge.requests.attempt_history import AttemptHistory
 from primroseledge.requests.dispatcher import Dispatcher
 from primroseledge.requests.entry import EntryCore
 from primroseledge.requests.keyring import Keyring
@@ -51,9 +51,9 @@
 from primroseledge.requests.messages import Message
 from primroseledge.requests.messages import PROTOCOL_VERSION
 from primroseledge.requests.outcomes import Reason
-from primroseledge.requests.requestcheck import check_request
-from primroseledge.requests.requestcheck import RequestHead
-from primroseledge.requests.retrybudget import RetryBudget
+from primroseledge.requests.request_check import check_request
+from primroseledge.requests.request_check import RequestHead
+from primroseledge.requests.retry_budget import RetryBudget
 from primroseledge.storage.store import Record
 
 WATCHERS_PER_ZONE: Final = 2
--- a/src/primroseledge/gateway/pages.py
+++ b/src/primroseledge/gateway/pages.py
@@ -12,7 +12,7 @@
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.observability.metrics import Metrics
-from primroseledge.observability.metricspage import CONTENT_TYPE
+from primroseledge.observability.metrics_page import CONTENT_TYPE
 from primroseledge.operators.inquiry import Inquiry
 from primroseledge.storage.documents import KeyRecord
 from primroseledge.storage.keys import is_operator
--- a/src/primroseledge/gateway/storethreads.py
+++ b/src/primroseledge/gateway/store_threads.py
@@ -9,10 +9,10 @@
 from typing import Final
 
 from primroseledge.agreement.configuration import snapshot_delta
-from primroseledge.agreement.ownerrecord import owner_key
-from primroseledge.agreement.ownershipactions import ReadRecord
-from primroseledge.agreement.ownershipactions import WriteRecord
-from primroseledge.agreement.ownershipactions import WriteResult
+from primroseledge.agreement.owner_record import owner_key
+from primroseledge.agreement.ownership_actions import ReadRecord
+from primroseledge.agreement.ownership_actions import WriteRecord
+from primroseledge.agreement.ownership_actions import WriteResult
 from primroseledge.errors import ConflictError
 from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -59,7 +59,7 @@
     """The owner's copy of the platform's list, with its operations and waves.
 
     This is the state of the fleet's owner about all instances, not the task
-    service's answer (``storage.taskserviceclient.InstanceList``).
+    service's answer (``storage.task_service_client.InstanceList``).
 
     ``listed_at`` is when the call that read ``rows`` was sent. Before
     ``may_change_instances_from`` no instance may be moved or taken down.
--- a/src/primroseledge/observability/fleetmetrics.py
+++ b/src/primroseledge/observability/fleet_metrics.py
@@ -11,8 +11,8 @@
 from typing import Final
 
 from primroseledge.observability.events import Event
-from primroseledge.observability.fleetfigures import FleetFigures
-from primroseledge.observability.metricspage import MetricsPage
+from primroseledge.observability.fleet_figures import FleetFigures
+from primroseledge.observability.metrics_page import MetricsPage
 
 CALL_BUCKETS_S: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
 JOB_BUCKETS_S: Final = (0.5, 1.0, 2.0, 3.0, 4.0, 6.0, 10.0, 20.0, 60.0)
--- a/src/primroseledge/observability/logwriter.py
+++ b/src/primroseledge/observability/log_writer.py
@@ -17,7 +17,7 @@
 
 from primroseledge.clock import boot_time
 from primroseledge.observability.events import Event
-from primroseledge.observability.logbudget import LogBudget
+from primroseledge.observability.log_budget import LogBudget
 from primroseledge.observability.logs import event_record
 from primroseledge.observability.logs import JsonFormatter
 
--- a/src/primroseledge/observability/metrics.py
+++ b/src/primroseledge/observability/metrics.py
@@ -7,7 +7,7 @@
 from primroseledge.ids import PoolId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.observability.metricspage import MetricsPage
+from primroseledge.observability.metrics_page import MetricsPage
 from primroseledge.requests.outcomes import Outcome
 from primroseledge.requests.outcomes import Reason
 
--- a/src/primroseledge/observability/trace.py
+++ b/src/primroseledge/observability/trace.py
@@ -18,8 +18,8 @@
 from opentelemetry.trace import StatusCode
 
 from primroseledge import __version__
-from primroseledge.observability.spanexport import create_exporter
-from primroseledge.observability.spanexport import SpanQueue
+from primroseledge.observability.span_export import create_exporter
+from primroseledge.observability.span_export import SpanQueue
 from primroseledge.observability.traceparent import read_traceparent
 from primroseledge.settings.settings import Settings
 
--- a/src/primroseledge/operators/cli_fleet.py
+++ b/src/primroseledge/operators/cli_fleet.py
@@ -9,12 +9,12 @@
 from click import UsageError
 from msgspec import to_builtins
 
-from primroseledge.agreement.membershipchanges import MEMBERS_ID
-from primroseledge.agreement.membershipchanges import set_members
+from primroseledge.agreement.membership_changes import MEMBERS_ID
+from primroseledge.agreement.membership_changes import set_members
 from primroseledge.errors import OperatorError
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import UnreachableError
-from primroseledge.exitcodes import ExitCode
+from primroseledge.exit_codes import ExitCode
 from primroseledge.operators.changes import require
 from primroseledge.operators.connections import decode_explanations
 from primroseledge.operators.connections import EntryStatus
--- a/src/primroseledge/operators/cli_pool.py
+++ b/src/primroseledge/operators/cli_pool.py
@@ -14,10 +14,10 @@
 from primroseledge.operators.console import Console
 from primroseledge.operators.console import operator_command
 from primroseledge.operators.rendering import Row
-from primroseledge.policy.placementchanges import add_instance
-from primroseledge.policy.placementchanges import move_instance
-from primroseledge.policy.placementchanges import review_drain
-from primroseledge.policy.placementchanges import set_draining
+from primroseledge.policy.placement_changes import add_instance
+from primroseledge.policy.placement_changes import move_instance
+from primroseledge.policy.placement_changes import review_drain
+from primroseledge.policy.placement_changes import set_draining
 from primroseledge.storage.documents import Instance
 from primroseledge.storage.documents import Pool
 from primroseledge.storage.documents import Service
--- a/src/primroseledge/operators/cli_running.py
+++ b/src/primroseledge/operators/cli_running.py
@@ -29,8 +29,8 @@
 from primroseledge.cluster.store_thread import decode_records
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import StoreError
-from primroseledge.exitcodes import code_of
-from primroseledge.exitcodes import ExitCode
+from primroseledge.exit_codes import code_of
+from primroseledge.exit_codes import ExitCode
 from primroseledge.jobs.progress import FINAL_STATES
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.spec import AcceptedJob
--- a/src/primroseledge/operators/cli_story.py
+++ b/src/primroseledge/operators/cli_story.py
@@ -12,7 +12,7 @@
 from click import Path as PathType
 from click import UsageError
 
-from primroseledge.exitcodes import ExitCode
+from primroseledge.exit_codes import ExitCode
 from primroseledge.operators.story import find_refused
 from primroseledge.operators.story import find_slowest
 from primroseledge.operators.story import LogLine
--- a/src/primroseledge/operators/cli_wave.py
+++ b/src/primroseledge/operators/cli_wave.py
@@ -13,7 +13,7 @@
 from primroseledge.errors import OperatorError
 from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
-from primroseledge.exitcodes import ExitCode
+from primroseledge.exit_codes import ExitCode
 from primroseledge.fleet import Fleet
 from primroseledge.fleet import read_fleet
 from primroseledge.ids import PoolId
@@ -26,8 +26,8 @@
 from primroseledge.operators.rendering import Row
 from primroseledge.policy.plan import Plan
 from primroseledge.policy.plan import Wave
-from primroseledge.policy.wavestatus import find_plans
-from primroseledge.policy.wavestatus import show_plan
+from primroseledge.policy.wave_status import find_plans
+from primroseledge.policy.wave_status import show_plan
 from primroseledge.storage.documents import CONFIG_PREFIX
 from primroseledge.storage.documents import Pool
 from primroseledge.storage.records import Records
--- a/src/primroseledge/operators/connections.py
+++ b/src/primroseledge/operators/connections.py
@@ -64,7 +64,7 @@
         self, urls: Sequence[str], timeout_s: float, credentials: str
     ) -> AbstractContextManager[Store]:
         """Open the store; the block closes it."""
-        from primroseledge.storage.storeclient import open_store
+        from primroseledge.storage.store_client import open_store
 
         return closing(open_store(urls, timeout_s, credentials))
 
--- a/src/primroseledge/operators/console.py
+++ b/src/primroseledge/operators/console.py
@@ -23,9 +23,9 @@
 from primroseledge.errors import OperatorError
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import StoreError
-from primroseledge.exitcodes import code_of
-from primroseledge.exitcodes import ExitCode
-from primroseledge.exitcodes import RESULT_CODES
+from primroseledge.exit_codes import code_of
+from primroseledge.exit_codes import ExitCode
+from primroseledge.exit_codes import RESULT_CODES
 from primroseledge.fleet import Fleet
 from primroseledge.fleet import read_fleet
 from primroseledge.ids import Revision
--- a/src/primroseledge/owner/fleet_counts.py
+++ b/src/primroseledge/owner/fleet_counts.py
@@ -7,9 +7,9 @@
 from primroseledge.ids import WorkspaceId
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.worker import Worker
-from primroseledge.observability.fleetfigures import FleetFigures
-from primroseledge.observability.fleetfigures import TaskCount
-from primroseledge.observability.fleetfigures import WorkerCount
+from primroseledge.observability.fleet_figures import FleetFigures
+from primroseledge.observability.fleet_figures import TaskCount
+from primroseledge.observability.fleet_figures import WorkerCount
 
 TaskCountKey = tuple[WorkspaceId, ServiceId, str]
 
--- a/src/primroseledge/platform/advice_client.py
+++ b/src/primroseledge/platform/advice_client.py
@@ -10,9 +10,9 @@
 from msgspec import json
 
 from primroseledge.clock import boot_time
-from primroseledge.httpclient import HttpClient
-from primroseledge.httpclient import NoAnswerError
-from primroseledge.httpclient import NotSentError
+from primroseledge.http_client import HttpClient
+from primroseledge.http_client import NoAnswerError
+from primroseledge.http_client import NotSentError
 from primroseledge.ids import WorkerId
 from primroseledge.jobs.advice import AdviceAnswered
 from primroseledge.jobs.advice import AdviceFailed
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -44,12 +44,12 @@
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import ListInstances
 from primroseledge.observability.events import Event
-from primroseledge.observability.fleetmetrics import create_fleet_metrics
-from primroseledge.observability.fleetmetrics import EventCounter
-from primroseledge.observability.fleetmetrics import FleetMetrics
+from primroseledge.observability.fleet_metrics import create_fleet_metrics
+from primroseledge.observability.fleet_metrics import EventCounter
+from primroseledge.observability.fleet_metrics import FleetMetrics
+from primroseledge.observability.log_writer import create_bounded_handler
 from primroseledge.observability.logs import log
 from primroseledge.observability.logs import use_handlers
-from primroseledge.observability.logwriter import create_bounded_handler
 from primroseledge.platform.advice_client import PlatformAdviceClient
 from primroseledge.platform.decoding import decode_configuration
 from primroseledge.platform.decoding import decode_worker_entry
--- a/src/primroseledge/platform/store.py
+++ b/src/primroseledge/platform/store.py
@@ -26,10 +26,10 @@
 from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
 from primroseledge.errors import StoreUnavailableError
-from primroseledge.httpclient import HttpAnswer
-from primroseledge.httpclient import HttpClient
-from primroseledge.httpclient import NoAnswerError
-from primroseledge.httpclient import NotSentError
+from primroseledge.http_client import HttpAnswer
+from primroseledge.http_client import HttpClient
+from primroseledge.http_client import NoAnswerError
+from primroseledge.http_client import NotSentError
 from primroseledge.ids import Revision
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
--- a/src/primroseledge/platform/worker_client.py
+++ b/src/primroseledge/platform/worker_client.py
@@ -12,10 +12,10 @@
 from msgspec import json
 
 from primroseledge.clock import boot_time
-from primroseledge.httpclient import HttpAnswer
-from primroseledge.httpclient import HttpClient
-from primroseledge.httpclient import NoAnswerError
-from primroseledge.httpclient import NotSentError
+from primroseledge.http_client import HttpAnswer
+from primroseledge.http_client import HttpClient
+from primroseledge.http_client import NoAnswerError
+from primroseledge.http_client import NotSentError
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import ListedRun
 from primroseledge.jobs.actions import Order
--- a/src/primroseledge/platform/wsgi_applications.py
+++ b/src/primroseledge/platform/wsgi_applications.py
@@ -24,9 +24,9 @@
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.observability.events import Event
-from primroseledge.observability.fleetmetrics import FleetMetrics
+from primroseledge.observability.fleet_metrics import FleetMetrics
 from primroseledge.observability.logs import log
-from primroseledge.observability.metricspage import CONTENT_TYPE
+from primroseledge.observability.metrics_page import CONTENT_TYPE
 from primroseledge.platform.decoding import decode_job
 
 Environ = dict[str, Any]
--- a/src/primroseledge/policy/controlinput.py
+++ b/src/primroseledge/policy/control_input.py
@@ -15,10 +15,10 @@
 from primroseledge.ids import PoolId
 from primroseledge.ids import Revision
 from primroseledge.ids import TeamId
-from primroseledge.policy.jobadmission import JobInput
+from primroseledge.policy.job_admission import JobInput
 from primroseledge.policy.plan import InstanceView
 from primroseledge.policy.plan import PoolInput
-from primroseledge.policy.policystate import Listing
+from primroseledge.policy.policy_state import Listing
 from primroseledge.requests.dispatcher import Dispatcher
 from primroseledge.storage.documents import DEFAULT_CELL
 from primroseledge.storage.documents import Instance
@@ -26,7 +26,7 @@
 from primroseledge.storage.documents import Pool
 from primroseledge.storage.documents import Service
 from primroseledge.storage.documents import Team
-from primroseledge.storage.taskservice import InstanceStatus
+from primroseledge.storage.task_service import InstanceStatus
 
 TasksByWorker = Mapping[InstanceId, tuple[str, ...]]
 Epochs = tuple[tuple[CellId, Epoch], ...]
--- a/src/primroseledge/policy/controlthread.py
+++ b/src/primroseledge/policy/control_thread.py
@@ -20,20 +20,20 @@
 from primroseledge.ids import PoolId
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
-from primroseledge.policy.controlinput import ControlRequest
-from primroseledge.policy.controlinput import Epochs
-from primroseledge.policy.controlinput import job_input
-from primroseledge.policy.controlinput import pool_input
-from primroseledge.policy.controlinput import take_request
-from primroseledge.policy.controlinput import TasksByWorker
-from primroseledge.policy.jobcontroller import JobController
-from primroseledge.policy.jobcontroller import JobReport
+from primroseledge.policy.control_input import ControlRequest
+from primroseledge.policy.control_input import Epochs
+from primroseledge.policy.control_input import job_input
+from primroseledge.policy.control_input import pool_input
+from primroseledge.policy.control_input import take_request
+from primroseledge.policy.control_input import TasksByWorker
+from primroseledge.policy.job_controller import JobController
+from primroseledge.policy.job_controller import JobReport
 from primroseledge.policy.plan import StepReport
-from primroseledge.policy.policystate import ControlNews
-from primroseledge.policy.poolrounds import PoolRounds
+from primroseledge.policy.policy_state import ControlNews
+from primroseledge.policy.pool_rounds import PoolRounds
 from primroseledge.requests.actions import Action
-from primroseledge.storage.taskservice import PlatformError
-from primroseledge.storage.taskservice import TaskState
+from primroseledge.storage.task_service import PlatformError
+from primroseledge.storage.task_service import TaskState
 
 STEP_S: Final = 1.0
 
--- a/src/primroseledge/policy/controls.py
+++ b/src/primroseledge/policy/controls.py
@@ -5,19 +5,19 @@
 from itertools import count
 from typing import Final
 
-from primroseledge.gateway.listthread import ListThread
+from primroseledge.gateway.list_thread import ListThread
 from primroseledge.gateway.loop import Loop
 from primroseledge.ids import WriteId
 from primroseledge.observability.metrics import Metrics
-from primroseledge.policy.controlthread import ControlThread
-from primroseledge.policy.jobcontroller import JobController
+from primroseledge.policy.control_thread import ControlThread
+from primroseledge.policy.job_controller import JobController
 from primroseledge.policy.plan import WaveSettings
-from primroseledge.policy.poolrounds import PoolRounds
+from primroseledge.policy.pool_rounds import PoolRounds
 from primroseledge.settings.settings import Settings
 from primroseledge.storage.records import Records
-from primroseledge.storage.storeclient import open_store
-from primroseledge.storage.taskserviceclient import HttpPlatform
-from primroseledge.storage.taskserviceclient import open_platform
+from primroseledge.storage.store_client import open_store
+from primroseledge.storage.task_service_client import HttpPlatform
+from primroseledge.storage.task_service_client import open_platform
 
 SETTLE_FRESHNESS: Final = 3.0
 """A drain has settled after so many times the freshness of views.
--- a/src/primroseledge/policy/jobcontroller.py
+++ b/src/primroseledge/policy/job_controller.py
@@ -31,18 +31,18 @@
 from primroseledge.policy.job import JobState
 from primroseledge.policy.job import MAX_ATTEMPTS
 from primroseledge.policy.job import move_job
-from primroseledge.policy.jobadmission import admit
-from primroseledge.policy.jobadmission import JobInput
-from primroseledge.policy.jobadmission import Situation
-from primroseledge.policy.memorywatch import MemoryWatch
+from primroseledge.policy.job_admission import admit
+from primroseledge.policy.job_admission import JobInput
+from primroseledge.policy.job_admission import Situation
+from primroseledge.policy.memory_watch import MemoryWatch
 from primroseledge.policy.placing import Relief
 from primroseledge.storage.records import Records
 from primroseledge.storage.records import Versioned
-from primroseledge.storage.taskservice import PlatformError
-from primroseledge.storage.taskservice import TaskService
-from primroseledge.storage.taskservice import TaskSpec
-from primroseledge.storage.taskservice import TaskState
-from primroseledge.storage.taskservice import TaskStatus
+from primroseledge.storage.task_service import PlatformError
+from primroseledge.storage.task_service import TaskService
+from primroseledge.storage.task_service import TaskSpec
+from primroseledge.storage.task_service import TaskState
+from primroseledge.storage.task_service import TaskStatus
 
 MAX_CANCELS_PER_STEP: Final = 20
 BACKOFF_S: Final = 2.0
--- a/src/primroseledge/policy/memorywatch.py
+++ b/src/primroseledge/policy/memory_watch.py
@@ -14,8 +14,8 @@
 from primroseledge.policy.placing import relieve
 from primroseledge.policy.placing import TaskUse
 from primroseledge.storage.documents import Instance
-from primroseledge.storage.taskservice import TaskState
-from primroseledge.storage.taskservice import TaskStatus
+from primroseledge.storage.task_service import TaskState
+from primroseledge.storage.task_service import TaskStatus
 
 REPORT_AHEAD_S: Final = 5.0
 MIN_REPORT_GAP_S: Final = 0.5
--- a/src/primroseledge/policy/policystate.py
+++ b/src/primroseledge/policy/policy_state.py
@@ -13,10 +13,10 @@
 from primroseledge.ids import PoolId
 from primroseledge.operators.explain import Explanation
 from primroseledge.policy.job import Job
-from primroseledge.policy.jobcontroller import JobReport
+from primroseledge.policy.job_controller import JobReport
 from primroseledge.policy.plan import StepReport
-from primroseledge.storage.taskservice import InstanceStatus
-from primroseledge.storage.taskservice import Life
+from primroseledge.storage.task_service import InstanceStatus
+from primroseledge.storage.task_service import Life
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/policy/poolcontroller.py
+++ b/src/primroseledge/policy/pool_controller.py
@@ -23,8 +23,8 @@
 from primroseledge.ids import ZoneId
 from primroseledge.operators.explain import Explanation
 from primroseledge.operators.explain import Rule
-from primroseledge.policy.claimbook import ClaimBook
-from primroseledge.policy.placementbook import PlacementBook
+from primroseledge.policy.claim_book import ClaimBook
+from primroseledge.policy.placement_book import PlacementBook
 from primroseledge.policy.plan import Action
 from primroseledge.policy.plan import IN_FLIGHT
 from primroseledge.policy.plan import InstanceView
@@ -45,9 +45,9 @@
 from primroseledge.policy.wave import decide
 from primroseledge.storage.records import Records
 from primroseledge.storage.records import Versioned
-from primroseledge.storage.taskservice import InstanceService
-from primroseledge.storage.taskservice import PlatformError
-from primroseledge.storage.taskservice import TaskService
+from primroseledge.storage.task_service import InstanceService
+from primroseledge.storage.task_service import PlatformError
+from primroseledge.storage.task_service import TaskService
 
 MOVE_PREFIX: Final = 'move/'
 HELD_STATES: Final = IN_FLIGHT | {StepState.FAILED}
--- a/src/primroseledge/policy/poolrounds.py
+++ b/src/primroseledge/policy/pool_rounds.py
@@ -15,10 +15,10 @@
 from primroseledge.operators.explain import Explanation
 from primroseledge.operators.explain import Rule
 from primroseledge.policy.budget import Ledger
-from primroseledge.policy.controlinput import ControlRequest
-from primroseledge.policy.controlinput import count_idle
-from primroseledge.policy.controlinput import Epochs
-from primroseledge.policy.controlinput import has_down
+from primroseledge.policy.control_input import ControlRequest
+from primroseledge.policy.control_input import count_idle
+from primroseledge.policy.control_input import Epochs
+from primroseledge.policy.control_input import has_down
 from primroseledge.policy.plan import Action
 from primroseledge.policy.plan import ENDED
 from primroseledge.policy.plan import Kind
@@ -28,11 +28,11 @@
 from primroseledge.policy.plan import StepReport
 from primroseledge.policy.plan import Wave
 from primroseledge.policy.plan import WaveSettings
-from primroseledge.policy.poolcontroller import HELD_STATES
-from primroseledge.policy.poolcontroller import PoolController
+from primroseledge.policy.pool_controller import HELD_STATES
+from primroseledge.policy.pool_controller import PoolController
 from primroseledge.storage.records import Records
-from primroseledge.storage.taskservice import InstanceService
-from primroseledge.storage.taskservice import TaskService
+from primroseledge.storage.task_service import InstanceService
+from primroseledge.storage.task_service import TaskService
 
 MAX_LIST_AGE_S: Final = 5.0
 """With an older list nothing is decided about instances."""
--- a/src/primroseledge/requests/actions.py
+++ b/src/primroseledge/requests/actions.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from primroseledge.agreement.ownershipactions import ReadRecord
-from primroseledge.agreement.ownershipactions import WriteRecord
+from primroseledge.agreement.ownership_actions import ReadRecord
+from primroseledge.agreement.ownership_actions import WriteRecord
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
 from primroseledge.ids import GrantId
--- a/src/primroseledge/requests/admission.py
+++ b/src/primroseledge/requests/admission.py
@@ -10,13 +10,13 @@
 from primroseledge.ids import PoolId
 from primroseledge.ids import ServiceId
 from primroseledge.requests.actions import SendToEntry
-from primroseledge.requests.fairqueue import FairQueue
-from primroseledge.requests.fairqueue import Waiting
+from primroseledge.requests.fair_queue import FairQueue
+from primroseledge.requests.fair_queue import Waiting
 from primroseledge.requests.messages import Ask
 from primroseledge.requests.messages import EndState
 from primroseledge.requests.messages import Refuse
 from primroseledge.requests.outcomes import Reason
-from primroseledge.requests.runningwork import RunningWork
+from primroseledge.requests.running_work import RunningWork
 from primroseledge.storage.documents import Service
 
 MIN_RETRY_AFTER_S: Final = 1.0
--- a/src/primroseledge/requests/dispatcher.py
+++ b/src/primroseledge/requests/dispatcher.py
@@ -21,8 +21,8 @@
 from primroseledge.ids import TeamId
 from primroseledge.requests.actions import SendToEntry
 from primroseledge.requests.admission import Admission
-from primroseledge.requests.fairqueue import Waiting
-from primroseledge.requests.grantledger import Running
+from primroseledge.requests.fair_queue import Waiting
+from primroseledge.requests.grant_ledger import Running
 from primroseledge.requests.limits import TeamLimits
 from primroseledge.requests.messages import Ask
 from primroseledge.requests.messages import Cancel
@@ -33,11 +33,11 @@
 from primroseledge.requests.messages import Grant
 from primroseledge.requests.messages import Handover
 from primroseledge.requests.messages import Report
-from primroseledge.requests.requestmemory import RequestMemory
-from primroseledge.requests.runningwork import RunningWork
-from primroseledge.requests.sharedistance import measure_distances
+from primroseledge.requests.request_memory import RequestMemory
+from primroseledge.requests.running_work import RunningWork
+from primroseledge.requests.share_distance import measure_distances
 from primroseledge.requests.slots import Slots
-from primroseledge.requests.upstreamhealth import UpstreamHealth
+from primroseledge.requests.upstream_health import UpstreamHealth
 from primroseledge.storage.documents import Instance
 from primroseledge.storage.documents import Service
 
--- a/src/primroseledge/requests/entry.py
+++ b/src/primroseledge/requests/entry.py
@@ -28,13 +28,13 @@
 from primroseledge.requests.actions import RefuseCall
 from primroseledge.requests.actions import SendToOwner
 from primroseledge.requests.actions import StartAttempt
-from primroseledge.requests.attemptend import AttemptEnd
-from primroseledge.requests.attemptend import DELIVERED
-from primroseledge.requests.attemptend import END_STATES
-from primroseledge.requests.attemptend import FAILURE_REASONS
-from primroseledge.requests.attemptend import UPSTREAM_FAILURES
-from primroseledge.requests.attempthistory import AttemptHistory
-from primroseledge.requests.attempthistory import with_remaining
+from primroseledge.requests.attempt_end import AttemptEnd
+from primroseledge.requests.attempt_end import DELIVERED
+from primroseledge.requests.attempt_end import END_STATES
+from primroseledge.requests.attempt_end import FAILURE_REASONS
+from primroseledge.requests.attempt_end import UPSTREAM_FAILURES
+from primroseledge.requests.attempt_history import AttemptHistory
+from primroseledge.requests.attempt_history import with_remaining
 from primroseledge.requests.messages import Ask
 from primroseledge.requests.messages import Cancel
 from primroseledge.requests.messages import Carried
@@ -46,7 +46,7 @@
 from primroseledge.requests.outcomes import Outcome
 from primroseledge.requests.outcomes import Reason
 from primroseledge.requests.outcomes import VERDICTS
-from primroseledge.requests.retrybudget import RetryBudget
+from primroseledge.requests.retry_budget import RetryBudget
 
 FIRST_RETRY_PAUSE_S: Final = 0.05
 MAX_RETRY_PAUSE_S: Final = 1.0
--- a/src/primroseledge/requests/handlers.py
+++ b/src/primroseledge/requests/handlers.py
@@ -6,15 +6,15 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from primroseledge.agreement.ownershipactions import BecomeOwner
-from primroseledge.agreement.ownershipactions import FollowOwner
-from primroseledge.agreement.ownershipactions import OwnershipAction
-from primroseledge.agreement.ownershipactions import ReadRecord
-from primroseledge.agreement.ownershipactions import SendHeartbeat
-from primroseledge.agreement.ownershipactions import SendReport
-from primroseledge.agreement.ownershipactions import SendReportRequest
-from primroseledge.agreement.ownershipactions import StepDown
-from primroseledge.agreement.ownershipactions import WriteRecord
+from primroseledge.agreement.ownership_actions import BecomeOwner
+from primroseledge.agreement.ownership_actions import FollowOwner
+from primroseledge.agreement.ownership_actions import OwnershipAction
+from primroseledge.agreement.ownership_actions import ReadRecord
+from primroseledge.agreement.ownership_actions import SendHeartbeat
+from primroseledge.agreement.ownership_actions import SendReport
+from primroseledge.agreement.ownership_actions import SendReportRequest
+from primroseledge.agreement.ownership_actions import StepDown
+from primroseledge.agreement.ownership_actions import WriteRecord
 from primroseledge.gateway.node import MESSAGE_HANDLERS
 from primroseledge.gateway.node import Node
 from primroseledge.gateway.node import OWNERSHIP_HANDLERS
@@ -24,7 +24,7 @@
 from primroseledge.requests.actions import Action
 from primroseledge.requests.actions import Note
 from primroseledge.requests.actions import SendToEntry
-from primroseledge.requests.attemptend import AttemptEnd
+from primroseledge.requests.attempt_end import AttemptEnd
 from primroseledge.requests.dispatcher import create_dispatcher
 from primroseledge.requests.messages import Ask
 from primroseledge.requests.messages import Cancel
--- a/src/primroseledge/requests/httprequest.py
+++ b/src/primroseledge/requests/http_request.py
@@ -13,8 +13,8 @@
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
 from primroseledge.requests.outcomes import Reason
-from primroseledge.requests.requestcheck import RequestHead
-from primroseledge.requests.requestmemory import OWN_ID_PREFIX
+from primroseledge.requests.request_check import RequestHead
+from primroseledge.requests.request_memory import OWN_ID_PREFIX
 from primroseledge.storage.documents import NAME_PATTERN
 
 Environ = dict[str, Any]
--- a/src/primroseledge/requests/runningwork.py
+++ b/src/primroseledge/requests/running_work.py
@@ -8,8 +8,8 @@
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import GrantId
-from primroseledge.requests.grantledger import GrantLedger
-from primroseledge.requests.grantledger import Running
+from primroseledge.requests.grant_ledger import GrantLedger
+from primroseledge.requests.grant_ledger import Running
 from primroseledge.requests.limits import TeamLimits
 from primroseledge.requests.messages import Ask
 from primroseledge.requests.messages import Carried
@@ -17,7 +17,7 @@
 from primroseledge.requests.messages import Handover
 from primroseledge.requests.messages import Report
 from primroseledge.requests.outcomes import Reason
-from primroseledge.requests.requestmemory import RequestMemory
+from primroseledge.requests.request_memory import RequestMemory
 from primroseledge.requests.slots import Slots
 
 
--- a/src/primroseledge/requests/upstreamhealth.py
+++ b/src/primroseledge/requests/upstream_health.py
@@ -9,7 +9,7 @@
 from primroseledge.ids import PoolId
 from primroseledge.requests.ejection import Ejection
 from primroseledge.requests.ejection import may_eject
-from primroseledge.requests.grantledger import Running
+from primroseledge.requests.grant_ledger import Running
 from primroseledge.requests.messages import Done
 from primroseledge.requests.messages import EndState
 from primroseledge.requests.slots import Slots
--- a/src/primroseledge/settings/settings.py
+++ b/src/primroseledge/settings/settings.py
@@ -16,9 +16,9 @@
 from msgspec import ValidationError
 
 from primroseledge.errors import SettingsError
-from primroseledge.settings.settingschecks import find_problems
-from primroseledge.settings.settingserrors import explain_error
-from primroseledge.settings.settingserrors import HIDDEN
+from primroseledge.settings.settings_checks import find_problems
+from primroseledge.settings.settings_errors import explain_error
+from primroseledge.settings.settings_errors import HIDDEN
 from primroseledge.storage.documents import KeyRecord
 from primroseledge.storage.documents import NAME_PATTERN
 
--- a/src/primroseledge/settings/settingschecks.py
+++ b/src/primroseledge/settings/settings_checks.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
-from primroseledge.settings.settingserrors import HIDDEN
+from primroseledge.settings.settings_errors import HIDDEN
 
 if TYPE_CHECKING:
     from primroseledge.settings.settings import Settings
--- a/src/primroseledge/storage/jsoncall.py
+++ b/src/primroseledge/storage/json_call.py
@@ -12,9 +12,9 @@
 from msgspec import json
 
 from primroseledge.errors import PrimroseledgeError
-from primroseledge.httpclient import HttpClient
-from primroseledge.httpclient import NoAnswerError
-from primroseledge.httpclient import NotSentError
+from primroseledge.http_client import HttpClient
+from primroseledge.http_client import NoAnswerError
+from primroseledge.http_client import NotSentError
 
 OK: Final = 200
 DOWN: Final = 503
--- a/src/primroseledge/storage/storeclient.py
+++ b/src/primroseledge/storage/store_client.py
@@ -16,10 +16,10 @@
 from primroseledge.errors import StoreUnavailableError
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.storage.jsoncall import JsonCaller
-from primroseledge.storage.jsoncall import LostAnswerError
-from primroseledge.storage.jsoncall import NotReachedError
-from primroseledge.storage.jsoncall import StatusError
+from primroseledge.storage.json_call import JsonCaller
+from primroseledge.storage.json_call import LostAnswerError
+from primroseledge.storage.json_call import NotReachedError
+from primroseledge.storage.json_call import StatusError
 from primroseledge.storage.store import Record
 from primroseledge.storage.store import Snapshot
 
--- a/src/primroseledge/storage/taskserviceclient.py
+++ b/src/primroseledge/storage/task_service_client.py
@@ -10,16 +10,16 @@
 from msgspec import to_builtins
 
 from primroseledge.ids import InstanceId
-from primroseledge.storage.jsoncall import JsonCaller
-from primroseledge.storage.jsoncall import LostAnswerError
-from primroseledge.storage.jsoncall import NotReachedError
-from primroseledge.storage.jsoncall import StatusError
-from primroseledge.storage.taskservice import InstanceStatus
-from primroseledge.storage.taskservice import PlatformError
-from primroseledge.storage.taskservice import PlatformOutcomeUnknownError
-from primroseledge.storage.taskservice import PlatformUnavailableError
-from primroseledge.storage.taskservice import TaskSpec
-from primroseledge.storage.taskservice import TaskStatus
+from primroseledge.storage.json_call import JsonCaller
+from primroseledge.storage.json_call import LostAnswerError
+from primroseledge.storage.json_call import NotReachedError
+from primroseledge.storage.json_call import StatusError
+from primroseledge.storage.task_service import InstanceStatus
+from primroseledge.storage.task_service import PlatformError
+from primroseledge.storage.task_service import PlatformOutcomeUnknownError
+from primroseledge.storage.task_service import PlatformUnavailableError
+from primroseledge.storage.task_service import TaskSpec
+from primroseledge.storage.task_service import TaskStatus
 
 AnswerT = TypeVar('AnswerT', bound=Struct)
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -27,7 +27,7 @@
 from standins.caller import Sent
 from standins.caller import Told
 from standins.deployment import Deployment
-from standins.jobsdemo import run_jobs
+from standins.jobs_demo import run_jobs
 from standins.operator import Operator
 
 ENTRIES = 3
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -22,8 +22,8 @@
 from primroseledge.storage.documents import Service
 from primroseledge.storage.documents import Team
 from primroseledge.storage.keys import generate_key
-from primroseledge.storage.storeclient import HttpStore
-from primroseledge.storage.storeclient import open_store
+from primroseledge.storage.store_client import HttpStore
+from primroseledge.storage.store_client import open_store
 from standins.caller import Balancer
 from standins.caller import Caller
 from standins.processes import entry_settings
@@ -55,7 +55,7 @@
         **settings: Any,
     ) -> None:
         self.pool = PoolManager(retries=False)
-        _, self.store_port = start_standin(resources, 'standins.kvstore')
+        _, self.store_port = start_standin(resources, 'standins.kv_store')
         self.upstream_ports = [
             start_standin(
                 resources, 'standins.upstream', str(SLOTS), str(work_s)
@@ -90,7 +90,7 @@
     ) -> dict[str, Any]:
         """Start a platform that knows the upstreams; return its URLs."""
         _, self.platform_port = start_standin(
-            resources, 'standins.platformserver', str(boot_s), str(LIST_LAG_S)
+            resources, 'standins.platform_server', str(boot_s), str(LIST_LAG_S)
         )
         for number in range(len(self.upstream_ports)):
             self.tell_platform(
--- a/standins/fleetplatform.py
+++ b/standins/fleet_platform.py
@@ -1,6 +1,6 @@
 """A small platform for jobs: store, workers and instances over HTTP.
 
-Usage: ``python -m standins.fleetplatform WORKERS``. It prints one JSON
+Usage: ``python -m standins.fleet_platform WORKERS``. It prints one JSON
 line with the addresses, and serves until SIGTERM. A task's payload says
 what it does: ``{"seconds": 0.5, "fails": false}``; every task takes one
 core. ``GET /-/ledger`` at the store's address tells what really ran.
@@ -48,10 +48,10 @@
 from primroseledge.platform.wire_names import format_task_name
 from primroseledge.platform.wire_names import parse_task_name
 from primroseledge.platform.worker_client import RESULT_BY_REASON
-from standins.httpapp import create_server
-from standins.httpapp import serve_until_stopped
-from standins.storagecore import SimStorage
-from standins.workercore import SimWorker
+from standins.http_app import create_server
+from standins.http_app import serve_until_stopped
+from standins.storage_core import SimStorage
+from standins.worker_core import SimWorker
 
 POOL = 'copper'
 HEARTBEAT_S = 0.5
--- a/standins/jobsdemo.py
+++ b/standins/jobs_demo.py
@@ -20,9 +20,9 @@
 from msgspec import json
 from msgspec import msgpack
 
-from primroseledge.httpclient import HttpClient
-from primroseledge.httpclient import NoAnswerError
-from primroseledge.httpclient import NotSentError
+from primroseledge.http_client import HttpClient
+from primroseledge.http_client import NoAnswerError
+from primroseledge.http_client import NotSentError
 from standins.processes import free_port
 from standins.processes import start_on_platform
 from standins.processes import start_standin
@@ -60,7 +60,7 @@
     def start(self) -> None:
         """Start the platform's stand-in and the entry instances."""
         process, port = start_standin(
-            self.resources, 'standins.fleetplatform', str(WORKERS)
+            self.resources, 'standins.fleet_platform', str(WORKERS)
         )
         self.store = HttpClient(f'127.0.0.1:{port}')
         self.resources.callback(self.store.close)
--- a/standins/kvstore.py
+++ b/standins/kv_store.py
@@ -18,9 +18,9 @@
 
 from msgspec import json
 
-from standins.httpapp import HttpError
-from standins.httpapp import JsonApplication
-from standins.httpapp import serve_until_stopped
+from standins.http_app import HttpError
+from standins.http_app import JsonApplication
+from standins.http_app import serve_until_stopped
 
 MAX_VALUE_BYTES = 1_000_000
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,7 @@
 
 A plain core in virtual time: ``advance`` is given the time, and the
 calls of the protocols act at that time. Faults are fields that a test
-sets. Nothing here opens a socket; ``platformserver`` does.
+sets. Nothing here opens a socket; ``platform_server`` does.
 """
 
 from dataclasses import dataclass
@@ -11,13 +11,13 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.storage.taskservice import InstanceStatus
-from primroseledge.storage.taskservice import Life
-from primroseledge.storage.taskservice import PlatformOutcomeUnknownError
-from primroseledge.storage.taskservice import PlatformUnavailableError
-from primroseledge.storage.taskservice import TaskSpec
-from primroseledge.storage.taskservice import TaskState
-from primroseledge.storage.taskservice import TaskStatus
+from primroseledge.storage.task_service import InstanceStatus
+from primroseledge.storage.task_service import Life
+from primroseledge.storage.task_service import PlatformOutcomeUnknownError
+from primroseledge.storage.task_service import PlatformUnavailableError
+from primroseledge.storage.task_service import TaskSpec
+from primroseledge.storage.task_service import TaskState
+from primroseledge.storage.task_service import TaskStatus
 
 
 @dataclass(slots=True)
--- a/standins/platformserver.py
+++ b/standins/platform_server.py
@@ -20,13 +20,13 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.storage.taskservice import PlatformOutcomeUnknownError
-from primroseledge.storage.taskservice import PlatformUnavailableError
-from primroseledge.storage.taskservice import TaskSpec
-from standins.httpapp import Handler
-from standins.httpapp import HttpError
-from standins.httpapp import JsonApplication
-from standins.httpapp import serve_until_stopped
+from primroseledge.storage.task_service import PlatformOutcomeUnknownError
+from primroseledge.storage.task_service import PlatformUnavailableError
+from primroseledge.storage.task_service import TaskSpec
+from standins.http_app import Handler
+from standins.http_app import HttpError
+from standins.http_app import JsonApplication
+from standins.http_app import serve_until_stopped
 from standins.platform import Machine
 from standins.platform import PlatformCore
 from standins.platform import Program
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -22,13 +22,13 @@
 from msgspec import json
 
 from standins.caller import Told
-from standins.soakevents import Disturber
-from standins.soakevents import EVENTS
-from standins.soakfleet import Fleet
-from standins.soakjudge import Evidence
-from standins.soakjudge import judge
-from standins.soakjudge import Verdict
-from standins.soakload import Load
+from standins.soak_events import Disturber
+from standins.soak_events import EVENTS
+from standins.soak_fleet import Fleet
+from standins.soak_judge import Evidence
+from standins.soak_judge import judge
+from standins.soak_judge import Verdict
+from standins.soak_load import Load
 
 DEFAULT_SECONDS: Final = 180.0
 
--- a/standins/soakevents.py
+++ b/standins/soak_events.py
@@ -9,10 +9,10 @@
 from time import sleep
 from typing import Final
 
-from standins.soakfleet import ENTRIES
-from standins.soakfleet import Fleet
-from standins.soakfleet import POOLS
-from standins.soakload import Load
+from standins.soak_fleet import ENTRIES
+from standins.soak_fleet import Fleet
+from standins.soak_fleet import POOLS
+from standins.soak_load import Load
 
 STOP_S: Final = 15.0
 CALM_S: Final = 1.0
--- a/standins/soakfleet.py
+++ b/standins/soak_fleet.py
@@ -27,7 +27,7 @@
 from primroseledge.storage.documents import Service
 from primroseledge.storage.documents import Team
 from primroseledge.storage.keys import generate_key
-from primroseledge.storage.storeclient import open_store
+from primroseledge.storage.store_client import open_store
 from standins.deployment import put
 from standins.deployment import url_of
 from standins.processes import entry_settings
@@ -54,7 +54,7 @@
         self.resources = resources
         self.folder = folder
         self.pool = PoolManager(retries=False, num_pools=64, maxsize=4)
-        _, self.store_port = start_standin(resources, 'standins.kvstore')
+        _, self.store_port = start_standin(resources, 'standins.kv_store')
         url = f'http://127.0.0.1:{self.store_port}'
         self.store = open_store([url], 2.0)
         resources.callback(self.store.close)
--- a/standins/soakjudge.py
+++ b/standins/soak_judge.py
@@ -8,10 +8,10 @@
 from typing import Final
 
 from standins.caller import Told
-from standins.soakevents import Record
-from standins.soakfleet import LIMITS
-from standins.soakfleet import SLOTS
-from standins.soakload import Load
+from standins.soak_events import Record
+from standins.soak_fleet import LIMITS
+from standins.soak_fleet import SLOTS
+from standins.soak_load import Load
 
 SECONDS: Final = 4.0
 STOP_MARGIN_S: Final = 0.5
--- a/standins/soakload.py
+++ b/standins/soak_load.py
@@ -16,9 +16,9 @@
 from standins.caller import Balancer
 from standins.caller import Caller
 from standins.caller import Sent
-from standins.soakfleet import Fleet
-from standins.soakfleet import POOLS
-from standins.soakfleet import WORK_S
+from standins.soak_fleet import Fleet
+from standins.soak_fleet import POOLS
+from standins.soak_fleet import WORK_S
 
 MEAN_S: Final = 7.0
 BURST_FACTOR: Final = 5.0
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -20,9 +20,9 @@
 
 from msgspec import json
 
-from standins.httpapp import create_server
-from standins.httpapp import cut_answer
-from standins.httpapp import serve_until_stopped
+from standins.http_app import create_server
+from standins.http_app import cut_answer
+from standins.http_app import serve_until_stopped
 
 SPARE_THREADS: Final = 12
 
--- a/tests/agreement_fleet.py
+++ b/tests/agreement_fleet.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from primroseledge.agreement.configuration import MEMBERS_KEY
-from primroseledge.agreement.ownerstate import OwnerState
+from primroseledge.agreement.owner_state import OwnerState
 from primroseledge.errors import ConflictError
 from primroseledge.ids import EntryId
 from primroseledge.ids import GrantId
--- a/tests/fakeconnections.py
+++ b/tests/fake_connections.py
@@ -13,7 +13,7 @@
 from primroseledge.cli import main
 from primroseledge.errors import UnreachableError
 from primroseledge.storage.store import Store
-from tests.fakestore import FakeStore
+from tests.fake_store import FakeStore
 
 STORE_URL: Final = 'http://store'
 
--- a/tests/fleet_storage.py
+++ b/tests/fleet_storage.py
@@ -13,7 +13,7 @@
 from primroseledge.errors import StoreOutcomeUnknownError
 from primroseledge.errors import StoreUnavailableError
 from primroseledge.ids import Revision
-from standins.storagecore import SimStorage
+from standins.storage_core import SimStorage
 
 ScheduleAfter = Callable[[float, Callable[[], None]], None]
 
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -67,8 +67,8 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.maintenance.wave import WaveRecord
-from standins.storagecore import SimStorage
-from standins.workercore import SimWorker
+from standins.storage_core import SimStorage
+from standins.worker_core import SimWorker
 from tests.fleet_rule_checker import FleetRuleChecker
 from tests.fleet_storage import SimStoreClient
 
--- a/tests/jobworld.py
+++ b/tests/job_world.py
@@ -11,16 +11,16 @@
 from primroseledge.policy.job import Job
 from primroseledge.policy.job import job_key
 from primroseledge.policy.job import JOBS_PREFIX
-from primroseledge.policy.jobadmission import JobInput
-from primroseledge.policy.jobcontroller import JobController
+from primroseledge.policy.job_admission import JobInput
+from primroseledge.policy.job_controller import JobController
 from primroseledge.storage.documents import Instance
 from primroseledge.storage.documents import Team
 from primroseledge.storage.records import Records
-from primroseledge.storage.taskservice import TaskState
+from primroseledge.storage.task_service import TaskState
 from standins.platform import Machine
 from standins.platform import PlatformCore
 from standins.platform import Program
-from tests.policyfake import FakeStore
+from tests.policy_fake import FakeStore
 
 TEAMS: Final = {
     TeamId('big'): Team('big', share=3, limit=12),
--- a/tests/policyworld.py
+++ b/tests/policy_world.py
@@ -25,7 +25,7 @@
 from primroseledge.policy.plan import StepState
 from primroseledge.policy.plan import Wave
 from primroseledge.policy.plan import WaveSettings
-from primroseledge.policy.poolcontroller import PoolController
+from primroseledge.policy.pool_controller import PoolController
 from primroseledge.storage.documents import Budget
 from primroseledge.storage.documents import document_key
 from primroseledge.storage.documents import encode_document
@@ -34,11 +34,11 @@
 from primroseledge.storage.documents import Service
 from primroseledge.storage.records import Records
 from primroseledge.storage.store import Snapshot
-from primroseledge.storage.taskservice import InstanceStatus
-from primroseledge.storage.taskservice import TaskState
+from primroseledge.storage.task_service import InstanceStatus
+from primroseledge.storage.task_service import TaskState
 from standins.platform import Machine
 from standins.platform import PlatformCore
-from tests.policyfake import FakeStore
+from tests.policy_fake import FakeStore
 
 FRESHNESS_S: Final = 5.0
 REPLACE_S: Final = 20.0
--- a/tests/requests_fleet.py
+++ b/tests/requests_fleet.py
@@ -23,7 +23,7 @@
 from primroseledge.requests.actions import SendToEntry
 from primroseledge.requests.actions import SendToOwner
 from primroseledge.requests.actions import StartAttempt
-from primroseledge.requests.attemptend import AttemptEnd
+from primroseledge.requests.attempt_end import AttemptEnd
 from primroseledge.requests.dispatcher import create_dispatcher
 from primroseledge.requests.dispatcher import Dispatcher
 from primroseledge.requests.entry import EntryCore
@@ -37,7 +37,7 @@
 from primroseledge.requests.messages import Report
 from primroseledge.requests.outcomes import Outcome
 from primroseledge.requests.outcomes import told_outcome
-from primroseledge.requests.retrybudget import RetryBudget
+from primroseledge.requests.retry_budget import RetryBudget
 from tests.requests_records import CELL
 from tests.requests_records import create_arrival
 from tests.requests_records import create_delta
--- a/tests/specification.py
+++ b/tests/specification.py
@@ -12,7 +12,7 @@
 
 from minicheck import Protocol
 
-from primroseledge.agreement.epochevidence import EpochEvidence
+from primroseledge.agreement.epoch_evidence import EpochEvidence
 from primroseledge.agreement.freshness import majority
 from primroseledge.chart import load_chart
 from primroseledge.ids import EntryId
--- a/tests/test_agreement_cores.py
+++ b/tests/test_agreement_cores.py
@@ -13,7 +13,7 @@
 from primroseledge.agreement.freshness import NEVER
 from primroseledge.agreement.membership import ChangeKind
 from primroseledge.agreement.membership import create_membership
-from primroseledge.agreement.ownerrecord import OwnerRecord
+from primroseledge.agreement.owner_record import OwnerRecord
 from primroseledge.agreement.takeover import Takeover
 from primroseledge.ids import CellId
 from primroseledge.ids import EntryId
--- a/tests/test_agreement_faults.py
+++ b/tests/test_agreement_faults.py
@@ -3,7 +3,7 @@
 from unittest import TestCase
 
 from primroseledge.agreement.freshness import Evidence
-from primroseledge.agreement.ownerstate import OwnerState
+from primroseledge.agreement.owner_state import OwnerState
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.requests.messages import ReportRequest
--- a/tests/test_applying.py
+++ b/tests/test_applying.py
@@ -23,11 +23,11 @@
 from primroseledge.operators.history import read_entries
 from primroseledge.storage.documents import encode_document
 from primroseledge.storage.documents import Team
-from tests.fakestore import DOWN
-from tests.fakestore import FakeStore
-from tests.fakestore import FINE
-from tests.fakestore import LOST_AFTER
-from tests.fakestore import LOST_BEFORE
+from tests.fake_store import DOWN
+from tests.fake_store import FakeStore
+from tests.fake_store import FINE
+from tests.fake_store import LOST_AFTER
+from tests.fake_store import LOST_BEFORE
 
 KEY = 'config/team/sales'
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -9,15 +9,15 @@
 from unittest import TestCase
 
 from primroseledge.gateway.carrier import Carrier
-from primroseledge.gateway.httpserver import Application
-from primroseledge.gateway.httpserver import AttemptReport
-from primroseledge.gateway.httpserver import create_server
-from primroseledge.gateway.httpserver import MIN_ACCEPTED_QUEUE
-from primroseledge.gateway.httpserver import PageBody
-from primroseledge.gateway.httpserver import ServerCall
-from primroseledge.gateway.stricthttp import rejections
+from primroseledge.gateway.http_server import Application
+from primroseledge.gateway.http_server import AttemptReport
+from primroseledge.gateway.http_server import create_server
+from primroseledge.gateway.http_server import MIN_ACCEPTED_QUEUE
+from primroseledge.gateway.http_server import PageBody
+from primroseledge.gateway.http_server import ServerCall
+from primroseledge.gateway.strict_http import rejections
 from primroseledge.requests.actions import RefuseCall
-from primroseledge.requests.httprequest import RequestLimits
+from primroseledge.requests.http_request import RequestLimits
 from primroseledge.requests.outcomes import Reason
 
 LINE = 'POST /services/bulletin/work HTTP/1.1\r\nHost: a\r\n'
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,18 +3,18 @@
 from unittest import TestCase
 
 from bench.capacity import fit
-from bench.capacitycores import core_probes
-from bench.capacitydaemon import SITUATIONS
-from bench.capacitypolicy import policy_probes
+from bench.capacity_cores import core_probes
+from bench.capacity_daemon import SITUATIONS
+from bench.capacity_policy import policy_probes
 from tools.capacity import load
 from tools.capacity import PAGE_PATH
 from tools.capacity import render
 from tools.capacity import TABLES
-from tools.capacityfigures import Column
-from tools.capacityfigures import judge
-from tools.capacityfigures import Role
-from tools.capacityrows import ROWS
-from tools.capacitystore import STORE_ROWS
+from tools.capacity_figures import Column
+from tools.capacity_figures import judge
+from tools.capacity_figures import Role
+from tools.capacity_rows import ROWS
+from tools.capacity_store import STORE_ROWS
 
 
 class CapacityPageTest(TestCase):
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -7,8 +7,8 @@
 from msgspec.structs import replace
 
 from primroseledge.agreement.freshness import majority
-from primroseledge.agreement.membershipchanges import do_majorities_meet
-from primroseledge.agreement.membershipchanges import set_members
+from primroseledge.agreement.membership_changes import do_majorities_meet
+from primroseledge.agreement.membership_changes import set_members
 from primroseledge.errors import DocumentError
 from primroseledge.errors import OperatorError
 from primroseledge.fleet import Fleet
@@ -24,10 +24,10 @@
 from primroseledge.operators.changes import set_team
 from primroseledge.operators.changes import withdraw_key
 from primroseledge.operators.diffs import diff_documents
-from primroseledge.policy.placementchanges import add_instance
-from primroseledge.policy.placementchanges import move_instance
-from primroseledge.policy.placementchanges import review_drain
-from primroseledge.policy.placementchanges import set_draining
+from primroseledge.policy.placement_changes import add_instance
+from primroseledge.policy.placement_changes import move_instance
+from primroseledge.policy.placement_changes import review_drain
+from primroseledge.policy.placement_changes import set_draining
 from primroseledge.storage.documents import Document
 from primroseledge.storage.documents import encode_document
 from primroseledge.storage.documents import Instance
--- a/tests/test_chart.py
+++ b/tests/test_chart.py
@@ -3,7 +3,7 @@
 from unittest import TestCase
 
 from primroseledge.agreement.membership import PeerState
-from primroseledge.agreement.ownerstate import OwnerState
+from primroseledge.agreement.owner_state import OwnerState
 from primroseledge.chart import load_chart
 from primroseledge.errors import ChartError
 from tools.charts import main
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,14 +10,14 @@
 
 from primroseledge.cli import main
 from primroseledge.fleet import read_fleet
-from primroseledge.policy.placementchanges import set_draining
+from primroseledge.policy.placement_changes import set_draining
 from primroseledge.storage.documents import encode_document
 from primroseledge.storage.documents import Service
 from primroseledge.storage.documents import Team
 from primroseledge.storage.keys import find_valid_key
-from tests.fakeconnections import FakeConnections
-from tests.fakestore import LOST_AFTER
-from tests.fakestore import LOST_BEFORE
+from tests.fake_connections import FakeConnections
+from tests.fake_store import LOST_AFTER
+from tests.fake_store import LOST_BEFORE
 
 
 class CommandLineTest(unittest.TestCase):
--- a/tests/test_cli_wave.py
+++ b/tests/test_cli_wave.py
@@ -19,9 +19,9 @@
 from primroseledge.storage.documents import Pool
 from primroseledge.storage.documents import Service
 from primroseledge.storage.records import Records
-from tests.fakeconnections import FakeConnections
-from tests.fakestore import LOST_AFTER
-from tests.fakestore import LOST_BEFORE
+from tests.fake_connections import FakeConnections
+from tests.fake_store import LOST_AFTER
+from tests.fake_store import LOST_BEFORE
 
 COPPER = PoolId('copper')
 IMAGES = ('--image', 'new', '--previous-image', 'old')
--- a/tests/test_controls.py
+++ b/tests/test_controls.py
@@ -14,29 +14,29 @@
 from primroseledge.ids import Revision
 from primroseledge.observability.metrics import create_metrics
 from primroseledge.operators.explain import Rule
-from primroseledge.policy.controlinput import CellWork
-from primroseledge.policy.controlinput import ControlRequest
-from primroseledge.policy.controlinput import job_input
-from primroseledge.policy.controlinput import pool_input
-from primroseledge.policy.controlinput import take_request
-from primroseledge.policy.controlthread import ControlThread
-from primroseledge.policy.jobcontroller import JobController
+from primroseledge.policy.control_input import CellWork
+from primroseledge.policy.control_input import ControlRequest
+from primroseledge.policy.control_input import job_input
+from primroseledge.policy.control_input import pool_input
+from primroseledge.policy.control_input import take_request
+from primroseledge.policy.control_thread import ControlThread
+from primroseledge.policy.job_controller import JobController
 from primroseledge.policy.plan import Plan
 from primroseledge.policy.plan import plan_key
 from primroseledge.policy.plan import Wave
-from primroseledge.policy.policystate import Listing
-from primroseledge.policy.poolrounds import PoolRounds
+from primroseledge.policy.policy_state import Listing
+from primroseledge.policy.pool_rounds import PoolRounds
 from primroseledge.requests.dispatcher import create_dispatcher
 from primroseledge.storage.documents import Instance
 from primroseledge.storage.documents import Placement
 from primroseledge.storage.documents import Pool
 from primroseledge.storage.documents import Service
-from primroseledge.storage.taskservice import InstanceStatus
-from primroseledge.storage.taskservice import Life
-from primroseledge.storage.taskservice import PlatformUnavailableError
-from tests.policyworld import PolicyWorld
-from tests.policyworld import SERVICES
-from tests.policyworld import SETTINGS
+from primroseledge.storage.task_service import InstanceStatus
+from primroseledge.storage.task_service import Life
+from primroseledge.storage.task_service import PlatformUnavailableError
+from tests.policy_world import PolicyWorld
+from tests.policy_world import SERVICES
+from tests.policy_world import SETTINGS
 
 MAIN = CellId('main')
 POOL = PoolId('copper')
--- a/tests/test_fleet_fuzz.py
+++ b/tests/test_fleet_fuzz.py
@@ -27,7 +27,7 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.spec import StepSpec
-from standins.workercore import SimWorker
+from standins.worker_core import SimWorker
 from tests.fleet_rule_checker import FleetRuleChecker
 from tests.fleet_world import World
 
--- a/tests/test_fleetmetrics.py
+++ b/tests/test_fleet_metrics.py
@@ -5,11 +5,11 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkspaceId
 from primroseledge.observability.events import Event
-from primroseledge.observability.fleetfigures import FleetFigures
-from primroseledge.observability.fleetfigures import TaskCount
-from primroseledge.observability.fleetfigures import WorkerCount
-from primroseledge.observability.fleetmetrics import create_fleet_metrics
-from primroseledge.observability.fleetmetrics import EventCounter
+from primroseledge.observability.fleet_figures import FleetFigures
+from primroseledge.observability.fleet_figures import TaskCount
+from primroseledge.observability.fleet_figures import WorkerCount
+from primroseledge.observability.fleet_metrics import create_fleet_metrics
+from primroseledge.observability.fleet_metrics import EventCounter
 from primroseledge.observability.logs import event_record
 from primroseledge.observability.logs import FieldValue
 
--- a/tests/test_inquiry.py
+++ b/tests/test_inquiry.py
@@ -26,9 +26,9 @@
 from primroseledge.operators.inquiry import find_answers
 from primroseledge.operators.inquiry import Inquiry
 from primroseledge.policy.job import Job
-from primroseledge.policy.jobcontroller import JobReport
+from primroseledge.policy.job_controller import JobReport
 from primroseledge.policy.plan import StepReport
-from primroseledge.policy.policystate import ControlNews
+from primroseledge.policy.policy_state import ControlNews
 from primroseledge.requests.dispatcher import create_dispatcher
 from primroseledge.requests.entry import Arrival
 from primroseledge.requests.messages import Carried
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -13,9 +13,9 @@
 from primroseledge.policy.job import Job
 from primroseledge.policy.job import JobState
 from primroseledge.policy.job import quarantine_bound
-from primroseledge.policy.jobadmission import admit
-from primroseledge.policy.jobadmission import Situation
-from primroseledge.policy.jobcontroller import MAX_CANCELS_PER_STEP
+from primroseledge.policy.job_admission import admit
+from primroseledge.policy.job_admission import Situation
+from primroseledge.policy.job_controller import MAX_CANCELS_PER_STEP
 from primroseledge.policy.placing import Estimator
 from primroseledge.policy.placing import place
 from primroseledge.policy.placing import Relief
@@ -23,11 +23,11 @@
 from primroseledge.policy.placing import TaskUse
 from primroseledge.policy.placing import Worker
 from primroseledge.storage.documents import Team
-from primroseledge.storage.taskservice import PlatformUnavailableError
-from primroseledge.storage.taskservice import TaskSpec
+from primroseledge.storage.task_service import PlatformUnavailableError
+from primroseledge.storage.task_service import TaskSpec
 from standins.platform import Program
-from tests.jobworld import JobWorld
-from tests.jobworld import TEAMS
+from tests.job_world import JobWorld
+from tests.job_world import TEAMS
 
 URGENT_START_S = 4.6
 
--- a/tests/test_job_fuzz.py
+++ b/tests/test_job_fuzz.py
@@ -16,10 +16,10 @@
 from primroseledge.ids import InstanceId
 from primroseledge.policy.job import ENDED
 from primroseledge.policy.job import Job
-from primroseledge.policy.jobcontroller import JobController
+from primroseledge.policy.job_controller import JobController
 from standins.platform import Program
-from tests.jobworld import JobWorld
-from tests.policyfake import CrashError
+from tests.job_world import JobWorld
+from tests.policy_fake import CrashError
 
 SECONDS = sampled_from([0.5, 1.0, 2.0, 5.0, 20.0, 40.0])
 WORKERS = integers(0, 3)
--- a/tests/test_logbudget.py
+++ b/tests/test_log_budget.py
@@ -5,11 +5,11 @@
 import unittest
 
 from primroseledge.observability.events import Event
-from primroseledge.observability.logbudget import LINES_BELOW_WARNING
-from primroseledge.observability.logbudget import LINES_PER_EVENT
-from primroseledge.observability.logbudget import LINES_PER_KEPT_EVENT
-from primroseledge.observability.logbudget import LogBudget
-from primroseledge.observability.logbudget import WINDOW_S
+from primroseledge.observability.log_budget import LINES_BELOW_WARNING
+from primroseledge.observability.log_budget import LINES_PER_EVENT
+from primroseledge.observability.log_budget import LINES_PER_KEPT_EVENT
+from primroseledge.observability.log_budget import LogBudget
+from primroseledge.observability.log_budget import WINDOW_S
 
 ORDERED = Event.RUN_ORDERED.value.number
 REFUSED = Event.JOB_REFUSED.value.number
--- a/tests/test_logflood.py
+++ b/tests/test_log_flood.py
@@ -8,8 +8,8 @@
 from time import sleep
 import unittest
 
-from primroseledge.httpclient import HttpClient
-from primroseledge.httpclient import NotSentError
+from primroseledge.http_client import HttpClient
+from primroseledge.http_client import NotSentError
 from standins.processes import free_port
 from standins.processes import start_on_platform
 from standins.processes import start_standin
@@ -27,7 +27,7 @@
         resources = ExitStack()
         self.addCleanup(resources.close)
         folder = Path(resources.enter_context(TemporaryDirectory()))
-        _, port = start_standin(resources, 'standins.fleetplatform', '1')
+        _, port = start_standin(resources, 'standins.fleet_platform', '1')
         store = f'127.0.0.1:{port}'
         caller, metrics = (f'127.0.0.1:{free_port()}' for _ in range(2))
         settings = {
--- a/tests/test_logwriter.py
+++ b/tests/test_log_writer.py
@@ -11,9 +11,9 @@
 from msgspec import json
 
 from primroseledge.observability.events import Event
+from primroseledge.observability.log_writer import BoundedHandler
+from primroseledge.observability.log_writer import create_bounded_handler
 from primroseledge.observability.logs import event_record
-from primroseledge.observability.logwriter import BoundedHandler
-from primroseledge.observability.logwriter import create_bounded_handler
 
 FLOOD = 20_000
 FLOOD_S = 5.0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,8 +3,8 @@
 import unittest
 
 from primroseledge.agreement.membership import Timing
-from primroseledge.agreement.ownerrecord import OwnerRecord
-from primroseledge.agreement.ownershipactions import ReadRecord
+from primroseledge.agreement.owner_record import OwnerRecord
+from primroseledge.agreement.ownership_actions import ReadRecord
 from primroseledge.gateway.node import create_node
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
@@ -33,7 +33,7 @@
 from primroseledge.requests.messages import Report
 from primroseledge.requests.messages import ReportRequest
 from primroseledge.requests.outcomes import Reason
-from primroseledge.requests.requestcheck import RequestHead
+from primroseledge.requests.request_check import RequestHead
 from primroseledge.storage.documents import document_key
 from primroseledge.storage.documents import encode_document
 from primroseledge.storage.documents import Members
--- a/tests/test_node_loop.py
+++ b/tests/test_node_loop.py
@@ -13,12 +13,12 @@
 import unittest
 
 from primroseledge.cluster.messages import StateRequest
-from primroseledge.httpclient import HttpClient
+from primroseledge.http_client import HttpClient
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
 from primroseledge.jobs.actions import Answer
 from primroseledge.jobs.actions import Verdict
-from primroseledge.observability.fleetmetrics import create_fleet_metrics
+from primroseledge.observability.fleet_metrics import create_fleet_metrics
 from primroseledge.platform.daemon import create_loop
 from primroseledge.platform.daemon import start_servers
 from primroseledge.platform.settings import PlatformSettings
--- a/tests/test_peerlink.py
+++ b/tests/test_peer_link.py
@@ -7,8 +7,8 @@
 from zmq import curve_keypair
 from zmq import DEALER
 
-from primroseledge.gateway.peerlink import open_link
-from primroseledge.gateway.peerlink import PeerLink
+from primroseledge.gateway.peer_link import open_link
+from primroseledge.gateway.peer_link import PeerLink
 from primroseledge.ids import EntryId
 from primroseledge.ids import Incarnation
 from primroseledge.ids import Revision
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -51,9 +51,9 @@
 from primroseledge.platform.wire_names import parse_task_name
 from primroseledge.platform.worker_client import PlatformWorkerClient
 from primroseledge.platform.wsgi_applications import CallerApplication
-from standins.fleetplatform import CONFIGURATION
-from standins.fleetplatform import FleetPlatform
-from standins.httpapp import create_server
+from standins.fleet_platform import CONFIGURATION
+from standins.fleet_platform import FleetPlatform
+from standins.http_app import create_server
 from standins.processes import free_port
 
 WORKER_ENTRY: dict[str, Any] = {
--- a/tests/test_platformclient.py
+++ b/tests/test_platform_client.py
@@ -5,18 +5,18 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.storage.taskservice import InstanceService
-from primroseledge.storage.taskservice import PlatformOutcomeUnknownError
-from primroseledge.storage.taskservice import PlatformUnavailableError
-from primroseledge.storage.taskservice import TaskService
-from primroseledge.storage.taskservice import TaskSpec
-from primroseledge.storage.taskservice import TaskState
-from primroseledge.storage.taskserviceclient import HttpPlatform
-from standins.httpapp import create_server
+from primroseledge.storage.task_service import InstanceService
+from primroseledge.storage.task_service import PlatformOutcomeUnknownError
+from primroseledge.storage.task_service import PlatformUnavailableError
+from primroseledge.storage.task_service import TaskService
+from primroseledge.storage.task_service import TaskSpec
+from primroseledge.storage.task_service import TaskState
+from primroseledge.storage.task_service_client import HttpPlatform
+from standins.http_app import create_server
 from standins.platform import Machine
 from standins.platform import PlatformCore
 from standins.platform import Program
-from standins.platformserver import PlatformService
+from standins.platform_server import PlatformService
 
 W = InstanceId('w')
 
--- a/tests/test_platformserver.py
+++ b/tests/test_platform_server.py
@@ -8,17 +8,17 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
-from primroseledge.storage.taskservice import Life
-from primroseledge.storage.taskservice import PlatformError
-from primroseledge.storage.taskservice import PlatformOutcomeUnknownError
-from primroseledge.storage.taskservice import PlatformUnavailableError
-from primroseledge.storage.taskservice import TaskSpec
-from primroseledge.storage.taskservice import TaskState
-from primroseledge.storage.taskserviceclient import HttpPlatform
-from primroseledge.storage.taskserviceclient import open_platform
-from standins.httpapp import create_server
+from primroseledge.storage.task_service import Life
+from primroseledge.storage.task_service import PlatformError
+from primroseledge.storage.task_service import PlatformOutcomeUnknownError
+from primroseledge.storage.task_service import PlatformUnavailableError
+from primroseledge.storage.task_service import TaskSpec
+from primroseledge.storage.task_service import TaskState
+from primroseledge.storage.task_service_client import HttpPlatform
+from primroseledge.storage.task_service_client import open_platform
+from standins.http_app import create_server
 from standins.platform import PlatformCore
-from standins.platformserver import PlatformService
+from standins.platform_server import PlatformService
 from standins.processes import free_port
 
 ONE = InstanceId('yard-1')
--- a/tests/test_pool_fuzz.py
+++ b/tests/test_pool_fuzz.py
@@ -18,11 +18,11 @@
 from primroseledge.policy.plan import ENDED
 from primroseledge.policy.plan import MoveRequest
 from primroseledge.policy.plan import WaveState
-from tests.policyfake import CrashError
-from tests.policyworld import OTHER
-from tests.policyworld import PolicyWorld
-from tests.policyworld import POOL
-from tests.policyworld import SERVICES
+from tests.policy_fake import CrashError
+from tests.policy_world import OTHER
+from tests.policy_world import PolicyWorld
+from tests.policy_world import POOL
+from tests.policy_world import SERVICES
 
 INSTANCES = sampled_from([f'i{z}{n}' for z in range(3) for n in range(3)])
 ZONES = integers(0, 2)
--- a/tests/test_pool_pause.py
+++ b/tests/test_pool_pause.py
@@ -6,9 +6,9 @@
 from primroseledge.operators.operators import command_wave
 from primroseledge.operators.operators import start_pool_wave
 from primroseledge.policy.plan import WaveState
-from primroseledge.policy.poolcontroller import PoolController
-from tests.policyworld import PolicyWorld
-from tests.policyworld import POOL
+from primroseledge.policy.pool_controller import PoolController
+from tests.policy_world import PolicyWorld
+from tests.policy_world import POOL
 
 MAX_CALLS = 40
 Other = Callable[[PolicyWorld, PoolController], None]
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -4,8 +4,8 @@
 import re
 from unittest import TestCase
 
-from standins.soakevents import EVENTS
-from standins.soakjudge import CONDITIONS
+from standins.soak_events import EVENTS
+from standins.soak_judge import CONDITIONS
 
 PAGE = Path('docs/PROOF.md').read_text()
 ROWS = 10
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -5,7 +5,7 @@
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
 from primroseledge.storage.records import Records
-from tests.policyfake import FakeStore
+from tests.policy_fake import FakeStore
 
 
 class RecordsTest(unittest.TestCase):
--- a/tests/test_requesttrace.py
+++ b/tests/test_request_trace.py
@@ -10,7 +10,7 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
-from primroseledge.observability.requesttrace import RequestTrace
+from primroseledge.observability.request_trace import RequestTrace
 from primroseledge.observability.trace import create_tracing
 from primroseledge.settings.settings import Trace
 from tests.test_settings import build
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -16,13 +16,13 @@
 from primroseledge.requests.actions import RefuseCall
 from primroseledge.requests.actions import SendToOwner
 from primroseledge.requests.actions import StartAttempt
-from primroseledge.requests.attemptend import AttemptEnd
+from primroseledge.requests.attempt_end import AttemptEnd
 from primroseledge.requests.dispatcher import create_dispatcher
 from primroseledge.requests.ejection import Ejection
 from primroseledge.requests.entry import Arrival
 from primroseledge.requests.entry import EntryCore
-from primroseledge.requests.fairqueue import FairQueue
-from primroseledge.requests.fairqueue import Waiting
+from primroseledge.requests.fair_queue import FairQueue
+from primroseledge.requests.fair_queue import Waiting
 from primroseledge.requests.messages import Ask
 from primroseledge.requests.messages import Cancel
 from primroseledge.requests.messages import Done
@@ -33,8 +33,8 @@
 from primroseledge.requests.outcomes import Outcome
 from primroseledge.requests.outcomes import Reason
 from primroseledge.requests.outcomes import told_outcome
-from primroseledge.requests.requestmemory import RequestMemory
-from primroseledge.requests.retrybudget import RetryBudget
+from primroseledge.requests.request_memory import RequestMemory
+from primroseledge.requests.retry_budget import RetryBudget
 from tests.requests_fleet import RequestsFleet
 from tests.requests_records import CELL
 from tests.requests_records import WALL_S
--- a/tests/test_requests_fuzz.py
+++ b/tests/test_requests_fuzz.py
@@ -9,7 +9,7 @@
 import hypothesis.strategies as strategies
 
 from primroseledge.ids import EntryId
-from primroseledge.requests.runningwork import RunningWork
+from primroseledge.requests.running_work import RunningWork
 from tests.requests_fleet import RequestsFleet
 from tests.requests_records import Faults
 from tests.requests_records import LIMITS
--- a/tests/test_sharedistance.py
+++ b/tests/test_share_distance.py
@@ -3,7 +3,7 @@
 import unittest
 
 from primroseledge.ids import TeamId
-from primroseledge.requests.sharedistance import measure_distances
+from primroseledge.requests.share_distance import measure_distances
 from primroseledge.storage.documents import Team
 
 A = TeamId('a')
--- a/tests/test_soakjudge.py
+++ b/tests/test_soak_judge.py
@@ -7,14 +7,14 @@
 from standins.caller import Cut
 from standins.caller import Sent
 from standins.caller import Told
-from standins.soakevents import Drain
-from standins.soakevents import Record
-from standins.soakevents import Stop
-from standins.soakevents import Write
-from standins.soakjudge import Evidence
-from standins.soakjudge import judge
-from standins.soakload import Request
-from standins.soakload import Seen
+from standins.soak_events import Drain
+from standins.soak_events import Record
+from standins.soak_events import Stop
+from standins.soak_events import Write
+from standins.soak_judge import Evidence
+from standins.soak_judge import judge
+from standins.soak_load import Request
+from standins.soak_load import Seen
 
 ONCE = 'at-most-once execution of non-idempotent requests'
 POOL = 'an instance belongs to exactly one pool'
--- a/tests/test_storeclient.py
+++ b/tests/test_store_client.py
@@ -10,10 +10,10 @@
 from primroseledge.errors import StoreUnavailableError
 from primroseledge.ids import Revision
 from primroseledge.ids import WriteId
-from primroseledge.storage.storeclient import HttpStore
-from primroseledge.storage.storeclient import open_store
-from standins.httpapp import create_server
-from standins.kvstore import KeyValueService
+from primroseledge.storage.store_client import HttpStore
+from primroseledge.storage.store_client import open_store
+from standins.http_app import create_server
+from standins.kv_store import KeyValueService
 
 TIMEOUT_S = 5.0
 CREDENTIALS = 'operator:secret'
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -8,7 +8,7 @@
 from msgspec import json
 from msgspec.structs import replace
 
-from primroseledge.observability.spanexport import FileExporter
+from primroseledge.observability.span_export import FileExporter
 from primroseledge.observability.trace import create_tracing
 from primroseledge.observability.trace import Hop
 from primroseledge.observability.trace import Tracing
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -22,8 +22,8 @@
 from primroseledge.policy.wave import decide
 from primroseledge.policy.wave import estimate_s
 from primroseledge.storage.documents import Instance
-from tests.policyworld import PolicyWorld
-from tests.policyworld import POOL
+from tests.policy_world import PolicyWorld
+from tests.policy_world import POOL
 
 SETTINGS = WaveSettings(window_s=1000.0)
 A = InstanceId('a')
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -16,21 +16,21 @@
 
 from bench.capacity import measure_slope
 from bench.capacity import Slope
-from bench.capacitycores import core_probes
-from bench.capacitydaemon import Figures
-from bench.capacitydaemon import measure_daemons
-from bench.capacitydaemon import SITUATIONS
-from bench.capacitypeers import peer_probes
-from bench.capacitypolicy import policy_probes
-from tools.capacityfigures import BOUNDS
-from tools.capacityfigures import from_dict
-from tools.capacityfigures import IN_FORCE_S
-from tools.capacityfigures import judge
-from tools.capacityfigures import Measured
-from tools.capacityfigures import number
-from tools.capacityfigures import UNITS
-from tools.capacityrows import ROWS
-from tools.capacitystore import STORE_ROWS
+from bench.capacity_cores import core_probes
+from bench.capacity_daemon import Figures
+from bench.capacity_daemon import measure_daemons
+from bench.capacity_daemon import SITUATIONS
+from bench.capacity_peers import peer_probes
+from bench.capacity_policy import policy_probes
+from tools.capacity_figures import BOUNDS
+from tools.capacity_figures import from_dict
+from tools.capacity_figures import IN_FORCE_S
+from tools.capacity_figures import judge
+from tools.capacity_figures import Measured
+from tools.capacity_figures import number
+from tools.capacity_figures import UNITS
+from tools.capacity_rows import ROWS
+from tools.capacity_store import STORE_ROWS
 
 DATA_PATH: Final = Path('docs/capacity.json')
 PAGE_PATH: Final = Path('docs/CAPACITY.md')
--- a/tools/capacityfigures.py
+++ b/tools/capacity_figures.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from bench.capacity import Slope
-from bench.capacitydaemon import Figures
+from bench.capacity_daemon import Figures
 
 INSTANCES: Final = 31_000
 POOLS: Final = 118
--- a/tools/capacitystore.py
+++ b/tools/capacity_store.py
@@ -2,18 +2,18 @@
 
 from typing import Final
 
-from tools.capacityfigures import BURST
-from tools.capacityfigures import calls_per_node
-from tools.capacityfigures import CHANGES_S
-from tools.capacityfigures import ENTRIES
-from tools.capacityfigures import GROUPS
-from tools.capacityfigures import Measured
-from tools.capacityfigures import POOL_SIZE
-from tools.capacityfigures import POOLS
-from tools.capacityfigures import STORE_READS_S
-from tools.capacityfigures import STORE_WRITES_S
-from tools.capacityfigures import StoreRow
-from tools.capacityfigures import ZONES
+from tools.capacity_figures import BURST
+from tools.capacity_figures import calls_per_node
+from tools.capacity_figures import CHANGES_S
+from tools.capacity_figures import ENTRIES
+from tools.capacity_figures import GROUPS
+from tools.capacity_figures import Measured
+from tools.capacity_figures import POOL_SIZE
+from tools.capacity_figures import POOLS
+from tools.capacity_figures import STORE_READS_S
+from tools.capacity_figures import STORE_WRITES_S
+from tools.capacity_figures import StoreRow
+from tools.capacity_figures import ZONES
 
 
 def controller_calls_s(measured: Measured) -> float:
--- a/tools/catalogue.py
+++ b/tools/catalogue.py
@@ -24,7 +24,7 @@
 from primroseledge.settings.settings import Peer
 from primroseledge.settings.settings import Settings
 from primroseledge.settings.settings import Trace
-from tools.adapternames import find_leaked_names
+from tools.adapter_names import find_leaked_names
 from tools.glossary import find_forbidden_words
 
 UNITS: Final = {
--- a/tools/glossary.py
+++ b/tools/glossary.py
@@ -5,7 +5,7 @@
 import re
 import tokenize
 
-from tools.adapternames import is_in_adapter
+from tools.adapter_names import is_in_adapter
 
 CHECKED_TOKENS: frozenset[int] = frozenset(
     (tokenize.NAME, tokenize.COMMENT, tokenize.STRING)
--- a/tools/runtests.py
+++ b/tools/run_tests.py
@@ -1,6 +1,6 @@
 """Run every check and test, and end with one line that counts them.
 
-Usage: ``python -m tools.runtests [SUITE ...]``; without a suite all run.
+Usage: ``python -m tools.run_tests [SUITE ...]``; without a suite all run.
 """
 
 from collections.abc import Callable
--- a/tools/tour.py
+++ b/tools/tour.py
@@ -28,7 +28,7 @@
 
 def start(resources: ExitStack, folder: Path) -> list[str]:
     """Start all processes; return the lines to print."""
-    _, store_port = start_standin(resources, 'standins.kvstore')
+    _, store_port = start_standin(resources, 'standins.kv_store')
     ports = [
         start_standin(resources, 'standins.upstream', SLOTS, WORK_S)[1]
         for _ in range(UPSTREAMS)
