Mend faults of recovery, waves and malformed input that had been noted

- An error while an owner restored jobs left its record and a renewed lease behind, so that the fleet had no acting owner; one that dropped a queued claim left the instance claiming for ever.
The record is released, and the instance may claim again.
- A late success of a maintenance call moved a later move of the same instance on, and one after a cancelled maintenance was not recorded in its wave, which would take the instance down once more.
- A batch took all changed waves: 16 of them made 32 records, more than a transaction holds.
It takes five.
- Digits that are no decimal numbers ('²') raised an error in the thread of a poll or of the server; a negative Content-Length was read as 'all'.

--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -570,8 +570,13 @@
         may be wrong. The next owner restores its own from the store.
         """
         self.engine = None
+        is_claim_dropped = any(
+            isinstance(command, ClaimOwner) for command in self.commands
+        )
         self.commands = []
-        if self.ownership.state is FleetOwnershipState.OWNING:
+        if is_claim_dropped:
+            self.ownership.lose_ownership()
+        if self.ownership.state in ABANDONABLE_STATES:
             self.ownership.advance('release')
             self.commands.append(
                 ReleaseOwner(
@@ -657,6 +662,11 @@
     return request.job
 
 
+ABANDONABLE_STATES: Final = frozenset(
+    (FleetOwnershipState.RESTORING, FleetOwnershipState.OWNING)
+)
+"""States in which an owner record is stored that must be removed."""
+
 ENGINE_STATES: Final = frozenset(
     (FleetOwnershipState.OWNING, FleetOwnershipState.RELEASING)
 )
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -319,14 +319,13 @@
 ) -> None:
     """Act on the result of a call that starts maintenance.
 
-    On success the instance is recorded in the wave. If the platform does not
-    know the instance, or not in this wave, the maintenance is cancelled and
-    the instance left out until it is listed again. After any other failure
-    the call is retried.
+    On success the instance is recorded in the wave, also if its maintenance
+    was cancelled meanwhile. If the platform does not know the instance, or
+    not in this wave, the maintenance is cancelled and the instance left out
+    until it is listed again. After any other failure the call is retried.
     """
     call = answer.call
-    operation = instances.operations.get(call.instance)
-    if not isinstance(call, StartMaintenance) or operation is None:
+    if not isinstance(call, StartMaintenance):
         return
     result = answer.result
     log(
@@ -335,22 +334,31 @@
         instance=call.instance,
         result=result.value,
     )
-    record = instances.wave_records.get(call.wave)
-    if result is InstanceResult.DONE and record is not None:
+    if result is InstanceResult.DONE:
+        record_started(instances, call)
+    operation = instances.operations.get(call.instance)
+    if operation is None or operation.wave_number != call.wave:
+        # The maintenance was cancelled, and the instance may be moved now.
+        return
+    if result is InstanceResult.DONE:
         operation.state = OperationState.AWAITING_RETURN
         operation.answered_at = answer.received_at
         remove_ended_worker(state, operation)
-        if call.instance not in record.started_instances:
-            done = (*record.started_instances, call.instance)
-            record_wave(
-                instances,
-                WaveRecord(
-                    record.number, record.state, done, record.started_ms
-                ),
-            )
     elif result in (
         InstanceResult.NO_SUCH_INSTANCE,
         InstanceResult.NOT_IN_WAVE,
     ):
         instances.rows.pop(call.instance, None)
         cancel_maintenance(state, instances, operation)
+
+
+def record_started(instances: InstanceList, call: StartMaintenance) -> None:
+    """Record in its wave that an instance's maintenance has started."""
+    record = instances.wave_records.get(call.wave)
+    if record is None or call.instance in record.started_instances:
+        return
+    started = (*record.started_instances, call.instance)
+    record_wave(
+        instances,
+        WaveRecord(record.number, record.state, started, record.started_ms),
+    )
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -32,6 +32,9 @@
 The store accepts 32 entries in one transaction, the ledger among them.
 """
 
+MAX_WAVES_PER_BATCH: Final = 5
+"""Most waves per transaction, so that jobs find a place beside them."""
+
 URGENT_JOBS_IN_A_ROW: Final = 3
 """Number of urgent jobs in a batch before one that is not urgent."""
 
@@ -89,7 +92,7 @@
     def build_batch(
         self, state: FleetState, instances: InstanceList, now: float
     ) -> Batch:
-        """Build a batch of all changed waves and as many jobs as fit in.
+        """Build a batch of changed waves and as many changed jobs as fit in.
 
         A wave takes two records, as does a job that is not stored yet. A
         planned start goes into the batch of its job. Workers may discard a
@@ -98,10 +101,9 @@
         """
         self.number += 1
         batch = Batch(self.number, built_at=now)
-        batch.waves = [
-            instances.wave_records[number] for number in instances.dirty_waves
-        ]
-        instances.dirty_waves.clear()
+        for number in list(instances.dirty_waves)[:MAX_WAVES_PER_BATCH]:
+            batch.waves.append(instances.wave_records[number])
+            del instances.dirty_waves[number]
         free_records = MAX_RECORDS_PER_BATCH - 2 * len(batch.waves)
         for job_id in order_changed_jobs(state):
             job = state.jobs[job_id]
--- a/src/primroseledge/platform/wire_names.py
+++ b/src/primroseledge/platform/wire_names.py
@@ -30,7 +30,7 @@
     """Return the task that a wire name denotes; None if it is malformed."""
     parts = name.split('.')
     if len(parts) != TASK_NAME_PARTS or not all(
-        part.isdigit() for part in parts[1:]
+        part.isdecimal() and part.isascii() for part in parts[1:]
     ):
         return None
     job, occurrence, step, number = parts
--- a/src/primroseledge/platform/wsgi_applications.py
+++ b/src/primroseledge/platform/wsgi_applications.py
@@ -242,7 +242,8 @@
     timeout and ``MAX_WAIT_S`` and reduced by ``ANSWER_MARGIN_S``.
     """
     wait_ms = str(environ.get('HTTP_REMAINING_TIME', ''))
-    wait_s = int(wait_ms) / 1000 if wait_ms.isdigit() else DEFAULT_WAIT_S
+    is_number = wait_ms.isdecimal() and wait_ms.isascii()
+    wait_s = int(wait_ms) / 1000 if is_number else DEFAULT_WAIT_S
     wait_s = min(wait_s, queue.timeout_s, MAX_WAIT_S) - ANSWER_MARGIN_S
     return max(MIN_WAIT_S, wait_s)
 
@@ -256,6 +257,8 @@
         length = int(environ.get('CONTENT_LENGTH') or 0)
     except ValueError as error:
         raise RequestError(BAD_REQUEST, 'Content-Length') from error
+    if length < 0:
+        raise RequestError(BAD_REQUEST, 'Content-Length')
     if length > max_bytes:
         raise RequestError(TOO_LARGE, f'more than {max_bytes} bytes')
     if environ.get('HTTP_TRANSFER_ENCODING'):
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -198,6 +198,33 @@
             [ReleaseOwner(Epoch(1), None)], bench.commands_of(ReleaseOwner)
         )
 
+    def test_an_error_while_restoring_releases_the_ownership(self) -> None:
+        bench = NodeBench()
+        bench.renew_lease()
+        bench.apply_keys(CONFIGURATION)
+        view = OwnerView(Epoch(1), OWN_ENTRY, bench.node.address)
+        bench.node.handle_claim_won(ClaimWon(view, Revision(30)), bench.now)
+        bench.node.abandon_ownership()
+        bench.reconcile()
+        self.assertEqual(1, len(bench.commands_of(ReleaseOwner)))
+        self.assertIs(
+            FleetOwnershipState.RELEASING, bench.node.ownership.state
+        )
+
+    def test_an_error_that_drops_a_claim_allows_another(self) -> None:
+        bench = NodeBench()
+        bench.apply_keys(CONFIGURATION)
+        bench.node.handle_lease_renewed(
+            LeaseRenewed(LeaseId(7), bench.now, 2.0)
+        )
+        bench.node.claim(bench.now)
+        bench.node.abandon_ownership()
+        self.assertIs(
+            FleetOwnershipState.FOLLOWING, bench.node.ownership.state
+        )
+        bench.reconcile(1.0)
+        self.assertEqual(1, len(bench.commands_of(ClaimOwner)))
+
     def test_a_leaving_owner_hands_over(self) -> None:
         bench = NodeBench()
         bench.become_owner()
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -24,12 +24,15 @@
 from primroseledge.maintenance.actions import MoveInstance
 from primroseledge.maintenance.actions import StartMaintenance
 from primroseledge.maintenance.evacuation import may_be_unavailable
+from primroseledge.maintenance.instance_list import Operation
+from primroseledge.maintenance.instance_list import OperationState
 from primroseledge.maintenance.pools import BELOW_RESERVE_WAIT_S
 from primroseledge.maintenance.wave import InstanceRow
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveNumber
 from primroseledge.maintenance.wave import WaveState
+from primroseledge.owner.outbox import MAX_WAVES_PER_BATCH
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
@@ -179,6 +182,56 @@
         bench.reconcile(0.8)
         self.assertEqual([call], bench.maintenance_starts())
 
+    def test_a_late_answer_does_not_concern_a_later_move(self) -> None:
+        bench = MaintenanceBench(WORKERS[0])
+        bench.disable_pool_sizing()
+        bench.list_instances()
+        bench.request_wave(0)
+        [call] = bench.maintenance_starts()
+        instances = bench.engine.instance_list
+        move = Operation(
+            call.instance,
+            WORKERS[0].id,
+            None,
+            target_pool=STANDBY_SERVICE,
+            started_at=bench.now,
+        )
+        instances.operations[call.instance] = move
+        bench.answer(call)
+        self.assertIsNot(OperationState.AWAITING_RETURN, move.state)
+        self.assertEqual(
+            (call.instance,), instances.wave_records[WAVE].started_instances
+        )
+
+    def test_a_start_after_its_maintenance_was_cancelled_is_recorded(
+        self,
+    ) -> None:
+        bench = MaintenanceBench(WORKERS[0])
+        bench.disable_pool_sizing()
+        bench.list_instances()
+        bench.request_wave(0)
+        [call] = bench.maintenance_starts()
+        instances = bench.engine.instance_list
+        instances.operations.clear()
+        bench.answer(call)
+        self.assertEqual(
+            (call.instance,), instances.wave_records[WAVE].started_instances
+        )
+
+    def test_a_batch_holds_few_of_many_changed_waves(self) -> None:
+        bench = MaintenanceBench(WORKERS[0])
+        for number in range(1, 17):
+            wave = Wave(WaveNumber(number), (), 20.0, 1)
+            bench.engine.instance_list.waves[wave.number] = wave
+        bench.reconcile(OWNER_TICK_S)
+        stored = set[WaveNumber]()
+        for _ in range(10):
+            bench.store_changes()
+        for batch in bench.batches:
+            self.assertLessEqual(len(batch.waves), MAX_WAVES_PER_BATCH)
+            stored.update(record.number for record in batch.waves)
+        self.assertEqual(16, len(stored))
+
     def test_a_restarted_worker_is_drained_again(self) -> None:
         bench = MaintenanceBench(WORKERS[0])
         bench.list_instances()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -242,6 +242,11 @@
         self.assertIsNone(parse_task_name('a.b.c'))
         self.assertIsNone(parse_task_name('a.0.x.1'))
 
+    def test_digits_that_are_no_decimal_numbers_are_malformed(self) -> None:
+        for name in ('a.0.\u00b2.1', 'a.0.\u0663.1', 'a.0..1', 'a.0.-1.1'):
+            with self.subTest(name=name):
+                self.assertIsNone(parse_task_name(name))
+
 
 class CallerApplicationTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -285,6 +290,17 @@
             json.decode(b''.join(parts)),
         )
 
+    def test_malformed_remaining_time_is_ignored(self) -> None:
+        for remaining in ('\u00b2', '-5', 'soon', ''):
+            with self.subTest(remaining=remaining):
+                status, _, _ = self.send('GET', HTTP_REMAINING_TIME=remaining)
+                self.assertEqual('200', status)
+
+    def test_a_negative_content_length_is_refused(self) -> None:
+        status, _, _ = self.send('POST', CONTENT_LENGTH='-1')
+        self.assertEqual('400', status)
+        self.assertEqual([], self.requests)
+
     def test_http_methods_map_to_caller_requests(self) -> None:
         body = b'{"task_spec": "x", "steps": [{"count": 1}]}'
         self.assertEqual('200', self.send('POST', body=body)[0])
