--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import field
 from heapq import heappop
 from heapq import heappush
 from itertools import count
@@ -26,6 +25,9 @@
 from bench.job_load import Outcome
 from bench.job_load import STANDBY
 from bench.job_load import Submission
+from bench.job_workers import ONE_WAY_S
+from bench.job_workers import SimWorker
+from bench.job_workers import SimWorkers
 from primroseledge.ids import Boot
 from primroseledge.ids import InstanceId
 from primroseledge.ids import JobId
@@ -34,13 +36,9 @@
 from primroseledge.ids import ZoneId
 from primroseledge.jobs.actions import Action
 from primroseledge.jobs.actions import CallId
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import ListedRun
 from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import PollAnswered
 from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import RunEnd
 from primroseledge.jobs.actions import SendAnswer
 from primroseledge.jobs.actions import SendPoll
 from primroseledge.jobs.actions import SendStart
@@ -50,7 +48,6 @@
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import AcceptedJob
-from primroseledge.jobs.task import TaskKey
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.jobs.worker import WorkerState
 from primroseledge.maintenance.actions import InstanceAnswered
@@ -63,11 +60,9 @@
 from primroseledge.owner.engine import create_engine
 
 TICK_S: Final = 0.02
-ONE_WAY_S: Final = 0.0005
 MOVE_CALL_S: Final = 0.015
 MIGRATION_S: Final = 1.5
 WORKER_LIST_S: Final = 0.3
-BOOT_PERCENT_S: Final = 0.3
 TAIL_S: Final = 14.0
 """Time after the load in which its jobs may still complete."""
 
@@ -83,28 +78,6 @@
     retries: int
 
 
-@dataclass(eq=False)
-class SimRun:
-    """A run on a simulated worker."""
-
-    task: TaskKey
-    number: int
-    started_at: float
-
-
-@dataclass(eq=False)
-class SimWorker:
-    """A worker: its runs, its unacknowledged ends and a delayed poll."""
-
-    entry: WorkerEntry
-    runs: dict[TaskKey, SimRun] = field(default_factory=dict)
-    ends: list[RunEnd] = field(default_factory=list)
-    end_count: int = 0
-    waiting_poll: SendPoll | None = None
-    poll_sent_at: float = 0.0
-    is_up: bool = True
-
-
 @dataclass(eq=False)
 class SimInstance:
     """An instance, its pool and its present worker."""
@@ -127,7 +100,7 @@
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = count(1)
         self.boots = count(1)
-        self.workers: dict[WorkerId, SimWorker] = {}
+        self.workers = SimWorkers(self)
         self.instances: dict[InstanceId, SimInstance] = {}
         self.is_reconcile_due = False
         self.outcome = Outcome()
@@ -192,8 +165,7 @@
             Resources(cores * 1000, cores * 4096, 0),
             ('a', instance.rack),
         )
-        instance.worker = SimWorker(entry)
-        self.workers[entry.id] = instance.worker
+        instance.worker = self.workers.add(entry)
 
     def tick(self) -> None:
         self.is_reconcile_due = True
@@ -207,7 +179,7 @@
         self.after(TICK_S, self.tick)
 
     def list_workers(self) -> None:
-        entries = [w.entry for w in self.workers.values() if w.is_up]
+        entries = [w.entry for w in self.workers.workers.values()]
         self.measure(
             lambda: self.engine.apply_worker_entries(entries, self.now)
         )
@@ -228,6 +200,28 @@
         self.measure(step)
         self.is_reconcile_due = True
 
+    def post_event(
+        self, event: OrderEnded | PollAnswered | PollFailed
+    ) -> None:
+        """Pass an event of a worker to the engine."""
+        if isinstance(event, OrderEnded):
+            self.post(lambda: self.engine.handle_order_ended(event, self.now))
+        elif isinstance(event, PollAnswered):
+            self.post(lambda: self.engine.handle_poll_answer(event, self.now))
+        else:
+            self.post(lambda: self.engine.handle_poll_failure(event, self.now))
+
+    def task_s(self, job: JobId) -> float:
+        """Return how long each task of a job runs, in seconds."""
+        return self.by_job[job].task_s
+
+    def record_start(self, job: JobId) -> None:
+        """Record when the first task of a job was started."""
+        if job not in self.started:
+            self.started.add(job)
+            waited_s = self.now - self.begin - self.by_job[job].at
+            self.outcome.started_after.append(waited_s)
+
     def submit(self, submission: Submission, retries: int = 0) -> None:
         job = replace_accepted(submission, self.now)
         call = CallId('', next(self.numbers))
@@ -281,12 +275,12 @@
 
     def execute(self, action: Action) -> None:
         if isinstance(action, SendStart):
-            self.after(ONE_WAY_S, lambda: self.start(action))
+            self.after(ONE_WAY_S, lambda: self.workers.start(action))
         elif isinstance(action, SendStop):
-            self.after(ONE_WAY_S, lambda: self.stop(action))
+            self.after(ONE_WAY_S, lambda: self.workers.stop(action))
         elif isinstance(action, SendPoll):
             sent_at = self.now
-            self.after(ONE_WAY_S, lambda: self.poll(action, sent_at))
+            self.after(ONE_WAY_S, lambda: self.workers.poll(action, sent_at))
         elif isinstance(action, ListInstances):
             self.list_instances()
         elif isinstance(action, MoveInstance):
@@ -308,124 +302,6 @@
             return
         self.at(retry_at, lambda: self.submit(submission, call.retries + 1))
 
-    # Workers
-
-    def find_worker(self, id: WorkerId) -> SimWorker | None:
-        worker = self.workers.get(id)
-        return worker if worker is not None and worker.is_up else None
-
-    def start(self, order: SendStart) -> None:
-        worker = self.find_worker(order.target.worker)
-        result = OrderResult.UNANSWERED
-        if worker is not None:
-            result = OrderResult.DONE
-            run = SimRun(order.task, order.run_number, self.now)
-            worker.runs[order.task] = run
-            submission = self.by_job[order.task.job]
-            if submission.task_s != float('inf'):
-                self.after(
-                    submission.task_s, lambda: self.end_run(worker, run)
-                )
-            if order.task.job not in self.started:
-                self.started.add(order.task.job)
-                self.outcome.started_after.append(
-                    self.now - self.begin - submission.at
-                )
-        self.answer(order, result)
-
-    def answer(self, order: SendStart | SendStop, result: OrderResult) -> None:
-        clock_ms = None
-        if result is OrderResult.DONE:
-            clock_ms = int(self.now * 1000)
-        sent_at = self.now - ONE_WAY_S
-        event = OrderEnded(order, result, clock_ms, sent_at, self.now)
-        self.after(
-            ONE_WAY_S,
-            lambda: self.post(
-                lambda: self.engine.handle_order_ended(event, self.now)
-            ),
-        )
-
-    def stop(self, order: SendStop) -> None:
-        worker = self.find_worker(order.target.worker)
-        if worker is None:
-            self.answer(order, OrderResult.UNANSWERED)
-            return
-        run = worker.runs.get(order.task)
-        if run is not None and run.number == order.run_number:
-            self.after(0.1, lambda: self.end_run(worker, run, EndKind.STOPPED))
-        self.answer(order, OrderResult.DONE)
-
-    def end_run(
-        self, worker: SimWorker, run: SimRun, kind: EndKind = EndKind.DONE
-    ) -> None:
-        if worker.runs.get(run.task) is not run or not worker.is_up:
-            return
-        del worker.runs[run.task]
-        worker.end_count += 1
-        worker.ends.append(
-            RunEnd(worker.end_count, run.task, run.number, kind, '')
-        )
-        if worker.waiting_poll is not None:
-            self.answer_poll(worker, worker.waiting_poll)
-
-    def poll(self, poll: SendPoll, sent_at: float) -> None:
-        worker = self.find_worker(poll.target.worker)
-        if worker is None:
-            failure = PollFailed(
-                poll.target.worker, poll.target.boot, OrderResult.UNANSWERED
-            )
-            self.after(
-                0.5,
-                lambda: self.post(
-                    lambda: self.engine.handle_poll_failure(failure, self.now)
-                ),
-            )
-            return
-        worker.ends = [
-            e for e in worker.ends if e.number > poll.acked_end_number
-        ]
-        worker.poll_sent_at = sent_at
-        if worker.ends or not poll.wait_s:
-            self.answer_poll(worker, poll)
-            return
-        worker.waiting_poll = poll
-        self.after(poll.wait_s, lambda: self.answer_poll(worker, poll, True))
-
-    def answer_poll(
-        self, worker: SimWorker, poll: SendPoll, is_timeout: bool = False
-    ) -> None:
-        if is_timeout and worker.waiting_poll is not poll:
-            return
-        worker.waiting_poll = None
-        event = PollAnswered(
-            worker.entry.id,
-            worker.entry.boot,
-            int(self.now * 1000),
-            tuple(
-                ListedRun(r.task, r.number, '', self.progress_of(r), 0)
-                for r in worker.runs.values()
-            ),
-            tuple(worker.ends),
-            poll.acked_end_number,
-            worker.poll_sent_at,
-            self.now + ONE_WAY_S,
-        )
-        self.after(
-            ONE_WAY_S,
-            lambda: self.post(
-                lambda: self.engine.handle_poll_answer(event, self.now)
-            ),
-        )
-
-    def progress_of(self, run: SimRun) -> int:
-        """Return a run's progress, which always grows with its time."""
-        ran_s = self.now - run.started_at
-        task_s = self.by_job[run.task.job].task_s
-        if task_s == float('inf'):
-            return 100 if ran_s >= BOOT_PERCENT_S else 0
-        return int(100 * ran_s / task_s)
-
     # Instances
 
     def list_instances(self) -> None:
@@ -454,8 +330,7 @@
             result = InstanceResult.DONE
             self.outcome.moves += 1
             if instance.worker is not None:
-                instance.worker.is_up = False
-                self.workers.pop(instance.worker.entry.id)
+                self.workers.remove(instance.worker)
                 instance.worker = None
             instance.pool = call.pool
             instance.state = InstanceState.MOVING
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -67,6 +67,12 @@
     return sum(c[0] for c in counts), sum(c[1] for c in counts)
 
 
+@suite('modules')
+def run_modules() -> tuple[int, int]:
+    """Check the sizes and names of modules."""
+    return check(sys.executable, '-m', 'tools.module_names')
+
+
 @suite('unit')
 def run_unit() -> tuple[int, int]:
     """Run the tests under tests/ with unittest's discovery."""
