--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test lint format types features fuzz model bench-requests \
-	bench-nodes bench-policy bench-jobs capacity soak binary clean
+	bench-nodes bench-policy bench-jobs bench-planning \
+	capacity soak binary clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -57,6 +58,9 @@
 bench-jobs: $(STAMP)
 	$(BIN)/python -m bench.jobs
 
+bench-planning: $(STAMP)
+	$(BIN)/python -m bench.planning_cost
+
 bench-nodes: $(STAMP)
 	$(BIN)/python -m bench.nodes
 
