Tell a slow store in the story of a job

Cause: events 213 and 214 say that the store is slow, which concerns every job of that time, but primroseledge story left them out.

Change: the events that concern every job are named, these two among them.

--- a/src/primroseledge/operators/story.py
+++ b/src/primroseledge/operators/story.py
@@ -95,5 +95,17 @@
         Event.CALL_REFUSED,
     )
 )
-COMMON_EVENTS = frozenset((202, 203, 205, 211, 304, 305))
-"""Store, configuration, jobs read by an owner, owners."""
+COMMON_EVENTS: Final = frozenset(
+    event.value.number
+    for event in (
+        Event.STORE_UNAVAILABLE,
+        Event.STORE_AVAILABLE,
+        Event.STORE_SLOW,
+        Event.STORE_FAST_AGAIN,
+        Event.CONFIG_IN_FORCE,
+        Event.JOBS_RESTORED,
+        Event.OWNER_TAKEN,
+        Event.OWNER_LOST,
+    )
+)
+"""Events that concern every job of their time."""
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -16,6 +16,7 @@
 """
 TWO = """
  3.2 host-2 {"time":"2026-01-01T00:00:02","event":304,"message":"owner"}
+{"time":"2026-01-01T00:00:02.5","event":213,"message":"the store is slow"}
 {"time":"2026-01-01T00:00:03","event":702,"message":"job aa is completed"}
 {"time":"2026-01-01T00:00:02","event":702,"message":"job bb is completed"}
 """
@@ -47,10 +48,11 @@
     def test_lines_of_several_processes_come_in_order(self) -> None:
         code, lines = self.tell('aa')
         self.assertEqual(0, code)
-        self.assertEqual(3, len(lines))
+        self.assertEqual(4, len(lines))
         self.assertIn('one  701  job aa taken', lines[0])
         self.assertIn('host-2  304  owner', lines[1])
-        self.assertIn('two  702  job aa is completed', lines[2])
+        self.assertIn('two  213  the store is slow', lines[2])
+        self.assertIn('two  702  job aa is completed', lines[3])
 
     def find(self, *options: str) -> tuple[int, list[str]]:
         with TemporaryDirectory() as folder:
