Word the events in the terms of the field

Cause: texts of events said look, taken, paced, stands still and upkeep where the code says poll, accepted, throttled, no progress and maintenance; 105 and 107 did not fit what the platform's daemon does.

Change: texts alone; numbers, names and fields stay.

Result: lint, catalogue and modules pass; nothing else matches the old texts.

--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -85,7 +85,8 @@
         105,
         'stopped after {seconds} s with {left} left',
         'The shutdown ended; `left` requests were still running.',
-        'When `left` is not 0, raise `graceful_timeout_s`.',
+        'When `left` is not 0, raise `graceful_timeout_s`, or on the '
+        'platform its grace period.',
     )
     SETTINGS_REFUSED = error(
         106,
@@ -96,8 +97,9 @@
     LOOP_FAILED = error(
         107,
         'the loop failed: {problem}',
-        'An error that nobody expected ended the loop; the process ends.',
-        'Keep the log and report it; the platform starts it again.',
+        'An unexpected error. On the platform the instance gives up the '
+        'ownership and goes on; elsewhere the process ends.',
+        'Keep the log and report it; a process that ended is started again.',
     )
     SETTINGS_SEEN = info(
         108,
@@ -150,13 +152,13 @@
     FRESH = info(
         207,
         'view fresh again at revision {revision}',
-        'Requests are taken again.',
+        'Requests are accepted again.',
         'Nothing.',
     )
     LEASE_LOST = warning(
         208,
         'membership lease lost: {problem}',
-        'The lease of this entry instance lapsed; it registers anew.',
+        'The lease of this entry instance expired; it registers anew.',
         'Look for pauses of the process or an outage of the store.',
     )
     STORE_RETRIED = warning(
@@ -181,7 +183,7 @@
     LIST_FAILED = warning(
         212,
         'list of instances not read: {problem}',
-        'The platform did not answer; upkeep and moves wait.',
+        'The platform did not answer; maintenance and moves wait.',
         'Look at the platform if it goes on.',
     )
     STORE_SLOW = warning(
@@ -223,7 +225,7 @@
     OWNER_LOST = warning(
         305,
         'no longer owner of cell {cell}: {reason}',
-        'Another owner takes over, or its evidence lapsed.',
+        'Another owner takes over, or its lease or evidence expired.',
         'Nothing if it was stopped; else look for events 202 and 206.',
     )
     REPORTS_MISSING = warning(
@@ -330,7 +332,7 @@
     )
     JOB_ACCEPTED = info(
         701,
-        'job {job} of workspace {workspace} taken for queue {queue}: '
+        'job {job} of workspace {workspace} accepted for queue {queue}: '
         '{tasks} tasks, by configuration {revision}',
         'A job is being stored; its caller is answered when it is.',
         'Nothing.',
@@ -344,7 +346,7 @@
     RUN_ORDERED = info(
         703,
         'task {task} run {run} ordered on {worker} of boot {boot} '
-        'with a lease until {deadline_ms}; its last look is {look_age} s old',
+        'with a lease until {deadline_ms}; the worker was last polled {look_age} s before',
         'A stored start is being sent; the time is on the worker.',
         'Nothing.',
     )
@@ -374,7 +376,7 @@
     )
     WORKER_SILENT = warning(
         708,
-        'worker {worker} did not answer a look: {result}',
+        'worker {worker} did not answer a poll: {result}',
         'No tasks are placed there until it answers.',
         'Look at the worker and the network.',
     )
@@ -387,7 +389,7 @@
     INSTANCE_CALLED = info(
         710,
         '{what} of instance {instance}: {result}',
-        'The platform was told to take an instance away.',
+        'The platform was told to move or to maintain an instance.',
         'Nothing.',
     )
     ADVICE_FAILED = warning(
@@ -398,8 +400,8 @@
     )
     RUN_STALLED = warning(
         712,
-        'task {task} run {run} on {worker} stands still at {percent} %',
-        'A task made no progress; it is stopped and starts elsewhere.',
+        'task {task} run {run} on {worker} makes no progress at {percent} %',
+        'The task is stopped and starts on another worker.',
         'For many on one worker, look at the worker.',
     )
     CALL_UNSERVED = warning(
@@ -418,19 +420,19 @@
     CALL_REFUSED = info(
         715,
         '{method} {path} refused with {status}: {reason}',
-        'A request was turned away before any owner was asked; nothing ran.',
+        'A request was refused before any owner was asked; nothing ran.',
         'Look at the configuration in force (205), or at what was sent.',
     )
     WORKER_ANSWERS = info(
         716,
-        'worker {worker} answers looks again after {failures} failures',
+        'worker {worker} answers polls again after {failures} failures',
         'Tasks are placed there again.',
         'Nothing.',
     )
     PACE_SET = info(
         717,
-        'task {task} on {worker} is paced to {percent} %, since {strain} of '
+        'task {task} on {worker} is throttled to {percent} %, since {strain} of '
         'the objective beside it is in use',
-        'A task that fills is slowed down or released beside one that serves.',
+        'A best-effort task is slowed down or released beside one that serves.',
         'Nothing; see the service that shares the worker.',
     )
