--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -85,8 +85,7 @@
         105,
         'stopped after {seconds} s with {left} left',
         'The shutdown ended; `left` requests were still running.',
-        'When `left` is not 0, raise `graceful_timeout_s`, or on the '
-        'platform its grace period.',
+        'When `left` is not 0, raise the grace period.',
     )
     SETTINGS_REFUSED = error(
         106,
@@ -97,8 +96,7 @@
     LOOP_FAILED = error(
         107,
         'the loop failed: {problem}',
-        'An unexpected error. On the platform the instance gives up the '
-        'ownership and goes on; elsewhere the process ends.',
+        'An unexpected error; on the platform only its ownership ends.',
         'Keep the log and report it; a process that ended is started again.',
     )
     SETTINGS_SEEN = info(
@@ -346,7 +344,7 @@
     RUN_ORDERED = info(
         703,
         'task {task} run {run} ordered on {worker} of boot {boot} '
-        'with a lease until {deadline_ms}; the worker was last polled {look_age} s before',
+        'with a lease until {deadline_ms}, {look_age} s after its last poll',
         'A stored start is being sent; the time is on the worker.',
         'Nothing.',
     )
@@ -431,8 +429,8 @@
     )
     PACE_SET = info(
         717,
-        'task {task} on {worker} is throttled to {percent} %, since {strain} of '
-        'the objective beside it is in use',
-        'A best-effort task is slowed down or released beside one that serves.',
+        'task {task} on {worker} is throttled to {percent} %, since {strain} '
+        'of the objective beside it is in use',
+        'A best-effort task is slowed down beside one that serves, or freed.',
         'Nothing; see the service that shares the worker.',
     )
