Name what planning a pass returns and counts

Cause: read as a newcomer: a comparison spread over three lines, a method whose name hid that it counts, a name used for a field and a function.

Change: names, a local variable and a docstring; no decision.

Result: lint, types and test_planning, test_pool_reserve and test_maintenance pass.

--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -76,12 +76,11 @@
             return
         if shortage.affects(step.spec):
             continue
-        if plan_step(state, job, step, workers, now) is not (
-            StepPlan.NO_CAPACITY
-        ):
+        outcome = plan_step(state, job, step, workers, now)
+        if outcome is not StepPlan.NO_CAPACITY:
             continue
         shortage.record(step.spec)
-        if step.spec.is_long_running and shortage.may_exclude_worker():
+        if step.spec.is_long_running and shortage.try_exclude_worker():
             workers = exclude_emptiest_worker(workers)
 
 
@@ -103,6 +102,9 @@
 
     A step that needs at least as much as one that fits on no worker need not
     be tried, so a long queue costs little while there is no capacity.
+    ``unplaced`` counts the steps that did not fit, for batch (False) and
+    long-running steps (True); ``unplaceable`` are the least resources for
+    which there is no worker.
     """
 
     def __init__(self, worker_count: int) -> None:
@@ -124,8 +126,8 @@
         if not has_placement_rules(step):
             self.unplaceable.append(step.counted_resources)
 
-    def may_exclude_worker(self) -> bool:
-        """Return whether one more worker may be kept free, and count it."""
+    def try_exclude_worker(self) -> bool:
+        """Count a worker to be kept free; return whether that is allowed."""
         self.excluded += 1
         return self.excluded <= self.max_excluded
 
--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/jobs/worker_polls.py
@@ -185,7 +185,7 @@
     The runs of unresponsive workers whose lease has expired are given up
     first.
     """
-    for worker in workers_to_check(state, now):
+    for worker in pop_workers_to_check(state, now):
         expire_unresponsive_worker(state, worker, now)
         if worker.tasks:
             send_requested_stops(state, worker, now)
@@ -193,8 +193,8 @@
             send_poll(state, worker, now)
 
 
-def workers_to_check(state: FleetState, now: float) -> list[Worker]:
-    """Return the workers that may be due for a poll or a stop.
+def pop_workers_to_check(state: FleetState, now: float) -> list[Worker]:
+    """Return the workers that may be due for a poll or a stop, once.
 
     Those with an event since the last call are returned at once. As polls
     also become due by time alone, all are returned each
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -136,8 +136,7 @@
     peak = instances.demand_peaks.setdefault(service, DemandPeak(now))
     peak.record(desired, now)
     pool_count = sum(
-        not service.is_standby
-        for service in state.configuration.services.values()
+        not other.is_standby for other in state.configuration.services.values()
     )
     return reserve_size(len(instances.rows), pool_count, peak.recent())
 
