Check that keys end with their lease

Cause: test_keys_are_removed_when_their_lease_ends never checked the removal; it took the leases away by hand and looked at errors alone.

Change: the lease expires, and its key is read before and after. The checks of the errors stay.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -104,7 +104,10 @@
         lease = self.store.grant_lease(0.3)
         self.store.commit(Transaction(puts=(Put('o', b'x', lease.id),)))
         self.assertAlmostEqual(0.3, self.store.renew_lease(lease.id))
-        self.platform.store.storage.leases.clear()
+        self.assertIsNotNone(self.store.read('o'))
+        leases = self.platform.store.storage.leases
+        leases[lease.id] = (monotonic() - 0.1, 0.3)
+        self.assertIsNone(self.store.read('o'))
         with self.assertRaises(LeaseEndedError):
             self.store.renew_lease(lease.id)
         with self.assertRaises(LeaseEndedError):
