--- a/src/primroseledge/maintenance/pool_moves.py
+++ b/src/primroseledge/maintenance/pool_moves.py
@@ -84,13 +84,13 @@
     service: ServiceId,
     standby: ServiceId,
     count: int,
-    free_part: int,
+    max_free: int,
     now: float,
 ) -> None:
     """Add up to ``count`` instances to a pool.
 
     First the pool keeps its own instances that drain to go to the standby
-    pool, then up to ``free_part`` free ones are moved from the standby pool,
+    pool, then up to ``max_free`` free ones are moved from the standby pool,
     then instances that other pools release are redirected. What is still
     missing is recorded as the pool's shortfall; pools that shrink later
     release instances to it.
@@ -105,7 +105,7 @@
             cancel_move(state, instances, operation)
             count -= 1
     free = standby_instances(instances, service, standby)
-    free = free[: min(count, free_part)]
+    free = free[: min(count, max_free)]
     count -= len(free)
     count -= redirect_moves(instances, service, standby, count)
     if count > 0:
