Forget the unstored ends of a worker that is listed anew

Cause: found by reading: a worker that left the list and comes back under its id counts its ends from 1 again; ends that its earlier boot had left to store could then have acknowledged the first ones of the new boot before they were stored. No run has shown it.

Change: they are dropped when the worker is listed anew, as they are when it restarts while listed.

Result: the new test of test_outbox failed before; its 7 tests pass.

--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/jobs/worker_polls.py
@@ -77,6 +77,8 @@
         return
     worker = state.workers.get(entry.id)
     if worker is None:
+        # An earlier boot may have left ends; the new one counts from 1.
+        state.unstored_ends.pop(entry.id, None)
         state.workers[entry.id] = Worker(entry)
         state.workers_to_check.add(entry.id)
         log_worker(entry)
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -105,6 +105,16 @@
         bench.engine.handle_batch_stored(bench.now)
         self.assertEqual(1, worker.stored_end_number)
 
+    def test_ends_of_an_earlier_boot_ack_none_of_the_next(self) -> None:
+        bench = EngineBench(*WORKERS[:1])
+        [first] = bench.run_job(make_job('a', make_step(1)))
+        bench.answer_poll(WORKERS[0].id, ends=(make_run_end(first),))
+        bench.list_workers()
+        self.assertEqual({}, bench.engine.state.workers)
+        bench.list_workers(make_worker_entry('worker-0', boot=2))
+        bench.answer_poll(WORKERS[0].id)
+        self.assertEqual({}, bench.engine.state.unstored_ends)
+
     def test_other_ends_are_polled_for_while_the_store_is_slow(self) -> None:
         bench = EngineBench(*WORKERS[:1])
         first, _ = bench.run_job(make_job('a', make_step(2)))
