--- a/src/primroseledge/jobs/arrival_rate.py
+++ b/src/primroseledge/jobs/arrival_rate.py
@@ -25,7 +25,10 @@
 """
 
 MIN_BURST_ARRIVALS: Final = 3
-"""Fewest arrivals that show a higher rate than all of the window."""
+"""Fewest of the newest arrivals from which a rate is taken.
+
+With fewer, jobs that arrive together by chance would look like a burst.
+"""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -87,7 +87,8 @@
 class StepPlan(Enum):
     """The outcome of planning a step's starts.
 
-    ``PLACED``: all its waiting tasks, or those of a gang later.
+    ``PLACED``: nothing is left to place; a gang with a task that runs or is
+    done counts too.
     ``NO_CAPACITY``: no worker could take one of them. ``NOT_ALLOWED``: it
     waits for its workspace's limit or for the advisory service.
     """
--- a/src/primroseledge/maintenance/pool_reserve.py
+++ b/src/primroseledge/maintenance/pool_reserve.py
@@ -25,7 +25,9 @@
 """
 
 PEAK_MEMORY_S: Final = 120.0
-"""Time for which a peak of demand counts in the reserve.
+"""Least time for which a peak of demand counts in the reserve.
+
+It counts until the end of the next period of this length.
 
 Until a pool was observed for this long, any peak may still come.
 """
