Log why a run was given up, stops, and jobs that wait with workers free

Cause: the hypotheses of the runs seen twice could not be told apart from our logs. 705 named neither the worker's boot nor how old the last news of the run was; stops of runs that the owner did not expect were not logged at all, nor was a start that was dropped because its worker had left; and nothing told why a job waits.

Change: 705 says the boot, the phase, the sends and the ages of the start, its answer and the last listing; 718 is a line for each stop with its reason; 719 tells once a second for a service which job has waited longest with nothing running, and what keeps workers from starting tasks.

--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -11,8 +11,6 @@
 from primroseledge.jobs.actions import ListedRun
 from primroseledge.jobs.actions import PollAnswered
 from primroseledge.jobs.actions import RunEnd
-from primroseledge.jobs.actions import SendStop
-from primroseledge.jobs.actions import target_of
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.progress import JobState
@@ -92,7 +90,7 @@
     Such a run can come from a start that was delivered after the owner had
     already given up the run.
     """
-    state.actions.append(SendStop(target_of(worker), key, run_number))
+    state.order_stop(worker, key, run_number, 'it is not expected there')
 
 
 def apply_listed_run(
--- a/src/primroseledge/jobs/fleet_state.py
+++ b/src/primroseledge/jobs/fleet_state.py
@@ -13,6 +13,8 @@
 from primroseledge.ids import WorkspaceId
 from primroseledge.jobs.actions import Action
 from primroseledge.jobs.actions import SendAnswer
+from primroseledge.jobs.actions import SendStop
+from primroseledge.jobs.actions import target_of
 from primroseledge.jobs.advice import AdviceCache
 from primroseledge.jobs.arrival_rate import ArrivalRate
 from primroseledge.jobs.configuration import Configuration
@@ -22,6 +24,7 @@
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import Task
+from primroseledge.jobs.task import TaskKey
 from primroseledge.jobs.worker import Worker
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
@@ -145,6 +148,20 @@
         for job in self.active_jobs.values():
             self.request_planning(job)
 
+    def open_due_occurrences(self, now: float) -> None:
+        """Create the steps of repeated jobs whose next occurrence is due.
+
+        An occurrence is one of the repetitions of such a job.
+        """
+        wall_ms = self.wall_ms(now)
+        for job in self.active_jobs.values():
+            if not job.accepted.spec.repetitions:
+                continue
+            before = len(job.steps)
+            job.open_due_steps(wall_ms)
+            if len(job.steps) > before:
+                self.request_planning(job)
+
     def workspace_usage(self, workspace: WorkspaceId) -> Resources:
         """Return the resources of a workspace's planned and running tasks."""
         return self.usage.get(workspace, NO_RESOURCES)
@@ -210,10 +227,30 @@
                 task=task.key.name,
                 run=run.number,
                 worker=run.worker,
+                boot=run.boot,
                 reason=reason,
+                phase=run.phase.value,
+                sends=run.send_count,
+                sent_age=age_s(run.sent_at, now),
+                confirmed_age=age_s(run.confirmed_at, now),
+                listed_age=age_s(run.listed_at, now),
             )
         self.finish_run(task, now)
 
+    def order_stop(
+        self, worker: Worker, task: TaskKey, run_number: int, reason: str
+    ) -> None:
+        """Order a worker to stop a run; ``reason`` is written to the log."""
+        log(
+            Event.STOP_ORDERED,
+            task=task.name,
+            run=run_number,
+            worker=worker.id,
+            boot=worker.entry.boot,
+            reason=reason,
+        )
+        self.actions.append(SendStop(target_of(worker), task, run_number))
+
     def request_stop(self, task: Task) -> None:
         """Request the stop of a task's run, if it has one.
 
@@ -222,3 +259,8 @@
         if task.run is not None:
             task.run.is_stop_requested = True
             self.workers_to_check.add(task.run.worker)
+
+
+def age_s(since: float | None, now: float) -> float | None:
+    """Return the seconds since a time, for logs; None if it is unknown."""
+    return None if since is None else round(now - since, 3)
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -49,6 +49,7 @@
 class Run:
     """One start of a task on one worker.
 
+    ``sent_at`` is when the start was first sent.
     ``confirmed_at`` is when the worker acknowledged the start or the stop,
     or first listed the run; after a takeover it is the time when the run
     was restored. The answer to a poll sent later must list the run or its
@@ -66,6 +67,7 @@
     worker: WorkerId
     boot: Boot
     phase: RunPhase = RunPhase.PLANNED
+    sent_at: float | None = None
     confirmed_at: float | None = None
     listed_at: float | None = None
     send_count: int = 0
--- a/src/primroseledge/jobs/worker.py
+++ b/src/primroseledge/jobs/worker.py
@@ -35,6 +35,18 @@
     GONE = 'gone'
 
 
+class StartObstacle(Enum):
+    """Why no tasks start on a worker; see ``Worker.start_obstacle``."""
+
+    UNLISTED = 'unlisted'
+    NOT_READY = 'not ready'
+    DRAINED = 'drained by the owner'
+    UNPOLLED = 'not polled yet'
+    COOLDOWN = 'in cooldown'
+    QUARANTINE = 'in quarantine'
+    UNRESPONSIVE = 'unresponsive'
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
     """An entry of the platform's list of workers.
@@ -173,21 +185,30 @@
         )
 
     def may_start_tasks(self, now: float) -> bool:
-        """Return whether new tasks may start on the worker.
+        """Return whether new tasks may start on the worker."""
+        return self.start_obstacle(now) is None
+
+    def start_obstacle(self, now: float) -> StartObstacle | None:
+        """Return why no new tasks may start on the worker, None if they may.
 
         The worker must be listed and ready, have answered the last poll,
         and be neither draining, in cooldown nor in quarantine.
         """
-        return (
-            self.is_listed
-            and self.entry.state is WorkerState.READY
-            and not self.is_drained_by_owner
-            and self.has_answered_poll
-            and self.lease_clock.clock_ms is not None
-            and now >= self.cooldown_until
-            and not self.quarantine.is_active(now)
-            and not self.poll_failures
-        )
+        if not self.is_listed:
+            return StartObstacle.UNLISTED
+        if self.entry.state is not WorkerState.READY:
+            return StartObstacle.NOT_READY
+        if self.is_drained_by_owner:
+            return StartObstacle.DRAINED
+        if not self.has_answered_poll or self.lease_clock.clock_ms is None:
+            return StartObstacle.UNPOLLED
+        if now < self.cooldown_until:
+            return StartObstacle.COOLDOWN
+        if self.quarantine.is_active(now):
+            return StartObstacle.QUARANTINE
+        if self.poll_failures:
+            return StartObstacle.UNRESPONSIVE
+        return None
 
     def add_task(self, task: Task) -> None:
         """Add a task that is planned or may be running, and its resources."""
--- a/src/primroseledge/jobs/worker_orders.py
+++ b/src/primroseledge/jobs/worker_orders.py
@@ -9,7 +9,6 @@
 from primroseledge.jobs.actions import OrderEnded
 from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.actions import SendStop
 from primroseledge.jobs.actions import target_of
 from primroseledge.jobs.advice import StepKey
 from primroseledge.jobs.ends import fail_job_without_attempts
@@ -53,12 +52,17 @@
     deadline_ms = None
     if worker is not None and worker.entry.boot == run.boot:
         deadline_ms = start_deadline(state, run, worker, now)
-    if run.is_stop_requested or worker is None or deadline_ms is None:
+    if run.is_stop_requested:
         state.finish_run(task, now)
         return
+    if worker is None or deadline_ms is None:
+        state.give_up_run(task, 'the worker left before the start', now)
+        return
     worker.lease_clock.record_deadline(deadline_ms)
     run.phase = RunPhase.SENT
     run.send_count += 1
+    if run.sent_at is None:
+        run.sent_at = now
     if not job.has_started:
         job.has_started = True
         log(
@@ -227,7 +231,7 @@
         if is_stop_confirmed(run, now):
             continue
         run.stop_sent_at = now
-        state.actions.append(SendStop(target_of(worker), task.key, run.number))
+        state.order_stop(worker, task.key, run.number, 'it was requested')
 
 
 def is_stop_confirmed(run: Run, now: float) -> bool:
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -4,53 +4,12 @@
 another event later, so that operators may search for it.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 from enum import unique
-from logging import ERROR
-from logging import getLevelName
-from logging import INFO
-from logging import WARNING
-from string import Formatter
 
-
-@dataclass(frozen=True, slots=True)
-class EventInfo:
-    """What one event says, means and asks of an operator."""
-
-    number: int
-    level: int
-    template: str
-    meaning: str
-    advice: str
-
-    @property
-    def level_name(self) -> str:
-        """Return the name of the level, such as ``INFO``."""
-        return str(getLevelName(self.level))
-
-    @property
-    def fields(self) -> tuple[str, ...]:
-        """Return the names of the fields in the template."""
-        parsed = Formatter().parse(self.template)
-        return tuple(name for _, name, _, _ in parsed if name)
-
-
-def info(number: int, template: str, meaning: str, advice: str) -> EventInfo:
-    """Describe an event of level INFO."""
-    return EventInfo(number, INFO, template, meaning, advice)
-
-
-def warning(
-    number: int, template: str, meaning: str, advice: str
-) -> EventInfo:
-    """Describe an event of level WARNING."""
-    return EventInfo(number, WARNING, template, meaning, advice)
-
-
-def error(number: int, template: str, meaning: str, advice: str) -> EventInfo:
-    """Describe an event of level ERROR."""
-    return EventInfo(number, ERROR, template, meaning, advice)
+from primroseledge.observability.event_info import error
+from primroseledge.observability.event_info import info
+from primroseledge.observability.event_info import warning
 
 
 @unique
@@ -356,7 +315,9 @@
     )
     RUN_LOST = warning(
         705,
-        'task {task} run {run} on {worker} given up: {reason}',
+        'task {task} run {run} on {worker} of boot {boot} given up: {reason}; '
+        '{phase}, sent {sends} times, first {sent_age} s, acknowledged '
+        '{confirmed_age} s and listed {listed_age} s ago',
         'A run is over for certain and its end will not be listed.',
         'Look at the worker; the task starts again.',
     )
@@ -434,3 +395,20 @@
         'A best-effort task is slowed down beside one that serves, or freed.',
         'Nothing; see the service that shares the worker.',
     )
+    STOP_ORDERED = info(
+        718,
+        'stop of task {task} run {run} ordered on {worker} of boot {boot}: '
+        '{reason}',
+        'A run is to end; its end is listed later.',
+        'For a run that nobody expects there, see its start (703) and why it '
+        'was given up (705).',
+    )
+    JOBS_WAIT = warning(
+        719,
+        '{jobs} jobs of service {service} have nothing running, {job} for '
+        '{seconds} s; of {workers} workers may not start tasks: {obstacles}; '
+        'most free capacity of one: {free_cpu} thousandths of a core',
+        'Steps wait though their turn has come.',
+        'If workers are free, see what holds them: polls (708), lists (707), '
+        'moves and maintenance (710); else look at the size of the pool.',
+    )
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -42,6 +42,7 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.throttling import throttle_workers
+from primroseledge.jobs.wait_report import WaitReport
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.jobs.worker_orders import handle_start_answer
 from primroseledge.jobs.worker_orders import handle_stop_answer
@@ -96,6 +97,7 @@
         self.state = state
         self.outbox = Outbox()
         self.instance_list = InstanceList()
+        self.wait_report = WaitReport()
         self.is_fenced = False
         self.handover_started_at: float | None = None
         self.swept_at = -inf
@@ -344,11 +346,12 @@
         if self.outbox.may_build_batch(state, now):
             # A start that is planned earlier waits for the same batch.
             plan_services(state, now)
+        self.wait_report.report(state, now)
 
     def sweep(self, now: float) -> None:
         """Do what depends on time alone, for all jobs and instances."""
         state = self.state
-        self.open_due_occurrences(now)
+        state.open_due_occurrences(now)
         advance_waves(state, self.instance_list, now)
         size_pools(state, self.instance_list, now)
         evacuate_draining_workers(state, now)
@@ -371,20 +374,6 @@
         state.actions = kept
         return polls
 
-    def open_due_occurrences(self, now: float) -> None:
-        """Create the steps of repeated jobs whose next occurrence is due.
-
-        An occurrence is one of the repetitions of such a job.
-        """
-        wall_ms = self.state.wall_ms(now)
-        for job in self.state.active_jobs.values():
-            if not job.accepted.spec.repetitions:
-                continue
-            before = len(job.steps)
-            job.open_due_steps(wall_ms)
-            if len(job.steps) > before:
-                self.state.request_planning(job)
-
 
 def create_engine(
     configuration: Configuration,
