Let no entry instance carry a second cap beside what is hidden

Cause: a new owner held back one cap of a team for each entry instance of which more may run, and granted the same instance up to a cap of new attempts beside it. Traced: e0 owns epoch 1, carries 2 of dealers (its cap; limit 4) and dies. Its next run owns epoch 2, holds back 2, grants itself 2 and dies 1.0 s later. Epoch 3 sees one unreported instance and holds back 2, but 3 of its 4 attempts still run; it grants 2 more, and 5 run. The upstreams' ledger is right: each of the five was running. What others reported was deducted from what is held back, also attempts that the lost owner had counted as ended and replaced by hidden ones; and what is held back was a number for each team that existed at the takeover, so that a team deleted then, and put back, had nothing held back.

Change: TeamLimits keeps the unreported instances themselves. Until the quarantine is over each counts as one cap of any team, and is granted nothing. So all runs of an instance together never carry more than a cap, by induction over epochs, and the next owner's count is right however many are lost in a row. Nothing is deducted. It costs room in a quarantine: a team that was at its limit loses a cap for each lost instance and no longer only what that instance carried, and a restarted instance gets grants only after it.

--- a/src/primroseledge/requests/dispatcher.py
+++ b/src/primroseledge/requests/dispatcher.py
@@ -91,7 +91,7 @@
         if self.epoch > FIRST_EPOCH:
             if not has_memory:
                 self.work.memory.lose(wall)
-            self.work.limits.hold_back(len(set(unreported)), quarantine_until)
+            self.work.limits.hold_back(unreported, quarantine_until)
         return self.open(now)
 
     def open(self, now: float) -> list[SendToEntry]:
@@ -180,11 +180,9 @@
         if document is None:
             return True
         limits = self.work.limits
-        counted = limits.running.get(ended.team, 0)
-        counted += limits.hidden.get(ended.team, 0)
         # Another service of the team can have waited for this room or
         # for that of the entry instance.
-        was_full = counted + 1 >= document.limit
+        was_full = limits.counted(ended.team) + 1 >= document.limit
         carried = limits.carried.get((ended.team, ended.entry), 0)
         return was_full or carried + 1 >= limits.cap(ended.team)
 
--- a/src/primroseledge/requests/limits.py
+++ b/src/primroseledge/requests/limits.py
@@ -1,9 +1,11 @@
 """How much each team has running, against its upper limit.
 
-What an earlier owner granted to entry instances that did not report is
-held back from the limit, as if all of it still ran.
+No entry instance carries more than its cap of a team, in all of its
+runs and under all owners together. So what an earlier owner granted to
+one that did not report is at most that, and is held back.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -23,12 +25,16 @@
 
 @dataclass(slots=True)
 class TeamLimits:
-    """The running attempts of each team in a cell."""
+    """The running attempts of each team in a cell.
+
+    ``hidden`` are the entry instances of which more may be running
+    than is counted, until ``hidden_until``.
+    """
 
     configuration: Configuration
     running: dict[TeamId, int] = field(default_factory=dict)
     carried: dict[tuple[TeamId, EntryId], int] = field(default_factory=dict)
-    hidden: dict[TeamId, int] = field(default_factory=dict)
+    hidden: frozenset[EntryId] = frozenset()
     hidden_until: float = 0.0
 
     def start(self, team: TeamId, entry: EntryId) -> None:
@@ -47,11 +53,22 @@
         document = self.configuration.teams.get(team)
         if document is None:
             return False
-        counted = self.running.get(team, 0) + self.hidden.get(team, 0)
-        return counted < document.limit
+        return self.counted(team) < document.limit
+
+    def counted(self, team: TeamId) -> int:
+        """Return how much a team has running at most."""
+        held_back = len(self.hidden) * self.cap(team)
+        return self.running.get(team, 0) + held_back
 
     def has_entry_room(self, team: TeamId, entry: EntryId) -> bool:
-        """Tell whether an entry instance may carry one more attempt."""
+        """Tell whether an entry instance may carry one more attempt.
+
+        One of which more may be running is taken to be at its cap. Else
+        it could carry twice that, and if this owner is lost too, the
+        next one would hold back too little.
+        """
+        if entry in self.hidden:
+            return False
         return self.carried.get((team, entry), 0) < self.cap(team)
 
     def cap(self, team: TeamId) -> int:
@@ -64,19 +81,17 @@
         share = self.configuration.teams[team].share
         return self.running.get(team, 0) / share
 
-    def hold_back(self, unreported: int, until: float) -> None:
+    def hold_back(self, unreported: Iterable[EntryId], until: float) -> None:
         """Count what unreported entry instances may carry.
 
-        Call when all reports are counted, before the first grant.
+        Call before the first grant. Nothing is deducted for what others
+        reported: an attempt may be reported that the earlier owner had
+        counted as ended, and replaced by one that is hidden now.
         """
-        members = len(self.configuration.members)
+        self.hidden = frozenset(unreported)
         self.hidden_until = until
-        for team, document in self.configuration.teams.items():
-            left = max(0, document.limit - self.running.get(team, 0))
-            most = unreported * entry_cap(document.limit, members)
-            self.hidden[team] = min(left, most)
 
     def tick(self, now: float) -> None:
         """Release what was held back once it must have ended."""
-        if self.hidden and now >= self.hidden_until:
-            self.hidden.clear()
+        if now >= self.hidden_until:
+            self.hidden = frozenset()
