--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -3,8 +3,10 @@
 from os import close
 from os import pipe
 from os import read
+from os import set_blocking
 from threading import Thread
 from time import monotonic
+from time import sleep
 from typing import Any
 import unittest
 
@@ -20,6 +22,10 @@
 """A thousand lines a quarter second, far below the rate of a pipe."""
 
 
+FULL_PIPE_S = 0.3
+"""Enough for the thread to fill a pipe, or to write what it has."""
+
+
 class LogWriterTest(unittest.TestCase):
     def setUp(self) -> None:
         self.source, self.sink = pipe()
@@ -80,6 +86,30 @@
         self.handler.close()
         self.assertLess(monotonic() - began_at, 2.0)
 
+    def test_a_line_that_cannot_be_written_ends_no_other(self) -> None:
+        self.read_along()
+        self.refuse('a')
+        for field in ('\ud800', 10**30):
+            self.handler.handle(
+                event_record(Event.JOB_REFUSED, {'job': 'b', 'reason': field})
+            )
+        self.refuse('c')
+        jobs = {line['fields'].get('job') for line in self.lines()}
+        self.assertLessEqual({'a', 'c'}, jobs)
+
+    def test_a_full_pipe_that_does_not_block_ends_no_writing(self) -> None:
+        set_blocking(self.sink, False)
+        for number in range(1000):
+            self.handler.budget.window_from -= 10.0
+            self.refuse(f'{number:0200d}')
+        sleep(FULL_PIPE_S)
+        self.read_along()
+        sleep(FULL_PIPE_S)
+        self.refuse('last')
+        jobs = [line['fields'].get('job') for line in self.lines()]
+        self.assertEqual(1001, len(jobs))
+        self.assertEqual('last', jobs[-1])
+
     def test_a_reader_that_is_gone_ends_the_writing_only(self) -> None:
         source, sink = pipe()
         close(source)
--- a/tests/test_node_loop.py
+++ b/tests/test_node_loop.py
@@ -5,11 +5,17 @@
 the loop ended before or while they called.
 """
 
+from _thread import start_new_thread
 from contextlib import ExitStack
+from contextlib import redirect_stderr
+from io import StringIO
+from socket import create_connection
 from socket import socket
+import threading
 from threading import Thread
 from time import monotonic
 from time import sleep
+from typing import Any
 import unittest
 
 from primroseledge.cluster.messages import StateRequest
@@ -20,6 +26,9 @@
 from primroseledge.jobs.actions import Verdict
 from primroseledge.observability.fleet_metrics import create_fleet_metrics
 from primroseledge.platform.daemon import create_loop
+from primroseledge.platform.daemon import ShutdownTimer
+from primroseledge.platform.daemon import split_address
+from primroseledge.platform.daemon import start_server
 from primroseledge.platform.daemon import start_servers
 from primroseledge.platform.settings import PlatformSettings
 from standins.processes import free_port
@@ -59,6 +68,45 @@
         self.assertEqual(503, answer.status)
 
 
+BAD_CHUNK = (
+    b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n'
+)
+BUFFER_BYTES = 4096
+
+
+class BrokenOutput(StringIO):
+    """A standard error whose reader is gone."""
+
+    def write(self, text: str) -> int:
+        raise BrokenPipeError
+
+
+class ServerErrorsTest(unittest.TestCase):
+    def test_bad_requests_do_not_end_a_server_without_stderr(self) -> None:
+        resources = self.enterContext(ExitStack())
+
+        def application(environ: Any, start_response: Any) -> list[bytes]:
+            body = environ['wsgi.input'].read(10)
+            start_response('200 OK', [('Content-Length', str(len(body)))])
+            return [body]
+
+        address = f'127.0.0.1:{free_port()}'
+        start_server(address, 1, application, resources)
+        resources.enter_context(redirect_stderr(BrokenOutput()))
+        logged = resources.enter_context(self.assertLogs('primroseledge'))
+        for _ in range(2):
+            with create_connection(
+                split_address(address), PROMPT_ANSWER_S
+            ) as caller:
+                caller.sendall(BAD_CHUNK)
+                caller.recv(BUFFER_BYTES)
+        client = HttpClient(address)
+        resources.callback(client.close)
+        answer = client.call('GET', '/', b'all', PROMPT_ANSWER_S)
+        self.assertEqual(b'all', answer.body)
+        self.assertEqual(2, len(logged.records))
+
+
 class LoopShutdownTest(unittest.TestCase):
     def setUp(self) -> None:
         resources = ExitStack()
@@ -92,6 +140,19 @@
         self.assertIs(Verdict.UNREADABLE, answer.verdict)
         self.thread.join(PROMPT_ANSWER_S)
 
+    def test_a_signal_during_the_start_of_a_thread_is_not_stuck(self) -> None:
+        timer = ShutdownTimer(self.loop, 0.0)
+        self.addCleanup(self.thread.join)
+        self.addCleanup(self.loop.stop)
+        self.addCleanup(timer.cancel)
+        self.thread.start()
+        # The lock that a thread holds while it starts another one.
+        with threading._active_limbo_lock:
+            start_new_thread(timer.start, ())
+            self.thread.join(PROMPT_ANSWER_S)
+        self.assertFalse(self.loop.is_running)
+        self.thread.join(PROMPT_ANSWER_S)
+
     def test_caller_after_loop_end_is_answered_immediately(self) -> None:
         self.thread.start()
         self.loop.stop()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -226,6 +226,27 @@
             with self.subTest(item.value), self.assertRaises(DocumentError):
                 decode_worker_entry(item, services)
 
+    def test_entries_that_no_connection_or_count_takes_are_rejected(
+        self,
+    ) -> None:
+        deep = b'{"x": ' + b'[' * 100_000 + b']' * 100_000 + b'}'
+        bad = [
+            self.worker_entry(address='a b:80'),
+            self.worker_entry(address='a%zz:80'),
+            self.worker_entry(address='\u00e9:80'),
+            self.worker_entry(address='10.0.0.1:\u00b2'),
+            self.worker_entry(address='10.0.0.1:0'),
+            self.worker_entry(address='10.0.0.1:' + '9' * 30),
+            self.worker_entry(born=10**30),
+            self.worker_entry(remaining_ms=10**400),
+            self.worker_entry(capacity={'cpu': 10**400}),
+            Item('servers/\u2603', self.worker_entry().value, Revision(1)),
+            Item('servers/w', deep, Revision(1)),
+        ]
+        for item in bad:
+            with self.subTest(item.key), self.assertRaises(DocumentError):
+                decode_worker_entry(item, configuration().services)
+
     def test_malformed_jobs_are_rejected(self) -> None:
         bad = [
             b'',
