--- a/src/primroseledge/jobs/actions.py
+++ b/src/primroseledge/jobs/actions.py
@@ -206,11 +206,13 @@
     """Event: a poll was refused, not answered or not sent; see ``result``.
 
     ``boot`` is the boot that was polled, even if another boot answered.
+    ``answering_boot`` is then that one, or 0 if it is not known.
     """
 
     worker: WorkerId
     boot: Boot
     result: OrderResult
+    answering_boot: Boot = Boot(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/platform/worker_client.py
+++ b/src/primroseledge/platform/worker_client.py
@@ -16,6 +16,7 @@
 from primroseledge.http_client import HttpClient
 from primroseledge.http_client import NoAnswerError
 from primroseledge.http_client import NotSentError
+from primroseledge.ids import Boot
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import ListedRun
 from primroseledge.jobs.actions import Order
@@ -166,7 +167,10 @@
             return PollFailed(target.worker, target.boot, result)
         if response.born and response.born != target.boot:
             return PollFailed(
-                target.worker, target.boot, OrderResult.OTHER_BOOT
+                target.worker,
+                target.boot,
+                OrderResult.OTHER_BOOT,
+                Boot(response.born),
             )
         return PollAnswered(
             target.worker,
--- a/tests/engine_bench.py
+++ b/tests/engine_bench.py
@@ -229,10 +229,14 @@
         self.reconcile()
 
     def fail_poll(
-        self, worker: WorkerId, result: OrderResult = OrderResult.UNANSWERED
+        self,
+        worker: WorkerId,
+        result: OrderResult = OrderResult.UNANSWERED,
+        boot: int = 0,
     ) -> None:
-        boot = self.engine.state.workers[worker].entry.boot
-        failure = PollFailed(worker, boot, result)
+        """Let a poll fail; ``boot`` is the one that answered, if known."""
+        expected = self.engine.state.workers[worker].entry.boot
+        failure = PollFailed(worker, expected, result, Boot(boot))
         self.engine.handle_poll_failure(failure, self.now)
         self.reconcile()
 
