Report a body or chunk that no memory holds as a call without answer

Seen: Content-Length 10^23 raises OverflowError out of urllib3 2.8, 4 x 10^18 MemoryError, a chunk of negative size ValueError. None of them is an HTTPError or OSError, so each passed HttpClient.call and ended the thread that made the call; the loop waited for its result for ever. One such answer of a worker, and the worker is polled no more: its tasks stand still.

Change: these count as a call without an answer. It was sent, and what it did is unknown. The connection is discarded by urllib3 as before.

Evidence: two tests on real sockets, both listed as known to fail, failed with these errors and pass now.

--- a/src/primroseledge/http_client.py
+++ b/src/primroseledge/http_client.py
@@ -25,6 +25,18 @@
 UNSENT_DATA_TIMEOUT_MS: Final = 2000
 """After this long without acknowledgement, TCP gives a connection up."""
 
+UNANSWERED_ERRORS: Final = (
+    HTTPError,
+    OSError,
+    ArithmeticError,
+    MemoryError,
+    ValueError,
+)
+"""What a call raises when no whole answer came.
+
+The last three come from lengths of a body or chunk that no memory holds.
+"""
+
 
 class NotSentError(PrimroseledgeError):
     """No connection could be opened, so the call was not made."""
@@ -87,7 +99,7 @@
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise NotSentError(str(error)) from error
-        except (HTTPError, OSError) as error:
+        except UNANSWERED_ERRORS as error:
             raise NoAnswerError(str(error)) from error
         return HttpAnswer(response.status, response.data)
 
