--- /dev/null
+++ b/tests/test_instance_client.py
@@ -0,0 +1,54 @@
+"""Tests of what is known of a call to the instance service.
+
+Guards against a call that counts as refused though it may have been made:
+the instance would be given another task, or a second call beside the first.
+"""
+
+from contextlib import ExitStack
+import unittest
+
+from primroseledge.ids import EntryId
+from primroseledge.ids import Epoch
+from primroseledge.ids import InstanceId
+from primroseledge.maintenance.actions import InstanceAnswered
+from primroseledge.maintenance.actions import InstanceResult
+from primroseledge.maintenance.actions import StartMaintenance
+from primroseledge.maintenance.wave import WaveNumber
+from primroseledge.platform.instance_client import PlatformInstanceClient
+from tests.raw_server import answer_with
+from tests.raw_server import RawServer
+
+CALL = StartMaintenance(InstanceId('i'), WaveNumber(1))
+
+
+class InstanceClientTest(unittest.TestCase):
+    def result_of(self, status: str, body: bytes) -> InstanceResult:
+        with ExitStack() as resources:
+            head = f'HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n'
+            server = RawServer(answer_with(head.encode() + body), resources)
+            client = PlatformInstanceClient(server.address, EntryId('e'))
+            resources.callback(client.close)
+            answered = client.call(CALL, Epoch(1))
+            assert isinstance(answered, InstanceAnswered)
+            return answered.result
+
+    def test_an_error_of_the_service_leaves_the_outcome_unknown(self) -> None:
+        for status in ('500 Error', '502 Bad Gateway', '504 Timeout'):
+            for body in (b'{}', b'{"reason": "busy"}', b'no JSON'):
+                with self.subTest(status, body=body):
+                    self.assertIs(
+                        InstanceResult.UNANSWERED, self.result_of(status, body)
+                    )
+
+    def test_refusals_are_told_apart_by_their_reason(self) -> None:
+        for body, result in (
+            (b'{"reason": "busy"}', InstanceResult.BUSY),
+            (b'{"reason": "fence"}', InstanceResult.FENCED),
+            (b'{"reason": "new"}', InstanceResult.REFUSED),
+        ):
+            with self.subTest(body):
+                self.assertIs(result, self.result_of('409 Conflict', body))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_node_loop.py
+++ b/tests/test_node_loop.py
@@ -82,6 +82,24 @@
 
 
 class ServerErrorsTest(unittest.TestCase):
+    def test_silent_connections_hold_no_server_thread(self) -> None:
+        resources = self.enterContext(ExitStack())
+
+        def application(environ: Any, start_response: Any) -> list[bytes]:
+            start_response('200 OK', [('Content-Length', '0')])
+            return [b'']
+
+        address = f'127.0.0.1:{free_port()}'
+        start_server(address, 1, application, resources)
+        for _ in range(3):
+            resources.enter_context(create_connection(split_address(address)))
+        # Time for the server to accept the connections in their order.
+        sleep(0.3)
+        client = HttpClient(address)
+        resources.callback(client.close)
+        answer = client.call('GET', '/', None, PROMPT_ANSWER_S)
+        self.assertEqual(200, answer.status)
+
     def test_bad_requests_do_not_end_a_server_without_stderr(self) -> None:
         resources = self.enterContext(ExitStack())
 
