Bound the time of a whole answer, not only of each read of it

Seen: a server that sends a byte every 0.1 s holds a call with a time-out of 0.4 s for 9.9 s, in the body as in the headers; with a longer answer, as long as it likes. The time-out of a socket begins anew with each read. A poll thread that is held so looks to the loop like a poll in flight: the worker's runs are neither ended nor given up.

Change: the answer is read through a reader that gives each read the call's time-out, and all reads together 1 s more, so that a megabyte of the store still comes through a slow link. urllib3 sets the time-out on the socket before it reads, so the bound counts from when the call was sent. The reader is put in by the connection's response class, which http.client offers for this.

--- a/src/primroseledge/http_client.py
+++ b/src/primroseledge/http_client.py
@@ -2,13 +2,21 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from http.client import HTTPResponse
+from io import BufferedReader
+from io import RawIOBase
 from socket import IPPROTO_TCP
 from socket import SO_KEEPALIVE
+from socket import socket
 from socket import SOL_SOCKET
 from socket import TCP_NODELAY
 from socket import TCP_USER_TIMEOUT
+from time import monotonic
+from typing import Any
 from typing import Final
 
+from urllib3.connection import HTTPConnection
+from urllib3.connection import HTTPSConnection
 from urllib3.connectionpool import HTTPConnectionPool
 from urllib3.connectionpool import HTTPSConnectionPool
 from urllib3.exceptions import ConnectTimeoutError
@@ -25,6 +33,12 @@
 UNSENT_DATA_TIMEOUT_MS: Final = 2000
 """After this long without acknowledgement, TCP gives a connection up."""
 
+SLOW_ANSWER_S: Final = 1.0
+"""How much longer than a call's time-out a whole answer may take.
+
+A page of the store of a megabyte may need it on a slow link.
+"""
+
 UNANSWERED_ERRORS: Final = (
     HTTPError,
     OSError,
@@ -54,6 +68,72 @@
     body: bytes
 
 
+class TimedReader(RawIOBase):
+    """Reads from a socket, each read within its time-out, and all in time.
+
+    Together they may take ``SLOW_ANSWER_S`` longer than one. The time-out of
+    a socket alone begins anew with each read, so that a server which sends
+    byte by byte could hold a call for hours.
+    """
+
+    def __init__(self, connection: socket, source: RawIOBase) -> None:
+        self.connection = connection
+        self.source = source
+        self.timeout_s = connection.gettimeout() or 0.0
+        self.ends_at = monotonic() + self.timeout_s + SLOW_ANSWER_S
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read into a buffer; raises TimeoutError when the time is over."""
+        left_s = self.ends_at - monotonic()
+        if left_s <= 0:
+            raise TimeoutError('timed out')
+        self.connection.settimeout(min(self.timeout_s, left_s))
+        return self.source.readinto(buffer)
+
+    def close(self) -> None:
+        """Close the source."""
+        self.source.close()
+        super().close()
+
+
+class TimedAnswer(HTTPResponse):
+    """An answer that must be whole soon after the socket's time-out."""
+
+    def __init__(
+        self, connection: socket, *arguments: Any, **options: Any
+    ) -> None:
+        super().__init__(connection, *arguments, **options)
+        self.fp = BufferedReader(TimedReader(connection, self.fp.detach()))
+
+
+class TimedConnection(HTTPConnection):
+    """A connection whose answers are read in bounded time."""
+
+    response_class = TimedAnswer
+
+
+class TimedSecureConnection(HTTPSConnection):
+    """The same by TLS."""
+
+    response_class = TimedAnswer
+
+
+class TimedPool(HTTPConnectionPool):
+    """A pool of connections whose answers are read in bounded time."""
+
+    ConnectionCls = TimedConnection
+
+
+class TimedSecurePool(HTTPSConnectionPool):
+    """The same by TLS."""
+
+    ConnectionCls = TimedSecureConnection
+
+
 class HttpClient:
     """Keeps a few connections to one address, by TLS if asked to."""
 
@@ -61,7 +141,7 @@
         self, address: str, connections: int = 1, is_secure: bool = False
     ) -> None:
         host, _, port = address.rpartition(':')
-        kind = HTTPSConnectionPool if is_secure else HTTPConnectionPool
+        kind = TimedSecurePool if is_secure else TimedPool
         self.pool = kind(
             host,
             int(port),
@@ -82,7 +162,12 @@
         timeout_s: float,
         headers: Mapping[str, str] | None = None,
     ) -> HttpAnswer:
-        """Make one call; raises NotSentError and NoAnswerError."""
+        """Make one call; raises NotSentError and NoAnswerError.
+
+        An answer must begin within ``timeout_s`` after the call was sent and
+        be whole ``SLOW_ANSWER_S`` later; opening a connection takes at most
+        ``CONNECT_TIMEOUT_S`` more.
+        """
         all_headers = dict(JSON_HEADERS) if body is not None else {}
         all_headers.update(headers or {})
         try:
