Post a result for each call, also when its thread meets a defect

Seen: an exception that nobody foresaw ended the thread of the poll, order, store, instance or advice call, of the lease or of the watch; its traceback went to standard error, and the loop waited for ever for a result: a worker was polled no more, a batch stayed in flight and all jobs stood still, or the configuration and the owner were never seen again. Real ones: OverflowError of msgpack for a number of 2^64, RecursionError of msgspec for a deep nesting, OverflowError and MemoryError of http.client.

Change: each thread catches the error, logs it (event 720, with a traceback) and posts what is true of such a call. A poll, order or instance call is unanswered; a list, advice or claim failed; what was to be stored or restored ends the ownership, as the next owner reads what the store holds. Lease and watch go on as after a failure of the store.

--- a/src/primroseledge/cluster/keys.py
+++ b/src/primroseledge/cluster/keys.py
@@ -1,5 +1,7 @@
 """Store keys of the cluster, and the records stored under them."""
 
+from collections.abc import Iterable
+from typing import Any
 from typing import Final
 from typing import TypeVar
 
@@ -12,6 +14,8 @@
 from primroseledge.errors import DocumentError
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
 
 OWNER_KEY: Final = 'owner/record'
 MEMBER_PREFIX: Final = 'owner/members/'
@@ -79,3 +83,18 @@
         return msgpack.decode(item.value or b'', type=kind)
     except DecodeError as error:
         raise DocumentError(f'{item.key}: {error}') from error
+
+
+def decode_records(
+    items: Iterable[Item], prefix: str, kind: type
+) -> list[Any]:
+    """Return the records under a prefix; log and skip malformed ones."""
+    records = list[Any]()
+    for item in items:
+        if not item.key.startswith(prefix):
+            continue
+        try:
+            records.append(msgpack.decode(item.value or b'', type=kind))
+        except DecodeError as error:
+            log(Event.INPUT_SKIPPED, subject=item.key, problem=str(error))
+    return records
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from contextlib import ExitStack
 from queue import SimpleQueue
 from threading import Event as ThreadEvent
@@ -15,11 +14,11 @@
 from typing import Final
 from typing import Protocol
 
-from msgspec import DecodeError
 from msgspec import msgpack
 
 from primroseledge.clock import boot_time
 from primroseledge.cluster.call_thread import Inbox
+from primroseledge.cluster.call_thread import log_call_failure
 from primroseledge.cluster.commands import BatchStored
 from primroseledge.cluster.commands import ClaimLost
 from primroseledge.cluster.commands import ClaimOwner
@@ -37,11 +36,11 @@
 from primroseledge.cluster.commands import WorkerListFailed
 from primroseledge.cluster.commands import WorkersListed
 from primroseledge.cluster.fleet_store import FleetStore
-from primroseledge.cluster.fleet_store import Item
 from primroseledge.cluster.fleet_store import Put
 from primroseledge.cluster.fleet_store import Transaction
 from primroseledge.cluster.keys import decode_ledger
 from primroseledge.cluster.keys import decode_owner
+from primroseledge.cluster.keys import decode_records
 from primroseledge.cluster.keys import encode_value
 from primroseledge.cluster.keys import JOB_PREFIX
 from primroseledge.cluster.keys import LEDGER_KEY
@@ -52,6 +51,8 @@
 from primroseledge.cluster.keys import RECORD_PREFIX
 from primroseledge.cluster.keys import WAVE_PREFIX
 from primroseledge.cluster.messages import OwnerView
+from primroseledge.cluster.store_failures import fail_command
+from primroseledge.cluster.store_failures import StoreCommand
 from primroseledge.errors import ConflictError
 from primroseledge.errors import DocumentError
 from primroseledge.errors import StoreError
@@ -74,15 +75,6 @@
 No batch has it: batches are numbered from 1.
 """
 
-StoreCommand = (
-    ClaimOwner
-    | RestoreJobs
-    | StoreBatch
-    | ReleaseOwner
-    | LeaveMembers
-    | ListWorkers
-)
-
 
 class PlatformKeys(Protocol):
     """The store keys that the platform defines."""
@@ -143,7 +135,7 @@
             if command is None:
                 return
             began_at = boot_time()
-            result = HANDLERS[type(command)](self, command)
+            result = self.execute(command)
             self.metrics.store_step_ended(
                 outer_name(command),
                 outer_name(result),
@@ -151,6 +143,14 @@
             )
             self.inbox.post(result)
 
+    def execute(self, command: StoreCommand) -> Any:
+        """Return a command's result, or that of its failure if it raises."""
+        try:
+            return HANDLERS[type(command)](self, command)
+        except Exception as error:
+            log_call_failure(self.thread.name, error)
+            return fail_command(command, error)
+
     def wait_before_retry(self) -> bool:
         """Wait before a retry; return False if the thread was stopped."""
         return not self.is_stopped.wait(STORE_RETRY_S)
@@ -250,21 +250,6 @@
         )
 
 
-def decode_records(
-    items: Iterable[Item], prefix: str, kind: type
-) -> list[Any]:
-    """Return the records under a prefix; log and skip malformed ones."""
-    records = list[Any]()
-    for item in items:
-        if not item.key.startswith(prefix):
-            continue
-        try:
-            records.append(msgpack.decode(item.value or b'', type=kind))
-        except DecodeError as error:
-            log(Event.INPUT_SKIPPED, subject=item.key, problem=str(error))
-    return records
-
-
 @register_handler(StoreBatch)
 def store_batch(
     thread: StoreThread, command: StoreBatch
--- a/src/primroseledge/cluster/watch_threads.py
+++ b/src/primroseledge/cluster/watch_threads.py
@@ -6,6 +6,7 @@
 
 from primroseledge.clock import boot_time
 from primroseledge.cluster.call_thread import Inbox
+from primroseledge.cluster.call_thread import log_call_failure
 from primroseledge.cluster.commands import LeaseLost
 from primroseledge.cluster.commands import LeaseRenewed
 from primroseledge.cluster.commands import StoreUnavailable
@@ -88,8 +89,10 @@
                 lease = None
                 self.inbox.post(LeaseLost())
                 continue
-            except StoreError as error:
-                if not failures:
+            except Exception as error:
+                if not isinstance(error, StoreError):
+                    log_call_failure(self.thread.name, error)
+                elif not failures:
                     log(Event.STORE_RETRIED, step='lease', problem=str(error))
                 failures += 1
                 pause_s = LEASE_RETRY_S * min(failures, MAX_LEASE_RETRY_FACTOR)
@@ -146,7 +149,9 @@
                 timeout_s = WATCH_TIMEOUT_S
             except HistoryLostError:
                 after = None
-            except StoreError as error:
+            except Exception as error:
+                if not isinstance(error, StoreError):
+                    log_call_failure(self.thread.name, error)
                 timeout_s = FIRST_WATCH_TIMEOUT_S
                 self.inbox.post(StoreUnavailable(str(error)))
                 self.is_stopped.wait(WATCH_RETRY_S)
--- a/src/primroseledge/cluster/worker_links.py
+++ b/src/primroseledge/cluster/worker_links.py
@@ -42,6 +42,25 @@
 OpenWorker = Callable[[str], WorkerClient]
 
 
+def report_failure(
+    call: Order | SendPoll, epoch: Epoch, result: OrderResult
+) -> WorkerReport:
+    """Return the report of an order or poll that got no answer."""
+    if isinstance(call, SendPoll):
+        target = call.target
+        failed = PollFailed(target.worker, target.boot, result)
+        return WorkerReport(epoch, failed)
+    now = boot_time()
+    return WorkerReport(epoch, OrderEnded(call, result, None, now, now))
+
+
+def fail_worker_call(
+    queued: tuple[Order | SendPoll, Epoch], _error: Exception
+) -> WorkerReport:
+    """Return the report of a call that raised: it may have been sent."""
+    return report_failure(*queued, OrderResult.UNANSWERED)
+
+
 class WorkerLink:
     """The poll thread and the order thread of one worker's address."""
 
@@ -56,10 +75,18 @@
         self.poll_client = open_worker(address)
         self.order_client = open_worker(address)
         self.poll_thread = CallThread(
-            inbox, self.poll, self.poll_client.close, f'poll {address}'
+            inbox,
+            self.poll,
+            fail_worker_call,
+            self.poll_client.close,
+            f'poll {address}',
         )
         self.order_thread = CallThread(
-            inbox, self.send_order, self.order_client.close, f'order {address}'
+            inbox,
+            self.send_order,
+            fail_worker_call,
+            self.order_client.close,
+            f'order {address}',
         )
         self.used_at = boot_time()
 
@@ -78,9 +105,7 @@
             return WorkerReport(
                 epoch, self.order_client.send_order(order, epoch)
             )
-        now = boot_time()
-        unsent = OrderEnded(order, OrderResult.NOT_SENT, None, now, now)
-        return WorkerReport(epoch, unsent)
+        return report_failure(order, epoch, OrderResult.NOT_SENT)
 
     def close(self) -> None:
         """End both threads after the calls that are already queued."""
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -10,6 +10,9 @@
 from primroseledge.observability.event_info import error
 from primroseledge.observability.event_info import info
 from primroseledge.observability.event_info import warning
+from primroseledge.observability.thread_events import CALL_FAILED_INFO
+from primroseledge.observability.thread_events import LINES_DROPPED_INFO
+from primroseledge.observability.thread_events import TRACE_DROPPED_INFO
 
 
 @unique
@@ -275,18 +278,8 @@
         'A plan or job record cannot be read, or there is a defect.',
         'Look at the record; report the problem if it is right.',
     )
-    TRACE_DROPPED = warning(
-        601,
-        '{dropped} spans dropped',
-        'Spans came faster than they could be exported.',
-        'Lower `trace.sample` or look at the endpoint.',
-    )
-    LINES_DROPPED = warning(
-        602,
-        '{dropped} lines of event {number} dropped in {seconds} s',
-        'Lines came faster than the budget allows or than they were read.',
-        'Read the metrics for the counts; look for what repeats.',
-    )
+    TRACE_DROPPED = TRACE_DROPPED_INFO
+    LINES_DROPPED = LINES_DROPPED_INFO
     JOB_ACCEPTED = info(
         701,
         'job {job} of workspace {workspace} accepted for queue {queue}: '
@@ -412,3 +405,4 @@
         'If workers are free, see what holds them: polls (708), lists (707), '
         'moves and maintenance (710); else look at the size of the pool.',
     )
+    CALL_FAILED = CALL_FAILED_INFO
--- a/src/primroseledge/operators/cli_running.py
+++ b/src/primroseledge/operators/cli_running.py
@@ -21,12 +21,12 @@
 from primroseledge.cluster.fleet_store import FleetStore
 from primroseledge.cluster.keys import decode_ledger
 from primroseledge.cluster.keys import decode_owner
+from primroseledge.cluster.keys import decode_records
 from primroseledge.cluster.keys import JOB_PREFIX
 from primroseledge.cluster.keys import LEDGER_KEY
 from primroseledge.cluster.keys import OWNER_KEY
 from primroseledge.cluster.keys import PROGRESS_PREFIX
 from primroseledge.cluster.keys import WAVE_PREFIX
-from primroseledge.cluster.store_thread import decode_records
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import StoreError
 from primroseledge.exit_codes import code_of
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -36,12 +36,14 @@
 from primroseledge.cluster.worker_links import WorkerLinks
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
+from primroseledge.jobs.advice import AdviceFailed
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceCall
 from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.maintenance.actions import InstanceResult
+from primroseledge.maintenance.actions import ListFailed
 from primroseledge.maintenance.actions import ListInstances
 from primroseledge.observability.events import Event
 from primroseledge.observability.fleet_metrics import create_fleet_metrics
@@ -235,6 +237,7 @@
     loop.instance_thread = CallThread(
         loop,
         lambda call: call_instance_service(loop, instance_client, *call),
+        fail_instance_call,
         instance_client.close,
         'instances',
     )
@@ -242,7 +245,11 @@
     if settings.advice_address:
         advice_client = PlatformAdviceClient(settings.advice_address)
         loop.advice_thread = CallThread(
-            loop, advice_client.request_advice, advice_client.close, 'advice'
+            loop,
+            advice_client.request_advice,
+            lambda request, error: AdviceFailed(request, str(error)),
+            advice_client.close,
+            'advice',
         )
         resources.callback(loop.advice_thread.stop)
     loop.worker_links = WorkerLinks(
@@ -267,6 +274,16 @@
     return InstanceAnswered(call, InstanceResult.REFUSED, boot_time())
 
 
+def fail_instance_call(
+    queued: tuple[InstanceCall, Epoch], error: Exception
+) -> InstanceReport:
+    """Return the result of a call that raised: it may have been made."""
+    call, _ = queued
+    if isinstance(call, ListInstances):
+        return ListFailed(str(error))
+    return InstanceAnswered(call, InstanceResult.UNANSWERED, boot_time())
+
+
 def open_store(
     settings: PlatformSettings, resources: ExitStack
 ) -> PlatformStore:
