Fail the calls of a link that cannot be opened, not the whole owner

Seen: opening the connections to a worker runs in the loop's thread. An address such as 'a b:80' (LocationParseError of urllib3), or a system that starts no more threads (RuntimeError), was taken for a defect of the engine: the owner gave the ownership up, and so did each next one, since it reads the same list.

If the second thread of a link does not start, the first is stopped.

--- a/src/primroseledge/cluster/worker_links.py
+++ b/src/primroseledge/cluster/worker_links.py
@@ -13,6 +13,7 @@
 from primroseledge.clock import boot_time
 from primroseledge.cluster.call_thread import CallThread
 from primroseledge.cluster.call_thread import Inbox
+from primroseledge.cluster.call_thread import log_call_failure
 from primroseledge.cluster.commands import WorkerReport
 from primroseledge.ids import Epoch
 from primroseledge.jobs.actions import Order
@@ -81,13 +82,18 @@
             self.poll_client.close,
             f'poll {address}',
         )
-        self.order_thread = CallThread(
-            inbox,
-            self.send_order,
-            fail_worker_call,
-            self.order_client.close,
-            f'order {address}',
-        )
+        try:
+            self.order_thread = CallThread(
+                inbox,
+                self.send_order,
+                fail_worker_call,
+                self.order_client.close,
+                f'order {address}',
+            )
+        except RuntimeError:
+            # The system starts no more threads; the first one goes too.
+            self.poll_thread.stop()
+            raise
         self.used_at = boot_time()
 
     def poll(self, call: tuple[SendPoll, Epoch]) -> WorkerReport:
@@ -130,14 +136,18 @@
         self.resources.callback(self.close_all)
 
     def submit(self, call: Order | SendPoll, epoch: Epoch) -> None:
-        """Queue an order or poll; its result is posted to the inbox."""
+        """Queue an order or poll; its result is posted to the inbox.
+
+        If no link can be opened, that result is NOT_SENT: one address, or a
+        system that starts no more threads, fails no other worker's calls.
+        """
         address = call.target.address
-        link = self.links.get(address)
-        if link is None:
-            link = WorkerLink(
-                self.inbox, self.open_worker, self.may_send_orders, address
-            )
-            self.links[address] = link
+        try:
+            link = self.links.get(address) or self.open_link(address)
+        except Exception as error:
+            log_call_failure(f'link {address}', error)
+            self.inbox.post(report_failure(call, epoch, OrderResult.NOT_SENT))
+            return
         link.used_at = boot_time()
         thread = (
             link.poll_thread
@@ -146,6 +156,14 @@
         )
         thread.submit((call, epoch))
 
+    def open_link(self, address: str) -> WorkerLink:
+        """Open and return the link to an address; raises on a bad one."""
+        link = WorkerLink(
+            self.inbox, self.open_worker, self.may_send_orders, address
+        )
+        self.links[address] = link
+        return link
+
     def close_idle(self, now: float) -> None:
         """Close the links that were idle for too long."""
         for address, link in list(self.links.items()):
