Send no order later than a second after it was decided

Seen: one thread sends all orders to a worker, each unanswered one takes 0.6 s. Behind five of them the sixth start left 3.0 s after its decision (a test with a worker that does not answer). By then its lease may be nearly over, its job cancelled or its worker restarted, and a restarted worker would carry it out.

Change: an order is queued with the time until which it may be sent, on the owner's boot clock; one that is taken out later is reported as NOT_SENT. That is true of this send; of a start that was sent before, handle_start_answer already assumes that it may have been carried out. A stop is ordered anew as before.

A process that is paused between this check and the send is not covered.

--- a/src/primroseledge/cluster/worker_links.py
+++ b/src/primroseledge/cluster/worker_links.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from contextlib import ExitStack
+from dataclasses import dataclass
 from typing import Final
 from typing import Protocol
 
@@ -26,6 +27,26 @@
 WORKER_IDLE_TIMEOUT_S: Final = 10.0
 """Idle time after which a worker's connections are closed, in seconds."""
 
+MAX_ORDER_WAIT_S: Final = 1.0
+"""Longest time in seconds between the decision for an order and its sending.
+
+Behind orders that are not answered, each by 0.6 s, an order would leave long
+after the owner has changed its mind, and even a worker that has restarted
+would carry it out. What is still wanted then is ordered anew.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedOrder:
+    """An order, the owner's epoch, and until when it may be sent.
+
+    The time is on this instance's boot clock, in seconds.
+    """
+
+    order: Order
+    epoch: Epoch
+    send_before: float
+
 
 class WorkerClient(Protocol):
     """The calls that the owner makes to one worker."""
@@ -55,13 +76,18 @@
     return WorkerReport(epoch, OrderEnded(call, result, None, now, now))
 
 
-def fail_worker_call(
-    queued: tuple[Order | SendPoll, Epoch], _error: Exception
+def fail_poll(
+    queued: tuple[SendPoll, Epoch], _error: Exception
 ) -> WorkerReport:
-    """Return the report of a call that raised: it may have been sent."""
+    """Return the report of a poll that raised: it may have been sent."""
     return report_failure(*queued, OrderResult.UNANSWERED)
 
 
+def fail_order(queued: QueuedOrder, _error: Exception) -> WorkerReport:
+    """Return the report of an order that raised: it may have been sent."""
+    return report_failure(queued.order, queued.epoch, OrderResult.UNANSWERED)
+
+
 class WorkerLink:
     """The poll thread and the order thread of one worker's address."""
 
@@ -78,7 +104,7 @@
         self.poll_thread = CallThread(
             inbox,
             self.poll,
-            fail_worker_call,
+            fail_poll,
             self.poll_client.close,
             f'poll {address}',
         )
@@ -86,7 +112,7 @@
             self.order_thread = CallThread(
                 inbox,
                 self.send_order,
-                fail_worker_call,
+                fail_order,
                 self.order_client.close,
                 f'order {address}',
             )
@@ -101,13 +127,13 @@
         poll, epoch = call
         return WorkerReport(epoch, self.poll_client.poll(poll, epoch))
 
-    def send_order(self, call: tuple[Order, Epoch]) -> WorkerReport:
-        """Send an order, unless this instance's epoch or lease has ended.
+    def send_order(self, queued: QueuedOrder) -> WorkerReport:
+        """Send an order, if it is not too late and this is still the owner.
 
         An order that is not sent is reported as NOT_SENT.
         """
-        order, epoch = call
-        if self.may_send_orders(epoch):
+        order, epoch = queued.order, queued.epoch
+        if boot_time() < queued.send_before and self.may_send_orders(epoch):
             return WorkerReport(
                 epoch, self.order_client.send_order(order, epoch)
             )
@@ -148,13 +174,13 @@
             log_call_failure(f'link {address}', error)
             self.inbox.post(report_failure(call, epoch, OrderResult.NOT_SENT))
             return
-        link.used_at = boot_time()
-        thread = (
-            link.poll_thread
-            if isinstance(call, SendPoll)
-            else link.order_thread
-        )
-        thread.submit((call, epoch))
+        now = link.used_at = boot_time()
+        if isinstance(call, SendPoll):
+            link.poll_thread.submit((call, epoch))
+        else:
+            link.order_thread.submit(
+                QueuedOrder(call, epoch, now + MAX_ORDER_WAIT_S)
+            )
 
     def open_link(self, address: str) -> WorkerLink:
         """Open and return the link to an address; raises on a bad one."""
--- a/tests/test_call_threads.py
+++ b/tests/test_call_threads.py
@@ -27,6 +27,7 @@
 from primroseledge.cluster.store_thread import StoreThread
 from primroseledge.cluster.watch_threads import LeaseThread
 from primroseledge.cluster.watch_threads import WatchThread
+from primroseledge.cluster.worker_links import MAX_ORDER_WAIT_S
 from primroseledge.cluster.worker_links import WorkerLinks
 from primroseledge.ids import Boot
 from primroseledge.ids import EntryId
@@ -49,7 +50,6 @@
 from primroseledge.platform.worker_client import ORDER_TIMEOUT_S
 
 RESULT_WAIT_S: Final = 3.0
-MAX_ORDER_WAIT_S: Final = 1.2
 EPOCH: Final = Epoch(3)
 TARGET: Final = Target(WorkerId('w'), Boot(1), '127.0.0.1:1')
 TASK: Final = TaskKey(JobId('0' * 16), 0, 0, 0)
