Refuse numbers, nestings and addresses that nothing later can hold

Seen: a job that asks for 10^30 of a resource was accepted; msgpack can't write its record (OverflowError), which ended the owner's store thread: its batch stayed in flight, and all jobs stood still. A worker entry with remaining_ms of 10^400, or one nested 100,000 deep, raised in the loop's thread, so that each owner gave up in turn; one with the address 'a b:80' or a port of 30 digits raised when its link was opened; its id, if no header holds it, at each poll.

Change: numbers from outside are below 2^63, except the store's own revisions and leases, which only go back to it. A nesting too deep is malformed like any other. An address is a host name or IP address and a port up to 65535, and a worker's id is printable ASCII; other entries are skipped with event 210 as before, and other jobs are answered with 400.

Evidence: two tests, listed as known to fail, had the inputs accepted or the OverflowError and RecursionError raised; all are DocumentErrors now.

--- a/src/primroseledge/platform/advice_client.py
+++ b/src/primroseledge/platform/advice_client.py
@@ -6,7 +6,6 @@
 
 from typing import Final
 
-from msgspec import DecodeError
 from msgspec import json
 
 from primroseledge.clock import boot_time
@@ -17,6 +16,7 @@
 from primroseledge.jobs.advice import AdviceAnswered
 from primroseledge.jobs.advice import AdviceFailed
 from primroseledge.jobs.advice import RequestAdvice
+from primroseledge.platform.wire import MALFORMED_ERRORS
 from primroseledge.platform.wire import WireAdviceResponse
 
 CALL_TIMEOUT_S: Final = 3.0
@@ -59,7 +59,7 @@
                     request, f'unexpected status {answer.status}'
                 )
             advice = json.decode(answer.body, type=WireAdviceResponse)
-        except (NotSentError, NoAnswerError, DecodeError) as error:
+        except (NotSentError, NoAnswerError, *MALFORMED_ERRORS) as error:
             return AdviceFailed(request, str(error))
         return AdviceAnswered(
             request,
--- a/src/primroseledge/platform/decoding.py
+++ b/src/primroseledge/platform/decoding.py
@@ -3,9 +3,11 @@
 They turn the platform's JSON into the types of ``primroseledge.jobs``.
 """
 
-from msgspec import DecodeError
+from re import ASCII
+from re import compile as compile_pattern
+from typing import Final
+
 from msgspec import json
-from msgspec import ValidationError
 
 from primroseledge.cluster.fleet_store import Item
 from primroseledge.errors import DocumentError
@@ -26,6 +28,7 @@
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.jobs.worker import WorkerState
+from primroseledge.platform.wire import MALFORMED_ERRORS
 from primroseledge.platform.wire import WireConfiguration
 from primroseledge.platform.wire import WireJob
 from primroseledge.platform.wire import WireQueue
@@ -38,6 +41,14 @@
     'ready': WorkerState.READY,
     'draining': WorkerState.DRAINING,
 }
+MAX_PORT: Final = 65535
+ADDRESS_PATTERN: Final = compile_pattern(
+    r'([\w.-]{1,253}|\[?[0-9A-Fa-f:.]{2,45}\]?):(?P<port>\d{1,5})', ASCII
+)
+"""A host name, an IPv4 or IPv6 address, and a port."""
+
+WORKER_ID_PATTERN: Final = compile_pattern('[!-~]+')
+"""What a header of a call to the worker holds unchanged."""
 
 
 def decode_job(body: bytes) -> JobSpec:
@@ -48,7 +59,7 @@
     """
     try:
         job = json.decode(body, type=WireJob)
-    except (DecodeError, ValidationError) as error:
+    except MALFORMED_ERRORS as error:
         raise DocumentError(f'not a job: {error}') from error
     spec = JobSpec(
         payload=job.task_spec,
@@ -92,7 +103,7 @@
     """
     try:
         wire = json.decode(body, type=WireConfiguration)
-    except (DecodeError, ValidationError) as error:
+    except MALFORMED_ERRORS as error:
         raise DocumentError(
             f'invalid configuration document: {error}'
         ) from error
@@ -160,21 +171,20 @@
         raise DocumentError('the worker entry has no value')
     try:
         entry = json.decode(item.value, type=WireWorkerEntry)
-    except (DecodeError, ValidationError) as error:
+    except MALFORMED_ERRORS as error:
         raise DocumentError(f'invalid worker entry: {error}') from error
     state = WORKER_STATES.get(entry.state)
     if state is None:
         raise DocumentError(f'unknown worker state: {entry.state!r}')
     if ServiceId(entry.service) not in services:
         raise DocumentError(f'unknown service: {entry.service!r}')
-    host, colon, port = entry.address.rpartition(':')
-    if not (host and colon and port.isdigit()):
-        raise DocumentError(
-            f'worker address is not HOST:PORT: {entry.address!r}'
-        )
+    check_address(entry.address)
+    worker_id = item.key.removeprefix(WORKER_PREFIX)
+    if not WORKER_ID_PATTERN.fullmatch(worker_id):
+        raise DocumentError(f'no header holds the worker id {worker_id!a}')
     remaining_ms = entry.remaining_ms
     return WorkerEntry(
-        WorkerId(item.key.removeprefix(WORKER_PREFIX)),
+        WorkerId(worker_id),
         Boot(entry.born),
         ServiceId(entry.service),
         entry.address,
@@ -186,6 +196,13 @@
     )
 
 
+def check_address(address: str) -> None:
+    """Raise DocumentError unless an address is HOST:PORT."""
+    match = ADDRESS_PATTERN.fullmatch(address)
+    if match is None or not 0 < int(match['port']) <= MAX_PORT:
+        raise DocumentError(f'worker address is not HOST:PORT: {address!a}')
+
+
 def to_resources(wire: WireResources) -> Resources:
     """Convert amounts of processor, memory and accelerators."""
     return Resources(wire.cpu, wire.memory_request_mb, wire.gpu)
--- a/src/primroseledge/platform/instance_client.py
+++ b/src/primroseledge/platform/instance_client.py
@@ -8,7 +8,6 @@
 from typing import Final
 from urllib.parse import urlencode
 
-from msgspec import DecodeError
 from msgspec import json
 
 from primroseledge.clock import boot_time
@@ -33,6 +32,7 @@
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.platform.wire import MALFORMED_ERRORS
 from primroseledge.platform.wire import WireInstance
 from primroseledge.platform.wire import WireInstancePage
 from primroseledge.platform.wire import WireRefusal
@@ -105,7 +105,7 @@
                 if answer.status != OK:
                     return ListFailed(f'unexpected status {answer.status}')
                 page = json.decode(answer.body, type=WireInstancePage)
-            except (NotSentError, NoAnswerError, DecodeError) as error:
+            except (NotSentError, NoAnswerError, *MALFORMED_ERRORS) as error:
                 return ListFailed(str(error))
             rows.extend(decode_instances(page.machines))
             page_token = page.next_page_token
@@ -151,7 +151,7 @@
     """
     try:
         reason = json.decode(body, type=WireRefusal).reason
-    except DecodeError as error:
+    except MALFORMED_ERRORS as error:
         log(Event.INPUT_SKIPPED, subject='refusal', problem=str(error))
         return InstanceResult.UNANSWERED
     return RESULT_BY_REASON.get(reason, InstanceResult.REFUSED)
--- a/src/primroseledge/platform/store.py
+++ b/src/primroseledge/platform/store.py
@@ -12,7 +12,6 @@
 from typing import TypeVar
 from urllib.parse import urlencode
 
-from msgspec import DecodeError
 from msgspec import json
 
 from primroseledge.cluster.fleet_store import HistoryLostError
@@ -33,6 +32,7 @@
 from primroseledge.ids import Revision
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.platform.wire import MALFORMED_ERRORS
 from primroseledge.platform.wire import WireItem
 from primroseledge.platform.wire import WireItemPage
 from primroseledge.platform.wire import WireWatchResponse
@@ -223,7 +223,7 @@
     """
     try:
         return json.decode(answer.body, type=response_type)
-    except DecodeError as error:
+    except MALFORMED_ERRORS as error:
         raise StoreError(f'malformed answer of the store: {error}') from error
 
 
--- a/src/primroseledge/platform/store_keys.py
+++ b/src/primroseledge/platform/store_keys.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-from msgspec import DecodeError
 from msgspec import json
 
 from primroseledge.cluster.fleet_store import Item
@@ -17,6 +16,7 @@
 from primroseledge.maintenance.wave import WaveNumber
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.platform.decoding import WORKER_PREFIX
+from primroseledge.platform.wire import MALFORMED_ERRORS
 from primroseledge.platform.wire import WireWave
 
 CONFIGURATION_KEY: Final = 'op/config'
@@ -57,7 +57,7 @@
         """
         try:
             wave = json.decode(item.value or b'', type=WireWave)
-        except DecodeError as error:
+        except MALFORMED_ERRORS as error:
             raise DocumentError(f'invalid wave document: {error}') from error
         return Wave(
             WaveNumber(wave.wave),
--- a/src/primroseledge/platform/wire.py
+++ b/src/primroseledge/platform/wire.py
@@ -5,19 +5,35 @@
 its name misleads.
 """
 
+from typing import Annotated
+from typing import Final
+
+from msgspec import DecodeError
 from msgspec import field
+from msgspec import Meta
 from msgspec import Struct
 
+MAX_NUMBER: Final = 2**63 - 1
+"""Greatest number from outside that records and log lines hold.
+
+The store's own revisions and leases are passed back to it as they came.
+"""
+
+Number = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
+MALFORMED_ERRORS: Final = (DecodeError, RecursionError)
+"""What decoding a body raises; the second if it is nested too deeply."""
+
 
 class WireStep(Struct):
     """A step of a job that a caller submits."""
 
-    count: int = 1
-    cpu: int = 0
-    memory_request_mb: int = 0
-    gpu: int = 0
-    estimated_duration_ms: int = 0
-    after: list[int] = []
+    count: Number = 1
+    cpu: Number = 0
+    memory_request_mb: Number = 0
+    gpu: Number = 0
+    estimated_duration_ms: Number = 0
+    after: list[Number] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
@@ -26,16 +42,16 @@
     # The rack that holds the data; it relates no tasks to each other.
     affinity: str = ''
     # The most tasks of the step on one worker; 0 for no limit.
-    anti_affinity: int = 0
+    anti_affinity: Number = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ''
     # Objective for response times of the tasks; 0 for none.
-    target_ms: int = 0
+    target_ms: Number = 0
     # Best effort: the tasks use processor time that others leave unused.
     fills: bool = False
     # How many tasks may be unavailable, not how many ends may be missed.
-    may_miss: int = 0
+    may_miss: Number = 0
 
 
 class WireJob(Struct):
@@ -44,17 +60,17 @@
     # Passed to workers unchanged.
     task_spec: str
     steps: list[WireStep]
-    repetitions: int = 0
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    repetitions: Number = 0
+    first_run_ms: Number = 0
+    interval_ms: Number = 0
 
 
 class WireResources(Struct):
     """Amounts of processor, memory and accelerators."""
 
-    cpu: int = 0
-    memory_request_mb: int = 0
-    gpu: int = 0
+    cpu: Number = 0
+    memory_request_mb: Number = 0
+    gpu: Number = 0
 
 
 class WireWorkerEntry(Struct):
@@ -67,9 +83,9 @@
     capacity: WireResources
     labels: list[str]
     # Number of the worker's boot.
-    born: int
+    born: Number
     # Only while it drains: the least time until it leaves.
-    remaining_ms: int | None = None
+    remaining_ms: Number | None = None
 
 
 class WireAdviceTiming(Struct):
@@ -95,8 +111,8 @@
     target_completion_ms: float = 0
     # Multiplies the job's critical path; added to the constant part.
     slack_factor: float = 1.0
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Number = 0
+    max_attempts: Number = 1
     allow_anonymous: bool = False
     recommendation: WireAdviceTiming | None = None
 
@@ -123,13 +139,13 @@
 class WireLimits(Struct):
     """Limits on callers' requests."""
 
-    max_body_bytes: int = 262144
+    max_body_bytes: Number = 262144
 
 
 class WireConfiguration(Struct):
     """The configuration document that operators store."""
 
-    version: int
+    version: Number
     # The queues, each with the host and path prefix that callers use.
     routes: list[WireQueue] = []
     services: list[WireService] = []
@@ -141,12 +157,12 @@
 class WireWave(Struct):
     """A wave: an operator's request for maintenance of some instances."""
 
-    wave: int
+    wave: Number
     # Ids of instances.
     machines: list[str]
     duration_s: float
     # The most instances that may be down at once for this wave.
-    upper_bound: int = 1
+    upper_bound: Number = 1
 
 
 class WireWorkerResponse(Struct):
@@ -157,11 +173,11 @@
     number, task name, run number, kind of end and checkpoint.
     """
 
-    clock_ms: int
+    clock_ms: Number
     # Number of the worker's boot; 0 if it is not stated.
-    born: int = 0
-    running: list[tuple[str, int, str, int, int]] = []
-    finished: list[tuple[int, str, int, str, str]] = []
+    born: Number = 0
+    running: list[tuple[str, Number, str, Number, Number]] = []
+    finished: list[tuple[Number, str, Number, str, str]] = []
     # Why an order was refused.
     reason: str = ''
 
--- a/src/primroseledge/platform/worker_client.py
+++ b/src/primroseledge/platform/worker_client.py
@@ -8,7 +8,6 @@
 from typing import Any
 from typing import Final
 
-from msgspec import DecodeError
 from msgspec import json
 
 from primroseledge.clock import boot_time
@@ -32,6 +31,7 @@
 from primroseledge.jobs.actions import Target
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.platform.wire import MALFORMED_ERRORS
 from primroseledge.platform.wire import WireWorkerResponse
 from primroseledge.platform.wire_names import END_KINDS
 from primroseledge.platform.wire_names import format_task_name
@@ -227,7 +227,7 @@
         return OrderResult.INVALID, None
     try:
         response = json.decode(answer.body, type=WireWorkerResponse)
-    except DecodeError as error:
+    except MALFORMED_ERRORS as error:
         log(
             Event.INPUT_SKIPPED,
             subject=f'answer of worker {target.worker}',
