Keep the log thread alive when a line or the output refuses

Seen: the thread that writes all log lines ended for ever, without a word, at the first line that JSON has no form for (a number of 2^64, such as a worker's boot from outside, or a lone surrogate), at the first full pipe that whoever started the process had made non-blocking (EAGAIN), and at the first full disk (ENOSPC). After that the process went on without any log.

Change: a line that JSON can't hold is written with its message and fields as ASCII texts. On a full pipe the thread waits until there is room, as with a blocking one. Only a reader that is gone (EPIPE) ends the thread, as before.

A full disk has no test.

--- a/src/primroseledge/observability/log_writer.py
+++ b/src/primroseledge/observability/log_writer.py
@@ -10,6 +10,8 @@
 from queue import Empty
 from queue import Full
 from queue import Queue
+from select import poll
+from select import POLLOUT
 from threading import Event as ThreadEvent
 from threading import Lock
 from threading import Thread
@@ -30,6 +32,8 @@
 SUMMARY_S: Final = 1.0
 """How long after a flood its dropped lines are told at the latest."""
 
+MS_PER_S: Final = 1000
+
 
 class BoundedHandler(Handler):
     """Queues records within a budget for a thread that writes them."""
@@ -42,6 +46,8 @@
         self.records: Queue[LogRecord] = Queue(QUEUE_LINES)
         self.is_closing = ThreadEvent()
         self.setFormatter(JsonFormatter())
+        self.poll = poll()
+        self.poll.register(file, POLLOUT)
         self.thread = Thread(target=self.run, name='log', daemon=True)
         self.thread.start()
 
@@ -91,16 +97,33 @@
                 return
 
     def write(self, record: LogRecord) -> bool:
-        """Write a line whole; tell whether the output is still there."""
+        """Write a line whole; tell whether the output is still there.
+
+        A line that cannot be formatted, or that the output does not take
+        now, as on a full disk, is dropped and counted.
+        """
         try:
             line = self.format(record).encode() + b'\n'
             while line:
-                line = line[write(self.file, line) :]
-        except OSError:
+                line = self.write_part(line)
+        except BrokenPipeError:
             # Nobody reads any more, and there is nowhere to say so.
             return False
+        except Exception:
+            # Any other error must not end the lines of the whole process.
+            with self.budget_lock:
+                self.budget.drop(getattr(record, 'event', 0))
         return True
 
+    def write_part(self, line: bytes) -> bytes:
+        """Write what the output takes of a line; return the rest."""
+        try:
+            return line[write(self.file, line) :]
+        except BlockingIOError:
+            # A pipe that whoever started the process made non-blocking.
+            self.poll.poll(SUMMARY_S * MS_PER_S)
+            return line
+
     def close(self) -> None:
         """Write what is queued, as far as the reader lets us."""
         self.is_closing.set()
--- a/src/primroseledge/observability/logs.py
+++ b/src/primroseledge/observability/logs.py
@@ -65,7 +65,15 @@
         }
         if record.exc_info:
             line['error'] = self.formatException(record.exc_info)
-        return redact_keys(json.encode(line).decode())
+        try:
+            text = json.encode(line).decode()
+        except (OverflowError, ValueError):
+            # A number or a text from outside that JSON has no form for.
+            fields = getattr(record, 'event_fields', {})
+            line['fields'] = {name: ascii(fields[name]) for name in fields}
+            line['message'] = ascii(record.getMessage())
+            text = json.encode(line).decode()
+        return redact_keys(text)
 
 
 def create_handler(stream: TextIO | None = None) -> Handler:
