Log problems of HTTP servers as events, not to standard error

Seen: cheroot writes its problems to the standard error stream from the server thread. If the stream is closed, the write raises, and so does the write about that: the thread ends. With one server thread, two requests with a bad chunk ended the caller's server, which answered nobody any more while the daemon went on; with 24 threads it takes 24. A full pipe that nobody reads blocks them.

Change: a server class of ours logs them as event 721, through the log thread, which holds nobody up. A reset of a caller's connection is among them, so that a caller without an answer leaves a line.

--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -12,6 +12,7 @@
 from primroseledge.observability.event_info import warning
 from primroseledge.observability.thread_events import CALL_FAILED_INFO
 from primroseledge.observability.thread_events import LINES_DROPPED_INFO
+from primroseledge.observability.thread_events import SERVER_PROBLEM_INFO
 from primroseledge.observability.thread_events import TRACE_DROPPED_INFO
 
 
@@ -406,3 +407,4 @@
         'moves and maintenance (710); else look at the size of the pool.',
     )
     CALL_FAILED = CALL_FAILED_INFO
+    SERVER_PROBLEM = SERVER_PROBLEM_INFO
--- a/src/primroseledge/observability/thread_events.py
+++ b/src/primroseledge/observability/thread_events.py
@@ -27,3 +27,9 @@
     'There is a defect; the outcome of the call counts as unknown.',
     'Report the problem with the lines around it.',
 )
+SERVER_PROBLEM_INFO: Final[EventInfo] = warning(
+    721,
+    'an HTTP server of this instance reports: {problem}',
+    'A caller may have got no answer, or an error that is not documented.',
+    'For many resets, look at the balancer; report a defect with its lines.',
+)
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -5,6 +5,7 @@
 """
 
 from contextlib import ExitStack
+from logging import INFO
 from os import close
 from os import eventfd
 from signal import SIGHUP
@@ -15,6 +16,7 @@
 from threading import Event as ThreadEvent
 from threading import Thread
 from time import time
+from traceback import format_exc
 from typing import Any
 from typing import Final
 
@@ -333,6 +335,22 @@
         )
 
 
+class LoggingServer(Server):
+    """An HTTP server that reports its problems as log events.
+
+    The base class writes them to the standard error stream. If nobody reads
+    that, a server thread would wait for ever; if it is closed, the thread
+    would end. Either way callers would no longer be answered.
+    """
+
+    def error_log(
+        self, msg: str = '', level: int = INFO, traceback: bool = False
+    ) -> None:
+        """Log a problem, with the error under way if ``traceback`` is set."""
+        problem = f'{msg}\n{format_exc()}' if traceback else msg
+        log(Event.SERVER_PROBLEM, problem=problem)
+
+
 def start_server(
     address: str, threads: int, application: Any, resources: ExitStack
 ) -> None:
@@ -341,7 +359,7 @@
     Raises OSError if the address cannot be bound. ``resources`` stops the
     server.
     """
-    server = Server(
+    server = LoggingServer(
         split_address(address),
         application,
         numthreads=threads,
--- a/tools/module_names.py
+++ b/tools/module_names.py
@@ -18,7 +18,7 @@
     'src/primroseledge/cluster/fleet_node.py': 672,
     'src/primroseledge/cluster/node_loop.py': 484,
     'src/primroseledge/gateway/node.py': 435,
-    'src/primroseledge/observability/events.py': 408,
+    'src/primroseledge/observability/events.py': 410,
     'src/primroseledge/requests/entry.py': 403,
     'standins/fleet_platform.py': 500,
     'tests/agreement_node.py': 429,
