Start no thread in the handler of the shutdown signal

Seen: the handler of SIGTERM starts the shutdown timer's thread. The loop runs in the same thread as the handlers, and starts a thread itself whenever it opens a link to a worker. A signal within that moment would wait for a lock of the threading module that its own thread holds: the process would hang until the platform kills it, with the fleet's ownership. Nobody has seen it; the window is microseconds long.

Change: the timer's thread is started with the process, and the handler only puts an item into a SimpleQueue, which is reentrant by its documentation. At the end the process waits for that thread, so that it wakes no closed loop.

--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -8,6 +8,7 @@
 from logging import INFO
 from os import close
 from os import eventfd
+from queue import SimpleQueue
 from signal import SIGHUP
 from signal import SIGINT
 from signal import signal
@@ -128,18 +129,22 @@
         self.delay_s = max(0.5, grace_period_s - SHUTDOWN_MARGIN_S)
         self.started_at = 0.0
         self.cancelled_event = ThreadEvent()
+        self.begins: SimpleQueue[None] = SimpleQueue()
         self.thread = Thread(target=self.run, name='stop', daemon=True)
+        self.thread.start()
 
     def start(self) -> None:
         """Begin the shutdown and start the delay.
 
-        Called by signal handlers; a second signal has no effect.
+        Called by signal handlers; a second signal has no effect. It takes no
+        lock: the signal may have interrupted the code that holds it, such as
+        the start of a thread.
         """
         if self.loop.is_leaving:
             return
         self.started_at = boot_time()
         self.loop.leave()
-        self.thread.start()
+        self.begins.put(None)
 
     def elapsed_s(self) -> float:
         """Return the seconds since the shutdown began."""
@@ -147,12 +152,15 @@
 
     def run(self) -> None:
         """Stop the loop after the delay, or at once when cancelled."""
+        self.begins.get()
         self.cancelled_event.wait(self.delay_s)
         self.loop.stop()
 
     def cancel(self) -> None:
-        """End the delay early; the timer thread then stops the loop."""
+        """End the delay early, and the timer thread with it."""
         self.cancelled_event.set()
+        self.begins.put(None)
+        self.thread.join()
 
 
 def create_loop(
