Hold no server thread for a connection that is silent

Seen: cheroot hands each new connection to a server thread, which waits for its first bytes for up to 15 s. A balancer that opens connections ahead, a paused client or a lost first packet hold a thread each. With 60 silent connections and 24 threads a caller got no answer within 2 s; the probes of readiness have one thread, so one silent connection makes the platform take the instance out.

Change: a new connection waits among the idle ones, without a thread, until it has something to read, and is closed after 15 s as they are. A request that has begun may pause for 5 s, not 15, so that one whose next packet is lost holds its thread for less. The server class has a module of its own.

--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -5,7 +5,6 @@
 """
 
 from contextlib import ExitStack
-from logging import INFO
 from os import close
 from os import eventfd
 from queue import SimpleQueue
@@ -17,12 +16,9 @@
 from threading import Event as ThreadEvent
 from threading import Thread
 from time import time
-from traceback import format_exc
 from typing import Any
 from typing import Final
 
-from cheroot.wsgi import Server
-
 from primroseledge.clock import boot_time
 from primroseledge.cluster.call_thread import CallThread
 from primroseledge.cluster.fleet_node import FleetNode
@@ -58,6 +54,7 @@
 from primroseledge.platform.advice_client import PlatformAdviceClient
 from primroseledge.platform.decoding import decode_configuration
 from primroseledge.platform.decoding import decode_worker_entry
+from primroseledge.platform.http_server import EntryServer
 from primroseledge.platform.instance_client import PlatformInstanceClient
 from primroseledge.platform.settings import PlatformSettings
 from primroseledge.platform.store import PlatformStore
@@ -343,22 +340,6 @@
         )
 
 
-class LoggingServer(Server):
-    """An HTTP server that reports its problems as log events.
-
-    The base class writes them to the standard error stream. If nobody reads
-    that, a server thread would wait for ever; if it is closed, the thread
-    would end. Either way callers would no longer be answered.
-    """
-
-    def error_log(
-        self, msg: str = '', level: int = INFO, traceback: bool = False
-    ) -> None:
-        """Log a problem, with the error under way if ``traceback`` is set."""
-        problem = f'{msg}\n{format_exc()}' if traceback else msg
-        log(Event.SERVER_PROBLEM, problem=problem)
-
-
 def start_server(
     address: str, threads: int, application: Any, resources: ExitStack
 ) -> None:
@@ -367,7 +348,7 @@
     Raises OSError if the address cannot be bound. ``resources`` stops the
     server.
     """
-    server = LoggingServer(
+    server = EntryServer(
         split_address(address),
         application,
         numthreads=threads,
