Take an error of the instance service for an unknown outcome

Seen: a move or maintenance call that got status 500, 502 or 504 counted as refused, or busy, if its body was JSON. The service may have carried it out, and the platform's rules say nothing of such a status: the instance could get tasks that the call then ends, or a second call beside the first.

Evidence: the test on real sockets, listed as known to fail, got REFUSED and BUSY and gets UNANSWERED; refusals are still told apart, by its second test.

--- a/src/primroseledge/platform/instance_client.py
+++ b/src/primroseledge/platform/instance_client.py
@@ -39,6 +39,7 @@
 
 CALL_TIMEOUT_S: Final = 1.0
 OK: Final = 200
+REFUSAL_STATUS: Final = 409
 INSTANCE_STATES: Final = {
     'up': InstanceState.UP,
     'moving': InstanceState.MOVING,
@@ -141,6 +142,15 @@
             return InstanceResult.UNANSWERED
         if answer.status in RESULT_BY_STATUS:
             return RESULT_BY_STATUS[answer.status]
+        if answer.status != REFUSAL_STATUS:
+            # An error of the service, or of something between: it may have
+            # carried the call out, whatever its body says.
+            log(
+                Event.INPUT_SKIPPED,
+                subject=f'answer about instance {call.instance}',
+                problem=f'unexpected status {answer.status}',
+            )
+            return InstanceResult.UNANSWERED
         return classify_refusal(answer.body)
 
 
