Keep runs whose start the next boot of a worker may have carried out

Cause: orders name a worker by its id, and a worker may start again under its id. A start that is sent before the owner knows of the restart is carried out by the next boot. When the list of workers or a poll showed that boot, the owner gave up all runs of the ended one, also this one, and started it again elsewhere; so did a new owner with the runs of the records. An idle worker is not polled, so nothing fails before.

Change: a run is over with a boot only if a poll of that boot has listed it, or if its start was never sent. All others are expected in the next boot, and the answer to its first poll shows whether they run there. An unanswered start is then stopped there and not sent again. A poll that a later boot answers brings the restart to light at once. As a call meant for the last boot may give the next one the longest lease, runs there are not given up for 7 s if it falls silent. Only where another worker answers at the address are all runs over.

The simulated worker compared the boot of an order, which no header carries: the fuzz could not find this. It carries out what names its id now.

--- a/src/primroseledge/jobs/fleet_state.py
+++ b/src/primroseledge/jobs/fleet_state.py
@@ -44,11 +44,12 @@
     poll_wait_s: float = 1.0
     poll_retry_s: float = 0.4
     stop_retry_s: float = 0.8
-    predecessor_runs_expiry_s: float = 7.0
-    """Time after a takeover until a predecessor's runs have certainly ended.
+    unknown_lease_s: float = 7.0
+    """Time after which a lease with an unknown deadline has certainly ended.
 
-    It applies to workers that do not answer polls. The owner does not know
-    the lease deadlines that its predecessor sent to them.
+    The owner does not know the deadlines that its predecessor sent, nor how
+    far one meant for the last boot of a worker extends a lease in the next.
+    The time is longer than the longest lease that a worker grants, 6 s.
     """
 
 
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -81,6 +81,28 @@
     speed_percent: int = 100
     throttled_at: float = 0.0
 
+    @property
+    def is_bound_to_boot(self) -> bool:
+        """Return whether no other boot of the worker can have the run.
+
+        That is so if a poll of its boot has listed it, and if its start was
+        never sent.
+        """
+        return self.phase is RunPhase.PLANNED or self.listed_at is not None
+
+    def move_to_boot(self, boot: Boot, now: float) -> None:
+        """Expect the run in the next boot of its worker, if it runs at all.
+
+        If its start was sent more than once, a copy may still be delivered:
+        the run is then resolved as one whose start was not answered.
+        """
+        self.boot = boot
+        if self.phase is RunPhase.RUNNING:
+            self.phase = RunPhase.UNRESOLVED
+        if self.phase is RunPhase.UNRESOLVED and self.send_count > 1:
+            self.confirmed_at = None
+            self.unresolved_at = now
+
 
 @dataclass(slots=True, eq=False)
 class Task:
--- a/src/primroseledge/jobs/worker.py
+++ b/src/primroseledge/jobs/worker.py
@@ -129,6 +129,8 @@
     acknowledged by an answered poll. The worker may delete the ends that are
     acknowledged. ``predecessor_runs_expire_at`` is when the runs that a
     previous owner started have ended even if the worker does not answer.
+    Until ``lease_unknown_until`` its runs may hold a longer lease than this
+    owner gave them, as calls meant for its last boot may have extended it.
     ``has_answered_poll`` means that the worker has answered a poll,
     ``last_poll_ended_at`` is when the last poll was answered or failed,
     ``poll_failures`` counts the failed polls since the last answer. No task
@@ -153,6 +155,7 @@
     last_poll_ended_at: float = 0.0
     poll_failures: int = 0
     predecessor_runs_expire_at: float = 0.0
+    lease_unknown_until: float = 0.0
     cooldown_until: float = 0.0
     is_drained_by_owner: bool = False
     quarantine: Quarantine = field(default_factory=Quarantine)
--- a/src/primroseledge/jobs/worker_orders.py
+++ b/src/primroseledge/jobs/worker_orders.py
@@ -9,6 +9,7 @@
 from primroseledge.jobs.actions import OrderEnded
 from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import SendStart
+from primroseledge.jobs.actions import Target
 from primroseledge.jobs.actions import target_of
 from primroseledge.jobs.advice import StepKey
 from primroseledge.jobs.ends import fail_job_without_attempts
@@ -145,7 +146,7 @@
         run.phase = RunPhase.RUNNING
         run.confirmed_at = answer.received_at
     elif answer.result is OrderResult.UNANSWERED:
-        handle_unanswered_start(state, task, run, worker, now)
+        handle_unanswered_start(state, task, run, order.target, now)
     elif answer.result is OrderResult.OLD_RUN:
         # The worker knew the run already: it has ended or was stopped. The
         # lists of a later poll show which.
@@ -153,7 +154,7 @@
         run.confirmed_at = answer.received_at
     elif run.send_count > 1:
         # An earlier send of the same start may have been carried out.
-        handle_unanswered_start(state, task, run, worker, now)
+        handle_unanswered_start(state, task, run, order.target, now)
     else:
         handle_refused_start(state, task, worker, answer.result, now)
 
@@ -162,19 +163,21 @@
     state: FleetState,
     task: Task,
     run: Run,
-    worker: Worker | None,
+    target: Target,
     now: float,
 ) -> None:
     """Send an unanswered start again, up to ``MAX_START_SENDS`` times.
 
-    Starting the same run again is idempotent. After the last send the run
-    is unresolved: if the next poll does not list it, it is stopped, as the
-    start may still arrive late.
+    Starting the same run again is idempotent. After the last send, or if the
+    worker has restarted, the run is unresolved: if the next poll does not
+    list it, it is stopped, as the start may still arrive late.
     """
-    if worker is None:
-        run.phase = RunPhase.UNRESOLVED
-        return
-    if run.send_count < MAX_START_SENDS and not run.is_stop_requested:
+    may_send_again = (
+        run.send_count < MAX_START_SENDS
+        and run.boot == target.boot
+        and run.worker in state.workers
+    )
+    if may_send_again and not run.is_stop_requested:
         send_start(state, task, now)
         return
     run.phase = RunPhase.UNRESOLVED
--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/jobs/worker_polls.py
@@ -87,7 +87,8 @@
     if entry.boot < worker.entry.boot:
         return
     if entry.boot > worker.entry.boot:
-        reset_worker(state, worker, entry, now)
+        begin_next_boot(state, worker, entry, now)
+        worker = state.workers[entry.id]
     if worker.entry.state is not entry.state or not worker.is_listed:
         log_worker(entry)
         state.services_to_plan.add(entry.service)
@@ -108,20 +109,31 @@
     )
 
 
-def reset_worker(
+def begin_next_boot(
     state: FleetState, worker: Worker, entry: WorkerEntry, now: float
 ) -> None:
     """Replace the state of a worker that has restarted.
 
-    Its runs ended with the previous boot. Only the field
-    ``is_drained_by_owner`` is kept.
+    Orders name a worker by its id, so the next boot may have carried out a
+    start that was meant for the ended one. Only runs that are bound to the
+    ended boot are over. The others stay until a poll of the next boot shows
+    whether it runs them. Of the worker's fields only ``is_drained_by_owner``
+    is kept.
     """
-    give_up_all_runs(state, worker, 'the worker restarted', now)
+    for task in list(worker.tasks.values()):
+        if task.run is not None and task.run.is_bound_to_boot:
+            state.give_up_run(task, 'the worker restarted', now)
+    log_worker(entry)
     state.unstored_ends.pop(worker.id, None)
-    new_worker = Worker(entry)
-    new_worker.is_poll_in_flight = False
-    new_worker.is_drained_by_owner = worker.is_drained_by_owner
-    state.workers[entry.id] = new_worker
+    next_worker = Worker(entry)
+    next_worker.is_drained_by_owner = worker.is_drained_by_owner
+    next_worker.lease_unknown_until = now + state.timing.unknown_lease_s
+    state.workers[entry.id] = next_worker
+    state.workers_to_check.add(entry.id)
+    for task in worker.tasks.values():
+        if task.run is not None:
+            task.run.move_to_boot(entry.boot, now)
+        next_worker.add_task(task)
 
 
 def handle_poll_answer(
@@ -160,8 +172,9 @@
 ) -> None:
     """Handle a poll that was refused, not answered or not sent.
 
-    If another boot answered, the worker has restarted: all its runs are
-    given up, and it gets no tasks until it is listed again.
+    If a later boot answered, the worker has restarted. If another worker did,
+    it has the address of this one, all of whose runs are over. In both cases
+    the worker gets no tasks until it is listed again.
     """
     worker = state.workers.get(failure.worker)
     if worker is None or worker.entry.boot != failure.boot:
@@ -176,8 +189,13 @@
             worker=worker.id,
             result=failure.result.value,
         )
-    if failure.result is OrderResult.OTHER_BOOT:
-        give_up_all_runs(state, worker, 'another boot answered the poll', now)
+    if failure.answering_boot > worker.entry.boot:
+        entry = replace(worker.entry, boot=failure.answering_boot)
+        begin_next_boot(state, worker, entry, now)
+        state.workers[worker.id].is_listed = False
+    elif failure.result is OrderResult.OTHER_BOOT:
+        if not failure.answering_boot:
+            give_up_all_runs(state, worker, 'another has its address', now)
         worker.is_listed = False
 
 
@@ -222,7 +240,9 @@
     if not worker.tasks or not (worker.poll_failures or is_gone):
         return
     expires_at = max(
-        worker.lease_clock.expires_at(), worker.predecessor_runs_expire_at
+        worker.lease_clock.expires_at(),
+        worker.predecessor_runs_expire_at,
+        worker.lease_unknown_until,
     )
     if now > expires_at:
         give_up_all_runs(state, worker, 'the lease of the worker expired', now)
--- a/src/primroseledge/owner/recovery.py
+++ b/src/primroseledge/owner/recovery.py
@@ -30,8 +30,7 @@
 ) -> None:
     """Restore jobs, runs and waves into a new engine from stored records.
 
-    Runs on workers that have rebooted since they started are over. Other
-    runs count as running until their worker's answer to a poll shows whether
+    Runs count as running until their worker's answer to a poll shows whether
     they are or, if the worker is unresponsive, until its lease has certainly
     expired.
     """
@@ -55,10 +54,10 @@
 def restore_runs(state: FleetState, job: Job, now: float) -> None:
     """Assign a restored job's runs to their workers, as they may be running.
 
-    A run whose worker has rebooted since is dropped. The runs of an
-    unresponsive worker count as running for at least
-    ``predecessor_runs_expiry_s``. Runs of a finished job are marked to be
-    stopped.
+    If its worker has restarted since the record was stored, the next boot may
+    have carried out the start. The runs of an unresponsive worker count as
+    running for at least ``unknown_lease_s``. Runs of a finished job are marked
+    to be stopped.
     """
     for task in job.tasks():
         run = task.run
@@ -67,14 +66,9 @@
         run.confirmed_at = now
         run.is_stop_requested = job.is_final
         worker = find_or_add_worker(state, run)
-        if worker.entry.boot > run.boot:
-            task.run = None
-            state.mark_dirty(job, now)
-            continue
+        run.boot = max(run.boot, worker.entry.boot)
         state.add_run_usage(task, worker)
-        worker.predecessor_runs_expire_at = (
-            now + state.timing.predecessor_runs_expiry_s
-        )
+        worker.predecessor_runs_expire_at = now + state.timing.unknown_lease_s
 
 
 def find_or_add_worker(state: FleetState, run: Run) -> Worker:
--- a/standins/fleet_platform.py
+++ b/standins/fleet_platform.py
@@ -254,8 +254,7 @@
         """Answer one order or look."""
         fields = read_fields(environ)
         expected = environ.get('HTTP_EXPECTED_INSTANCE', self.core.id)
-        boot = self.core.boot if expected == self.core.id else Boot(0)
-        target = Target(self.core.id, boot, '')
+        target = Target(WorkerId(expected), self.core.boot, '')
         path = str(environ['PATH_INFO'])
         if path == '/-/hold':
             status, answer = self.look(fields, target)
--- a/standins/worker_core.py
+++ b/standins/worker_core.py
@@ -173,9 +173,13 @@
         return used
 
     def obey(self, order: Order, epoch: int, now: float) -> OrderResult:
-        """Carry out an order that has just arrived."""
+        """Carry out an order that has just arrived.
+
+        Orders name a worker by its id, so one that was meant for an earlier
+        boot is carried out as well.
+        """
         self.advance(now)
-        if order.target.boot != self.boot:
+        if order.target.worker != self.id:
             return OrderResult.OTHER_BOOT
         if epoch < self.epoch:
             return OrderResult.FENCED
@@ -223,15 +227,17 @@
     def look(
         self, look: SendPoll, epoch: int, sent_at: float, now: float
     ) -> PollAnswered | PollFailed:
-        """Answer a look; the caller waits for ends outside."""
+        """Answer a look; the caller waits for ends outside.
+
+        One that was meant for an earlier boot is carried out; its sender
+        finds the boot in the answer.
+        """
         self.advance(now)
-        result = None
-        if look.target.boot != self.boot:
-            result = OrderResult.OTHER_BOOT
-        elif epoch < self.epoch:
-            result = OrderResult.FENCED
-        if result is not None:
-            return PollFailed(self.id, look.target.boot, result)
+        boot = look.target.boot
+        if look.target.worker != self.id:
+            return PollFailed(self.id, boot, OrderResult.OTHER_BOOT)
+        if epoch < self.epoch:
+            return PollFailed(self.id, boot, OrderResult.FENCED)
         self.epoch = epoch
         if look.deadline_ms is not None:
             self.extend(look.deadline_ms, now)
@@ -241,6 +247,8 @@
         self.ended = [
             e for e in self.ended if e.number > look.acked_end_number
         ]
+        if boot != self.boot:
+            return PollFailed(self.id, boot, OrderResult.OTHER_BOOT, self.boot)
         running = tuple(
             ListedRun(
                 run.task,
--- /dev/null
+++ b/tests/test_worker_restart_fuzz.py
@@ -0,0 +1,46 @@
+"""Fuzzing of the fleet while workers restart under their ids."""
+
+import unittest
+
+from tests.test_fleet_fuzz import FaultScenario
+
+SEEDS = range(300, 312)
+
+
+class WorkerRestartScenario(FaultScenario):
+    """A scenario in which workers also restart within fractions of a second.
+
+    No poll need fail then, so that the owner learns of the restart only from
+    the list of workers or from an answer of the next boot.
+    """
+
+    def fault_restart_worker(self) -> None:
+        worker = self.random.choice(list(self.world.workers.values()))
+        if not worker.is_alive:
+            return
+        worker.crash(self.world.now)
+        self.world.schedule_after(
+            self.random.uniform(0.02, 0.3),
+            lambda: worker.is_gone or worker.reboot(self.world.now),
+        )
+
+    def fault_restart_workers_in_turn(self) -> None:
+        for number in range(self.random.randint(2, 12)):
+            self.world.schedule_after(
+                number * self.random.uniform(0.1, 0.6),
+                self.fault_restart_worker,
+            )
+
+
+class WorkerRestartFuzzTest(unittest.TestCase):
+    def test_restarts_under_one_id_break_no_rule(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                scenario = WorkerRestartScenario(seed)
+                violations = scenario.run()
+                detail = '\n'.join([*violations[:8], *scenario.world.trace])
+                self.assertEqual([], violations[:8], detail)
+
+
+if __name__ == '__main__':
+    unittest.main()
