--- a/standins/job_evidence.py
+++ b/standins/job_evidence.py
@@ -26,11 +26,14 @@
 
     A life is the time of a worker's boot. ``LIFE_ENDED`` is written for it
     when it crashes, is killed, leaves, or is moved or maintained. ``ACKED``
-    says that the owner acknowledged an end.
+    says that the owner acknowledged an end; it isn't written if the lease
+    ran out between the two. After ``DRAINING`` a life gets no new runs. An
+    ``ENDED`` by an expired lease has the time at which it expired.
     """
 
     LIFE_BEGAN = 'life_began'
     LIFE_ENDED = 'life_ended'
+    DRAINING = 'draining'
     PAUSED = 'paused'
     RESUMED = 'resumed'
     STARTED = 'started'
@@ -82,7 +85,11 @@
 
 
 class CallEvidence(Struct, frozen=True):
-    """One call and its answer; ``state`` is the job's, if it was told."""
+    """One call and its answer; ``state`` is the job's, if it was told.
+
+    ``deadline_at`` is the time until which the caller waits, 0 if it isn't
+    known. ``cause`` is the status, or why there is no answer.
+    """
 
     sent_at: float
     ended_at: float
@@ -91,6 +98,8 @@
     kind: CallKind
     outcome: Outcome
     state: str = ''
+    deadline_at: float = 0.0
+    cause: str = ''
 
 
 class StepEvidence(Struct, frozen=True):
