--- a/standins/job_evidence.py
+++ b/standins/job_evidence.py
@@ -18,6 +18,9 @@
 from msgspec import json
 from msgspec import Struct
 
+NOT_SENT = 'not sent'
+"""The cause of a call that was not made, for want of a connection."""
+
 Line = TypeVar('Line', bound=Struct)
 
 
@@ -115,12 +118,16 @@
 
 
 class JobEvidence(Struct, frozen=True):
-    """A job that a caller handed in, with what its tasks need."""
+    """A job that a caller handed in, with what its tasks need.
+
+    It is given up when a task has failed ``max_attempts`` times.
+    """
 
     id: str
     pool: str
     workspace: str
     steps: tuple[StepEvidence, ...]
+    max_attempts: int = 3
 
 
 class FaultEvidence(Struct, frozen=True):
--- a/standins/job_soak_history.py
+++ b/standins/job_soak_history.py
@@ -16,6 +16,7 @@
 from standins.job_evidence import FaultEvidence
 from standins.job_evidence import JobEvidence
 from standins.job_evidence import Line
+from standins.job_evidence import NOT_SENT
 from standins.job_evidence import Outcome
 from standins.job_evidence import read_evidence
 from standins.job_evidence import StepEvidence
@@ -113,8 +114,15 @@
 
     @property
     def is_refused(self) -> bool:
-        """Tell whether each attempt to submit it was refused."""
-        submits = [c for c in self.calls if c.kind is CallKind.SUBMIT]
+        """Tell whether each attempt to submit it was refused.
+
+        Calls that were not made are no attempts.
+        """
+        submits = [
+            call
+            for call in self.calls
+            if call.kind is CallKind.SUBMIT and call.cause != NOT_SENT
+        ]
         return bool(submits) and all(
             call.outcome is Outcome.REFUSED for call in submits
         )
@@ -168,8 +176,9 @@
         ]
         return min(ends) if step.is_gang else max(ends, default=-inf)
 
-    def hopeless_at(self, max_attempts: int) -> float:
+    def hopeless_at(self) -> float:
         """Return when a task had failed as often as it may."""
+        max_attempts = self.evidence.max_attempts
         times = [inf]
         for runs in self.runs.values():
             failed = [r.ended_at for r in runs if r.is_counted(FAILED)]
--- a/standins/job_soak_standing.py
+++ b/standins/job_soak_standing.py
@@ -19,9 +19,6 @@
 RESTART_S: Final = 6.0
 """In seconds after its last run; a long-running task is back by then."""
 
-MAX_ATTEMPTS: Final = 2
-"""Failed runs of a task after which its job is given up."""
-
 SHOWN_JOBS: Final = 4
 
 
@@ -84,9 +81,7 @@
     )
 
 
-def find_standing(
-    history: History, max_attempts: int = MAX_ATTEMPTS
-) -> list[Standing]:
+def find_standing(history: History) -> list[Standing]:
     """Return each span of calm in which a job stood still with room."""
     calm = history.calm_spans(CALM_BEFORE_S)
     rooms: dict[str, PoolRoom] = {}
@@ -97,7 +92,7 @@
         pool = job.evidence.pool
         if pool not in rooms:
             rooms[pool] = PoolRoom(history, pool)
-        for task, step, idle in find_waiting(history, job, max_attempts):
+        for task, step, idle in find_waiting(history, job):
             found += find_cases(job, rooms[pool], calm, task, step, idle)
     return [
         Standing(
@@ -143,9 +138,7 @@
     ]
 
 
-def find_waiting(
-    history: History, job: Job, max_attempts: int
-) -> list[tuple[str, int, Span]]:
+def find_waiting(history: History, job: Job) -> list[tuple[str, int, Span]]:
     """Return tasks whose turn had come, their step, and since when.
 
     For a job with nothing running it is one task of each step that is due,
@@ -154,7 +147,7 @@
     over_at = min(
         job.over_at,
         job.cancel_sent_at,
-        job.hopeless_at(max_attempts),
+        job.hopeless_at(),
         history.ended_at,
     )
     owed = (job.accepted_at, over_at)
--- a/tests/test_job_soak_standing.py
+++ b/tests/test_job_soak_standing.py
@@ -145,9 +145,18 @@
         world.submit(4.0)
         world.run('w1', 4.1, 5.0, 'failed', acked_at=5.1)
         world.run('w1', 5.1, 6.0, 'failed', acked_at=6.1, run=2)
+        world.run('w1', 6.1, 7.0, 'failed', acked_at=7.1, run=3)
         world.ask(20.0, 'failed')
         self.assert_broken(world)
 
+    def test_job_that_has_failed_less_often(self) -> None:
+        world = World()
+        world.submit(4.0)
+        world.run('w1', 4.1, 5.0, 'failed', acked_at=5.1)
+        world.run('w1', 5.1, 6.0, 'failed', acked_at=6.1, run=2)
+        world.ask(20.0, 'failed')
+        self.assert_broken(world, STANDING)
+
     def test_cancelled_job(self) -> None:
         world = World()
         world.submit(5.0)
