Let faults strike the job path in series, and judge what comes of it

Cause: the first run of the rig knew one fault and one crude verdict.

A worker's process can also be killed and come back under its id or a new one.

--- a/standins/job_soak.py
+++ b/standins/job_soak.py
@@ -1,155 +1,148 @@
-"""A crude soak on the job path: workers restart in place under their id."""
+"""A soak on the job path: real entry instances, and all that may go wrong.
 
+Usage: ``python -m standins.job_soak [--seconds N] [--seed N]``. It prints
+each fault, the verdict on each condition, and as its last line the counts
+as JSON. It exits with 1 when a condition was broken or a process of ours
+ended by itself; then the evidence and the logs are kept with ``--keep``.
+"""
+
+from collections import Counter
 from contextlib import ExitStack
 from pathlib import Path
-from random import Random
+from shutil import copytree
+from signal import signal
+from signal import SIGTERM
 import sys
-from threading import Thread
-from time import monotonic
-from time import sleep
+from tempfile import TemporaryDirectory
 from typing import Any
+from typing import Final
 
 import click
+from msgspec import DecodeError
 from msgspec import json
 
-from primroseledge.clock import boot_time
-from primroseledge.http_client import HttpClient
-from primroseledge.http_client import NoAnswerError
-from primroseledge.http_client import NotSentError
-from standins.job_evidence import EvidenceKind
-from standins.job_evidence import read_evidence
-from standins.job_evidence import WorkerEvidence
+from standins.job_soak_disturber import Disturber
+from standins.job_soak_events import FAULTS
 from standins.job_soak_fleet import JobFleet
-from standins.job_soak_fleet import POOLS
-from standins.job_soak_fleet import SCALES
-
+from standins.job_soak_history import History
+from standins.job_soak_history import read_history
+from standins.job_soak_judge import judge
+from standins.job_soak_load import JobLoad
+from standins.job_soak_site import create_queues
+from standins.job_soak_site import SCALES
+from standins.job_soak_verdicts import render
+from standins.job_soak_verdicts import Verdict
 
-def submit_jobs(
-    fleet: JobFleet, seed: int, until: float, per_s: float
-) -> None:
-    """Submit short jobs, and two that are long-running."""
-    random = Random(seed)
-    clients = [
-        HttpClient(s['caller_address']) for s in fleet.settings.values()
-    ]
-    number = 0
-    while monotonic() < until:
-        number += 1
-        pool = random.choice(POOLS)
-        needs = {
-            'seconds': round(random.uniform(0.3, 2.0), 2),
-            'cpu': 1000,
-        }
-        step: dict[str, Any] = {
-            'count': 6,
-            'cpu': 1000,
-            'memory_request_mb': 100,
-            'estimated_duration_ms': int(needs['seconds'] * 1000),
-        }
-        if number <= 2:
-            needs['seconds'] = None  # type: ignore[assignment]
-            step['estimated_duration_ms'] = 0
-            step['long_running'] = True
-        body = {
-            'task_spec': json.encode({'steps': [needs]}).decode(),
-            'steps': [step],
-        }
-        path = f'/{pool}/{seed:08x}{number:08x}'
-        headers = {'Host': f'{pool}.example', 'X-Api-Key': 'sales-key'}
-        for client in random.sample(clients, len(clients)):
-            try:
-                answer = client.call(
-                    'POST', path, json.encode(body), 3.0, headers
-                )
-            except (NotSentError, NoAnswerError):
-                continue
-            if answer.status == 200:
-                break
-            print(path, answer.status, answer.body[:200], flush=True)
-            break
-        sleep(random.expovariate(per_s))
-    for client in clients:
-        client.close()
-
-
-def restart_workers(fleet: JobFleet, seed: int, until: float) -> None:
-    """Restart workers in place, one after another."""
-    random = Random(seed + 1)
-    machines = sorted(fleet.workers)
-    while monotonic() < until:
-        machine = random.choice(machines)
-        began_at = boot_time()
-        runs = fleet.life_of(machine)['runs']
-        gap_s = random.uniform(0.05, 0.3)
-        fleet.change_life(machine, end='crash', begin_after_s=gap_s)
-        sleep(gap_s + 0.05)
-        fleet.note_fault(f'restart {runs} runs', began_at, machine)
-        sleep(random.uniform(0.1, 0.5))
-
-
-def find_doubles(folder: Path) -> list[str]:
-    """Return where two runs of a task were at work at once."""
-    lines = [
-        line
-        for path in sorted(folder.glob('workers-*.jsonl'))
-        for line in read_evidence(path, WorkerEvidence)
-    ]
-    lines.sort(key=lambda line: line.at)
-    counts = {kind: 0 for kind in EvidenceKind}
-    running: dict[str, dict[tuple[str, int], WorkerEvidence]] = {}
-    doubles = list[str]()
-    for line in lines:
-        counts[line.kind] += 1
-        life = (line.worker, line.boot)
-        held = running.setdefault(line.task, {})
-        if line.kind is EvidenceKind.STARTED:
-            for other in held.values():
-                doubles.append(
-                    f'{line.task} run {other.run} since {other.at:.3f} on '
-                    f'{other.worker} {other.boot}, run {line.run} at '
-                    f'{line.at:.3f} on {line.worker} {line.boot}'
-                )
-            held[life] = line
-        elif line.kind is EvidenceKind.ENDED:
-            held.pop(life, None)
-        elif line.kind is EvidenceKind.LIFE_ENDED:
-            for others in running.values():
-                others.pop(life, None)
-    print({kind.value: count for kind, count in counts.items()})
-    return doubles
+DEFAULT_SECONDS: Final = 40.0
+WARNING: Final = 'WARNING'
 
 
 @click.command()
-@click.option('--seconds', default=20.0)
-@click.option('--seed', default=1)
-@click.option('--scale', default='small')
-@click.option('--rate', default=4.0)
-@click.option('--keep', type=Path, required=True)
+@click.option('--seconds', default=DEFAULT_SECONDS, show_default=True)
+@click.option('--seed', default=1, show_default=True)
+@click.option('--only', default='', help='Names of faults, with commas.')
+@click.option('--scale', type=click.Choice(sorted(SCALES)), default='small')
+@click.option('--rate', default=0.0, help='Jobs a second; 0 for the scale.')
+@click.option('--keep', type=Path, help='Folder for what a failure leaves.')
 def main(
-    seconds: float, seed: int, scale: str, rate: float, keep: Path
+    seconds: float,
+    seed: int,
+    only: str,
+    scale: str,
+    rate: float,
+    keep: Path | None,
+) -> None:
+    """Run a soak and exit with 1 when a condition was broken."""
+    signal(SIGTERM, lambda *_: sys.exit(1))
+    names = only.split(',') if only else list(FAULTS)
+    unknown = set(names) - set(FAULTS)
+    if unknown:
+        raise click.BadParameter(f'no such faults: {sorted(unknown)}')
+    with TemporaryDirectory() as path:
+        folder = Path(path)
+        with ExitStack() as resources:
+            fleet = JobFleet(resources, folder, SCALES[scale])
+            disturber = Disturber(fleet, seed, names)
+            soak(fleet, disturber, seconds, rate)
+        history = read_history(folder)
+        verdicts = judge(history)
+        problems = fleet.ended + find_errors(folder)
+        print('\n'.join([*render(verdicts), *problems]))
+        counts = summarize(history, verdicts, disturber, folder)
+        print(json.encode(counts | {'problems': problems}).decode())
+        has_failed = bool(problems or counts['broken'])
+        if has_failed and keep:
+            copytree(folder, keep / f'seed-{seed}', dirs_exist_ok=True)
+    sys.exit(int(has_failed))
+
+
+def soak(
+    fleet: JobFleet, disturber: Disturber, seconds: float, rate: float
 ) -> None:
-    """Run, and exit with 1 when a task ran twice."""
-    keep.mkdir(parents=True)
-    with ExitStack() as resources:
-        fleet = JobFleet(resources, keep, SCALES[scale])
-        fleet.start()
-        print('started, owner', fleet.find_owner(), flush=True)
-        until = monotonic() + seconds
-        threads = [
-            Thread(target=submit_jobs, args=(fleet, seed, until, rate)),
-            Thread(target=restart_workers, args=(fleet, seed, until)),
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        sleep(5.0)
-        print('owner', fleet.find_owner(), flush=True)
-    doubles = find_doubles(keep)
-    print(f'{len(doubles)} doubles')
-    for double in doubles[:10]:
-        print(' ', double)
-    sys.exit(1 if doubles else 0)
+    """Load and disturb a fleet, and let its jobs end."""
+    fleet.start()
+    load = JobLoad(
+        fleet.callers(),
+        create_queues(),
+        fleet.folder,
+        disturber.seed,
+        rate or fleet.scale.jobs_per_s,
+    )
+    with load:
+        load.start()
+        disturber.run(seconds)
+    for name in fleet.settings:
+        fleet.note_ended(name)
+
+
+def find_errors(folder: Path) -> list[str]:
+    """Return the first words of tracebacks in the logs."""
+    return [
+        f'{path.name}: {line}'
+        for path in sorted(folder.glob('entry-*.log'))
+        for line in path.read_text(errors='replace').splitlines()
+        if line.startswith('Traceback') or '"unhandled' in line
+    ]
+
+
+def summarize(
+    history: History,
+    verdicts: dict[str, Verdict],
+    disturber: Disturber,
+    folder: Path,
+) -> dict[str, Any]:
+    """Return the run's counts."""
+    return {
+        'seed': disturber.seed,
+        'jobs': len(history.jobs),
+        'calls': len(history.calls),
+        'runs': len(history.runs),
+        'lives': len(history.lives),
+        'ends': Counter(run.how or 'running' for run in history.runs),
+        'faults': Counter(name for _, name in disturber.struck),
+        'not_struck': disturber.problems,
+        'warnings': count_warnings(folder),
+        'tested': sum(verdict.tested for verdict in verdicts.values()),
+        'broken': {
+            text: verdict.broken
+            for text, verdict in verdicts.items()
+            if verdict.broken
+        },
+    }
+
+
+def count_warnings(folder: Path) -> dict[str, int]:
+    """Return how often each event was logged as a warning or worse."""
+    counts = Counter[str]()
+    for path in folder.glob('entry-*.log'):
+        for line in path.read_bytes().splitlines():
+            try:
+                fields = json.decode(line, type=dict[str, Any])
+            except DecodeError:
+                continue
+            if fields.get('level') not in ('DEBUG', 'INFO'):
+                counts[f'{fields.get("event")} {fields.get("name")}'] += 1
+    return dict(sorted(counts.items()))
 
 
 if __name__ == '__main__':
--- a/standins/job_soak_fleet.py
+++ b/standins/job_soak_fleet.py
@@ -3,6 +3,7 @@
 from base64 import b64decode
 from contextlib import ExitStack
 from dataclasses import dataclass
+from dataclasses import field
 from pathlib import Path
 from signal import SIGCONT
 from signal import SIGHUP
@@ -13,6 +14,8 @@
 from subprocess import Popen
 from subprocess import TimeoutExpired
 import sys
+from threading import Lock
+from threading import RLock
 from time import monotonic
 from time import sleep
 from typing import Any
@@ -25,46 +28,41 @@
 from primroseledge.http_client import HttpClient
 from primroseledge.http_client import NoAnswerError
 from primroseledge.http_client import NotSentError
+from standins.fault_proxy import FaultProxy
+from standins.fault_proxy import ProxyLoop
 from standins.job_evidence import EvidenceFile
 from standins.job_evidence import EvidenceKind
 from standins.job_evidence import FaultEvidence
 from standins.job_evidence import WorkerEvidence
+from standins.job_soak_site import create_configuration
+from standins.job_soak_site import POOLS
+from standins.job_soak_site import Scale
+from standins.job_soak_site import STANDBY_POOL
 from standins.processes import free_port
 from standins.processes import start_on_platform
 from standins.processes import stop
 
-POOLS: Final = ('copper', 'iron')
-STANDBY_POOL: Final = 'spare'
 READY_S: Final = 20.0
 CONTROL_TIMEOUT_S: Final = 3.0
 GRACE_PERIOD_S: Final = 6.0
+WORKER_CPU_MILLIS: Final = 8000
+WORKER_MEMORY_MB: Final = 32000
+WAVE_S: Final = 20.0
 KILL_AFTER_S: Final = 8.0
 
 
-@dataclass(frozen=True, slots=True)
-class Scale:
-    """How many processes of each kind there are."""
-
-    entries: int
-    workers_per_pool: int
-    standby_workers: int
-
-
-SCALES: Final = {
-    'small': Scale(entries=3, workers_per_pool=4, standby_workers=2),
-    'large': Scale(entries=6, workers_per_pool=12, standby_workers=6),
-}
-
-
 @dataclass(eq=False)
 class WorkerProcess:
     """A worker's process and how to reach it."""
 
     machine: str
     arguments: list[str]
+    control_port: int
+    rack: str
     process: Popen[bytes]
     control: HttpClient
-    has_started: bool = False
+    proxy: FaultProxy | None
+    lock: Lock = field(default_factory=Lock)
 
 
 class JobFleet:
@@ -81,15 +79,23 @@
         self.workers: dict[str, WorkerProcess] = {}
         self.entries: dict[str, Popen[bytes]] = {}
         self.settings: dict[str, dict[str, Any]] = {}
+        self.entry_locks: dict[str, RLock] = {}
+        self.store_proxies: dict[str, FaultProxy] = {}
+        self.ended: list[str] = []
         self.version = 0
+        self.waves = 0
 
     def start(self) -> None:
         """Start all processes, and wait for an owner."""
+        self.proxies = self.resources.enter_context(ProxyLoop())
         self.start_store()
         self.configure()
         for pool in POOLS:
             for number in range(self.scale.workers_per_pool):
                 self.start_worker(f'{pool}-{number}', pool, number)
+        for number in range(self.scale.standby_workers):
+            self.start_worker(f'{STANDBY_POOL}-{number}', STANDBY_POOL, number)
+        self.start_instances()
         for number in range(self.scale.entries):
             self.define_entry(number)
         for name in self.settings:
@@ -129,6 +135,17 @@
         self.version += 1
         self.write('op/config', create_configuration(self.version))
 
+    def start_wave(self, machines: list[str]) -> None:
+        """Ask for the maintenance of machines, one at a time."""
+        self.waves += 1
+        wave = {
+            'wave': self.waves,
+            'machines': machines,
+            'duration_s': WAVE_S,
+            'upper_bound': 1,
+        }
+        self.write(f'op/wave/{self.waves}', wave)
+
     def write(self, key: str, value: dict[str, Any]) -> None:
         """Write a key as the operator."""
         self.tell(self.store, '/-/write', key=key, value=value)
@@ -142,31 +159,68 @@
         return json.decode(answer.body)
 
     def start_worker(self, machine: str, pool: str, number: int) -> None:
-        """Start a worker's process with its first life."""
+        """Start a worker's process; one of the standby pool has no life.
+
+        Calls to every other worker pass through a proxy.
+        """
         port, control_port = free_port(), free_port()
+        proxy = self.proxies.add_proxy(port) if number % 2 == 0 else None
+        rack = f'rack-{number % 3}'
         arguments = [
             f'--machine={machine}',
-            f'--rack=rack-{number % 3}',
+            f'--rack={rack}',
             f'--port={port}',
             f'--control-port={control_port}',
+            f'--advertised={proxy.address if proxy else ""}',
+            f'--cpu={WORKER_CPU_MILLIS}',
+            f'--memory={WORKER_MEMORY_MB}',
             f'--store={self.store_address}',
             f'--rate={1.0 - 0.005 * (number % 4)}',
             f'--evidence={self.folder / f"workers-{machine}.jsonl"}',
-            f'--pool={pool}',
         ]
-        process = self.run_worker(arguments, f'w-{machine}')
-        client = self.open_client(control_port)
+        is_up = pool != STANDBY_POOL
+        process = self.run_worker(arguments, f'w-{machine}', pool, is_up)
+        client = self.open_client(control_port, 2)
         self.workers[machine] = WorkerProcess(
-            machine, arguments, process, client
+            machine, arguments, control_port, rack, process, client, proxy
         )
 
-    def run_worker(self, arguments: list[str], worker: str) -> Popen[bytes]:
+    def run_worker(
+        self, arguments: list[str], worker: str, pool: str, is_up: bool
+    ) -> Popen[bytes]:
         """Run a worker's process."""
+        more = [f'--id={worker}', f'--pool={pool}']
+        more += [] if is_up else ['--asleep']
         process, _ = self.start_standin(
-            'standins.job_worker', *arguments, f'--id={worker}'
+            'standins.job_worker', *arguments, *more
         )
         return process
 
+    def start_instances(self) -> None:
+        """Start the service of instances for the workers' machines."""
+        rows = list[dict[str, Any]]()
+        for machine, worker in self.workers.items():
+            pool = machine.rpartition('-')[0]
+            is_up = pool != STANDBY_POOL
+            rows.append(
+                {
+                    'machine': machine,
+                    'pool': pool,
+                    'rack': worker.rack,
+                    'cpu': WORKER_CPU_MILLIS,
+                    'memory': WORKER_MEMORY_MB,
+                    'control_port': worker.control_port,
+                    'id': f'w-{machine}' if is_up else None,
+                }
+            )
+        path = self.folder / 'machines.json'
+        path.write_bytes(json.encode(rows))
+        _, line = self.start_standin(
+            'standins.job_instances', str(path), STANDBY_POOL
+        )
+        self.instances = self.open_client(line['port'], 2)
+        self.instances_address = f'127.0.0.1:{line["port"]}'
+
     def life_of(self, machine: str) -> dict[str, Any]:
         """Return what a worker's control port tells of its life."""
         client = self.workers[machine].control
@@ -178,28 +232,29 @@
         """End or begin a life of a worker by its control port."""
         self.tell(self.workers[machine].control, '/-/life', **fields)
 
-    def kill_worker(self, machine: str) -> dict[str, Any]:
-        """Kill a worker's process; return what its life was."""
-        life = self.life_of(machine)
-        process = self.workers[machine].process
-        process.kill()
-        process.wait()
-        self.lives.append(
-            WorkerEvidence(
-                boot_time(),
-                life['id'],
-                life['boot'],
-                EvidenceKind.LIFE_ENDED,
-                how='killed',
-            )
-        )
-        return life
+    def crash_worker(
+        self, machine: str, gap_s: float, worker: str = ''
+    ) -> None:
+        """Kill a worker's process, and start it again after a gap.
 
-    def restart_worker(self, machine: str, worker: str, pool: str) -> None:
-        """Start a killed worker's process again at the same port."""
+        It comes back under the same id at the same port, or as ``worker``.
+        """
         held = self.workers[machine]
-        arguments = [*held.arguments[:-1], f'--pool={pool}']
-        held.process = self.run_worker(arguments, worker)
+        with held.lock:
+            life = self.life_of(machine)
+            held.process.kill()
+            held.process.wait()
+            if life['is_up']:
+                self.note_life(life, EvidenceKind.LIFE_ENDED, 'killed')
+            sleep(gap_s)
+            name = worker or life['id']
+            if worker and life['is_up']:
+                self.tell(
+                    self.instances, '/-/worker', machine=machine, id=worker
+                )
+            held.process = self.run_worker(
+                held.arguments, name, life['pool'], life['is_up']
+            )
 
     def pause_worker(self, machine: str, seconds: float) -> None:
         """Stop a worker's process for a while."""
@@ -211,23 +266,30 @@
         self.note_life(life, EvidenceKind.RESUMED)
         process.send_signal(SIGCONT)
 
-    def note_life(self, life: dict[str, Any], kind: EvidenceKind) -> None:
+    def note_life(
+        self, life: dict[str, Any], kind: EvidenceKind, how: str = ''
+    ) -> None:
         """Append evidence about a life that cannot do so."""
         self.lives.append(
-            WorkerEvidence(boot_time(), life['id'], life['boot'], kind)
+            WorkerEvidence(
+                boot_time(), life['id'], life['boot'], kind, how=how
+            )
         )
 
     def define_entry(self, number: int) -> None:
         """Draw up the settings of an entry instance."""
         name = f'entry-{number}'
+        proxy = self.proxies.add_proxy(self.store_ports[number])
+        self.store_proxies[name] = proxy
+        self.entry_locks[name] = RLock()
         self.settings[name] = {
             'entry_id': name,
             'zone': 'north',
             'caller_address': f'127.0.0.1:{free_port()}',
             'ready_address': f'127.0.0.1:{free_port()}',
             'peer_address': f'127.0.0.1:{free_port()}',
-            'store_address': f'127.0.0.1:{self.store_ports[number]}',
-            'fleet_address': self.store_address,
+            'store_address': proxy.address,
+            'fleet_address': self.instances_address,
             'grace_period_s': GRACE_PERIOD_S,
         }
 
@@ -243,25 +305,41 @@
         if self.entries[name].poll() is None:
             self.entries[name].send_signal(number)
 
-    def kill_entry(self, name: str) -> None:
-        """Kill an entry instance."""
-        self.signal_entry(name, SIGKILL)
-        self.entries[name].wait()
+    def note_ended(self, name: str) -> None:
+        """Note an entry instance that has ended by itself."""
+        code = self.entries[name].poll()
+        if code is not None:
+            self.ended.append(f'{name} with {code}')
+
+    def kill_entry(self, name: str, gap_s: float) -> None:
+        """Kill an entry instance, and start it again after a gap."""
+        with self.entry_locks[name]:
+            self.note_ended(name)
+            self.signal_entry(name, SIGKILL)
+            self.entries[name].wait()
+            sleep(gap_s)
+            self.start_entry(name)
 
-    def terminate_entry(self, name: str) -> int | None:
-        """Let an entry instance leave; None if it had to be killed."""
-        self.signal_entry(name, SIGTERM)
-        try:
-            return self.entries[name].wait(KILL_AFTER_S)
-        except TimeoutExpired:
-            self.kill_entry(name)
-            return None
+    def terminate_entry(self, name: str, gap_s: float) -> None:
+        """Let an entry instance leave, and start it again after a gap."""
+        with self.entry_locks[name]:
+            self.note_ended(name)
+            self.signal_entry(name, SIGTERM)
+            try:
+                self.entries[name].wait(KILL_AFTER_S)
+            except TimeoutExpired:
+                self.ended.append(f'{name} had to be killed')
+                self.signal_entry(name, SIGKILL)
+                self.entries[name].wait()
+            sleep(gap_s)
+            self.start_entry(name)
 
     def pause_entry(self, name: str, seconds: float) -> None:
         """Stop an entry instance for a while."""
-        self.signal_entry(name, SIGSTOP)
+        process = self.entries[name]
+        process.send_signal(SIGSTOP)
         sleep(seconds)
-        self.signal_entry(name, SIGCONT)
+        process.send_signal(SIGCONT)
 
     def reload_entry(self, name: str) -> None:
         """Tell an entry instance that its settings have changed."""
@@ -298,35 +376,13 @@
                 raise AssertionError(f'no {what} in {READY_S} s')
             sleep(0.05)
 
+    def callers(self) -> dict[str, str]:
+        """Return the entry instances' addresses for callers."""
+        return {
+            name: settings['caller_address']
+            for name, settings in self.settings.items()
+        }
+
     def note_fault(self, name: str, began_at: float, subject: str) -> None:
         """Append evidence of a fault that is over."""
         self.faults.append(FaultEvidence(began_at, boot_time(), name, subject))
-
-
-def create_configuration(version: int) -> dict[str, Any]:
-    """Return the configuration: a queue and a pool of each kind."""
-    return {
-        'version': version,
-        'routes': [
-            {
-                'name': f'queue-{pool}',
-                'host': f'{pool}.example',
-                'prefix': f'/{pool}/',
-                'service': pool,
-                'timeout_ms': 3000,
-                'target_completion_ms': 600,
-                'slack_factor': 1.6,
-                'max_attempts': 3,
-            }
-            for pool in POOLS
-        ],
-        'services': [
-            *({'name': pool, 'admission_check': True} for pool in POOLS),
-            {'name': STANDBY_POOL, 'standby': True},
-        ],
-        'tenants': [
-            {'name': 'sales', 'api_keys': ['sales-key'], 'weight': 100},
-            {'name': 'yards', 'api_keys': ['yards-key'], 'weight': 100},
-        ],
-        'limits': {'max_body_bytes': 262144},
-    }
--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -81,10 +81,6 @@
     def do_entry(self, fields: dict[str, Any], argument: str) -> Reply:
         """Take a heartbeat; its entry changes when more than that does."""
         key, value = fields['key'], fields['value']
-        if value is None:
-            if key in self.entry_ends:
-                self.forget(key)
-            return 200, {}
         self.entry_ends[key] = self.clock() + ENTRY_TTL_S
         if self.entry_values.get(key) != value:
             self.entry_values[key] = value
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -53,7 +53,6 @@
     id: str = ''
     pool: str = ''
     entry_after_s: float = 0.0
-    withdraws_entry: bool = False
 
 
 class JobWorker:
@@ -71,6 +70,7 @@
         self.life: Life | None = None
         self.entry_at = 0.0
         self.boot = 0
+        self.changes = 0
         self.beat_now = Event()
         self.store = HttpClient(options.store)
 
@@ -100,7 +100,10 @@
         """Change the life, or tell about it."""
         if call.method == 'POST':
             change = convert(call.fields, LifeChange)
-            Thread(target=self.change, args=(change,)).start()
+            if change.begin_after_s is None:
+                self.change(change)
+            else:
+                Thread(target=self.change, args=(change,)).start()
         life = self.life
         runs = len(life.core.runs) if life else 0
         return 200, {
@@ -112,15 +115,23 @@
         }
 
     def change(self, change: LifeChange) -> None:
-        """Carry out what the control port was told."""
+        """Carry out what the control port was told.
+
+        A life that isn't there doesn't start again, and one that was ended
+        again meanwhile doesn't begin.
+        """
+        with self.lock:
+            if change.end and self.life is None:
+                return
+            self.changes += 1
+            number = self.changes
         if change.end:
             self.end(change.end)
-            if change.withdraws_entry:
-                self.beat(None)
         if change.begin_after_s is None:
             return
         sleep(change.begin_after_s)
-        self.end('replaced')
+        if number != self.changes:
+            return
         self.worker = change.id or self.worker
         self.pool = change.pool or self.pool
         self.begin(change.entry_after_s)
@@ -136,12 +147,12 @@
             now = boot_time()
             if self.life is None or now < max(next_at, self.entry_at):
                 continue
-            took = self.beat(self.entry())
+            took = self.beat()
             next_at = now + (HEARTBEAT_S if took else HEARTBEAT_RETRY_S)
 
-    def beat(self, value: dict[str, Any] | None) -> bool:
-        """Write or withdraw the entry; tell whether the store took it."""
-        body = {'key': f'servers/{self.worker}', 'value': value}
+    def beat(self) -> bool:
+        """Write the entry; tell whether the store took it."""
+        body = {'key': f'servers/{self.worker}', 'value': self.entry()}
         try:
             answer = self.store.call(
                 'POST', '/-/entry', json.encode(body), CALL_TIMEOUT_S
