--- a/standins/job_soak_fleet.py
+++ b/standins/job_soak_fleet.py
@@ -10,6 +10,9 @@
 from signal import SIGKILL
 from signal import SIGSTOP
 from signal import SIGTERM
+from socket import SO_REUSEADDR
+from socket import socket
+from socket import SOL_SOCKET
 from subprocess import PIPE
 from subprocess import Popen
 from subprocess import TimeoutExpired
@@ -38,7 +41,6 @@
 from standins.job_soak_site import POOLS
 from standins.job_soak_site import Scale
 from standins.job_soak_site import STANDBY_POOL
-from standins.processes import free_port
 from standins.processes import start_on_platform
 from standins.processes import stop
 
@@ -103,6 +105,13 @@
         self.wait_until(self.find_owner, 'an owner')
         self.wait_until(self.are_ready, 'ready entry instances')
 
+    def reserve_port(self) -> int:
+        """Return a port that no connection takes while nobody listens."""
+        guard = self.resources.enter_context(socket())
+        guard.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        guard.bind(('127.0.0.1', 0))
+        return int(guard.getsockname()[1])
+
     def start_standin(
         self, module: str, *arguments: str
     ) -> tuple[Popen[bytes], dict[str, Any]]:
@@ -163,7 +172,7 @@
 
         Calls to every other worker pass through a proxy.
         """
-        port, control_port = free_port(), free_port()
+        port, control_port = self.reserve_port(), self.reserve_port()
         proxy = self.proxies.add_proxy(port) if number % 2 == 0 else None
         rack = f'rack-{number % 3}'
         arguments = [
@@ -285,9 +294,9 @@
         self.settings[name] = {
             'entry_id': name,
             'zone': 'north',
-            'caller_address': f'127.0.0.1:{free_port()}',
-            'ready_address': f'127.0.0.1:{free_port()}',
-            'peer_address': f'127.0.0.1:{free_port()}',
+            'caller_address': f'127.0.0.1:{self.reserve_port()}',
+            'ready_address': f'127.0.0.1:{self.reserve_port()}',
+            'peer_address': f'127.0.0.1:{self.reserve_port()}',
             'store_address': proxy.address,
             'fleet_address': self.instances_address,
             'grace_period_s': GRACE_PERIOD_S,
--- a/standins/job_store.py
+++ b/standins/job_store.py
@@ -6,6 +6,7 @@
 ``POST /-/faults`` on the first port and hold until the next such call.
 """
 
+from collections.abc import Callable
 from functools import partial
 import sys
 from threading import Event
@@ -57,8 +58,8 @@
 class JobStore(StoreApplication):
     """The store, its faults, and the entries that workers keep there."""
 
-    def __init__(self) -> None:
-        super().__init__(boot_time)
+    def __init__(self, clock: Callable[[], float] = boot_time) -> None:
+        super().__init__(clock)
         self.faults = StoreFaults()
         self.mended = Event()
         self.entry_ends = dict[str, float]()
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -93,8 +93,8 @@
         """End the life, if there is one."""
         with self.lock:
             life, self.life = self.life, None
-        if life is not None:
-            life.end(how)
+            if life is not None:
+                life.end(how)
 
     def serve_control(self, call: Call) -> Reply:
         """Change the life, or tell about it."""
@@ -121,7 +121,8 @@
         again meanwhile doesn't begin.
         """
         with self.lock:
-            if change.end and self.life is None:
+            is_restart = change.end and change.begin_after_s is not None
+            if is_restart and self.life is None:
                 return
             self.changes += 1
             number = self.changes
@@ -130,11 +131,13 @@
         if change.begin_after_s is None:
             return
         sleep(change.begin_after_s)
-        if number != self.changes:
-            return
-        self.worker = change.id or self.worker
-        self.pool = change.pool or self.pool
-        self.begin(change.entry_after_s)
+        with self.lock:
+            if number != self.changes:
+                return
+            self.end('replaced')
+            self.worker = change.id or self.worker
+            self.pool = change.pool or self.pool
+            self.begin(change.entry_after_s)
 
     def run_heartbeats(self) -> None:
         """Write the entry at each interval, and when a life begins."""
