Let workers drain and leave in the soak on the job path

Cause: a planned leave of a worker was the one way in which a worker ends that the soak could not bring about.

Change: a worker's life can drain before it ends, with its entry saying so; the fault drain_worker uses it. Settings, configurations and waves are planned, so they are no longer noted as faults, and the time beside them counts as calm.

--- a/standins/job_life.py
+++ b/standins/job_life.py
@@ -23,6 +23,7 @@
 from primroseledge.jobs.actions import SendStop
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.task import TaskKey
+from primroseledge.jobs.worker import WorkerState
 from primroseledge.platform.wire_names import format_task_name
 from standins.call_server import Call
 from standins.call_server import CallServer
@@ -236,6 +237,12 @@
                 wait_s = IDLE_STEP_S if due is None else due - now
                 changed.wait(max(0.001, min(IDLE_STEP_S, wait_s)))
 
+    def drain(self) -> None:
+        """Get ready to end; runs go on, and starts are still taken."""
+        with self.calls.changed:
+            self.core.state = WorkerState.DRAINING
+            self.ledger.note(EvidenceKind.DRAINING, boot_time())
+
     def end(self, how: str) -> None:
         """End with all runs at once, and cut all connections."""
         with self.calls.changed:
--- a/standins/job_soak_events.py
+++ b/standins/job_soak_events.py
@@ -1,6 +1,7 @@
 """What goes wrong, or is planned, during a soak on the job path."""
 
 from time import sleep
+from typing import Final
 
 from standins.fault_proxy import FaultProxy
 from standins.job_soak_disturber import Disturbance
@@ -12,6 +13,8 @@
 
 __all__ = ('FAULTS',)
 
+DRAIN_S: Final = 2.5
+
 
 @fault
 def restart_idle_workers(d: Disturbance) -> None:
@@ -66,6 +69,21 @@
         d.fleet.crash_worker(machine, gap_s, name)
 
 
+@fault
+def drain_worker(d: Disturbance) -> None:
+    """A worker drains and leaves; another one joins in its place."""
+    machine, gap_s = d.machine(), d.gap_s()
+    name = f'w-{machine}-d{d.random.randrange(10**6)}'
+    if d.load_of(machine) < 0:
+        return
+    d.fleet.change_life(
+        machine, drain_s=DRAIN_S, end='left', begin_after_s=gap_s, id=name
+    )
+    sleep(DRAIN_S + gap_s + 0.1)
+    if d.fleet.life_of(machine)['id'] == name:
+        d.fleet.rename_worker(machine, name)
+
+
 @fault
 def pause_workers(d: Disturbance) -> None:
     """Workers are paused at once, some for longer than their lease."""
@@ -261,23 +279,20 @@
 def reload_settings(d: Disturbance) -> None:
     """All entry instances are told that their settings have changed."""
     for name in sorted(d.fleet.settings):
-        with d.struck('reload_settings', name):
-            d.fleet.reload_entry(name)
+        d.fleet.reload_entry(name)
 
 
 @fault
 def change_configuration(d: Disturbance) -> None:
     """A new version of the configuration is written."""
-    with d.struck('change_configuration', 'configuration'):
-        d.fleet.configure()
+    d.fleet.configure()
 
 
 @fault
 def start_wave(d: Disturbance) -> None:
     """Some machines are to be maintained, one at a time."""
     machines = [m for m in d.fleet.workers if m.startswith(POOLS)]
-    with d.struck('start_wave', 'configuration'):
-        d.fleet.start_wave(d.some(machines, 3))
+    d.fleet.start_wave(d.some(machines, 3))
 
 
 def worker_proxies(d: Disturbance) -> dict[str, FaultProxy]:
--- a/standins/job_soak_fleet.py
+++ b/standins/job_soak_fleet.py
@@ -258,13 +258,15 @@
             sleep(gap_s)
             name = worker or life['id']
             if worker and life['is_up']:
-                self.tell(
-                    self.instances, '/-/worker', machine=machine, id=worker
-                )
+                self.rename_worker(machine, worker)
             held.process = self.run_worker(
                 held.arguments, name, life['pool'], life['is_up']
             )
 
+    def rename_worker(self, machine: str, worker: str) -> None:
+        """Tell the service of instances of a worker's new id."""
+        self.tell(self.instances, '/-/worker', machine=machine, id=worker)
+
     def pause_worker(self, machine: str, seconds: float) -> None:
         """Stop a worker's process for a while."""
         life = self.life_of(machine)
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -25,6 +25,7 @@
 from primroseledge.http_client import HttpClient
 from primroseledge.http_client import NoAnswerError
 from primroseledge.http_client import NotSentError
+from primroseledge.jobs.worker import WorkerState
 from standins.call_server import Call
 from standins.call_server import CallServer
 from standins.call_server import Reply
@@ -43,12 +44,14 @@
 class LifeChange(Struct, frozen=True):
     """An order to a worker's control port.
 
-    ``end`` says why the life ends; empty if it goes on. Another one begins
-    after ``begin_after_s``, unless that is None, under ``id`` and in
-    ``pool``, if they are given. Its entry follows ``entry_after_s`` later.
+    ``end`` says why the life ends; empty if it goes on. It drains for
+    ``drain_s`` before. Another one begins after ``begin_after_s``, unless
+    that is None, under ``id`` and in ``pool``, if they are given. Its entry
+    follows ``entry_after_s`` later.
     """
 
     end: str = ''
+    drain_s: float = 0.0
     begin_after_s: float | None = None
     id: str = ''
     pool: str = ''
@@ -126,6 +129,8 @@
                 return
             self.changes += 1
             number = self.changes
+        if change.drain_s:
+            self.drain(change.drain_s)
         if change.end:
             self.end(change.end)
         if change.begin_after_s is None:
@@ -139,6 +144,13 @@
             self.pool = change.pool or self.pool
             self.begin(change.entry_after_s)
 
+    def drain(self, seconds: float) -> None:
+        """Announce that the life will end, and wait so long."""
+        if self.life is not None:
+            self.life.drain()
+        self.beat_now.set()
+        sleep(seconds)
+
     def run_heartbeats(self) -> None:
         """Write the entry at each interval, and when a life begins."""
         next_at = 0.0
@@ -166,14 +178,15 @@
 
     def entry(self) -> dict[str, Any]:
         """Return the worker's entry."""
-        options = self.options
+        options, life = self.options, self.life
+        state = WorkerState.READY if life is None else life.core.state
         return {
             'service': self.pool,
             'address': options.advertised,
             'zone': 'north',
             'version': 'v1',
             'slots': 8,
-            'state': 'ready',
+            'state': state.value,
             'capacity': {
                 'cpu': options.cpu_millis,
                 'memory_request_mb': options.memory_mb,
