--- a/tools/module_names.py
+++ b/tools/module_names.py
@@ -21,7 +21,6 @@
     'src/primroseledge/gateway/node.py': 435,
     'src/primroseledge/observability/events.py': 414,
     'src/primroseledge/requests/entry.py': 403,
-    'standins/fleet_platform.py': 500,
     'tests/agreement_node.py': 429,
     'tests/fleet_world.py': 733,
     'tests/specification.py': 405,
