Let a worker outlive a call that says it was done before

Callers: the capacity of a machine that was maintained is not used again, for ever, and jobs wait although the worker is up, ready and empty. The wave counts the machine as down until the owner changes.

Cause: on the success of a call, the owner took the drained worker for ended and put its boot into ended_boots. The platform gives the same answer when the operation is done already: after a call that was carried out without an answer, or by a predecessor whose record was not stored. The worker on the machine is then the new one, which lives. As the operation waited for yet another worker, it never ended. It did not end either when the machine came back with the old id and a newer boot.

Change: the drained worker is removed when a list that was requested after the answer shows that it is gone, and only in the boot that the call was sent for. While the list shows it on its machine, it is polled; its answer to a poll that was sent after the call's success proves that the call ended nothing, and gives it back. No worker is used on the strength of a list alone, so a list that lags can't free a place in the wave.

Recording arrivals moves to the module of demand, so that the engine does not grow.

--- a/src/primroseledge/jobs/demand.py
+++ b/src/primroseledge/jobs/demand.py
@@ -10,9 +10,12 @@
 from typing import Final
 
 from primroseledge.ids import ServiceId
+from primroseledge.jobs.arrival_rate import Arrival
+from primroseledge.jobs.arrival_rate import ArrivalRate
 from primroseledge.jobs.arrival_rate import Rate
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import DEFAULT_ESTIMATE_MS
+from primroseledge.jobs.job import Job
 from primroseledge.jobs.spec import JobSpec
 
 CATCH_UP_S: Final = 1.2
@@ -81,6 +84,18 @@
     )
 
 
+def record_arrival(state: FleetState, job: Job, now: float) -> None:
+    """Add a new job's estimated work to its service's arrival rate.
+
+    Pools are sized by this rate and by the work that waits.
+    """
+    service = state.service_of(job)
+    core_s = estimated_core_s(job.accepted.spec)
+    if service is not None and core_s:
+        rate = state.arrival_rates.setdefault(service, ArrivalRate())
+        rate.add(Arrival(now, core_s, initial_cores_of(job.accepted.spec)))
+
+
 def measure_demand(state: FleetState) -> dict[ServiceId, Demand]:
     """Return the present demand of each configured service.
 
--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -4,9 +4,11 @@
 from dataclasses import field
 from enum import Enum
 
+from primroseledge.ids import Boot
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
+from primroseledge.jobs.actions import PollAnswered
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.worker import Worker
 from primroseledge.maintenance.actions import InstancesListed
@@ -23,7 +25,8 @@
 
     ``DRAINING`` until nothing runs on the instance, ``CALL_SENT`` until the
     call to the platform has succeeded, and ``AWAITING_RETURN`` until the list
-    shows the instance back, as a rule with a new worker.
+    shows the instance back, as a rule with a new worker, or until the worker
+    that was drained proves to be alive.
     """
 
     DRAINING = 'draining'
@@ -40,8 +43,10 @@
     the drain began; it is reset when a drain begins again and when a move's
     call is first sent, but not when a maintenance call is first sent. So the
     timeout of a move's call counts from the call, and that of a maintenance
-    call from the drain. ``call_sent_at`` is when the call was last sent and
-    ``answered_at`` when it succeeded. Times are on the monotonic clock.
+    call from the drain. ``call_sent_at`` is when the call was last sent,
+    ``boot`` that of the worker at that time if it was known, and
+    ``answered_at`` is when the call succeeded. Times are on the monotonic
+    clock.
     """
 
     instance: InstanceId
@@ -51,6 +56,7 @@
     state: OperationState = OperationState.DRAINING
     started_at: float = 0.0
     call_sent_at: float = 0.0
+    boot: Boot | None = None
     answered_at: float = 0.0
 
 
@@ -127,29 +133,20 @@
         return len(in_maintenance)
 
     def apply_list(self, listed: InstancesListed) -> None:
-        """Replace the rows by a newer list, and end completed operations."""
+        """Replace the rows by a newer list."""
         self.is_list_in_flight = False
         self.listed_at = listed.sent_at
         self.rows = {row.id: row for row in listed.rows}
-        for operation in list(self.operations.values()):
-            if self.has_returned(operation, listed):
-                del self.operations[operation.instance]
-
-    def has_returned(
-        self, operation: Operation, listed: InstancesListed
-    ) -> bool:
-        """Return whether a list shows that an instance's operation is over.
-
-        Only a list that was requested after the call's answer counts. A moved
-        instance is back when it is up in the target pool. One in maintenance
-        is back when it is up with a new worker, or without one if it had none
-        before. An instance that is no longer listed counts as returned, so
-        that its operation ends.
+
+    def has_returned(self, operation: Operation) -> bool:
+        """Return whether the rows show that an operation is over.
+
+        They must be of a list that was requested after the call's answer. A
+        moved instance is back when it is up in the target pool. One in
+        maintenance is back when it is up with a new worker, or without one if
+        it had none before. An instance that is no longer listed counts as
+        returned, so that its operation ends.
         """
-        if operation.state is not OperationState.AWAITING_RETURN:
-            return False
-        if listed.sent_at <= operation.answered_at:
-            return False
         row = self.rows.get(operation.instance)
         if row is None:
             return True
@@ -161,6 +158,21 @@
         is_standby = row.worker is None and operation.worker is None
         return is_standby or row.worker not in (None, operation.worker)
 
+    def shows_same_worker(self, operation: Operation) -> bool:
+        """Return whether an instance is up with the worker that was drained.
+
+        The platform also answers a call with success if it carried it out
+        before. The worker that it shows then is the one that came up after
+        that, or it has restarted with the same id.
+        """
+        row = self.rows.get(operation.instance)
+        return (
+            row is not None
+            and row.state is InstanceState.UP
+            and row.worker is not None
+            and row.worker == operation.worker
+        )
+
     def find_worker(
         self, state: FleetState, instance: InstanceId
     ) -> Worker | None:
@@ -171,15 +183,90 @@
         return state.workers.get(row.worker)
 
 
+def apply_instance_list(
+    state: FleetState, instances: InstanceList, listed: InstancesListed
+) -> None:
+    """Apply a newer list, and end the operations that it shows to be over.
+
+    The worker that ended with a call is removed. If the list still shows it
+    on its instance, it is polled instead: its answer shows that the call has
+    ended nothing, see ``keep_living_worker``.
+    """
+    instances.apply_list(listed)
+    for operation in list(instances.operations.values()):
+        if (
+            operation.state is not OperationState.AWAITING_RETURN
+            or instances.listed_at <= operation.answered_at
+        ):
+            continue
+        if instances.shows_same_worker(operation):
+            poll_drained_worker(state, operation)
+            continue
+        remove_ended_worker(state, operation)
+        if instances.has_returned(operation):
+            del instances.operations[operation.instance]
+
+
+def record_call(state: FleetState, operation: Operation, now: float) -> None:
+    """Record that an operation's call is sent, and which boot it may end."""
+    operation.state = OperationState.CALL_SENT
+    operation.call_sent_at = now
+    worker = find_drained_worker(state, operation)
+    operation.boot = worker.entry.boot if worker is not None else None
+
+
+def poll_drained_worker(state: FleetState, operation: Operation) -> None:
+    """Have the worker of an operation polled until it answers."""
+    worker = find_drained_worker(state, operation)
+    if worker is not None:
+        worker.is_drained_by_owner = True
+        worker.has_answered_poll = False
+        state.workers_to_check.add(worker.id)
+
+
+def keep_living_worker(
+    state: FleetState, instances: InstanceList, answer: PollAnswered
+) -> None:
+    """End a drained worker's operation if the worker outlived its call.
+
+    A worker that answers a poll which was sent after the call's success was
+    not ended by it. It gets tasks again.
+    """
+    worker = state.workers.get(answer.worker)
+    if worker is None or not worker.is_drained_by_owner:
+        return
+    if worker.entry.boot != answer.boot:
+        return
+    for operation in list(instances.operations.values()):
+        if (
+            operation.worker == worker.id
+            and operation.state is OperationState.AWAITING_RETURN
+            and answer.sent_at > operation.answered_at
+        ):
+            del instances.operations[operation.instance]
+            worker.is_drained_by_owner = False
+            state.services_to_plan.add(worker.entry.service)
+
+
+def find_drained_worker(
+    state: FleetState, operation: Operation
+) -> Worker | None:
+    """Return the worker that an operation drains, if it is known."""
+    if operation.worker is None:
+        return None
+    return state.workers.get(operation.worker)
+
+
 def remove_ended_worker(state: FleetState, operation: Operation) -> None:
     """Remove the worker that ended with a maintenance or a move.
 
     It is recorded as ended, because the list of workers may show it for a
-    while yet. A worker that still has tasks is kept.
+    while yet. A worker that still has tasks is kept, as is one that has
+    restarted since the call.
     """
-    if operation.worker is None:
+    worker = find_drained_worker(state, operation)
+    if worker is None or worker.entry.boot != operation.boot:
         return
-    worker = state.workers.get(operation.worker)
-    if worker is not None and not worker.tasks:
+    if not worker.tasks:
         del state.workers[worker.id]
         state.ended_boots[worker.id] = worker.entry.boot
--- a/src/primroseledge/maintenance/pool_moves.py
+++ b/src/primroseledge/maintenance/pool_moves.py
@@ -16,7 +16,7 @@
 from primroseledge.maintenance.instance_list import InstanceList
 from primroseledge.maintenance.instance_list import Operation
 from primroseledge.maintenance.instance_list import OperationState
-from primroseledge.maintenance.instance_list import remove_ended_worker
+from primroseledge.maintenance.instance_list import record_call
 from primroseledge.maintenance.wave import InstanceRow
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.observability.events import Event
@@ -287,8 +287,7 @@
         return
     if operation.state is OperationState.DRAINING:
         operation.started_at = now
-    operation.state = OperationState.CALL_SENT
-    operation.call_sent_at = now
+    record_call(state, operation, now)
     state.actions.append(
         MoveInstance(operation.instance, operation.target_pool)
     )
@@ -328,7 +327,6 @@
     if answer.result is InstanceResult.DONE:
         operation.state = OperationState.AWAITING_RETURN
         operation.answered_at = answer.received_at
-        remove_ended_worker(state, operation)
     elif answer.result is InstanceResult.NO_SUCH_INSTANCE:
         instances.refused_moves.add((call.instance, call.pool))
         cancel_move(state, instances, operation)
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -18,7 +18,7 @@
 from primroseledge.maintenance.instance_list import InstanceList
 from primroseledge.maintenance.instance_list import Operation
 from primroseledge.maintenance.instance_list import OperationState
-from primroseledge.maintenance.instance_list import remove_ended_worker
+from primroseledge.maintenance.instance_list import record_call
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveRecord
@@ -271,8 +271,7 @@
         or not instances.may_change_instances(now)
     ):
         return
-    operation.state = OperationState.CALL_SENT
-    operation.call_sent_at = now
+    record_call(state, operation, now)
     state.actions.append(
         StartMaintenance(operation.instance, operation.wave_number)
     )
@@ -343,7 +342,6 @@
     if result is InstanceResult.DONE:
         operation.state = OperationState.AWAITING_RETURN
         operation.answered_at = answer.received_at
-        remove_ended_worker(state, operation)
     elif result in (
         InstanceResult.NO_SUCH_INSTANCE,
         InstanceResult.NOT_IN_WAVE,
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -28,11 +28,8 @@
 from primroseledge.jobs.admission import find_refusal
 from primroseledge.jobs.advice import AdviceAnswered
 from primroseledge.jobs.advice import AdviceFailed
-from primroseledge.jobs.arrival_rate import Arrival
-from primroseledge.jobs.arrival_rate import ArrivalRate
 from primroseledge.jobs.configuration import Configuration
-from primroseledge.jobs.demand import estimated_core_s
-from primroseledge.jobs.demand import initial_cores_of
+from primroseledge.jobs.demand import record_arrival
 from primroseledge.jobs.ends import end_job
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.fleet_state import Timing
@@ -56,7 +53,9 @@
 from primroseledge.maintenance.actions import MoveInstance
 from primroseledge.maintenance.actions import StartMaintenance
 from primroseledge.maintenance.evacuation import evacuate_draining_workers
+from primroseledge.maintenance.instance_list import apply_instance_list
 from primroseledge.maintenance.instance_list import InstanceList
+from primroseledge.maintenance.instance_list import keep_living_worker
 from primroseledge.maintenance.list_refresh import refresh_list
 from primroseledge.maintenance.pool_moves import handle_move_answer
 from primroseledge.maintenance.pools import size_pools
@@ -136,24 +135,13 @@
             state.active_jobs[job_id] = job
             state.mark_dirty(job, now)
             state.request_planning(job)
-            self.record_arrival(job, now)
+            record_arrival(state, job, now)
         elif not job.accepted.spec.steps:
             cancelled = Answer(Verdict.NO_SUCH_JOB, reason='cancelled before')
             state.actions.append(SendAnswer(event.call, cancelled))
             return
         self.answer_when_stored(event, job)
 
-    def record_arrival(self, job: Job, now: float) -> None:
-        """Add a new job's estimated work to its service's arrival rate.
-
-        Pools are sized by this rate and by the work that waits.
-        """
-        service = self.state.service_of(job)
-        core_s = estimated_core_s(job.accepted.spec)
-        if service is not None and core_s:
-            rate = self.state.arrival_rates.setdefault(service, ArrivalRate())
-            rate.add(Arrival(now, core_s, initial_cores_of(job.accepted.spec)))
-
     def cancel(self, event: CancelJob, now: float) -> None:
         """Cancel a job, and answer the caller once that is stored.
 
@@ -246,6 +234,7 @@
     def handle_poll_answer(self, answer: PollAnswered, now: float) -> None:
         """Apply the runs and run ends that a worker's poll answer lists."""
         handle_poll_answer(self.state, answer, now)
+        keep_living_worker(self.state, self.instance_list, answer)
 
     def handle_poll_failure(self, failure: PollFailed, now: float) -> None:
         """Record a failed poll of a worker.
@@ -295,7 +284,7 @@
         instances = self.instance_list
         self.swept_at = -inf
         if isinstance(report, InstancesListed):
-            instances.apply_list(report)
+            apply_instance_list(self.state, instances, report)
         elif isinstance(report, ListFailed):
             instances.is_list_in_flight = False
             log(Event.LIST_FAILED, problem=report.problem)
--- a/tests/test_ended_worker.py
+++ b/tests/test_ended_worker.py
@@ -81,6 +81,17 @@
         starts = bench.run_job(make_job('a', make_step(1)))
         self.assertEqual(1, len(starts))
 
+    def test_worker_that_restarted_before_an_older_list_is_kept(self) -> None:
+        bench = self.begin_maintenance()
+        bench.reconcile(1.0)
+        [repeated] = bench.maintenance_starts()
+        bench.answer(repeated)
+        bench.store_changes()
+        bench.list_workers(make_worker_entry('worker-0', boot=2))
+        bench.rows['i-0'] = make_row(0, state=InstanceState.IN_MAINTENANCE)
+        bench.list_instances()
+        self.assertIn(WorkerId('worker-0'), bench.engine.state.workers)
+
     def test_worker_that_ended_gets_no_task_while_it_is_still_listed(
         self,
     ) -> None:
