Show how a task that avoids a worker holds up others

A task avoids the worker on which it failed. Five tests show what follows when no other worker has room: jobs that need as much wait although that worker has room for them, so do the other tasks of its step and long-running tasks, which may fail any number of times, and a task waits for ever where its step's rules leave no other worker.

--- /dev/null
+++ b/tests/test_unplaced_steps.py
@@ -0,0 +1,99 @@
+"""Tests that steps which can't start now don't hold up others that can.
+
+A planning pass is bounded, and keeps workers free for long-running tasks.
+Guards against jobs that wait although a worker has capacity for them, because
+of what other jobs lack.
+"""
+
+import unittest
+
+from primroseledge.jobs.actions import EndKind
+from primroseledge.jobs.actions import SendStart
+from primroseledge.jobs.worker import WorkerEntry
+from tests.engine_bench import EngineBench
+from tests.engine_bench import make_job
+from tests.engine_bench import make_run_end
+from tests.engine_bench import make_step
+from tests.engine_bench import make_worker_entry
+
+WORKERS = [make_worker_entry(f'worker-{number}') for number in range(3)]
+
+
+def started_jobs(bench: EngineBench) -> set[str]:
+    """Store the changes, and return the jobs whose starts are sent."""
+    bench.store_changes()
+    return {start.task.job for start in bench.pop_starts()}
+
+
+def fail_run(bench: EngineBench, start: SendStart, number: int = 1) -> None:
+    """Let a run fail, and store that."""
+    end = make_run_end(start, EndKind.FAILED, number)
+    bench.answer_poll(start.target.worker, ends=(end,))
+    bench.store_changes()
+
+
+class FailedWorkerTest(unittest.TestCase):
+    """A task avoids a worker on which it failed, others don't."""
+
+    def fail_on_worker_0(
+        self, *others: WorkerEntry, **fields: object
+    ) -> EngineBench:
+        """Return a bench where a task failed on its worker, 0."""
+        bench = EngineBench(WORKERS[0])
+        [start] = bench.run_job(make_job('a', make_step(1, 9_000, **fields)))
+        bench.list_workers(WORKERS[0], *others)
+        for other in others:
+            bench.answer_poll(other.id)
+        bench.run_job(make_job('full', make_step(len(others), 14_000)))
+        fail_run(bench, start)
+        return bench
+
+    def test_jobs_start_where_another_job_failed(self) -> None:
+        bench = self.fail_on_worker_0(WORKERS[1])
+        self.assertEqual([], bench.pop_starts())
+        bench.submit(make_job('z', make_step(1, 10_000)))
+        self.assertEqual({'z'}, started_jobs(bench))
+
+    def test_other_tasks_of_a_step_start_where_one_failed(self) -> None:
+        bench = EngineBench(WORKERS[1])
+        bench.run_job(make_job('full', make_step(1, 16_000)))
+        bench.list_workers(WORKERS[0], WORKERS[1])
+        bench.answer_poll(WORKERS[0].id)
+        [start] = bench.run_job(make_job('a', make_step(2, 16_000)))
+        fail_run(bench, start)
+        self.assertEqual(
+            [('a', 1)],
+            [(s.task.job, s.task.number) for s in bench.pop_starts()],
+        )
+
+    def test_task_starts_again_on_the_only_worker_with_its_label(
+        self,
+    ) -> None:
+        bench = self.fail_on_worker_0(WORKERS[1], required_label='rack-0')
+        self.assertEqual(
+            [WORKERS[0].id], [s.target.worker for s in bench.pop_starts()]
+        )
+
+    def test_long_running_task_starts_again_where_it_failed(self) -> None:
+        bench = self.fail_on_worker_0(WORKERS[1], is_long_running=True)
+        self.assertEqual(
+            [WORKERS[0].id], [s.target.worker for s in bench.pop_starts()]
+        )
+
+    def test_task_starts_again_on_a_worker_that_has_succeeded_since(
+        self,
+    ) -> None:
+        bench = self.fail_on_worker_0(WORKERS[1])
+        [other] = bench.run_job(make_job('z', make_step(1, 4_000)))
+        self.assertEqual(WORKERS[0].id, other.target.worker)
+        bench.answer_poll(WORKERS[0].id, ends=(make_run_end(other, number=2),))
+        self.assertEqual({'a'}, started_jobs(bench))
+
+    def test_task_waits_for_a_worker_without_failures(self) -> None:
+        bench = self.fail_on_worker_0(WORKERS[1])
+        bench.reconcile(1.0)
+        self.assertEqual(set(), started_jobs(bench))
+
+
+if __name__ == '__main__':
+    unittest.main()
