Start jobs where another one failed

Callers: several jobs of a service stand still together while smaller ones move on, although a worker is up, ready and has room for them many times over; it ends when some other worker gets room. Where a label leaves only one worker, a task that failed there once never starts again.

Cause: a task that failed or stalled on a worker avoids it. If no other worker had room, the step counted as one for which the whole service had no capacity, and every later step that needs as much was skipped in each pass. The other tasks of its step were not tried either. Which workers were others was decided by their ids alone, even if none of them could ever take the task.

Change: such a step counts as tried, but says nothing about other steps, and its other tasks are tried. A task that has no other worker starts again where it failed once a task has succeeded there since, which shows that the worker is sound; at once if no other worker could take it when empty, or if it is long-running, as those have no limit of attempts. Otherwise it waits as before, so that a worker that fails everything does not use up its attempts.

The reference in test_planning compares all workers as before and follows the new rule.

--- a/src/primroseledge/jobs/placement.py
+++ b/src/primroseledge/jobs/placement.py
@@ -148,6 +148,18 @@
     return True
 
 
+def could_take(
+    step: StepSpec, worker: Worker, placement: StepPlacement
+) -> bool:
+    """Return whether a worker could take a task of a step if it were empty.
+
+    ``placement`` counts the tasks of the step that are placed already.
+    """
+    return step.counted_resources.fits_in(
+        worker.entry.capacity
+    ) and is_allowed(step, worker, placement)
+
+
 Rank = Callable[[Worker], tuple[float, ...]]
 """A sort key of workers; the worker with the smallest key is chosen."""
 
--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -11,12 +11,14 @@
 from typing import Final
 
 from primroseledge.ids import ServiceId
+from primroseledge.ids import WorkerId
 from primroseledge.jobs.advice import step_key
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.placement import BatchWorkerQueue
 from primroseledge.jobs.placement import choose_worker
+from primroseledge.jobs.placement import could_take
 from primroseledge.jobs.placement import count_placement
 from primroseledge.jobs.placement import is_ranked_once
 from primroseledge.jobs.placement import StepPlacement
@@ -77,6 +79,8 @@
         if shortage.affects(step.spec):
             continue
         outcome = plan_step(state, job, step, workers, now)
+        if outcome is StepPlan.AVOIDING:
+            shortage.count(step.spec)
         if outcome is not StepPlan.NO_CAPACITY:
             continue
         shortage.record(step.spec)
@@ -89,12 +93,14 @@
 
     ``PLACED``: nothing is left to place; a gang with a task that runs or is
     done counts too.
-    ``NO_CAPACITY``: no worker could take one of them. ``NOT_ALLOWED``: it
+    ``NO_CAPACITY``: no worker could take one of them. ``AVOIDING``: only
+    workers on which one of them failed could take it. ``NOT_ALLOWED``: it
     waits for its workspace's limit or for the advisory service.
     """
 
     PLACED = 'placed'
     NO_CAPACITY = 'no capacity'
+    AVOIDING = 'avoiding'
     NOT_ALLOWED = 'not allowed'
 
 
@@ -121,9 +127,13 @@
         needed = step.counted_resources
         return any(least.fits_in(needed) for least in self.unplaceable)
 
-    def record(self, step: StepSpec) -> None:
-        """Record that a step could not be placed."""
+    def count(self, step: StepSpec) -> None:
+        """Count a step that could not be placed, whatever the reason."""
         self.unplaced[step.is_long_running] += 1
+
+    def record(self, step: StepSpec) -> None:
+        """Record that no worker could take a step."""
+        self.count(step)
         if not has_placement_rules(step):
             self.unplaceable.append(step.counted_resources)
 
@@ -182,7 +192,8 @@
     """Plan the starts of a step's waiting tasks.
 
     If a task cannot be placed, the tasks before it stay planned; of a gang,
-    no task is planned then.
+    no task is planned then. Tasks that avoid workers don't keep the others of
+    their step from starting there.
     """
     queue = state.queue_of(job)
     no_worker = StepPlan.NO_CAPACITY
@@ -193,12 +204,16 @@
     if step.spec.is_gang:
         return plan_gang(state, job, step, workers, placement, no_worker, now)
     chooser = WorkerChooser(step.spec, workers, placement)
+    outcome = StepPlan.PLACED
     for task in step.tasks:
         if not task.is_waiting:
             continue
         if not is_within_limit(state, job, step.spec.resources):
             return StepPlan.NOT_ALLOWED
         worker = chooser.choose(task)
+        if worker is None and task.failed_workers:
+            outcome = StepPlan.AVOIDING
+            continue
         if worker is None:
             return no_worker
         # plan_run() adds the run's resources to the worker, so only the
@@ -207,7 +222,7 @@
         placement.per_worker[worker.id] += 1
         placement.per_rack[worker.rack] += 1
         chooser.record_placement(worker)
-    return StepPlan.PLACED
+    return outcome
 
 
 class WorkerChooser:
@@ -227,21 +242,44 @@
         self.workers = workers
         self.placement = placement
         self.queue: BatchWorkerQueue | None = None
+        self.unplaced_after: list[set[WorkerId]] = []
 
     def choose(self, task: Task) -> Worker | None:
-        """Return the best worker for a task, or None if none has capacity.
-
-        A worker on which the task has failed is avoided.
-        """
-        if task.failed_workers or not is_ranked_once(self.step):
-            workers = exclude_failed_workers(task, self.workers)
-            return choose_worker(self.step, workers, self.placement)
+        """Return the best worker for a task, or None if none has capacity."""
+        if task.failed_workers:
+            return self.choose_again(task)
+        if not is_ranked_once(self.step):
+            return choose_worker(self.step, self.workers, self.placement)
         if self.queue is None:
             self.queue = BatchWorkerQueue(
                 self.step, self.workers, self.placement
             )
         return self.queue.best_worker()
 
+    def choose_again(self, task: Task) -> Worker | None:
+        """Return the best worker for a task that has failed, or None.
+
+        A worker on which it failed is chosen only if no other has capacity.
+        Besides, a task must have succeeded there since, unless the rules and
+        the size of the step leave no other, or the task is long-running and
+        may fail any number of times.
+        """
+        if task.failed_workers in self.unplaced_after:
+            return None
+        others = [w for w in self.workers if w.id not in task.failed_workers]
+        failed = [w for w in self.workers if w.id in task.failed_workers]
+        if not self.step.is_long_running and any(
+            could_take(self.step, other, self.placement) for other in others
+        ):
+            job = task.key.job
+            failed = [w for w in failed if not w.quarantine.is_suspect(job)]
+        for workers in (others, failed):
+            worker = choose_worker(self.step, workers, self.placement)
+            if worker is not None:
+                return worker
+        self.unplaced_after.append(task.failed_workers)
+        return None
+
     def record_placement(self, worker: Worker) -> None:
         """Rank the workers again after a task was placed on one of them."""
         queue = self.queue
@@ -251,17 +289,6 @@
             self.queue = None
 
 
-def exclude_failed_workers(task: Task, workers: list[Worker]) -> list[Worker]:
-    """Return the workers on which a task has not failed or stalled.
-
-    If there are no such workers, all are returned.
-    """
-    if not task.failed_workers:
-        return workers
-    others = [w for w in workers if w.id not in task.failed_workers]
-    return others or workers
-
-
 def advised_workers(
     state: FleetState,
     job: Job,
--- a/src/primroseledge/jobs/quarantine.py
+++ b/src/primroseledge/jobs/quarantine.py
@@ -61,6 +61,13 @@
         self.ends_at = now + self.duration_s
         self.failed_jobs.clear()
 
+    def is_suspect(self, job: JobId) -> bool:
+        """Return whether nothing has succeeded since a job failed there.
+
+        This also holds after a quarantine of the worker.
+        """
+        return bool(self.duration_s) or job in self.failed_jobs
+
     def is_active(self, now: float) -> bool:
         """Return whether the worker gets no new tasks at the moment."""
         return now < self.ends_at
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -100,7 +100,9 @@
             worker = chooser.choose(task)
         else:
             others = [w for w in workers if w.id not in task.failed_workers]
-            worker = choose_worker(step.spec, others or workers, placement)
+            worker = choose_worker(
+                step.spec, others, placement
+            ) or choose_worker(step.spec, workers, placement)
         chosen.append(worker.id if worker else None)
         if worker is None:
             break
