Show that a worker is kept free in vain

A worker that is kept free for a long-running step gets no batch task. Five tests show that this lasts for ever where the step can't start there even when the worker is empty: by its label, its limit per worker, its size or the long-running tasks there; and that it holds for other long-running steps too.

--- a/tests/test_unplaced_steps.py
+++ b/tests/test_unplaced_steps.py
@@ -32,6 +32,68 @@
     bench.store_changes()
 
 
+class KeptFreeTest(unittest.TestCase):
+    """A worker is kept free only for a step that it could take."""
+
+    def test_batch_task_starts_beside_a_step_beyond_its_limit_per_worker(
+        self,
+    ) -> None:
+        bench = EngineBench(WORKERS[0])
+        step = make_step(2, is_long_running=True, max_per_worker=1)
+        bench.run_job(make_job('long', step))
+        bench.submit(make_job('z', make_step(1)))
+        self.assertEqual({'z'}, started_jobs(bench))
+
+    def test_batch_task_starts_beside_a_step_larger_than_any_worker(
+        self,
+    ) -> None:
+        bench = EngineBench(*WORKERS[:2])
+        bench.run_job(make_job('full', make_step(1, 16_000)))
+        step = make_step(1, 17_000, is_long_running=True, max_per_worker=1)
+        bench.submit(make_job('long', step))
+        bench.submit(make_job('z', make_step(1)))
+        self.assertEqual({'z'}, started_jobs(bench))
+
+    def test_batch_task_starts_beside_a_step_without_its_label(self) -> None:
+        bench = EngineBench(WORKERS[0])
+        step = make_step(1, is_long_running=True, required_label='none')
+        bench.submit(make_job('long', step))
+        bench.submit(make_job('z', make_step(1)))
+        self.assertEqual({'z'}, started_jobs(bench))
+
+    def test_batch_task_starts_where_long_running_ones_leave_no_room(
+        self,
+    ) -> None:
+        bench = EngineBench(WORKERS[0])
+        lasting = make_step(1, 4_000, is_long_running=True)
+        bench.run_job(make_job('a', lasting))
+        step = make_step(1, 14_000, is_long_running=True)
+        bench.submit(make_job('long', step))
+        bench.submit(make_job('z', make_step(1)))
+        self.assertEqual({'z'}, started_jobs(bench))
+
+    def test_long_running_task_starts_on_a_worker_that_is_kept_free(
+        self,
+    ) -> None:
+        bench = EngineBench(WORKERS[0])
+        bench.run_job(make_job('full', make_step(1, 8_000)))
+        for name, cpu_millis in (('large', 16_000), ('small', 1_000)):
+            step = make_step(1, cpu_millis, is_long_running=True)
+            bench.submit(make_job(name, step))
+        self.assertEqual({'small'}, started_jobs(bench))
+
+    def test_worker_is_kept_free_for_a_step_that_needs_it_empty(self) -> None:
+        bench = EngineBench(*WORKERS[:2])
+        bench.run_job(make_job('full', make_step(2, 10_000)))
+        step = make_step(1, 16_000, is_long_running=True)
+        bench.submit(make_job('long', step))
+        bench.submit(make_job('z', make_step(12)))
+        bench.store_changes()
+        starts = bench.pop_starts()
+        self.assertEqual(6, len(starts))
+        self.assertEqual(1, len({start.target.worker for start in starts}))
+
+
 class FailedWorkerTest(unittest.TestCase):
     """A task avoids a worker on which it failed, others don't."""
 
