Keep a worker free only for a step that can start there

Callers: batch jobs wait for ever beside an empty worker, in a pool of one worker all of them; a long-running task waits although a worker has room.

Cause: for each long-running step without a worker the emptiest worker was closed to all other steps for the rest of the pass, in every pass. That goes on for ever where the step can't start there even when the worker is empty: it is larger, needs another label, has all the tasks that one worker may run, or other long-running tasks leave no room. Long-running steps were shut out too.

Change: the worker kept free is the emptiest of those that could take the step without their batch tasks; if there is none, none is kept. It stays open to long-running steps, for which it is kept.

--- a/src/primroseledge/jobs/placement.py
+++ b/src/primroseledge/jobs/placement.py
@@ -151,13 +151,18 @@
 def could_take(
     step: StepSpec, worker: Worker, placement: StepPlacement
 ) -> bool:
-    """Return whether a worker could take a task of a step if it were empty.
+    """Return whether a worker could take a task without its batch tasks.
 
-    ``placement`` counts the tasks of the step that are placed already.
+    ``placement`` counts the tasks of the task's step that are placed already.
     """
-    return step.counted_resources.fits_in(
-        worker.entry.capacity
-    ) and is_allowed(step, worker, placement)
+    if not is_allowed(step, worker, placement):
+        return False
+    needed = step.counted_resources
+    if worker.long_running_count:
+        for task in worker.tasks.values():
+            if task.spec.is_long_running:
+                needed = needed.plus(task.spec.counted_resources)
+    return needed.fits_in(worker.entry.capacity)
 
 
 Rank = Callable[[Worker], tuple[float, ...]]
--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -2,9 +2,9 @@
 
 Tasks start in the order of module ``start_priority``, within the resource
 limits of their workspace and the free capacity of workers. When a long-running
-task fits on no worker, the emptiest worker gets no other tasks for the rest of
-the pass. As this repeats in each pass, that worker becomes empty enough for
-the long-running task.
+task fits on no worker, the emptiest worker that could take it gets no batch
+tasks for the rest of the pass. As this repeats in each pass, that worker
+becomes empty enough for the long-running task.
 """
 
 from enum import Enum
@@ -71,6 +71,7 @@
         for worker in state.workers.values()
         if worker.entry.service == service and worker.may_start_tasks(now)
     ]
+    batch_workers = workers
     shortage = CapacityShortage(len(workers))
     for _, job, step in waiting:
         if len(state.planned_tasks) >= MAX_PLANNED_STARTS:
@@ -78,14 +79,20 @@
             return
         if shortage.affects(step.spec):
             continue
-        outcome = plan_step(state, job, step, workers, now)
+        is_batch = not step.spec.is_long_running
+        allowed = batch_workers if is_batch else workers
+        outcome = plan_step(state, job, step, allowed, now)
         if outcome is StepPlan.AVOIDING:
             shortage.count(step.spec)
         if outcome is not StepPlan.NO_CAPACITY:
             continue
         shortage.record(step.spec)
-        if step.spec.is_long_running and shortage.try_exclude_worker():
-            workers = exclude_emptiest_worker(workers)
+        if is_batch or shortage.excluded >= shortage.max_excluded:
+            continue
+        kept_free = find_worker_to_keep_free(state, step, batch_workers)
+        if kept_free is not None:
+            shortage.excluded += 1
+            batch_workers = [w for w in batch_workers if w is not kept_free]
 
 
 class StepPlan(Enum):
@@ -111,7 +118,8 @@
     be tried, so a long queue costs little while there is no capacity.
     ``unplaced`` counts the steps that did not fit, for batch (False) and
     long-running steps (True); ``unplaceable`` are the least resources for
-    which there is no worker.
+    which there is no worker. ``excluded`` workers are kept free, of at most
+    ``max_excluded``.
     """
 
     def __init__(self, worker_count: int) -> None:
@@ -137,11 +145,6 @@
         if not has_placement_rules(step):
             self.unplaceable.append(step.counted_resources)
 
-    def try_exclude_worker(self) -> bool:
-        """Count a worker to be kept free; return whether that is allowed."""
-        self.excluded += 1
-        return self.excluded <= self.max_excluded
-
 
 def has_placement_rules(step: StepSpec) -> bool:
     """Return whether a step's rules exclude workers that have capacity."""
@@ -370,13 +373,17 @@
     return usage.is_within(workspace.limit)
 
 
-def exclude_emptiest_worker(workers: list[Worker]) -> list[Worker]:
-    """Return all workers but the emptiest.
+def find_worker_to_keep_free(
+    state: FleetState, step: StepOccurrence, workers: list[Worker]
+) -> Worker | None:
+    """Return the worker on which a long-running step may start soonest.
 
-    The emptiest worker is kept free because it is likely the first that has
-    capacity for a task which fits on no worker now.
+    It is the emptiest of those that could take one of its tasks beside their
+    long-running ones. None is returned if there is no such worker: then batch
+    tasks don't keep the step from starting.
     """
-    if not workers:
-        return workers
-    emptiest = min(workers, key=StepPlacement().used_share)
-    return [worker for worker in workers if worker is not emptiest]
+    placement = count_placement(step, state.workers)
+    for worker in sorted(workers, key=StepPlacement().used_share):
+        if could_take(step.spec, worker, placement):
+            return worker
+    return None
