Show gangs that wait beside a rack with room

Two tests show that a gang for a single rack is tried only in the rack of the fullest worker that has room for its first task, and waits although another rack is empty, and that a gang wider than any rack waits for ever.

--- a/tests/test_unplaced_steps.py
+++ b/tests/test_unplaced_steps.py
@@ -94,6 +94,35 @@
         self.assertEqual(1, len({start.target.worker for start in starts}))
 
 
+class GangRackTest(unittest.TestCase):
+    """A gang for a single rack starts wherever a rack has room for it."""
+
+    def test_gang_starts_in_another_rack_than_that_of_the_fullest_worker(
+        self,
+    ) -> None:
+        bench = EngineBench(*WORKERS[:2])
+        bench.run_job(make_job('full', make_step(1, 14_000)))
+        gang = make_step(4, 2_000, is_gang=True, needs_single_rack=True)
+        bench.submit(make_job('gang', gang))
+        bench.store_changes()
+        starts = bench.pop_starts()
+        self.assertEqual(4, len(starts))
+        self.assertEqual(1, len({start.target.worker for start in starts}))
+
+    def test_gang_wider_than_any_rack_starts_over_several(self) -> None:
+        bench = EngineBench(*WORKERS)
+        gang = make_step(20, is_gang=True, needs_single_rack=True)
+        bench.submit(make_job('gang', gang))
+        self.assertEqual({'gang'}, started_jobs(bench))
+
+    def test_gang_waits_for_room_in_a_rack_that_can_hold_it(self) -> None:
+        bench = EngineBench(*WORKERS[:2])
+        bench.run_job(make_job('full', make_step(2, 10_000)))
+        gang = make_step(8, is_gang=True, needs_single_rack=True)
+        bench.submit(make_job('gang', gang))
+        self.assertEqual(set(), started_jobs(bench))
+
+
 class FailedWorkerTest(unittest.TestCase):
     """A task avoids a worker on which it failed, others don't."""
 
