Give an instance call's answer only to the epoch that made the call

Seen: an answer of the instance service that arrives after this instance lost the ownership and won it again went to the new engine. There a refusal of the old call, which was not sent, counts as one of a new call that is under way for the same instance; FENCED makes the new owner give up; and the count of calls in flight falls below zero. A call takes up to 2.6 s, a new claim much less.

Change: the result carries the epoch of its call, as the reports of workers do, and the node drops that of another epoch. The engine of the earlier epoch is gone; the new one reads the list before it acts on instances.

--- a/src/primroseledge/cluster/commands.py
+++ b/src/primroseledge/cluster/commands.py
@@ -20,6 +20,7 @@
 from primroseledge.jobs.actions import PollFailed
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.owner.batch import Batch
 
@@ -226,6 +227,14 @@
     report: PollAnswered | PollFailed | OrderEnded
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceReported:
+    """Result of a call to the instance service made in this epoch."""
+
+    epoch: Epoch
+    report: InstanceReport
+
+
 OUTER_NAMES: Final[dict[type, str]] = {
     OwnershipLost: 'Deposed',
     WorkerListFailed: 'WorkersUnread',
--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -24,6 +24,7 @@
 from primroseledge.cluster.commands import ClaimLost
 from primroseledge.cluster.commands import ClaimOwner
 from primroseledge.cluster.commands import ClaimWon
+from primroseledge.cluster.commands import InstanceReported
 from primroseledge.cluster.commands import JobsRestored
 from primroseledge.cluster.commands import LeaseRenewed
 from primroseledge.cluster.commands import LeaveMembers
@@ -68,7 +69,6 @@
 from primroseledge.jobs.advice import AdviceAnswered
 from primroseledge.jobs.advice import AdviceFailed
 from primroseledge.jobs.configuration import Configuration
-from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.owner.engine import create_engine
@@ -445,11 +445,11 @@
             engine.handle_order_ended(report, now)
 
     def handle_instance_report(
-        self, report: InstanceReport, now: float
+        self, event: InstanceReported, now: float
     ) -> None:
-        """Pass the result of a platform call about instances to the engine."""
-        if self.engine is not None:
-            self.engine.handle_instance_report(report, now)
+        """Pass the result of an instance call of this epoch to the engine."""
+        if self.engine is not None and event.epoch == self.ownership.epoch:
+            self.engine.handle_instance_report(event.report, now)
 
     def handle_advice_answer(
         self, answer: AdviceAnswered | AdviceFailed, now: float
--- a/src/primroseledge/cluster/node_loop.py
+++ b/src/primroseledge/cluster/node_loop.py
@@ -25,6 +25,7 @@
 from primroseledge.cluster.commands import BatchStored
 from primroseledge.cluster.commands import ClaimLost
 from primroseledge.cluster.commands import ClaimWon
+from primroseledge.cluster.commands import InstanceReported
 from primroseledge.cluster.commands import JobsRestored
 from primroseledge.cluster.commands import LeaseLost
 from primroseledge.cluster.commands import LeaseRenewed
@@ -59,10 +60,6 @@
 from primroseledge.jobs.advice import AdviceAnswered
 from primroseledge.jobs.advice import AdviceFailed
 from primroseledge.jobs.advice import RequestAdvice
-from primroseledge.maintenance.actions import InstanceAnswered
-from primroseledge.maintenance.actions import InstanceReport
-from primroseledge.maintenance.actions import InstancesListed
-from primroseledge.maintenance.actions import ListFailed
 from primroseledge.observability.events import Event
 from primroseledge.observability.fleet_figures import FleetFigures
 from primroseledge.observability.fleet_metrics import FleetMetrics
@@ -468,9 +465,9 @@
     loop.node.handle_worker_report(item, now)
 
 
-@register_handler(InstancesListed, ListFailed, InstanceAnswered)
+@register_handler(InstanceReported)
 def handle_instance_report(
-    loop: NodeLoop, item: InstanceReport, now: float
+    loop: NodeLoop, item: InstanceReported, now: float
 ) -> None:
     """Pass the result of a platform call about instances to the node."""
     loop.node.handle_instance_report(item, now)
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -21,6 +21,7 @@
 
 from primroseledge.clock import boot_time
 from primroseledge.cluster.call_thread import CallThread
+from primroseledge.cluster.commands import InstanceReported
 from primroseledge.cluster.fleet_node import FleetNode
 from primroseledge.cluster.fleet_store import Item
 from primroseledge.cluster.fleet_view import Decoders
@@ -40,7 +41,6 @@
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceCall
-from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import ListFailed
 from primroseledge.maintenance.actions import ListInstances
@@ -270,25 +270,27 @@
     client: PlatformInstanceClient,
     call: InstanceCall,
     epoch: Epoch,
-) -> InstanceReport:
+) -> InstanceReported:
     """Make a call to the instance service if ``epoch`` permits it.
 
     Listing is always permitted. Other calls return REFUSED without being
     sent if this instance no longer owns the fleet in that epoch.
     """
     if isinstance(call, ListInstances) or loop.may_send_orders(epoch):
-        return client.call(call, epoch)
-    return InstanceAnswered(call, InstanceResult.REFUSED, boot_time())
+        return InstanceReported(epoch, client.call(call, epoch))
+    refused = InstanceAnswered(call, InstanceResult.REFUSED, boot_time())
+    return InstanceReported(epoch, refused)
 
 
 def fail_instance_call(
     queued: tuple[InstanceCall, Epoch], error: Exception
-) -> InstanceReport:
+) -> InstanceReported:
     """Return the result of a call that raised: it may have been made."""
-    call, _ = queued
+    call, epoch = queued
     if isinstance(call, ListInstances):
-        return ListFailed(str(error))
-    return InstanceAnswered(call, InstanceResult.UNANSWERED, boot_time())
+        return InstanceReported(epoch, ListFailed(str(error)))
+    unanswered = InstanceAnswered(call, InstanceResult.UNANSWERED, boot_time())
+    return InstanceReported(epoch, unanswered)
 
 
 def open_store(
