Count an entry of KNOWN-RED.txt that names no test as a failure

Cause: entries were written as 'tests.test_x.XTest (one test)', which the suite does not read; their tests count as failures, and nothing said why. Change: an entry with a command that doesn't begin with 'test: ' and the dotted name of a test is printed and counted.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -5,6 +5,7 @@
 
 import unittest
 
+from tools.known_red import find_malformed_entries
 from tools.known_red import judge_unit_run
 from tools.known_red import read_known_red
 
@@ -35,6 +36,15 @@
         self.assertEqual([HELD], read_known_red(LIST))
         self.assertEqual([], read_known_red(''))
 
+    def test_an_entry_without_the_name_of_a_test_is_found(self) -> None:
+        other = 'tests.test_a.ATest (one test)\n  command: python\n'
+        self.assertEqual([], find_malformed_entries(LIST))
+        self.assertEqual(
+            ['tests.test_a.ATest (one test)'],
+            find_malformed_entries(f'{LIST}\n{other}'),
+        )
+        self.assertEqual(1, len(find_malformed_entries(other)))
+
     def test_a_listed_failure_is_not_counted(self) -> None:
         result = judge_unit_run(output(HELD), 1, [HELD])
         self.assertEqual((9, 0), (result.passed, result.failed))
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -12,6 +12,8 @@
 
 TEST_PREFIX: Final = 'test: '
 
+COMMAND_LINE: Final = re.compile(r'^\s*command:', re.MULTILINE)
+
 FAILED_TEST: Final = re.compile(
     r'^(?:FAIL|ERROR|UNEXPECTED SUCCESS): \S+ \(([\w.]+)\)', re.MULTILINE
 )
@@ -31,6 +33,20 @@
     ]
 
 
+def find_malformed_entries(text: str) -> list[str]:
+    """Return the first line of each entry that names no test.
+
+    Its test would count as a failure that nobody listed.
+    """
+    paragraphs = text.strip().split('\n\n')
+    return [
+        paragraph.splitlines()[0]
+        for paragraph in paragraphs
+        if COMMAND_LINE.search(paragraph)
+        and not paragraph.startswith(TEST_PREFIX)
+    ]
+
+
 @dataclass(frozen=True, slots=True)
 class UnitResult:
     """What a run of the unit tests amounts to.
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 
+from tools.known_red import find_malformed_entries
 from tools.known_red import judge_unit_run
 from tools.known_red import read_known_red
 
@@ -99,7 +100,10 @@
         print(f'known to fail, not counted: {name}')
     for name in judged.stale:
         print(f'listed in {KNOWN_RED}, but did not fail; take it out: {name}')
-    return judged.passed, judged.failed
+    malformed = find_malformed_entries(text)
+    for line in malformed:
+        print(f'no entry of {KNOWN_RED}, as it names no test: {line}')
+    return judged.passed, judged.failed + len(malformed)
 
 
 @suite('features')
