Count a run in the next boot of its worker as unthrottled

Callers: a best-effort task could go on at full speed beside one that serves, while the owner takes it for slowed down. Not seen; found by looking for the cause of the runs seen twice in throttles.

Cause: a throttle, too, is carried out by whichever boot has the worker's id. A run that the next boot carries out begins at full speed there; the owner kept the speed that it had ordered in the ended boot, and orders changes only.

Change: a run that is expected in the next boot counts as at full speed.

Evidence: the test failed with the line taken out (50 in place of 100) and passes with it.

--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -15,6 +15,7 @@
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.quarantine import STALL_TIMEOUT_S
+from primroseledge.jobs.task import FULL_SPEED_PERCENT
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
@@ -23,9 +24,6 @@
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 
-FULL_SPEED_PERCENT: Final = 100
-"""Speed in percent of a run that is not throttled."""
-
 MAX_LISTED_ENDS: Final = 500
 """Largest number of ends in the answer to a poll, by the platform's protocol.
 
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -12,6 +12,9 @@
 from primroseledge.jobs.progress import TaskRecord
 from primroseledge.jobs.spec import StepSpec
 
+FULL_SPEED_PERCENT: Final = 100
+"""Speed in percent of a run that is not throttled, as of every new run."""
+
 SERVING_PERCENT: Final = 100
 """Progress in percent from which on a long-running task serves requests."""
 
@@ -78,7 +81,7 @@
     progress_percent: int = 0
     progressed_at: float | None = None
     reported_load: int = 0
-    speed_percent: int = 100
+    speed_percent: int = FULL_SPEED_PERCENT
     throttled_at: float = 0.0
 
     @property
@@ -97,6 +100,7 @@
         the run is then resolved as one whose start was not answered.
         """
         self.boot = boot
+        self.speed_percent = FULL_SPEED_PERCENT
         if self.phase is RunPhase.RUNNING:
             self.phase = RunPhase.UNRESOLVED
         if self.phase is RunPhase.UNRESOLVED and self.send_count > 1:
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -145,6 +145,16 @@
             [2], [again.run_number for again in bench.pop_starts()]
         )
 
+    def test_a_run_in_the_next_boot_has_its_full_speed(self) -> None:
+        bench = EngineBench(WORKER_1, WORKER_2)
+        start = self.start_task(bench)
+        bench.answer_start(start)
+        [task] = bench.engine.state.jobs[start.task.job].tasks()
+        assert task.run is not None
+        task.run.speed_percent = 50
+        self.list_restarted(bench, start)
+        self.assertEqual(100, task.run.speed_percent)
+
     def test_the_next_boot_may_hold_the_longest_lease(self) -> None:
         bench = EngineBench(WORKER_1, WORKER_2)
         start = self.start_task(bench)
