Judge order, attempts and acknowledgements of the job soak's runs too

The evidence of the job soak holds more than TWICE and LOST need: whether steps keep their order, whether a task runs more often than it may fail, and which ends and cancels nobody acknowledged in calm times. Change: job_soak_order with four more conditions (ORDER, BUDGET, ACKS for ends and for cancels); the verdicts on jobs that stand still tell how many seconds of calm were judged. Three older tests' evidence leaves ends unacknowledged for 4 s, so they now expect that breach as well as the one that they are about; a fourth was about an end that is void and expects it alone.

--- a/standins/job_soak_judge.py
+++ b/standins/job_soak_judge.py
@@ -23,10 +23,11 @@
 from standins.job_soak_history import parse_task
 from standins.job_soak_history import read_history
 from standins.job_soak_history import Run
+from standins.job_soak_order import CONDITIONS
+from standins.job_soak_standing import CALM_BEFORE_S
 from standins.job_soak_standing import find_standing
 from standins.job_soak_standing import Standing
 from standins.job_soak_verdicts import condition
-from standins.job_soak_verdicts import CONDITIONS
 from standins.job_soak_verdicts import describe_pair
 from standins.job_soak_verdicts import describe_run
 from standins.job_soak_verdicts import EXAMPLES
@@ -207,6 +208,8 @@
 ) -> None:
     """Count each accepted job once, and its cases as broken."""
     verdict.tested += sum(j.accepted_at < inf for j in history.jobs.values())
+    calm = history.calm_spans(CALM_BEFORE_S)
+    verdict.counts['s of calm'] = round(sum(b - a for a, b in calm))
     for case in cases:
         verdict.check(False, case.describe(history))
 
--- a/tests/test_job_soak_judge.py
+++ b/tests/test_job_soak_judge.py
@@ -15,6 +15,7 @@
 from tests.job_soak_world import CANCELS
 from tests.job_soak_world import CAUSES
 from tests.job_soak_world import COMPLETED
+from tests.job_soak_world import END_ACKS
 from tests.job_soak_world import ENDS
 from tests.job_soak_world import FENCES
 from tests.job_soak_world import JudgeTestCase
@@ -93,7 +94,7 @@
         world.line(1.5, 'w1', EvidenceKind.PAUSED)
         world.line(8.0, 'w1', EvidenceKind.RESUMED)
         world.run('w2', 4.0, 5.0, run=2)
-        self.assert_broken(world, OVERLAPS)
+        self.assert_broken(world, OVERLAPS, END_ACKS)
 
     def test_run_whose_lease_expired_in_a_pause(self) -> None:
         world = World()
@@ -107,7 +108,7 @@
         world = World()
         world.run('w1', 1.0, 2.0, acked_at=9.0)
         world.run('w2', 3.0, 4.0, 'stopped', run=2)
-        self.assert_broken(world, REPEATS)
+        self.assert_broken(world, REPEATS, END_ACKS)
 
     def test_run_after_an_end_that_is_never_noted(self) -> None:
         world = World()
@@ -123,7 +124,7 @@
             'a', 'copper', 'sales', (StepEvidence(2, 1000, 1.0),)
         )
         world.run('w2', 8.0, 8.5, run=2)
-        self.assert_broken(world)
+        self.assert_broken(world, END_ACKS)
 
     def test_run_after_a_noted_failure(self) -> None:
         world = World()
--- a/tests/test_job_soak_standing.py
+++ b/tests/test_job_soak_standing.py
@@ -3,6 +3,7 @@
 from standins.job_evidence import EvidenceKind
 from standins.job_evidence import JobEvidence
 from standins.job_evidence import StepEvidence
+from tests.job_soak_world import END_ACKS
 from tests.job_soak_world import FULL
 from tests.job_soak_world import JudgeTestCase
 from tests.job_soak_world import STANDING
@@ -58,7 +59,7 @@
         world.submit(4.0)
         world.run('w1', 4.1, 5.0, 'stopped')
         self.finish(world, 8.2)
-        self.assert_broken(world, STANDING)
+        self.assert_broken(world, STANDING, END_ACKS)
         self.assertIn('ended stopped at 5.000', self.example(world, STANDING))
 
     def test_room_for_one_only(self) -> None:
