Start a gang in any rack that has room for it

Callers: a gang for a single rack waits although a rack is empty; one that is wider than any rack never starts.

Cause: its first task went to the fullest worker that had room, and the others had to follow into that rack; no other rack was tried. The rule was applied to gangs that no rack can hold as well, though several racks only slow them down.

Change: each rack is tried; among those with room for all tasks, that of the step's data comes first, then the one with the fewest workers for it. Only if no rack of the service could hold the gang without its batch tasks, busy or drained workers included, is the gang spread over several.

--- a/src/primroseledge/jobs/placement.py
+++ b/src/primroseledge/jobs/placement.py
@@ -157,7 +157,9 @@
     """
     if not is_allowed(step, worker, placement):
         return False
-    needed = step.counted_resources
+    needed = step.counted_resources.plus(
+        placement.uncounted_resources.get(worker.id, NO_RESOURCES)
+    )
     if worker.long_running_count:
         for task in worker.tasks.values():
             if task.spec.is_long_running:
--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -14,6 +14,8 @@
 from primroseledge.ids import WorkerId
 from primroseledge.jobs.advice import step_key
 from primroseledge.jobs.fleet_state import FleetState
+from primroseledge.jobs.gang_placement import place_gang
+from primroseledge.jobs.gang_placement import spread_gang
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.placement import BatchWorkerQueue
@@ -203,9 +205,9 @@
     if queue is not None and queue.advice is not None:
         workers = advised_workers(state, job, step, workers, now)
         no_worker = StepPlan.NOT_ALLOWED
-    placement = count_placement(step, state.workers)
     if step.spec.is_gang:
-        return plan_gang(state, job, step, workers, placement, no_worker, now)
+        return plan_gang(state, job, step, workers, no_worker, now)
+    placement = count_placement(step, state.workers)
     chooser = WorkerChooser(step.spec, workers, placement)
     outcome = StepPlan.PLACED
     for task in step.tasks:
@@ -326,7 +328,6 @@
     job: Job,
     step: StepOccurrence,
     workers: list[Worker],
-    placement: StepPlacement,
     no_worker: StepPlan,
     now: float,
 ) -> StepPlan:
@@ -341,18 +342,22 @@
     count = len(step.tasks)
     if not is_within_limit(state, job, step.spec.resources.times(count)):
         return StepPlan.NOT_ALLOWED
-    placed_tasks = list[tuple[Task, Worker]]()
-    for task in step.tasks:
-        worker = choose_worker(step.spec, workers, placement)
-        if worker is None:
-            return no_worker
-        placement.add_task(worker, step.spec)
-        placed_tasks.append((task, worker))
+    chosen = place_gang(step.spec, workers)
+    if chosen is None and step.spec.needs_single_rack:
+        service = state.service_of(job)
+        pool = [
+            worker
+            for worker in state.workers.values()
+            if worker.entry.service == service and worker.is_listed
+        ]
+        chosen = spread_gang(step.spec, workers, pool)
+    if chosen is None:
+        return no_worker
     # All tasks of a gang get the same run number and start from the same
     # checkpoint.
     last_run = max(task.last_run_number for task in step.tasks)
     checkpoint = max(task.checkpoint for task in step.tasks)
-    for task, worker in placed_tasks:
+    for task, worker in zip(step.tasks, chosen, strict=True):
         task.last_run_number = last_run
         task.checkpoint = checkpoint
         state.plan_run(task, worker, now)
