Show steps that fit and wait behind twelve that do not

A planning pass ends for a kind of steps after twelve that could not be placed. Six tests show that a step behind them never starts though it fits, when the twelve lack a label, are gangs, have all the tasks that one worker may run, or are each smaller than the one before.

--- a/tests/test_unplaced_steps.py
+++ b/tests/test_unplaced_steps.py
@@ -9,6 +9,8 @@
 
 from primroseledge.jobs.actions import EndKind
 from primroseledge.jobs.actions import SendStart
+from primroseledge.jobs.planning import MAX_UNPLACED_STEPS
+from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.worker import WorkerEntry
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
@@ -186,5 +188,67 @@
         self.assertEqual(set(), started_jobs(bench))
 
 
+class ManyUnplacedTest(unittest.TestCase):
+    """However many steps can't start, those that can do so soon."""
+
+    COUNT = 3 * MAX_UNPLACED_STEPS
+
+    def check_that_last_job_starts(
+        self, bench: EngineBench, **fields: object
+    ) -> None:
+        """Check that a job behind those submitted starts within 1 s."""
+        bench.submit(make_job('z', make_step(1, 100, **fields)))
+        bench.store_changes()
+        for _ in range(10):
+            bench.reconcile(0.1)
+            for worker in bench.entries:
+                bench.answer_poll(worker.id)
+            bench.store_changes()
+        started = {start.task.job for start in bench.pop_starts()}
+        self.assertIn('z', started)
+
+    def submit_many(self, bench: EngineBench, *steps: StepSpec) -> None:
+        for number, step in enumerate(steps):
+            bench.submit(make_job(f'a-{number:03}', step))
+
+    def test_steps_without_a_worker_of_their_label(self) -> None:
+        bench = EngineBench(*WORKERS)
+        step = make_step(1, required_label='none')
+        self.submit_many(bench, *[step] * self.COUNT)
+        self.check_that_last_job_starts(bench)
+
+    def test_gangs_that_find_no_capacity(self) -> None:
+        bench = EngineBench(*WORKERS)
+        step = make_step(49, is_gang=True)
+        self.submit_many(bench, *[step] * self.COUNT)
+        self.check_that_last_job_starts(bench)
+
+    def test_steps_at_their_limit_per_worker(self) -> None:
+        bench = EngineBench(*WORKERS)
+        step = make_step(4, 100, max_per_worker=1)
+        self.submit_many(bench, *[step] * self.COUNT)
+        self.check_that_last_job_starts(bench)
+
+    def test_steps_each_smaller_than_the_one_before(self) -> None:
+        bench = EngineBench(*WORKERS)
+        steps = [
+            make_step(1, 20_000 - 50 * number) for number in range(self.COUNT)
+        ]
+        self.submit_many(bench, *steps)
+        self.check_that_last_job_starts(bench)
+
+    def test_step_with_rules_behind_others_at_their_limit(self) -> None:
+        bench = EngineBench(*WORKERS)
+        step = make_step(4, 100, max_per_worker=1)
+        self.submit_many(bench, *[step] * self.COUNT)
+        self.check_that_last_job_starts(bench, max_per_worker=1)
+
+    def test_long_running_step_behind_others_at_their_limit(self) -> None:
+        bench = EngineBench(*WORKERS)
+        step = make_step(4, 100, is_long_running=True, max_per_worker=1)
+        self.submit_many(bench, *[step] * self.COUNT)
+        self.check_that_last_job_starts(bench, is_long_running=True)
+
+
 if __name__ == '__main__':
     unittest.main()
