Send a stop to the next boot of a worker too

Callers: a job stands still for good.

An answer to a stop was also taken for the present boot, whichever boot it was meant for.

Change: a run that is expected in the next boot has no stop sent or answered there, and only a stop for that boot counts.

The test failed before (no second stop) and passes now.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 .PHONY: demo test lint format types features fuzz model bench-requests \
 	bench-nodes bench-policy bench-jobs bench-planning \
-	capacity soak binary clean
+	capacity soak soak-jobs binary clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -52,6 +52,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m standins.soak
 
+soak-jobs: $(STAMP)
+	$(BIN)/python -m standins.job_soak
+
 bench-policy: $(STAMP)
 	$(BIN)/python -m bench.policy
 
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -101,6 +101,8 @@
         """
         self.boot = boot
         self.speed_percent = FULL_SPEED_PERCENT
+        self.stop_sent_at = None
+        self.stop_answered_at = None
         if self.phase is RunPhase.RUNNING:
             self.phase = RunPhase.UNRESOLVED
         if self.phase is RunPhase.UNRESOLVED and self.send_count > 1:
--- a/src/primroseledge/jobs/worker_orders.py
+++ b/src/primroseledge/jobs/worker_orders.py
@@ -264,6 +264,9 @@
     run = task.run if task else None
     if run is None or run.number != answer.order.run_number:
         return
+    if run.boot != answer.order.target.boot:
+        # The next boot may not know of the stop.
+        return
     is_stopped = answer.result in (OrderResult.DONE, OrderResult.OLD_RUN)
     if is_stopped and run.stop_answered_at is None:
         # Only the first answer counts. With a later one, polls sent before
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -119,6 +119,37 @@
         [again] = bench.pop_starts()
         self.assertEqual((2, 2), (again.target.boot, again.run_number))
 
+    def test_a_stop_that_an_ended_boot_answered_is_sent_to_the_next(
+        self,
+    ) -> None:
+        bench = EngineBench(WORKER_1, WORKER_2)
+        start = self.start_task(bench)
+        worker = start.target.worker
+        for _ in range(3):
+            bench.answer_start(start, OrderResult.UNANSWERED)
+        bench.pop_starts()
+        bench.reconcile(0.1)
+        bench.answer_poll(worker)
+        [stop] = bench.pop_stops()
+        bench.answer_stop(stop)
+        self.list_restarted(bench, start)
+        bench.reconcile(0.1)
+        bench.answer_poll(worker)
+        [stop_again] = bench.pop_stops()
+        self.assertEqual(2, stop_again.target.boot)
+        bench.answer_stop(stop)
+        bench.reconcile(0.1)
+        bench.answer_poll(worker)
+        bench.store_changes()
+        self.assertEqual([], bench.pop_starts())
+        bench.answer_stop(stop_again)
+        bench.reconcile(0.1)
+        bench.answer_poll(worker)
+        bench.store_changes()
+        self.assertEqual(
+            [2], [again.run_number for again in bench.pop_starts()]
+        )
+
     def test_a_listed_run_of_the_last_boot_is_over(self) -> None:
         bench = EngineBench(WORKER_1, WORKER_2)
         start = self.start_task(bench)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -25,6 +25,9 @@
 
 BINARY_NOT_RUN: int = 77
 
+SOAK_SECONDS: str = '45'
+SOAK_SEED: str = '7'
+
 Suite = Callable[[], tuple[int, int]]
 SUITES: dict[str, Suite] = {}
 
@@ -123,6 +126,20 @@
     return counts.get('passed', 0), failed
 
 
+@suite('soak')
+def run_soak() -> tuple[int, int]:
+    """Run a short soak of the job path, on processes of their own."""
+    return check(
+        sys.executable,
+        '-m',
+        'standins.job_soak',
+        '--seconds',
+        SOAK_SECONDS,
+        '--seed',
+        SOAK_SEED,
+    )
+
+
 @suite('catalogue')
 def run_catalogue() -> tuple[int, int]:
     """Check the generated pages and the words of the glossary."""
