Give each step its turn behind many that do not fit

Callers: jobs wait, some for ever, beside empty workers, as long as twelve more urgent steps of their kind can't be placed. Long-running ones too.

Cause: the pass ended for the kind after twelve steps that were tried in vain, and began with the same twelve the next time. What a step with a label lacked was not remembered for others with the label, so each of them counted.

Change: steps that can't fit are left out without a try and without counting: larger ones than the most that any worker has free, and those that need as much as one with the same label, or without any, that did not fit. Beyond the twelve that are tried in their order, twelve others of the kind have their turn in each pass until all had one.

--- a/src/primroseledge/jobs/job.py
+++ b/src/primroseledge/jobs/job.py
@@ -24,6 +24,8 @@
 
     ``due_at_ms`` is when the occurrence is due, in ms since 1970, or 0 if it
     may start immediately. ``done_count`` is the number of tasks that are done.
+    ``had_turn`` is set while the step waits for others to be tried, see
+    ``capacity_shortage``.
     """
 
     occurrence: int
@@ -32,6 +34,7 @@
     tasks: list[Task]
     due_at_ms: int = 0
     done_count: int = 0
+    had_turn: bool = False
 
     @property
     def is_done(self) -> bool:
--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -13,6 +13,7 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
 from primroseledge.jobs.advice import step_key
+from primroseledge.jobs.capacity_shortage import CapacityShortage
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.gang_placement import place_gang
 from primroseledge.jobs.gang_placement import spread_gang
@@ -31,17 +32,6 @@
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.worker import Worker
 
-MAX_UNPLACED_STEPS: Final = 12
-"""Number of unplaced steps of a kind after which a pass skips this kind.
-
-The kinds are long-running and batch steps. This bounds the time of a pass
-when a service has no free capacity left. Steps that wait for something else,
-such as their workspace's limit, don't count.
-"""
-
-MAX_EXCLUDED_SHARE: Final = 0.25
-"""Largest share of workers kept free for long-running tasks; at least one."""
-
 MAX_PLANNED_STARTS: Final = 64
 """Number of planned starts at which a planning pass ends.
 
@@ -62,8 +52,8 @@
 def plan_service(state: FleetState, service: ServiceId, now: float) -> None:
     """Plan the starts of one service's waiting tasks.
 
-    The pass ends at ``MAX_PLANNED_STARTS``, and for a kind of steps at
-    ``MAX_UNPLACED_STEPS``.
+    The pass ends at ``MAX_PLANNED_STARTS``. A step is left out where
+    ``CapacityShortage`` says so.
     """
     waiting = waiting_steps(state, service, now)
     if not waiting:
@@ -74,27 +64,28 @@
         if worker.entry.service == service and worker.may_start_tasks(now)
     ]
     batch_workers = workers
-    shortage = CapacityShortage(len(workers))
+    shortage = CapacityShortage(workers)
     for _, job, step in waiting:
         if len(state.planned_tasks) >= MAX_PLANNED_STARTS:
             state.services_to_plan.add(service)
             return
-        if shortage.affects(step.spec):
+        if shortage.affects(step):
             continue
         is_batch = not step.spec.is_long_running
         allowed = batch_workers if is_batch else workers
         outcome = plan_step(state, job, step, allowed, now)
         if outcome is StepPlan.AVOIDING:
-            shortage.count(step.spec)
+            shortage.count(step)
         if outcome is not StepPlan.NO_CAPACITY:
             continue
-        shortage.record(step.spec)
+        shortage.record(step)
         if is_batch or shortage.excluded >= shortage.max_excluded:
             continue
         kept_free = find_worker_to_keep_free(state, step, batch_workers)
         if kept_free is not None:
             shortage.excluded += 1
             batch_workers = [w for w in batch_workers if w is not kept_free]
+    shortage.end_pass(step for _, _, step in waiting)
 
 
 class StepPlan(Enum):
@@ -113,51 +104,6 @@
     NOT_ALLOWED = 'not allowed'
 
 
-class CapacityShortage:
-    """What could not be placed in one planning pass.
-
-    A step that needs at least as much as one that fits on no worker need not
-    be tried, so a long queue costs little while there is no capacity.
-    ``unplaced`` counts the steps that did not fit, for batch (False) and
-    long-running steps (True); ``unplaceable`` are the least resources for
-    which there is no worker. ``excluded`` workers are kept free, of at most
-    ``max_excluded``.
-    """
-
-    def __init__(self, worker_count: int) -> None:
-        self.max_excluded = max(1, int(worker_count * MAX_EXCLUDED_SHARE))
-        self.excluded = 0
-        self.unplaced = {False: 0, True: 0}
-        self.unplaceable: list[Resources] = []
-
-    def affects(self, step: StepSpec) -> bool:
-        """Return whether a step need not be tried in this pass."""
-        if self.unplaced[step.is_long_running] >= MAX_UNPLACED_STEPS:
-            return True
-        needed = step.counted_resources
-        return any(least.fits_in(needed) for least in self.unplaceable)
-
-    def count(self, step: StepSpec) -> None:
-        """Count a step that could not be placed, whatever the reason."""
-        self.unplaced[step.is_long_running] += 1
-
-    def record(self, step: StepSpec) -> None:
-        """Record that no worker could take a step."""
-        self.count(step)
-        if not has_placement_rules(step):
-            self.unplaceable.append(step.counted_resources)
-
-
-def has_placement_rules(step: StepSpec) -> bool:
-    """Return whether a step's rules exclude workers that have capacity."""
-    return bool(
-        step.is_gang
-        or step.needs_single_rack
-        or step.required_label
-        or step.max_per_worker
-    )
-
-
 def waiting_steps(
     state: FleetState, service: ServiceId, now: float
 ) -> list[tuple[StartPriority, Job, StepOccurrence]]:
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -18,13 +18,13 @@
 from primroseledge.ids import WorkerId
 from primroseledge.ids import WorkspaceId
 from primroseledge.ids import ZoneId
+from primroseledge.jobs.capacity_shortage import MAX_UNPLACED_STEPS
 from primroseledge.jobs.configuration import Workspace
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.placement import choose_worker
 from primroseledge.jobs.placement import count_placement
-from primroseledge.jobs.planning import MAX_UNPLACED_STEPS
 from primroseledge.jobs.planning import WorkerChooser
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.resources import Resources
--- a/tests/test_unplaced_steps.py
+++ b/tests/test_unplaced_steps.py
@@ -9,7 +9,7 @@
 
 from primroseledge.jobs.actions import EndKind
 from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.planning import MAX_UNPLACED_STEPS
+from primroseledge.jobs.capacity_shortage import MAX_UNPLACED_STEPS
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.worker import WorkerEntry
 from tests.engine_bench import EngineBench
