Show that a cancelled move gives back a worker that ended

A test shows that the worker of a move that was carried out without an answer gets tasks again as soon as the list shows the machine on its way, while the list of workers still has it.

--- a/tests/test_ended_worker.py
+++ b/tests/test_ended_worker.py
@@ -5,6 +5,7 @@
 answered with success because they were carried out before.
 """
 
+from dataclasses import replace
 import unittest
 
 from primroseledge.ids import WorkerId
@@ -107,5 +108,36 @@
         self.assertEqual({}, bench.engine.state.workers)
 
 
+class CancelledCallTest(unittest.TestCase):
+    """A call that was not answered may have ended its worker."""
+
+    def test_worker_of_unanswered_move_gets_no_task_before_it_answers(
+        self,
+    ) -> None:
+        bench = MaintenanceBench(*WORKERS[:4])
+        for _ in range(10):
+            bench.list_instances()
+            bench.reconcile(0.1)
+        move = bench.moves()[0]
+        bench.answer(move, InstanceResult.UNANSWERED)
+        worker = bench.rows[move.instance].worker
+        assert worker is not None
+        number = int(move.instance.removeprefix('i-'))
+        bench.rows[move.instance] = replace(
+            make_row(number, state=InstanceState.MOVING), worker=None
+        )
+        bench.disable_pool_sizing()
+        bench.list_instances()
+        bench.reconcile(0.1)
+        starts = bench.run_job(make_job('a', make_step(64)))
+        self.assertNotIn(worker, {start.target.worker for start in starts})
+        self.assertEqual(48, len(starts))
+        bench.answer_poll(worker)
+        bench.store_changes()
+        self.assertEqual(
+            {worker}, {start.target.worker for start in bench.pop_starts()}
+        )
+
+
 if __name__ == '__main__':
     unittest.main()
