Let the job soak have labels, large tasks and tasks that fail at first

The load's tasks all fitted nearly anywhere and failed always or never, so nothing waited for one certain worker, and no task had to avoid the worker on which it had failed once. Change: steps may need a label that few workers have, take 3 to 7 of a worker's 8 cores, and fail in their first runs only; workers write down their labels, and the judge counts only workers with the label as room. A job shown as failed needs a task, or a gang, that has failed as often as it may, where one failed run was enough before; one test's evidence breaks that as well now and says so.

--- a/standins/job_evidence.py
+++ b/standins/job_evidence.py
@@ -50,8 +50,8 @@
     """One thing that a worker saw.
 
     ``task`` is the task's name on the wire, ``how`` how a run ended, why a
-    start was refused or why a life ended. ``pool`` and ``cpu_millis`` are
-    stated when a life begins.
+    start was refused or why a life ended. ``pool``, ``cpu_millis`` and
+    ``labels`` are stated when a life begins.
     """
 
     at: float
@@ -64,6 +64,7 @@
     how: str = ''
     pool: str = ''
     cpu_millis: int = 0
+    labels: tuple[str, ...] = ()
 
 
 class CallKind(Enum):
@@ -106,7 +107,11 @@
 
 
 class StepEvidence(Struct, frozen=True):
-    """A step of a submitted job; ``after`` are numbers of earlier steps."""
+    """A step of a submitted job; ``after`` are numbers of earlier steps.
+
+    ``label`` is one that a worker must have. The first ``failing_runs`` of
+    a task fail, or all of them if it ``fails``.
+    """
 
     count: int
     cpu_millis: int
@@ -115,6 +120,8 @@
     is_long_running: bool = False
     is_gang: bool = False
     fails: bool = False
+    label: str = ''
+    failing_runs: int = 0
 
 
 class JobEvidence(Struct, frozen=True):
--- a/standins/job_life.py
+++ b/standins/job_life.py
@@ -42,13 +42,15 @@
 class TaskNeeds(Struct, frozen=True):
     """What a task takes and does, as its job's payload says.
 
-    ``seconds`` is None for a task that runs until it is stopped.
+    ``seconds`` is None for a task that runs until it is stopped. The first
+    ``failing_runs`` fail, or all if it ``fails``.
     """
 
     seconds: float | None = 0.3
     cpu: int = 1000
     memory: int = 100
     fails: bool = False
+    failing_runs: int = 0
 
 
 class TaskPayload(Struct, frozen=True):
@@ -116,7 +118,8 @@
     def fate_of(self, task: TaskKey, run: int) -> tuple[float | None, EndKind]:
         """Return how long a run takes, and how it ends."""
         needs = self.needs_of(task)
-        return needs.seconds, EndKind.FAILED if needs.fails else EndKind.DONE
+        does_fail = needs.fails or run <= needs.failing_runs
+        return needs.seconds, EndKind.FAILED if does_fail else EndKind.DONE
 
     def started(self, order: SendStart, worker: WorkerId, now: float) -> None:
         """Note a start."""
@@ -214,6 +217,7 @@
             now,
             pool=pool,
             cpu_millis=options.cpu_millis,
+            labels=self.core.labels,
         )
         self.server = CallServer(self.serve, options.port)
         Thread(target=self.run_timers, daemon=True).start()
--- a/standins/job_soak_history.py
+++ b/standins/job_soak_history.py
@@ -55,6 +55,7 @@
     boot: int
     pool: str
     cpu_millis: int
+    labels: tuple[str, ...]
     began_at: float
     ended_at: float = inf
     how: str = ''
@@ -176,6 +177,27 @@
         ]
         return min(ends) if step.is_gang else max(ends, default=-inf)
 
+    def has_failed(self, at: float) -> bool:
+        """Tell whether a task or gang had failed as often as it may."""
+        failed = dict[str, set[int]]()
+        for task, runs in self.runs.items():
+            name = parse_task(task)
+            if name is None or not self.has_task(name):
+                continue
+            is_gang = self.evidence.steps[name.step].is_gang
+            numbers = failed.setdefault(
+                f'step {name.step}' if is_gang else task, set()
+            )
+            numbers.update(
+                run.number
+                for run in runs
+                if run.how == FAILED and run.ended_at <= at
+            )
+        return any(
+            len(numbers) >= self.evidence.max_attempts
+            for numbers in failed.values()
+        )
+
     def hopeless_at(self) -> float:
         """Return when a task had failed as often as it may."""
         max_attempts = self.evidence.max_attempts
@@ -248,7 +270,12 @@
         if before is not None:
             before.ended_at = min(before.ended_at, line.at)
         life = Life(
-            line.worker, line.boot, line.pool, line.cpu_millis, line.at
+            line.worker,
+            line.boot,
+            line.pool,
+            line.cpu_millis,
+            line.labels,
+            line.at,
         )
         self.newest[line.worker] = life
         self.lives[line.worker, line.boot] = life
--- a/standins/job_soak_judge.py
+++ b/standins/job_soak_judge.py
@@ -136,17 +136,13 @@
 
 @condition('LOST: no job ends as failed or cancelled without cause')
 def check_causes(history: History, verdict: Verdict) -> None:
-    """A failed job has a failed run, a cancelled one was cancelled."""
+    """A failed job has a task that did, a cancelled one was cancelled."""
     for job in history.jobs.values():
         for call in job.calls:
             if call.state == 'cancelled':
                 has_cause = job.cancel_sent_at <= call.ended_at
             elif call.state == 'failed':
-                has_cause = any(
-                    run.how == 'failed' and run.ended_at <= call.ended_at
-                    for runs in job.runs.values()
-                    for run in runs
-                )
+                has_cause = job.has_failed(call.ended_at)
             else:
                 continue
             verdict.check(
--- a/standins/job_soak_plan.py
+++ b/standins/job_soak_plan.py
@@ -21,13 +21,19 @@
 KEPT_SHARE: Final = 0.3
 """Of the long-running jobs; they run until the soak ends."""
 
+LARGE_CPU_MILLIS: Final = (3000, 5000, 7000)
+LABELS: Final = ('rack-0', 'rack-1', 'rack-2')
+MAX_LARGE_TASKS: Final = 3
 WEIGHTS: Final = {
-    'plain': 50,
-    'two_steps': 22,
+    'plain': 36,
+    'two_steps': 20,
     'gang': 8,
     'cancelled': 8,
     'long_running': 6,
-    'failing': 6,
+    'failing': 4,
+    'flaky': 6,
+    'labelled': 6,
+    'large': 6,
 }
 
 
@@ -83,11 +89,14 @@
             fields['after'] = list(step.after)
         if step.is_gang:
             fields['gang'] = True
+        if step.label:
+            fields['requirements'] = step.label
         steps.append(fields)
     needs = [
         {
             'seconds': None if step.is_long_running else step.seconds,
             'fails': step.fails,
+            'failing_runs': step.failing_runs,
             'cpu': step.cpu_millis,
             'memory': MEMORY_MB,
         }
@@ -122,6 +131,8 @@
             cancel_after_s = random.uniform(4.0, 20.0)
     elif kind == 'failing':
         steps = [plan_step(random, count=random.randint(1, 3), fails=True)]
+    else:
+        steps = [plan_step(random, **plan_special(random, kind))]
     evidence = JobEvidence(
         id, queue.pool, queue.workspace, tuple(steps), queue.max_attempts
     )
@@ -131,6 +142,21 @@
     return PlannedJob(evidence, queue, cancel_after_s, again_after_s)
 
 
+def plan_special(random: Random, kind: str) -> dict[str, Any]:
+    """Return what is fixed beforehand for the step of a kind of job."""
+    fields = dict[str, Any]()
+    if kind in ('flaky', 'large', 'labelled'):
+        fields['failing_runs'] = random.choice((0, 1, 2))
+    if kind == 'flaky':
+        fields['failing_runs'] = 1
+    if kind == 'large':
+        fields['count'] = random.randint(1, MAX_LARGE_TASKS)
+        fields['cpu_millis'] = random.choice(LARGE_CPU_MILLIS)
+    if kind == 'labelled':
+        fields['label'] = random.choice(LABELS)
+    return fields
+
+
 def plan_step(random: Random, **fields: Any) -> StepEvidence:
     """Draw one step; ``fields`` are fixed beforehand."""
     drawn = {
--- a/standins/job_soak_room.py
+++ b/standins/job_soak_room.py
@@ -19,18 +19,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """What was free, in thousandths of a core, from a time on."""
+    """What was free, in thousandths of a core, from a time on.
+
+    ``free`` has a row for each ready worker, with its labels.
+    """
 
     at: float
-    free: tuple[int, ...]
+    free: tuple[tuple[int, tuple[str, ...]], ...]
     used: int
     capacity: int
 
-    def has_room(self, cpu_millis: int, count: int) -> bool:
-        """Tell whether so many tasks fit, each whole on one worker."""
-        if cpu_millis <= 0:
-            return bool(self.free)
-        return sum(max(0, free) // cpu_millis for free in self.free) >= count
+    def has_room(self, step: StepEvidence) -> bool:
+        """Tell whether there is room for a task, or a gang, twice over.
+
+        Each task has to fit whole on one worker that has the label.
+        """
+        fitting = sum(
+            max(0, free) // max(1, step.cpu_millis)
+            for free, labels in self.free
+            if not step.label or step.label in labels
+        )
+        return fitting >= 2 * (step.count if step.is_gang else 1)
 
     @property
     def is_half_full(self) -> bool:
@@ -121,22 +130,23 @@
         capacities = {k: self.history.lives[k].cpu_millis for k in ready}
         return Snapshot(
             at,
-            tuple(capacities[key] - used for key, used in ready.items()),
+            tuple(
+                (capacities[key] - used, self.history.lives[key].labels)
+                for key, used in ready.items()
+            ),
             sum(ready.values()),
             sum(capacities.values()),
         )
 
-    def find_spans(
-        self, span: Span, cpu_millis: int, count: int
-    ) -> list[Span]:
-        """Return the spans within one in which so many tasks fitted."""
+    def find_spans(self, span: Span, step: StepEvidence) -> list[Span]:
+        """Return the spans within one with room for a step twice over."""
         found = list[Span]()
         first = max(0, bisect_right(self.times, span[0]) - 1)
         since: float | None = None
         for snapshot in self.snapshots[first:]:
             if snapshot.at >= span[1]:
                 break
-            if snapshot.has_room(cpu_millis, count):
+            if snapshot.has_room(step):
                 if since is None:
                     since = max(span[0], snapshot.at)
             elif since is not None:
@@ -162,11 +172,6 @@
     return job.evidence.steps[name.step].cpu_millis
 
 
-def room_needed(step: StepEvidence) -> int:
-    """Return how many tasks have to fit for room that is twice over."""
-    return 2 * (step.count if step.is_gang else 1)
-
-
 def meet(spans: Iterable[Span], others: Sequence[Span]) -> list[Span]:
     """Return the parts that lie in a span of both kinds."""
     return [
--- a/standins/job_soak_standing.py
+++ b/standins/job_soak_standing.py
@@ -12,7 +12,6 @@
 from standins.job_soak_room import find_idle
 from standins.job_soak_room import meet
 from standins.job_soak_room import PoolRoom
-from standins.job_soak_room import room_needed
 
 STANDING_S: Final = 3.0
 CALM_BEFORE_S: Final = 4.0
@@ -122,8 +121,7 @@
     idle: Span,
 ) -> list[Standing]:
     """Return the cases among the time in which a task waited."""
-    needs = job.evidence.steps[step]
-    spans = room.find_spans(idle, needs.cpu_millis, room_needed(needs))
+    spans = room.find_spans(idle, job.evidence.steps[step])
     return [
         Standing(
             job.evidence.id,
--- a/tests/job_soak_world.py
+++ b/tests/job_soak_world.py
@@ -58,7 +58,13 @@
         fields = {'boot': 1} | fields
         self.lines.append(WorkerEvidence(at, worker, kind=kind, **fields))
 
-    def boot(self, at: float, worker: str, boot: int = 1) -> None:
+    def boot(
+        self,
+        at: float,
+        worker: str,
+        boot: int = 1,
+        labels: tuple[str, ...] = (),
+    ) -> None:
         self.line(
             at,
             worker,
@@ -66,6 +72,7 @@
             boot=boot,
             pool='copper',
             cpu_millis=2000,
+            labels=labels,
         )
 
     def crash(self, at: float, worker: str) -> None:
--- a/tests/test_job_soak_load.py
+++ b/tests/test_job_soak_load.py
@@ -13,13 +13,19 @@
 from primroseledge.http_client import HttpAnswer
 from primroseledge.http_client import NoAnswerError
 from primroseledge.http_client import NotSentError
+from primroseledge.ids import JobId
+from primroseledge.jobs.actions import EndKind
+from primroseledge.jobs.task import TaskKey
 from primroseledge.platform.decoding import decode_job
 from standins.job_evidence import CallEvidence
 from standins.job_evidence import CallKind
+from standins.job_evidence import EvidenceFile
 from standins.job_evidence import JobEvidence
 from standins.job_evidence import NOT_SENT
 from standins.job_evidence import Outcome
 from standins.job_evidence import read_evidence
+from standins.job_life import LifeLedger
+from standins.job_life import TaskPayload
 from standins.job_soak_load import Caller
 from standins.job_soak_load import is_waited_for
 from standins.job_soak_load import JobLoad
@@ -174,6 +180,7 @@
                 self.assertEqual(step.resources.cpu_millis, meant.cpu_millis)
                 self.assertEqual(tuple(step.after), meant.after)
                 self.assertEqual(step.is_gang, meant.is_gang)
+                self.assertEqual(step.required_label, meant.label)
                 self.assertEqual(step.is_long_running, meant.is_long_running)
 
     def test_all_kinds_are_planned(self) -> None:
@@ -187,8 +194,25 @@
             kinds['cancelled'] += planned.cancel_after_s is not None
             kinds['again'] += planned.again_after_s is not None
             kinds['kept'] += planned.is_kept
+            kinds['label'] += bool(steps[0].label)
+            kinds['flaky'] += bool(steps[0].failing_runs)
         self.assertTrue(all(kinds.values()), kinds)
 
+    def test_workers_fail_as_many_runs_as_planned(self) -> None:
+        planned = next(
+            job for job in self.plan(1) if job.evidence.steps[0].failing_runs
+        )
+        body = json.decode(planned.body)
+        payload = json.decode(body['task_spec'], type=TaskPayload)
+        with TemporaryDirectory() as name:
+            ledger = LifeLedger(EvidenceFile(Path(name) / 'w'))
+        task = TaskKey(JobId('a'), 0, 0, 0)
+        ledger.payloads['a'] = payload
+        ends = [ledger.fate_of(task, run)[1] for run in (1, 2, 3)]
+        failing = planned.evidence.steps[0].failing_runs
+        self.assertEqual(ends.count(EndKind.FAILED), failing)
+        self.assertEqual(ends[-1], EndKind.DONE)
+
     def test_kept_job_is_waited_for_until_it_runs(self) -> None:
         kept = next(job for job in self.plan(1) if job.is_kept)
         job = OwnJob(kept)
--- a/tests/test_job_soak_standing.py
+++ b/tests/test_job_soak_standing.py
@@ -3,6 +3,7 @@
 from standins.job_evidence import EvidenceKind
 from standins.job_evidence import JobEvidence
 from standins.job_evidence import StepEvidence
+from tests.job_soak_world import CAUSES
 from tests.job_soak_world import END_ACKS
 from tests.job_soak_world import FULL
 from tests.job_soak_world import JudgeTestCase
@@ -113,6 +114,14 @@
         self.finish(world, 9.0)
         self.assert_broken(world)
 
+    def test_label_that_one_worker_has(self) -> None:
+        for cpu_millis, conditions in ((2000, ()), (1000, (STANDING,))):
+            world = World(StepEvidence(1, cpu_millis, 1.0, label='fast'))
+            world.boot(0.5, 'w3', labels=('fast',))
+            world.submit(5.0)
+            self.finish(world, 9.0, 'w3')
+            self.assert_broken(world, *conditions)
+
     def test_gang_that_fits_once(self) -> None:
         world = World(StepEvidence(3, 1000, 1.0, is_gang=True))
         world.submit(5.0)
@@ -156,7 +165,7 @@
         world.run('w1', 4.1, 5.0, 'failed', acked_at=5.1)
         world.run('w1', 5.1, 6.0, 'failed', acked_at=6.1, run=2)
         world.ask(20.0, 'failed')
-        self.assert_broken(world, STANDING)
+        self.assert_broken(world, STANDING, CAUSES)
 
     def test_cancelled_job(self) -> None:
         world = World()
