--- a/standins/job_soak.py
+++ b/standins/job_soak.py
@@ -66,7 +66,7 @@
             soak(fleet, disturber, seconds, rate)
         history = read_history(folder)
         verdicts = judge(history)
-        problems = fleet.ended + find_errors(folder)
+        problems = fleet.entries.ended + find_errors(folder)
         print('\n'.join([*render(verdicts), *problems]))
         counts = summarize(history, verdicts, disturber, folder)
         print(json.encode(counts | {'problems': problems}).decode())
@@ -82,7 +82,7 @@
     """Load and disturb a fleet, and let its jobs end."""
     fleet.start()
     load = JobLoad(
-        fleet.callers(),
+        fleet.entries.callers(),
         create_queues(),
         fleet.folder,
         disturber.seed,
@@ -91,8 +91,7 @@
     with load:
         load.start()
         disturber.run(seconds)
-    for name in fleet.settings:
-        fleet.note_ended(name)
+    fleet.entries.stop_all()
 
 
 def find_errors(folder: Path) -> list[str]:
--- a/standins/job_soak_disturber.py
+++ b/standins/job_soak_disturber.py
@@ -58,7 +58,7 @@
 
     def entry(self) -> str:
         """Return some entry instance."""
-        return self.random.choice(sorted(self.fleet.settings))
+        return self.random.choice(sorted(self.fleet.entries.settings))
 
     def owner(self) -> str:
         """Return the owner; some entry instance, if there is none."""
--- a/standins/job_soak_events.py
+++ b/standins/job_soak_events.py
@@ -99,7 +99,7 @@
     seconds = d.random.choice((0.3, 0.8, 2.5, 6.0))
     name = d.owner()
     with d.struck('pause_owner', name):
-        d.fleet.pause_entry(name, seconds)
+        d.fleet.entries.pause(name, seconds)
 
 
 @fault
@@ -108,7 +108,7 @@
     name = d.entry()
     seconds = d.random.uniform(0.3, 4.0)
     with d.struck('pause_entry', name):
-        d.fleet.pause_entry(name, seconds)
+        d.fleet.entries.pause(name, seconds)
 
 
 @fault
@@ -116,7 +116,7 @@
     """The owner is killed, and started again."""
     name = d.owner()
     with d.struck('kill_owner', name):
-        d.fleet.kill_entry(name, d.random.uniform(0.1, 1.0))
+        d.fleet.entries.kill(name, d.random.uniform(0.1, 1.0))
 
 
 @fault
@@ -124,15 +124,15 @@
     """The owner is asked to leave, and started again."""
     name = d.owner()
     with d.struck('terminate_owner', name):
-        d.fleet.terminate_entry(name, d.random.uniform(0.1, 1.0))
+        d.fleet.entries.terminate(name, d.random.uniform(0.1, 1.0))
 
 
 @fault
 def restart_entries_in_turn(d: Disturbance) -> None:
     """Entry instances are killed and started again, in turn."""
-    for name in sorted(d.fleet.settings)[:3]:
+    for name in sorted(d.fleet.entries.settings)[:3]:
         with d.struck('restart_entries_in_turn', name):
-            d.fleet.kill_entry(name, d.random.uniform(0.0, 0.5))
+            d.fleet.entries.kill(name, d.random.uniform(0.0, 0.5))
         sleep(d.random.uniform(0.2, 1.0))
 
 
@@ -175,7 +175,7 @@
 def store_refuses_owner(d: Disturbance) -> None:
     """The store answers all but the owner."""
     name = d.owner()
-    number = sorted(d.fleet.settings).index(name)
+    number = sorted(d.fleet.entries.settings).index(name)
     how = d.random.choice(('refuse', 'reset', 'silent'))
     d.hold(
         'store_refuses_owner',
@@ -278,8 +278,8 @@
 @fault
 def reload_settings(d: Disturbance) -> None:
     """All entry instances are told that their settings have changed."""
-    for name in sorted(d.fleet.settings):
-        d.fleet.reload_entry(name)
+    for name in sorted(d.fleet.entries.settings):
+        d.fleet.entries.reload(name)
 
 
 @fault
--- a/standins/job_soak_fleet.py
+++ b/standins/job_soak_fleet.py
@@ -6,19 +6,14 @@
 from dataclasses import field
 from pathlib import Path
 from signal import SIGCONT
-from signal import SIGHUP
-from signal import SIGKILL
 from signal import SIGSTOP
-from signal import SIGTERM
 from socket import SO_REUSEADDR
 from socket import socket
 from socket import SOL_SOCKET
 from subprocess import PIPE
 from subprocess import Popen
-from subprocess import TimeoutExpired
 import sys
 from threading import Lock
-from threading import RLock
 from time import monotonic
 from time import sleep
 from typing import Any
@@ -29,19 +24,17 @@
 
 from primroseledge.clock import boot_time
 from primroseledge.http_client import HttpClient
-from primroseledge.http_client import NoAnswerError
-from primroseledge.http_client import NotSentError
 from standins.fault_proxy import FaultProxy
 from standins.fault_proxy import ProxyLoop
 from standins.job_evidence import EvidenceFile
 from standins.job_evidence import EvidenceKind
 from standins.job_evidence import FaultEvidence
 from standins.job_evidence import WorkerEvidence
+from standins.job_soak_entries import EntryProcesses
 from standins.job_soak_site import create_configuration
 from standins.job_soak_site import POOLS
 from standins.job_soak_site import Scale
 from standins.job_soak_site import STANDBY_POOL
-from standins.processes import start_on_platform
 from standins.processes import stop
 
 READY_S: Final = 20.0
@@ -50,7 +43,6 @@
 WORKER_CPU_MILLIS: Final = 8000
 WORKER_MEMORY_MB: Final = 32000
 WAVE_S: Final = 20.0
-KILL_AFTER_S: Final = 8.0
 
 
 @dataclass(eq=False)
@@ -79,11 +71,8 @@
         self.faults = EvidenceFile(folder / 'faults.jsonl')
         self.lives = EvidenceFile(folder / 'workers-killed.jsonl')
         self.workers: dict[str, WorkerProcess] = {}
-        self.entries: dict[str, Popen[bytes]] = {}
-        self.settings: dict[str, dict[str, Any]] = {}
-        self.entry_locks: dict[str, RLock] = {}
+        self.entries = EntryProcesses(resources, folder)
         self.store_proxies: dict[str, FaultProxy] = {}
-        self.ended: list[str] = []
         self.version = 0
         self.waves = 0
 
@@ -100,10 +89,10 @@
         self.start_instances()
         for number in range(self.scale.entries):
             self.define_entry(number)
-        for name in self.settings:
-            self.start_entry(name)
+        for name in self.entries.settings:
+            self.entries.start(name)
         self.wait_until(self.find_owner, 'an owner')
-        self.wait_until(self.are_ready, 'ready entry instances')
+        self.wait_until(self.entries.are_ready, 'ready entry instances')
 
     def reserve_port(self) -> int:
         """Return a port that no connection takes while nobody listens."""
@@ -255,12 +244,13 @@
             held.process.wait()
             if life['is_up']:
                 self.note_life(life, EvidenceKind.LIFE_ENDED, 'killed')
+            is_up = life['is_up'] or life['is_beginning']
             sleep(gap_s)
             name = worker or life['id']
-            if worker and life['is_up']:
+            if worker and is_up:
                 self.rename_worker(machine, worker)
             held.process = self.run_worker(
-                held.arguments, name, life['pool'], life['is_up']
+                held.arguments, name, life['pool'], is_up
             )
 
     def rename_worker(self, machine: str, worker: str) -> None:
@@ -292,8 +282,7 @@
         name = f'entry-{number}'
         proxy = self.proxies.add_proxy(self.store_ports[number])
         self.store_proxies[name] = proxy
-        self.entry_locks[name] = RLock()
-        self.settings[name] = {
+        settings = {
             'entry_id': name,
             'zone': 'north',
             'caller_address': f'127.0.0.1:{self.reserve_port()}',
@@ -303,58 +292,7 @@
             'fleet_address': self.instances_address,
             'grace_period_s': GRACE_PERIOD_S,
         }
-
-    def start_entry(self, name: str) -> None:
-        """Start an entry instance."""
-        with (self.folder / f'{name}.log').open('ab') as log:
-            self.entries[name] = start_on_platform(
-                self.resources, self.settings[name], self.folder, log.fileno()
-            )
-
-    def signal_entry(self, name: str, number: int) -> None:
-        """Send a signal to an entry instance, if it still runs."""
-        if self.entries[name].poll() is None:
-            self.entries[name].send_signal(number)
-
-    def note_ended(self, name: str) -> None:
-        """Note an entry instance that has ended by itself."""
-        code = self.entries[name].poll()
-        if code is not None:
-            self.ended.append(f'{name} with {code}')
-
-    def kill_entry(self, name: str, gap_s: float) -> None:
-        """Kill an entry instance, and start it again after a gap."""
-        with self.entry_locks[name]:
-            self.note_ended(name)
-            self.signal_entry(name, SIGKILL)
-            self.entries[name].wait()
-            sleep(gap_s)
-            self.start_entry(name)
-
-    def terminate_entry(self, name: str, gap_s: float) -> None:
-        """Let an entry instance leave, and start it again after a gap."""
-        with self.entry_locks[name]:
-            self.note_ended(name)
-            self.signal_entry(name, SIGTERM)
-            try:
-                self.entries[name].wait(KILL_AFTER_S)
-            except TimeoutExpired:
-                self.ended.append(f'{name} had to be killed')
-                self.signal_entry(name, SIGKILL)
-                self.entries[name].wait()
-            sleep(gap_s)
-            self.start_entry(name)
-
-    def pause_entry(self, name: str, seconds: float) -> None:
-        """Stop an entry instance for a while."""
-        process = self.entries[name]
-        process.send_signal(SIGSTOP)
-        sleep(seconds)
-        process.send_signal(SIGCONT)
-
-    def reload_entry(self, name: str) -> None:
-        """Tell an entry instance that its settings have changed."""
-        self.signal_entry(name, SIGHUP)
+        self.entries.add(name, settings)
 
     def find_owner(self) -> str:
         """Return the owner's name, or an empty text."""
@@ -365,20 +303,6 @@
         value = b64decode(json.decode(answer.body)['value'])
         return str(msgpack.decode(value)[1])
 
-    def are_ready(self) -> bool:
-        """Tell whether all entry instances are ready."""
-        return all(self.is_ready(name) for name in self.settings)
-
-    def is_ready(self, name: str) -> bool:
-        """Tell whether an entry instance takes callers."""
-        client = HttpClient(self.settings[name]['ready_address'])
-        try:
-            return client.call('GET', '/-/readiness', None, 0.5).status == 200
-        except (NotSentError, NoAnswerError):
-            return False
-        finally:
-            client.close()
-
     def wait_until(self, check: Any, what: str) -> None:
         """Wait for something; raise AssertionError if it doesn't come."""
         until = monotonic() + READY_S
@@ -387,13 +311,6 @@
                 raise AssertionError(f'no {what} in {READY_S} s')
             sleep(0.05)
 
-    def callers(self) -> dict[str, str]:
-        """Return the entry instances' addresses for callers."""
-        return {
-            name: settings['caller_address']
-            for name, settings in self.settings.items()
-        }
-
     def note_fault(self, name: str, began_at: float, subject: str) -> None:
         """Append evidence of a fault that is over."""
         self.faults.append(FaultEvidence(began_at, boot_time(), name, subject))
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -74,6 +74,7 @@
         self.entry_at = 0.0
         self.boot = 0
         self.changes = 0
+        self.is_beginning = False
         self.beat_now = Event()
         self.store = HttpClient(options.store)
 
@@ -114,6 +115,7 @@
             'pool': self.pool,
             'boot': self.boot,
             'is_up': life is not None,
+            'is_beginning': self.is_beginning,
             'runs': runs,
         }
 
@@ -135,8 +137,10 @@
             self.end(change.end)
         if change.begin_after_s is None:
             return
+        self.is_beginning = True
         sleep(change.begin_after_s)
         with self.lock:
+            self.is_beginning = False
             if number != self.changes:
                 return
             self.end('replaced')
