Send a throttle again until its worker has confirmed it

Callers: a task with an objective could stay slow, as the best-effort task beside it goes on at full speed.

Cause: the speed of a run was set when a throttle was ordered; an order that was not sent or not answered was never sent again.

Change: a speed counts once the worker has acknowledged it in the run's boot; until then it is ordered again after the usual interval.

Evidence: the test failed before (no second order) and passes now.

--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -62,8 +62,9 @@
     the load in the last poll answer: the tail latency in ms for a task with
     an objective, else the processors in use. A long-running task serves
     when its ``progress_percent`` is 100. ``speed_percent`` is the share of
-    its processor time that a best-effort task may use; it was last changed
-    at ``throttled_at``.
+    its processor time that a best-effort task may use; it was last ordered at
+    ``throttled_at``, and ``is_speed_confirmed`` once the worker acknowledged
+    that.
     """
 
     number: int
@@ -82,6 +83,7 @@
     progressed_at: float | None = None
     reported_load: int = 0
     speed_percent: int = FULL_SPEED_PERCENT
+    is_speed_confirmed: bool = True
     throttled_at: float = 0.0
 
     @property
--- a/src/primroseledge/jobs/throttling.py
+++ b/src/primroseledge/jobs/throttling.py
@@ -8,8 +8,11 @@
 
 from typing import Final
 
+from primroseledge.jobs.actions import OrderEnded
+from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import SendThrottle
 from primroseledge.jobs.actions import target_of
+from primroseledge.jobs.ends import find_task
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
@@ -85,8 +88,8 @@
     """Adjust the speed of one best-effort task.
 
     ``objective_ratio`` is the tail latency divided by the objective.
-    Nothing is sent if the speed stays the same or was changed less than
-    ``MIN_THROTTLE_INTERVAL_S`` before the last poll.
+    Nothing is sent if the speed stays the same, as the worker confirmed it,
+    or was changed less than ``MIN_THROTTLE_INTERVAL_S`` before the last poll.
     """
     run = task.run
     if (
@@ -97,10 +100,11 @@
         # The reported latency is from before the last change took effect.
         return
     percent = next_speed_percent(run.speed_percent, objective_ratio)
-    if percent == run.speed_percent:
+    if percent == run.speed_percent and run.is_speed_confirmed:
         return
     run.throttled_at = now
     run.speed_percent = percent
+    run.is_speed_confirmed = False
     log(
         Event.PACE_SET,
         task=task.key.name,
@@ -113,6 +117,24 @@
     )
 
 
+def handle_throttle_answer(state: FleetState, answer: OrderEnded) -> None:
+    """Note that a worker has confirmed a run's speed, if it has.
+
+    Any other speed than the last one that was ordered is ignored, as is an
+    order that was meant for an earlier boot.
+    """
+    order = answer.order
+    task = find_task(state, order.task)
+    run = task.run if task else None
+    if run is None or not isinstance(order, SendThrottle):
+        return
+    if (run.number, run.boot) != (order.run_number, order.target.boot):
+        return
+    is_done = answer.result is OrderResult.DONE
+    if is_done and order.speed_percent == run.speed_percent:
+        run.is_speed_confirmed = True
+
+
 def next_speed_percent(speed_percent: int, objective_ratio: float) -> int:
     """Return the next speed of a best-effort task, in percent.
 
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -38,6 +38,7 @@
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
+from primroseledge.jobs.throttling import handle_throttle_answer
 from primroseledge.jobs.throttling import throttle_workers
 from primroseledge.jobs.wait_report import WaitReport
 from primroseledge.jobs.worker import WorkerEntry
@@ -268,6 +269,8 @@
             handle_start_answer(self.state, answer, now)
         elif isinstance(answer.order, SendStop):
             handle_stop_answer(self.state, answer, now)
+        else:
+            handle_throttle_answer(self.state, answer)
 
     def handle_advice_answer(
         self, answer: AdviceAnswered | AdviceFailed, now: float
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -8,6 +8,8 @@
 import unittest
 
 from primroseledge.jobs.actions import ListedRun
+from primroseledge.jobs.actions import OrderEnded
+from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import SendStart
 from primroseledge.jobs.actions import SendThrottle
 from primroseledge.jobs.resources import Resources
@@ -74,6 +76,22 @@
         [throttle] = self.poll_with_latency(bench, 30)
         self.assertEqual(70, throttle.speed_percent)
 
+    def answer_throttle(
+        self, bench: EngineBench, order: SendThrottle, result: OrderResult
+    ) -> None:
+        now = bench.now
+        ended = OrderEnded(order, result, bench.clock_ms(), now, now)
+        bench.engine.handle_order_ended(ended, now)
+
+    def test_a_throttle_that_was_not_answered_is_sent_again(self) -> None:
+        bench = self.start_both(WORKER_1)
+        [throttle] = self.poll_with_latency(bench, 95)
+        self.answer_throttle(bench, throttle, OrderResult.UNANSWERED)
+        [again] = self.poll_with_latency(bench, 70)
+        self.assertEqual(throttle, again)
+        self.answer_throttle(bench, again, OrderResult.DONE)
+        self.assertEqual([], self.poll_with_latency(bench, 70))
+
     def test_best_effort_task_avoids_workers_with_an_objective(self) -> None:
         self.start_both(WORKER_1, make_worker_entry('worker-2'))
         workers = {start.target.worker for start in self.starts}
