Set the speed of runs that a previous owner may have throttled

Callers: a best-effort task that a previous owner had paused could stay paused for good.

Cause: a new owner takes each restored run for unthrottled and orders changes only, so a run at 0 % that it takes for one at 100 % got no order. The same held for a run expected in the next boot of its worker.

Change: the speed of such a run is not confirmed, so the first throttling round orders it.

Evidence: the test failed before (no order) and passes now.

--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -103,6 +103,7 @@
         """
         self.boot = boot
         self.speed_percent = FULL_SPEED_PERCENT
+        self.is_speed_confirmed = False
         self.stop_sent_at = None
         self.stop_answered_at = None
         if self.phase is RunPhase.RUNNING:
@@ -177,5 +178,7 @@
             record.worker,
             record.boot,
             RunPhase.UNRESOLVED,
+            # The previous owner may have throttled it.
+            is_speed_confirmed=False,
         )
     return task
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -15,6 +15,7 @@
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.throttling import next_speed_percent
 from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.owner.recovery import restore_engine
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
@@ -92,6 +93,25 @@
         self.answer_throttle(bench, again, OrderResult.DONE)
         self.assertEqual([], self.poll_with_latency(bench, 70))
 
+    def test_a_run_that_a_previous_owner_throttled_regains_its_speed(
+        self,
+    ) -> None:
+        before = self.start_both(WORKER_1)
+        bench = EngineBench()
+        jobs = before.engine.state.jobs.values()
+        restore_engine(
+            bench.engine,
+            [job.accepted for job in jobs],
+            [job.to_record() for job in jobs],
+            [],
+            [WORKER_1],
+            bench.now,
+        )
+        [throttle] = self.poll_with_latency(bench, 30)
+        self.assertEqual(100, throttle.speed_percent)
+        self.answer_throttle(bench, throttle, OrderResult.DONE)
+        self.assertEqual([], self.poll_with_latency(bench, 30))
+
     def test_best_effort_task_avoids_workers_with_an_objective(self) -> None:
         self.start_both(WORKER_1, make_worker_entry('worker-2'))
         workers = {start.target.worker for start in self.starts}
