Wait before reading the list of workers again while instances move

Callers: while the store refuses reads, the owner made some 400 of them a second, as long as an instance was moved or maintained. They use up the reads that all instances share, so that others are refused too, and the owner's processor; the log dropped lines.

Cause: a failed list was dated 0.8 s back so that the next one follows after 0.2 s; with the shorter age of 0.3 s that holds while instances move, it was due at once.

Change: a failed list sets the time of the next try.

The test failed before (a second call after 10 ms) and passes now.

--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -139,6 +139,7 @@
     engine: Engine | None = None
     is_leaving: bool = False
     workers_listed_at: float = 0.0
+    worker_list_retry_at: float = 0.0
     is_worker_list_in_flight: bool = False
     release_sent_at: float = 0.0
     vacant_since: float | None = None
@@ -410,9 +411,7 @@
         """
         log(Event.STORE_RETRIED, step='workers', problem=event.problem)
         self.is_worker_list_in_flight = False
-        self.workers_listed_at = (
-            now - WORKER_LIST_MAX_AGE_S + WORKER_LIST_RETRY_S
-        )
+        self.worker_list_retry_at = now + WORKER_LIST_RETRY_S
 
     def handle_batch_stored(self, event: BatchStored, now: float) -> None:
         """Let the engine send what had to wait until a batch was stored."""
@@ -619,6 +618,7 @@
             return []
         if (
             not self.is_worker_list_in_flight
+            and now >= self.worker_list_retry_at
             and now
             >= self.workers_listed_at + self.worker_list_max_age_s(engine)
         ):
