Keep the evidence of a soak that passed, if asked to

Cause: 1117 repeated reads of the store stood in the counts of a run whose logs were gone, since it broke no condition.

--- a/standins/job_soak.py
+++ b/standins/job_soak.py
@@ -44,6 +44,7 @@
 @click.option('--scale', type=click.Choice(sorted(SCALES)), default='small')
 @click.option('--rate', default=0.0, help='Jobs a second; 0 for the scale.')
 @click.option('--keep', type=Path, help='Folder for what a failure leaves.')
+@click.option('--keep-passed', is_flag=True, help='Keep that of others too.')
 def main(
     seconds: float,
     seed: int,
@@ -51,6 +52,7 @@
     scale: str,
     rate: float,
     keep: Path | None,
+    keep_passed: bool,
 ) -> None:
     """Run a soak and exit with 1 when a condition was broken."""
     signal(SIGTERM, lambda *_: sys.exit(1))
@@ -71,7 +73,7 @@
         counts = summarize(history, verdicts, disturber, folder)
         print(json.encode(counts | {'problems': problems}).decode())
         has_failed = bool(problems or counts['broken'])
-        if has_failed and keep:
+        if keep and (has_failed or keep_passed):
             copytree(folder, keep / f'seed-{seed}', dirs_exist_ok=True)
     sys.exit(int(has_failed))
 
