Excuse a waiting job of the soak for which there never was room

The judge called a job lost that had not ended when the soak did, though no worker of its pool could take it. Change: by the rule on lost jobs such a job has to be known, and it is lost only if there was room for it. A known one that waits is excused if, since the last submission, none of its runs was there and no due step had room; excused cases are listed as such. One whose state isn't told is lost as before.

--- a/standins/job_soak_judge.py
+++ b/standins/job_soak_judge.py
@@ -26,6 +26,7 @@
 from standins.job_soak_order import CONDITIONS
 from standins.job_soak_standing import CALM_BEFORE_S
 from standins.job_soak_standing import find_standing
+from standins.job_soak_standing import has_room
 from standins.job_soak_standing import Standing
 from standins.job_soak_verdicts import condition
 from standins.job_soak_verdicts import describe_pair
@@ -156,7 +157,8 @@
 def check_ends(history: History, verdict: Verdict) -> None:
     """The last answer after the last submission shows an ended job.
 
-    A long-running job that wasn't cancelled before has to be running.
+    A long-running job that wasn't cancelled before has to be running. A
+    known job that waits is excused if there was never room for it.
     """
     traffic_ended_at = max(
         (c.ended_at for c in history.calls if c.kind is CallKind.SUBMIT),
@@ -180,6 +182,7 @@
                 state in FINAL_STATES
                 or (job.is_long_running and state == 'running'),
                 describe_job(history, job, state or 'not known'),
+                bool(state) and not has_room(history, job, traffic_ended_at),
             )
 
 
--- a/standins/job_soak_standing.py
+++ b/standins/job_soak_standing.py
@@ -179,6 +179,17 @@
     ]
 
 
+def has_room(history: History, job: Job, since: float) -> bool:
+    """Tell whether there was room, or a run, for a due step since then."""
+    if any(r.ended_at > since for runs in job.runs.values() for r in runs):
+        return True
+    room = PoolRoom(history, job.evidence.pool)
+    return any(
+        room.find_spans((since, history.ended_at), job.evidence.steps[number])
+        for number in find_due(job, since)
+    )
+
+
 def find_open_task(job: Job, number: int, at: float) -> str:
     """Return the first task of a step that isn't done."""
     for task in job.tasks_of(number):
--- a/standins/job_soak_verdicts.py
+++ b/standins/job_soak_verdicts.py
@@ -17,7 +17,7 @@
 class Verdict:
     """How often a condition was tested and broken, with examples.
 
-    A case is excused if a fault was near and the rule allows for it.
+    A case is excused if the rule allows for it, as near a fault.
     """
 
     tested: int = 0
@@ -37,9 +37,11 @@
             return
         if is_excused:
             self.excused += 1
+            if self.excused <= EXAMPLES:
+                self.examples.append(f'excused: {example}')
             return
         self.broken += 1
-        if len(self.examples) < EXAMPLES:
+        if self.broken <= EXAMPLES:
             self.examples.append(example)
 
 
--- a/tests/test_job_soak_judge.py
+++ b/tests/test_job_soak_judge.py
@@ -220,6 +220,21 @@
         world.ask(9.0, 'queued')
         self.assert_broken(world, ENDS)
 
+    def test_job_that_never_ends_for_want_of_room(self) -> None:
+        world = World(StepEvidence(1, 4000, 1.0), calm=False)
+        world.submit(1.0)
+        world.ask(9.0, 'queued')
+        self.assert_broken(world)
+        verdict = judge(world.history())[ENDS]
+        self.assertEqual(verdict.excused, 1)
+        self.assertIn('excused: a of copper is queued', verdict.examples[0])
+
+    def test_job_without_room_that_is_not_known(self) -> None:
+        world = World(StepEvidence(1, 4000, 1.0), calm=False)
+        world.submit(1.0)
+        world.ask(9.0, outcome=Outcome.UNKNOWN)
+        self.assert_broken(world, ENDS)
+
     def test_job_that_nobody_asked_for(self) -> None:
         world = World(calm=False)
         world.submit(1.0)
