Expect a start that was sent again in the next boot of its worker

Callers: a task could run twice.

Cause: a start without an answer is sent again, and an earlier copy may arrive seconds later. After a restart, the run was over because a poll of the ended boot had listed it, though a copy was still on its way to the next boot.

Change: a run that was sent more than once is never bound to one boot. It is resolved in the next one as a start without an answer: listed there, or stopped.

Evidence: the test failed before (run 2 ordered at once) and passes now.

--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -90,10 +90,13 @@
     def is_bound_to_boot(self) -> bool:
         """Return whether no other boot of the worker can have the run.
 
-        That is so if a poll of its boot has listed it, and if its start was
-        never sent.
+        That is so if its start was never sent, or was sent once and a poll
+        of its boot has listed the run. A start that was sent again may still
+        be delivered.
         """
-        return self.phase is RunPhase.PLANNED or self.listed_at is not None
+        if self.phase is RunPhase.PLANNED:
+            return True
+        return self.listed_at is not None and self.send_count <= 1
 
     def move_to_boot(self, boot: Boot, now: float) -> None:
         """Expect the run in the next boot of its worker, if it runs at all.
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -150,6 +150,23 @@
             [2], [again.run_number for again in bench.pop_starts()]
         )
 
+    def test_a_late_copy_of_a_start_in_the_next_boot_is_not_doubled(
+        self,
+    ) -> None:
+        bench = EngineBench(WORKER_1, WORKER_2)
+        start = self.start_task(bench)
+        worker = start.target.worker
+        bench.answer_start(start, OrderResult.UNANSWERED)
+        [again] = bench.pop_starts()
+        bench.answer_start(again)
+        bench.answer_poll(worker, running=(make_listed_run(start),))
+        self.list_restarted(bench, start)
+        self.assertEqual([], bench.pop_starts())
+        bench.answer_poll(worker, running=(make_listed_run(start),))
+        bench.store_changes()
+        self.assertEqual([], bench.pop_starts())
+        self.assertEqual([], bench.pop_stops())
+
     def test_a_listed_run_of_the_last_boot_is_over(self) -> None:
         bench = EngineBench(WORKER_1, WORKER_2)
         start = self.start_task(bench)
