Ask a worker before it is used after an unanswered call

Callers: tasks wait for more than five seconds, until a lease has expired, while other workers have room.

Cause: a move or a maintenance that is cancelled gave its worker back at once, also when its call had been sent and was perhaps carried out. As the list of workers shows such a worker for a while yet, tasks were planned on it.

Change: after a call was sent, the worker gets tasks only once it has answered another poll. A living one is back after one round trip.

--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -257,6 +257,22 @@
     return state.workers.get(operation.worker)
 
 
+def release_worker(state: FleetState, operation: Operation) -> None:
+    """Make the worker of a cancelled operation available for tasks again.
+
+    A call that was sent may have ended the worker, even without an answer. It
+    then gets tasks only after it has answered another poll.
+    """
+    worker = find_drained_worker(state, operation)
+    if worker is None:
+        return
+    worker.is_drained_by_owner = False
+    if operation.call_sent_at:
+        worker.has_answered_poll = False
+        state.workers_to_check.add(worker.id)
+    state.services_to_plan.add(worker.entry.service)
+
+
 def remove_ended_worker(state: FleetState, operation: Operation) -> None:
     """Remove the worker that ended with a maintenance or a move.
 
--- a/src/primroseledge/maintenance/pool_moves.py
+++ b/src/primroseledge/maintenance/pool_moves.py
@@ -17,6 +17,7 @@
 from primroseledge.maintenance.instance_list import Operation
 from primroseledge.maintenance.instance_list import OperationState
 from primroseledge.maintenance.instance_list import record_call
+from primroseledge.maintenance.instance_list import release_worker
 from primroseledge.maintenance.wave import InstanceRow
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.observability.events import Event
@@ -298,10 +299,7 @@
 ) -> None:
     """Cancel a move, and make its worker available for tasks again."""
     instances.operations.pop(operation.instance, None)
-    worker = state.workers.get(operation.worker) if operation.worker else None
-    if worker is not None:
-        worker.is_drained_by_owner = False
-        state.services_to_plan.add(worker.entry.service)
+    release_worker(state, operation)
 
 
 def handle_move_answer(
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -19,6 +19,7 @@
 from primroseledge.maintenance.instance_list import Operation
 from primroseledge.maintenance.instance_list import OperationState
 from primroseledge.maintenance.instance_list import record_call
+from primroseledge.maintenance.instance_list import release_worker
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveRecord
@@ -304,10 +305,7 @@
 ) -> None:
     """Cancel a maintenance, and make the worker available for tasks again."""
     del instances.operations[operation.instance]
-    worker = find_worker(state, operation)
-    if worker is not None:
-        worker.is_drained_by_owner = False
-        state.services_to_plan.add(worker.entry.service)
+    release_worker(state, operation)
 
 
 def handle_wave_answer(
