Show that calls to the instance service pile up

The calls are made one after the other, and one without an answer takes longer than the interval after which it is repeated.

--- a/tests/test_ended_worker.py
+++ b/tests/test_ended_worker.py
@@ -139,5 +139,37 @@
         )
 
 
+class CallInFlightTest(unittest.TestCase):
+    """Calls are made one after the other; repeated ones would pile up."""
+
+    def test_maintenance_call_is_not_repeated_before_its_answer(self) -> None:
+        bench = MaintenanceBench(WORKERS[0])
+        bench.disable_pool_sizing()
+        bench.list_instances()
+        bench.request_wave(0)
+        [call] = bench.maintenance_starts()
+        bench.store_changes()
+        for _ in range(15):
+            bench.reconcile(1.0)
+        self.assertEqual([], bench.maintenance_starts())
+        bench.answer(call, InstanceResult.UNANSWERED)
+        bench.store_changes()
+        bench.reconcile(1.0)
+        self.assertEqual([call], bench.maintenance_starts())
+
+    def test_worker_gets_no_task_while_its_move_is_not_answered(self) -> None:
+        bench = MaintenanceBench(*WORKERS[:4])
+        for _ in range(10):
+            bench.list_instances()
+            bench.reconcile(0.1)
+        [move] = bench.moves()
+        worker = bench.rows[move.instance].worker
+        bench.disable_pool_sizing()
+        bench.reconcile(5.0)
+        self.assertEqual([], bench.moves())
+        starts = bench.run_job(make_job('a', make_step(64)))
+        self.assertNotIn(worker, {start.target.worker for start in starts})
+
+
 if __name__ == '__main__':
     unittest.main()
