Send no call again before its answer is there

Callers: while the platform is slow, and for some time after that, machines go down whose workers are in use again, and pools and waves follow a list that is many seconds old.

Cause: one thread makes all calls to the instance service. A call was repeated after 0.7 s, though one without an answer takes 1.0 s, and given up while it was still queued. So calls piled up in front of the lists, and those of operations that had been cancelled were carried out later, on workers that had tasks again.

Change: an operation waits for the answer of its call, which always comes, also as no answer at all; only then is the call repeated or the operation given up.

--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -45,8 +45,9 @@
     timeout of a move's call counts from the call, and that of a maintenance
     call from the drain. ``call_sent_at`` is when the call was last sent,
     ``boot`` that of the worker at that time if it was known, and
-    ``answered_at`` is when the call succeeded. Times are on the monotonic
-    clock.
+    ``answered_at`` is when the call succeeded. While ``is_call_in_flight``
+    the call is not answered, and neither repeated nor given up. Times are on
+    the monotonic clock.
     """
 
     instance: InstanceId
@@ -57,6 +58,7 @@
     started_at: float = 0.0
     call_sent_at: float = 0.0
     boot: Boot | None = None
+    is_call_in_flight: bool = False
     answered_at: float = 0.0
 
 
@@ -211,6 +213,7 @@
     """Record that an operation's call is sent, and which boot it may end."""
     operation.state = OperationState.CALL_SENT
     operation.call_sent_at = now
+    operation.is_call_in_flight = True
     worker = find_drained_worker(state, operation)
     operation.boot = worker.entry.boot if worker is not None else None
 
--- a/src/primroseledge/maintenance/pool_moves.py
+++ b/src/primroseledge/maintenance/pool_moves.py
@@ -261,6 +261,7 @@
     """
     if (
         operation.state is OperationState.AWAITING_RETURN
+        or operation.is_call_in_flight
         or operation.target_pool is None
     ):
         return
@@ -316,6 +317,7 @@
         return
     if operation.target_pool != call.pool:
         return
+    operation.is_call_in_flight = False
     log(
         Event.INSTANCE_CALLED,
         what=f'move to {call.pool}',
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -252,6 +252,7 @@
     """
     if (
         operation.state is OperationState.AWAITING_RETURN
+        or operation.is_call_in_flight
         or operation.wave_number is None
     ):
         return
@@ -337,6 +338,7 @@
     if operation is None or operation.wave_number != call.wave:
         # The maintenance was cancelled, and the instance may be moved now.
         return
+    operation.is_call_in_flight = False
     if result is InstanceResult.DONE:
         operation.state = OperationState.AWAITING_RETURN
         operation.answered_at = answer.received_at
