Show a maintenance that never ends after a late move

A test shows that a maintenance does not end when its machine is listed up and off in the standby pool afterwards, because a move was carried out late.

--- a/tests/test_ended_worker.py
+++ b/tests/test_ended_worker.py
@@ -14,6 +14,7 @@
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
 from tests.engine_bench import make_worker_entry
+from tests.engine_bench import STANDBY_SERVICE
 from tests.maintenance_bench import MaintenanceBench
 from tests.maintenance_bench import make_row
 from tests.maintenance_bench import WORKERS
@@ -93,6 +94,19 @@
         bench.list_instances()
         self.assertIn(WorkerId('worker-0'), bench.engine.state.workers)
 
+    def test_maintenance_ends_when_its_instance_is_off_in_standby(
+        self,
+    ) -> None:
+        # A predecessor's move was carried out late.
+        bench = self.begin_maintenance()
+        bench.reconcile(1.0)
+        [repeated] = bench.maintenance_starts()
+        bench.answer(repeated)
+        bench.rows['i-0'] = make_row(0, STANDBY_SERVICE)
+        bench.reconcile(0.3)
+        bench.list_instances()
+        self.assertEqual({}, bench.engine.instance_list.operations)
+
     def test_worker_that_ended_gets_no_task_while_it_is_still_listed(
         self,
     ) -> None:
