--- a/tests/test_ended_worker.py
+++ b/tests/test_ended_worker.py
@@ -14,6 +14,7 @@
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
 from tests.engine_bench import make_worker_entry
+from tests.engine_bench import STANDBY_SERVICE
 from tests.maintenance_bench import MaintenanceBench
 from tests.maintenance_bench import make_row
 from tests.maintenance_bench import WORKERS
@@ -93,6 +94,19 @@
         bench.list_instances()
         self.assertIn(WorkerId('worker-0'), bench.engine.state.workers)
 
+    def test_maintenance_ends_when_its_instance_is_off_in_standby(
+        self,
+    ) -> None:
+        # A predecessor's move was carried out late.
+        bench = self.begin_maintenance()
+        bench.reconcile(1.0)
+        [repeated] = bench.maintenance_starts()
+        bench.answer(repeated)
+        bench.rows['i-0'] = make_row(0, STANDBY_SERVICE)
+        bench.reconcile(0.3)
+        bench.list_instances()
+        self.assertEqual({}, bench.engine.instance_list.operations)
+
     def test_worker_that_ended_gets_no_task_while_it_is_still_listed(
         self,
     ) -> None:
@@ -139,5 +153,37 @@
         )
 
 
+class CallInFlightTest(unittest.TestCase):
+    """Calls are made one after the other; repeated ones would pile up."""
+
+    def test_maintenance_call_is_not_repeated_before_its_answer(self) -> None:
+        bench = MaintenanceBench(WORKERS[0])
+        bench.disable_pool_sizing()
+        bench.list_instances()
+        bench.request_wave(0)
+        [call] = bench.maintenance_starts()
+        bench.store_changes()
+        for _ in range(15):
+            bench.reconcile(1.0)
+        self.assertEqual([], bench.maintenance_starts())
+        bench.answer(call, InstanceResult.UNANSWERED)
+        bench.store_changes()
+        bench.reconcile(1.0)
+        self.assertEqual([call], bench.maintenance_starts())
+
+    def test_worker_gets_no_task_while_its_move_is_not_answered(self) -> None:
+        bench = MaintenanceBench(*WORKERS[:4])
+        for _ in range(10):
+            bench.list_instances()
+            bench.reconcile(0.1)
+        [move] = bench.moves()
+        worker = bench.rows[move.instance].worker
+        bench.disable_pool_sizing()
+        bench.reconcile(5.0)
+        self.assertEqual([], bench.moves())
+        starts = bench.run_job(make_job('a', make_step(64)))
+        self.assertNotIn(worker, {start.target.worker for start in starts})
+
+
 if __name__ == '__main__':
     unittest.main()
