--- a/standins/job_soak.py
+++ b/standins/job_soak.py
@@ -44,6 +44,7 @@
 @click.option('--scale', type=click.Choice(sorted(SCALES)), default='small')
 @click.option('--rate', default=0.0, help='Jobs a second; 0 for the scale.')
 @click.option('--keep', type=Path, help='Folder for what a failure leaves.')
+@click.option('--keep-passed', is_flag=True, help='Keep that of others too.')
 def main(
     seconds: float,
     seed: int,
@@ -51,6 +52,7 @@
     scale: str,
     rate: float,
     keep: Path | None,
+    keep_passed: bool,
 ) -> None:
     """Run a soak and exit with 1 when a condition was broken."""
     signal(SIGTERM, lambda *_: sys.exit(1))
@@ -66,12 +68,12 @@
             soak(fleet, disturber, seconds, rate)
         history = read_history(folder)
         verdicts = judge(history)
-        problems = fleet.ended + find_errors(folder)
+        problems = fleet.entries.ended + find_errors(folder)
         print('\n'.join([*render(verdicts), *problems]))
         counts = summarize(history, verdicts, disturber, folder)
         print(json.encode(counts | {'problems': problems}).decode())
         has_failed = bool(problems or counts['broken'])
-        if has_failed and keep:
+        if keep and (has_failed or keep_passed):
             copytree(folder, keep / f'seed-{seed}', dirs_exist_ok=True)
     sys.exit(int(has_failed))
 
@@ -82,7 +84,7 @@
     """Load and disturb a fleet, and let its jobs end."""
     fleet.start()
     load = JobLoad(
-        fleet.callers(),
+        fleet.entries.callers(),
         create_queues(),
         fleet.folder,
         disturber.seed,
@@ -91,8 +93,7 @@
     with load:
         load.start()
         disturber.run(seconds)
-    for name in fleet.settings:
-        fleet.note_ended(name)
+    fleet.entries.stop_all()
 
 
 def find_errors(folder: Path) -> list[str]:
--- a/standins/job_soak_standing.py
+++ b/standins/job_soak_standing.py
@@ -12,7 +12,6 @@
 from standins.job_soak_room import find_idle
 from standins.job_soak_room import meet
 from standins.job_soak_room import PoolRoom
-from standins.job_soak_room import room_needed
 
 STANDING_S: Final = 3.0
 CALM_BEFORE_S: Final = 4.0
@@ -122,8 +121,7 @@
     idle: Span,
 ) -> list[Standing]:
     """Return the cases among the time in which a task waited."""
-    needs = job.evidence.steps[step]
-    spans = room.find_spans(idle, needs.cpu_millis, room_needed(needs))
+    spans = room.find_spans(idle, job.evidence.steps[step])
     return [
         Standing(
             job.evidence.id,
@@ -181,6 +179,17 @@
     ]
 
 
+def has_room(history: History, job: Job, since: float) -> bool:
+    """Tell whether there was room, or a run, for a due step since then."""
+    if any(r.ended_at > since for runs in job.runs.values() for r in runs):
+        return True
+    room = PoolRoom(history, job.evidence.pool)
+    return any(
+        room.find_spans((since, history.ended_at), job.evidence.steps[number])
+        for number in find_due(job, since)
+    )
+
+
 def find_open_task(job: Job, number: int, at: float) -> str:
     """Return the first task of a step that isn't done."""
     for task in job.tasks_of(number):
--- a/tests/job_soak_world.py
+++ b/tests/job_soak_world.py
@@ -28,6 +28,10 @@
 MIXED = 'MIXED: a completed job has all its tasks done'
 REFUSED = 'REFUSED: a refused job does not run'
 FENCES = 'FENCE: no start under a lower epoch after a higher one'
+ORDER = 'ORDER: a step begins when the steps before it are done'
+BUDGET = 'BUDGET: no run after as many failed ones as are allowed'
+END_ACKS = 'ACKS: at most a fifth of the ends stay unacknowledged'
+CANCEL_ACKS = 'ACKS: at most a tenth of the cancels stay unanswered'
 ANSWERS = 'ANSWERED: each call is answered in time or broken off'
 
 TASK = 'a.0.0.0'
@@ -54,7 +58,13 @@
         fields = {'boot': 1} | fields
         self.lines.append(WorkerEvidence(at, worker, kind=kind, **fields))
 
-    def boot(self, at: float, worker: str, boot: int = 1) -> None:
+    def boot(
+        self,
+        at: float,
+        worker: str,
+        boot: int = 1,
+        labels: tuple[str, ...] = (),
+    ) -> None:
         self.line(
             at,
             worker,
@@ -62,6 +72,7 @@
             boot=boot,
             pool='copper',
             cpu_millis=2000,
+            labels=labels,
         )
 
     def crash(self, at: float, worker: str) -> None:
--- a/tests/test_ended_worker.py
+++ b/tests/test_ended_worker.py
@@ -5,6 +5,7 @@
 answered with success because they were carried out before.
 """
 
+from dataclasses import replace
 import unittest
 
 from primroseledge.ids import WorkerId
@@ -13,6 +14,7 @@
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
 from tests.engine_bench import make_worker_entry
+from tests.engine_bench import STANDBY_SERVICE
 from tests.maintenance_bench import MaintenanceBench
 from tests.maintenance_bench import make_row
 from tests.maintenance_bench import WORKERS
@@ -92,6 +94,19 @@
         bench.list_instances()
         self.assertIn(WorkerId('worker-0'), bench.engine.state.workers)
 
+    def test_maintenance_ends_when_its_instance_is_off_in_standby(
+        self,
+    ) -> None:
+        # A predecessor's move was carried out late.
+        bench = self.begin_maintenance()
+        bench.reconcile(1.0)
+        [repeated] = bench.maintenance_starts()
+        bench.answer(repeated)
+        bench.rows['i-0'] = make_row(0, STANDBY_SERVICE)
+        bench.reconcile(0.3)
+        bench.list_instances()
+        self.assertEqual({}, bench.engine.instance_list.operations)
+
     def test_worker_that_ended_gets_no_task_while_it_is_still_listed(
         self,
     ) -> None:
@@ -107,5 +122,68 @@
         self.assertEqual({}, bench.engine.state.workers)
 
 
+class CancelledCallTest(unittest.TestCase):
+    """A call that was not answered may have ended its worker."""
+
+    def test_worker_of_unanswered_move_gets_no_task_before_it_answers(
+        self,
+    ) -> None:
+        bench = MaintenanceBench(*WORKERS[:4])
+        for _ in range(10):
+            bench.list_instances()
+            bench.reconcile(0.1)
+        move = bench.moves()[0]
+        bench.answer(move, InstanceResult.UNANSWERED)
+        worker = bench.rows[move.instance].worker
+        assert worker is not None
+        number = int(move.instance.removeprefix('i-'))
+        bench.rows[move.instance] = replace(
+            make_row(number, state=InstanceState.MOVING), worker=None
+        )
+        bench.disable_pool_sizing()
+        bench.list_instances()
+        bench.reconcile(0.1)
+        starts = bench.run_job(make_job('a', make_step(64)))
+        self.assertNotIn(worker, {start.target.worker for start in starts})
+        self.assertEqual(48, len(starts))
+        bench.answer_poll(worker)
+        bench.store_changes()
+        self.assertEqual(
+            {worker}, {start.target.worker for start in bench.pop_starts()}
+        )
+
+
+class CallInFlightTest(unittest.TestCase):
+    """Calls are made one after the other; repeated ones would pile up."""
+
+    def test_maintenance_call_is_not_repeated_before_its_answer(self) -> None:
+        bench = MaintenanceBench(WORKERS[0])
+        bench.disable_pool_sizing()
+        bench.list_instances()
+        bench.request_wave(0)
+        [call] = bench.maintenance_starts()
+        bench.store_changes()
+        for _ in range(15):
+            bench.reconcile(1.0)
+        self.assertEqual([], bench.maintenance_starts())
+        bench.answer(call, InstanceResult.UNANSWERED)
+        bench.store_changes()
+        bench.reconcile(1.0)
+        self.assertEqual([call], bench.maintenance_starts())
+
+    def test_worker_gets_no_task_while_its_move_is_not_answered(self) -> None:
+        bench = MaintenanceBench(*WORKERS[:4])
+        for _ in range(10):
+            bench.list_instances()
+            bench.reconcile(0.1)
+        [move] = bench.moves()
+        worker = bench.rows[move.instance].worker
+        bench.disable_pool_sizing()
+        bench.reconcile(5.0)
+        self.assertEqual([], bench.moves())
+        starts = bench.run_job(make_job('a', make_step(64)))
+        self.assertNotIn(worker, {start.target.worker for start in starts})
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -119,6 +119,54 @@
         [again] = bench.pop_starts()
         self.assertEqual((2, 2), (again.target.boot, again.run_number))
 
+    def test_a_stop_that_an_ended_boot_answered_is_sent_to_the_next(
+        self,
+    ) -> None:
+        bench = EngineBench(WORKER_1, WORKER_2)
+        start = self.start_task(bench)
+        worker = start.target.worker
+        for _ in range(3):
+            bench.answer_start(start, OrderResult.UNANSWERED)
+        bench.pop_starts()
+        bench.reconcile(0.1)
+        bench.answer_poll(worker)
+        [stop] = bench.pop_stops()
+        bench.answer_stop(stop)
+        self.list_restarted(bench, start)
+        bench.reconcile(0.1)
+        bench.answer_poll(worker)
+        [stop_again] = bench.pop_stops()
+        self.assertEqual(2, stop_again.target.boot)
+        bench.answer_stop(stop)
+        bench.reconcile(0.1)
+        bench.answer_poll(worker)
+        bench.store_changes()
+        self.assertEqual([], bench.pop_starts())
+        bench.answer_stop(stop_again)
+        bench.reconcile(0.1)
+        bench.answer_poll(worker)
+        bench.store_changes()
+        self.assertEqual(
+            [2], [again.run_number for again in bench.pop_starts()]
+        )
+
+    def test_a_late_copy_of_a_start_in_the_next_boot_is_not_doubled(
+        self,
+    ) -> None:
+        bench = EngineBench(WORKER_1, WORKER_2)
+        start = self.start_task(bench)
+        worker = start.target.worker
+        bench.answer_start(start, OrderResult.UNANSWERED)
+        [again] = bench.pop_starts()
+        bench.answer_start(again)
+        bench.answer_poll(worker, running=(make_listed_run(start),))
+        self.list_restarted(bench, start)
+        self.assertEqual([], bench.pop_starts())
+        bench.answer_poll(worker, running=(make_listed_run(start),))
+        bench.store_changes()
+        self.assertEqual([], bench.pop_starts())
+        self.assertEqual([], bench.pop_stops())
+
     def test_a_listed_run_of_the_last_boot_is_over(self) -> None:
         bench = EngineBench(WORKER_1, WORKER_2)
         start = self.start_task(bench)
@@ -145,6 +193,16 @@
             [2], [again.run_number for again in bench.pop_starts()]
         )
 
+    def test_a_run_in_the_next_boot_has_its_full_speed(self) -> None:
+        bench = EngineBench(WORKER_1, WORKER_2)
+        start = self.start_task(bench)
+        bench.answer_start(start)
+        [task] = bench.engine.state.jobs[start.task.job].tasks()
+        assert task.run is not None
+        task.run.speed_percent = 50
+        self.list_restarted(bench, start)
+        self.assertEqual(100, task.run.speed_percent)
+
     def test_the_next_boot_may_hold_the_longest_lease(self) -> None:
         bench = EngineBench(WORKER_1, WORKER_2)
         start = self.start_task(bench)
