End a maintenance whose machine is off in standby

Callers: no pool ever gets the machine, and its wave counts it as down, until the owner changes.

Cause: a maintenance of a machine that had a worker ended only when the list showed a new worker. A machine in the standby pool has none. It gets there when a move is carried out late, such as one of a predecessor.

Change: a machine that is up without a worker in a standby pool has returned, whether it had a worker before or not.

--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -9,6 +9,7 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
 from primroseledge.jobs.actions import PollAnswered
+from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.worker import Worker
 from primroseledge.maintenance.actions import InstancesListed
@@ -140,14 +141,16 @@
         self.listed_at = listed.sent_at
         self.rows = {row.id: row for row in listed.rows}
 
-    def has_returned(self, operation: Operation) -> bool:
+    def has_returned(
+        self, operation: Operation, configuration: Configuration
+    ) -> bool:
         """Return whether the rows show that an operation is over.
 
         They must be of a list that was requested after the call's answer. A
         moved instance is back when it is up in the target pool. One in
         maintenance is back when it is up with a new worker, or without one if
-        it had none before. An instance that is no longer listed counts as
-        returned, so that its operation ends.
+        it had none before or is in a standby pool by now. An instance that is
+        no longer listed counts as returned, so that its operation ends.
         """
         row = self.rows.get(operation.instance)
         if row is None:
@@ -156,9 +159,12 @@
             return False
         if operation.target_pool is not None:
             return row.pool == operation.target_pool
+        if row.worker is not None:
+            return row.worker != operation.worker
         # An instance of a standby pool is off and has no worker.
-        is_standby = row.worker is None and operation.worker is None
-        return is_standby or row.worker not in (None, operation.worker)
+        service = configuration.services.get(row.pool)
+        is_off = service is not None and service.is_standby
+        return is_off or operation.worker is None
 
     def shows_same_worker(self, operation: Operation) -> bool:
         """Return whether an instance is up with the worker that was drained.
@@ -205,7 +211,7 @@
             poll_drained_worker(state, operation)
             continue
         remove_ended_worker(state, operation)
-        if instances.has_returned(operation):
+        if instances.has_returned(operation, state.configuration):
             del instances.operations[operation.instance]
 
 
