Show that a quarantine leaves jobs without any worker

Three tests show that jobs wait for the whole quarantine, 3 to 12 s, when it holds all workers that could ever take their tasks: in a pool of one, or of the only one with a label.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,6 +10,7 @@
 from primroseledge.ids import JobId
 from primroseledge.jobs.actions import EndKind
 from primroseledge.jobs.quarantine import Quarantine
+from primroseledge.jobs.worker import WorkerEntry
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
@@ -102,5 +103,63 @@
         self.assertEqual([], bench.pop_stops())
 
 
+class ProbeTest(unittest.TestCase):
+    """A quarantine must not leave a job without any worker for long."""
+
+    def quarantine_worker_1(
+        self, *others: WorkerEntry, **fields: object
+    ) -> EngineBench:
+        """Return a bench where worker-1 is in quarantine from now on."""
+        bench = EngineBench(WORKER_1)
+        starts = [
+            bench.run_job(make_job(name, make_step(1)))[0]
+            for name in ('a', 'b')
+        ]
+        ends = tuple(
+            make_run_end(start, EndKind.FAILED, number)
+            for number, start in enumerate(starts, 1)
+        )
+        bench.answer_poll(WORKER_1.id, ends=ends)
+        for start in starts:
+            job = bench.engine.state.jobs[start.task.job]
+            bench.cancel(job.accepted)
+        bench.list_workers(WORKER_1, *others)
+        for other in others:
+            bench.answer_poll(other.id)
+        bench.store_changes()
+        self.assertEqual([], bench.pop_starts())
+        bench.submit(make_job('c', make_step(4, **fields)))
+        bench.store_changes()
+        return bench
+
+    def starts_within(self, bench: EngineBench, seconds: float) -> int:
+        """Return how many starts are sent within a time."""
+        for _ in range(int(seconds / 0.1)):
+            bench.reconcile(0.08)
+            bench.store_changes()
+        return len(bench.pop_starts())
+
+    def test_only_worker_in_quarantine_gets_one_task_at_a_time(self) -> None:
+        bench = self.quarantine_worker_1()
+        self.assertEqual(1, self.starts_within(bench, 1.2))
+        self.assertEqual(1, self.starts_within(bench, 1.3))
+
+    def test_only_worker_with_a_label_gets_a_task_in_quarantine(self) -> None:
+        bench = self.quarantine_worker_1(WORKER_2, required_label='rack-1')
+        self.assertEqual(1, self.starts_within(bench, 1.2))
+
+    def test_gang_starts_on_workers_in_quarantine(self) -> None:
+        bench = self.quarantine_worker_1(is_gang=True)
+        self.assertEqual(4, self.starts_within(bench, 1.2))
+
+    def test_no_task_starts_in_quarantine_while_another_could_take_it(
+        self,
+    ) -> None:
+        bench = self.quarantine_worker_1(WORKER_2, cpu_millis=16_000)
+        self.assertEqual(1, self.starts_within(bench, 1.2))
+        state = bench.engine.state
+        self.assertEqual({}, state.workers[WORKER_1.id].tasks)
+
+
 if __name__ == '__main__':
     unittest.main()
