--- a/tests/test_job_soak_judge.py
+++ b/tests/test_job_soak_judge.py
@@ -261,6 +261,13 @@
         world.cancel(9.5)
         self.assert_broken(world, ENDS)
 
+    def test_job_cancelled_just_after_the_last_submission(self) -> None:
+        world = World(calm=False)
+        world.submit(1.0)
+        world.ask(8.5, 'queued')
+        world.cancel(9.0)
+        self.assert_broken(world)
+
     def test_long_running_job_that_runs(self) -> None:
         world = World(LONG, calm=False)
         world.submit(1.0)
