--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -19,6 +19,7 @@
 from primroseledge.maintenance.instance_list import Operation
 from primroseledge.maintenance.instance_list import OperationState
 from primroseledge.maintenance.instance_list import record_call
+from primroseledge.maintenance.instance_list import release_worker
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveRecord
@@ -251,6 +252,7 @@
     """
     if (
         operation.state is OperationState.AWAITING_RETURN
+        or operation.is_call_in_flight
         or operation.wave_number is None
     ):
         return
@@ -304,10 +306,7 @@
 ) -> None:
     """Cancel a maintenance, and make the worker available for tasks again."""
     del instances.operations[operation.instance]
-    worker = find_worker(state, operation)
-    if worker is not None:
-        worker.is_drained_by_owner = False
-        state.services_to_plan.add(worker.entry.service)
+    release_worker(state, operation)
 
 
 def handle_wave_answer(
@@ -339,6 +338,7 @@
     if operation is None or operation.wave_number != call.wave:
         # The maintenance was cancelled, and the instance may be moved now.
         return
+    operation.is_call_in_flight = False
     if result is InstanceResult.DONE:
         operation.state = OperationState.AWAITING_RETURN
         operation.answered_at = answer.received_at
