--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/jobs/ends.py
@@ -11,12 +11,11 @@
 from primroseledge.jobs.actions import ListedRun
 from primroseledge.jobs.actions import PollAnswered
 from primroseledge.jobs.actions import RunEnd
-from primroseledge.jobs.actions import SendStop
-from primroseledge.jobs.actions import target_of
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.quarantine import STALL_TIMEOUT_S
+from primroseledge.jobs.task import FULL_SPEED_PERCENT
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
@@ -25,9 +24,6 @@
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 
-FULL_SPEED_PERCENT: Final = 100
-"""Speed in percent of a run that is not throttled."""
-
 MAX_LISTED_ENDS: Final = 500
 """Largest number of ends in the answer to a poll, by the platform's protocol.
 
@@ -92,7 +88,7 @@
     Such a run can come from a start that was delivered after the owner had
     already given up the run.
     """
-    state.actions.append(SendStop(target_of(worker), key, run_number))
+    state.order_stop(worker, key, run_number, 'it is not expected there')
 
 
 def apply_listed_run(
--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -2,21 +2,26 @@
 
 Tasks start in the order of module ``start_priority``, within the resource
 limits of their workspace and the free capacity of workers. When a long-running
-task fits on no worker, the emptiest worker gets no other tasks for the rest of
-the pass. As this repeats in each pass, that worker becomes empty enough for
-the long-running task.
+task fits on no worker, the emptiest worker that could take it gets no batch
+tasks for the rest of the pass. As this repeats in each pass, that worker
+becomes empty enough for the long-running task.
 """
 
 from enum import Enum
 from typing import Final
 
 from primroseledge.ids import ServiceId
+from primroseledge.ids import WorkerId
 from primroseledge.jobs.advice import step_key
+from primroseledge.jobs.capacity_shortage import CapacityShortage
 from primroseledge.jobs.fleet_state import FleetState
+from primroseledge.jobs.gang_placement import place_gang
+from primroseledge.jobs.gang_placement import spread_gang
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.placement import BatchWorkerQueue
 from primroseledge.jobs.placement import choose_worker
+from primroseledge.jobs.placement import could_take
 from primroseledge.jobs.placement import count_placement
 from primroseledge.jobs.placement import is_ranked_once
 from primroseledge.jobs.placement import StepPlacement
@@ -27,17 +32,6 @@
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.worker import Worker
 
-MAX_UNPLACED_STEPS: Final = 12
-"""Number of unplaced steps of a kind after which a pass skips this kind.
-
-The kinds are long-running and batch steps. This bounds the time of a pass
-when a service has no free capacity left. Steps that wait for something else,
-such as their workspace's limit, don't count.
-"""
-
-MAX_EXCLUDED_SHARE: Final = 0.25
-"""Largest share of workers kept free for long-running tasks; at least one."""
-
 MAX_PLANNED_STARTS: Final = 64
 """Number of planned starts at which a planning pass ends.
 
@@ -51,15 +45,15 @@
     """Plan the starts for all services marked in ``services_to_plan``."""
     services = state.services_to_plan
     state.services_to_plan = set()
-    for service in services:
+    for service in sorted(services):
         plan_service(state, service, now)
 
 
 def plan_service(state: FleetState, service: ServiceId, now: float) -> None:
     """Plan the starts of one service's waiting tasks.
 
-    The pass ends at ``MAX_PLANNED_STARTS``, and for a kind of steps at
-    ``MAX_UNPLACED_STEPS``.
+    The pass ends at ``MAX_PLANNED_STARTS``. A step is left out where
+    ``CapacityShortage`` says so.
     """
     waiting = waiting_steps(state, service, now)
     if not waiting:
@@ -69,19 +63,29 @@
         for worker in state.workers.values()
         if worker.entry.service == service and worker.may_start_tasks(now)
     ]
-    shortage = CapacityShortage(len(workers))
+    batch_workers = workers
+    shortage = CapacityShortage(workers)
     for _, job, step in waiting:
         if len(state.planned_tasks) >= MAX_PLANNED_STARTS:
             state.services_to_plan.add(service)
             return
-        if shortage.affects(step.spec):
+        if shortage.affects(step):
             continue
-        outcome = plan_step(state, job, step, workers, now)
+        is_batch = not step.spec.is_long_running
+        allowed = batch_workers if is_batch else workers
+        outcome = plan_step(state, job, step, allowed, now)
+        if outcome is StepPlan.AVOIDING:
+            shortage.count(step)
         if outcome is not StepPlan.NO_CAPACITY:
             continue
-        shortage.record(step.spec)
-        if step.spec.is_long_running and shortage.try_exclude_worker():
-            workers = exclude_emptiest_worker(workers)
+        shortage.record(step)
+        if is_batch or shortage.excluded >= shortage.max_excluded:
+            continue
+        kept_free = find_worker_to_keep_free(state, step, batch_workers)
+        if kept_free is not None:
+            shortage.excluded += 1
+            batch_workers = [w for w in batch_workers if w is not kept_free]
+    shortage.end_pass(step for _, _, step in waiting)
 
 
 class StepPlan(Enum):
@@ -89,60 +93,17 @@
 
     ``PLACED``: nothing is left to place; a gang with a task that runs or is
     done counts too.
-    ``NO_CAPACITY``: no worker could take one of them. ``NOT_ALLOWED``: it
+    ``NO_CAPACITY``: no worker could take one of them. ``AVOIDING``: only
+    workers on which one of them failed could take it. ``NOT_ALLOWED``: it
     waits for its workspace's limit or for the advisory service.
     """
 
     PLACED = 'placed'
     NO_CAPACITY = 'no capacity'
+    AVOIDING = 'avoiding'
     NOT_ALLOWED = 'not allowed'
 
 
-class CapacityShortage:
-    """What could not be placed in one planning pass.
-
-    A step that needs at least as much as one that fits on no worker need not
-    be tried, so a long queue costs little while there is no capacity.
-    ``unplaced`` counts the steps that did not fit, for batch (False) and
-    long-running steps (True); ``unplaceable`` are the least resources for
-    which there is no worker.
-    """
-
-    def __init__(self, worker_count: int) -> None:
-        self.max_excluded = max(1, int(worker_count * MAX_EXCLUDED_SHARE))
-        self.excluded = 0
-        self.unplaced = {False: 0, True: 0}
-        self.unplaceable: list[Resources] = []
-
-    def affects(self, step: StepSpec) -> bool:
-        """Return whether a step need not be tried in this pass."""
-        if self.unplaced[step.is_long_running] >= MAX_UNPLACED_STEPS:
-            return True
-        needed = step.counted_resources
-        return any(least.fits_in(needed) for least in self.unplaceable)
-
-    def record(self, step: StepSpec) -> None:
-        """Record that a step could not be placed."""
-        self.unplaced[step.is_long_running] += 1
-        if not has_placement_rules(step):
-            self.unplaceable.append(step.counted_resources)
-
-    def try_exclude_worker(self) -> bool:
-        """Count a worker to be kept free; return whether that is allowed."""
-        self.excluded += 1
-        return self.excluded <= self.max_excluded
-
-
-def has_placement_rules(step: StepSpec) -> bool:
-    """Return whether a step's rules exclude workers that have capacity."""
-    return bool(
-        step.is_gang
-        or step.needs_single_rack
-        or step.required_label
-        or step.max_per_worker
-    )
-
-
 def waiting_steps(
     state: FleetState, service: ServiceId, now: float
 ) -> list[tuple[StartPriority, Job, StepOccurrence]]:
@@ -182,23 +143,28 @@
     """Plan the starts of a step's waiting tasks.
 
     If a task cannot be placed, the tasks before it stay planned; of a gang,
-    no task is planned then.
+    no task is planned then. Tasks that avoid workers don't keep the others of
+    their step from starting there.
     """
     queue = state.queue_of(job)
     no_worker = StepPlan.NO_CAPACITY
     if queue is not None and queue.advice is not None:
         workers = advised_workers(state, job, step, workers, now)
         no_worker = StepPlan.NOT_ALLOWED
-    placement = count_placement(step, state.workers)
     if step.spec.is_gang:
-        return plan_gang(state, job, step, workers, placement, no_worker, now)
+        return plan_gang(state, job, step, workers, no_worker, now)
+    placement = count_placement(step, state.workers)
     chooser = WorkerChooser(step.spec, workers, placement)
+    outcome = StepPlan.PLACED
     for task in step.tasks:
         if not task.is_waiting:
             continue
         if not is_within_limit(state, job, step.spec.resources):
             return StepPlan.NOT_ALLOWED
         worker = chooser.choose(task)
+        if worker is None and task.failed_workers:
+            outcome = StepPlan.AVOIDING
+            continue
         if worker is None:
             return no_worker
         # plan_run() adds the run's resources to the worker, so only the
@@ -207,7 +173,7 @@
         placement.per_worker[worker.id] += 1
         placement.per_rack[worker.rack] += 1
         chooser.record_placement(worker)
-    return StepPlan.PLACED
+    return outcome
 
 
 class WorkerChooser:
@@ -227,21 +193,44 @@
         self.workers = workers
         self.placement = placement
         self.queue: BatchWorkerQueue | None = None
+        self.unplaced_after: list[set[WorkerId]] = []
 
     def choose(self, task: Task) -> Worker | None:
-        """Return the best worker for a task, or None if none has capacity.
-
-        A worker on which the task has failed is avoided.
-        """
-        if task.failed_workers or not is_ranked_once(self.step):
-            workers = exclude_failed_workers(task, self.workers)
-            return choose_worker(self.step, workers, self.placement)
+        """Return the best worker for a task, or None if none has capacity."""
+        if task.failed_workers:
+            return self.choose_again(task)
+        if not is_ranked_once(self.step):
+            return choose_worker(self.step, self.workers, self.placement)
         if self.queue is None:
             self.queue = BatchWorkerQueue(
                 self.step, self.workers, self.placement
             )
         return self.queue.best_worker()
 
+    def choose_again(self, task: Task) -> Worker | None:
+        """Return the best worker for a task that has failed, or None.
+
+        A worker on which it failed is chosen only if no other has capacity.
+        Besides, a task must have succeeded there since, unless the rules and
+        the size of the step leave no other, or the task is long-running and
+        may fail any number of times.
+        """
+        if task.failed_workers in self.unplaced_after:
+            return None
+        others = [w for w in self.workers if w.id not in task.failed_workers]
+        failed = [w for w in self.workers if w.id in task.failed_workers]
+        if not self.step.is_long_running and any(
+            could_take(self.step, other, self.placement) for other in others
+        ):
+            job = task.key.job
+            failed = [w for w in failed if not w.quarantine.is_suspect(job)]
+        for workers in (others, failed):
+            worker = choose_worker(self.step, workers, self.placement)
+            if worker is not None:
+                return worker
+        self.unplaced_after.append(task.failed_workers)
+        return None
+
     def record_placement(self, worker: Worker) -> None:
         """Rank the workers again after a task was placed on one of them."""
         queue = self.queue
@@ -251,17 +240,6 @@
             self.queue = None
 
 
-def exclude_failed_workers(task: Task, workers: list[Worker]) -> list[Worker]:
-    """Return the workers on which a task has not failed or stalled.
-
-    If there are no such workers, all are returned.
-    """
-    if not task.failed_workers:
-        return workers
-    others = [w for w in workers if w.id not in task.failed_workers]
-    return others or workers
-
-
 def advised_workers(
     state: FleetState,
     job: Job,
@@ -296,7 +274,6 @@
     job: Job,
     step: StepOccurrence,
     workers: list[Worker],
-    placement: StepPlacement,
     no_worker: StepPlan,
     now: float,
 ) -> StepPlan:
@@ -311,18 +288,22 @@
     count = len(step.tasks)
     if not is_within_limit(state, job, step.spec.resources.times(count)):
         return StepPlan.NOT_ALLOWED
-    placed_tasks = list[tuple[Task, Worker]]()
-    for task in step.tasks:
-        worker = choose_worker(step.spec, workers, placement)
-        if worker is None:
-            return no_worker
-        placement.add_task(worker, step.spec)
-        placed_tasks.append((task, worker))
+    chosen = place_gang(step.spec, workers)
+    if chosen is None and step.spec.needs_single_rack:
+        service = state.service_of(job)
+        pool = [
+            worker
+            for worker in state.workers.values()
+            if worker.entry.service == service and worker.is_listed
+        ]
+        chosen = spread_gang(step.spec, workers, pool)
+    if chosen is None:
+        return no_worker
     # All tasks of a gang get the same run number and start from the same
     # checkpoint.
     last_run = max(task.last_run_number for task in step.tasks)
     checkpoint = max(task.checkpoint for task in step.tasks)
-    for task, worker in placed_tasks:
+    for task, worker in zip(step.tasks, chosen, strict=True):
         task.last_run_number = last_run
         task.checkpoint = checkpoint
         state.plan_run(task, worker, now)
@@ -343,13 +324,17 @@
     return usage.is_within(workspace.limit)
 
 
-def exclude_emptiest_worker(workers: list[Worker]) -> list[Worker]:
-    """Return all workers but the emptiest.
+def find_worker_to_keep_free(
+    state: FleetState, step: StepOccurrence, workers: list[Worker]
+) -> Worker | None:
+    """Return the worker on which a long-running step may start soonest.
 
-    The emptiest worker is kept free because it is likely the first that has
-    capacity for a task which fits on no worker now.
+    It is the emptiest of those that could take one of its tasks beside their
+    long-running ones. None is returned if there is no such worker: then batch
+    tasks don't keep the step from starting.
     """
-    if not workers:
-        return workers
-    emptiest = min(workers, key=StepPlacement().used_share)
-    return [worker for worker in workers if worker is not emptiest]
+    placement = count_placement(step, state.workers)
+    for worker in sorted(workers, key=StepPlacement().used_share):
+        if could_take(step.spec, worker, placement):
+            return worker
+    return None
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -12,6 +12,9 @@
 from primroseledge.jobs.progress import TaskRecord
 from primroseledge.jobs.spec import StepSpec
 
+FULL_SPEED_PERCENT: Final = 100
+"""Speed in percent of a run that is not throttled, as of every new run."""
+
 SERVING_PERCENT: Final = 100
 """Progress in percent from which on a long-running task serves requests."""
 
@@ -49,6 +52,7 @@
 class Run:
     """One start of a task on one worker.
 
+    ``sent_at`` is when the start was first sent.
     ``confirmed_at`` is when the worker acknowledged the start or the stop,
     or first listed the run; after a takeover it is the time when the run
     was restored. The answer to a poll sent later must list the run or its
@@ -66,6 +70,7 @@
     worker: WorkerId
     boot: Boot
     phase: RunPhase = RunPhase.PLANNED
+    sent_at: float | None = None
     confirmed_at: float | None = None
     listed_at: float | None = None
     send_count: int = 0
@@ -76,9 +81,34 @@
     progress_percent: int = 0
     progressed_at: float | None = None
     reported_load: int = 0
-    speed_percent: int = 100
+    speed_percent: int = FULL_SPEED_PERCENT
     throttled_at: float = 0.0
 
+    @property
+    def is_bound_to_boot(self) -> bool:
+        """Return whether no other boot of the worker can have the run.
+
+        That is so if a poll of its boot has listed it, and if its start was
+        never sent.
+        """
+        return self.phase is RunPhase.PLANNED or self.listed_at is not None
+
+    def move_to_boot(self, boot: Boot, now: float) -> None:
+        """Expect the run in the next boot of its worker, if it runs at all.
+
+        If its start was sent more than once, a copy may still be delivered:
+        the run is then resolved as one whose start was not answered.
+        """
+        self.boot = boot
+        self.speed_percent = FULL_SPEED_PERCENT
+        self.stop_sent_at = None
+        self.stop_answered_at = None
+        if self.phase is RunPhase.RUNNING:
+            self.phase = RunPhase.UNRESOLVED
+        if self.phase is RunPhase.UNRESOLVED and self.send_count > 1:
+            self.confirmed_at = None
+            self.unresolved_at = now
+
 
 @dataclass(slots=True, eq=False)
 class Task:
--- a/src/primroseledge/jobs/worker.py
+++ b/src/primroseledge/jobs/worker.py
@@ -35,6 +35,18 @@
     GONE = 'gone'
 
 
+class StartObstacle(Enum):
+    """Why no tasks start on a worker; see ``Worker.start_obstacle``."""
+
+    UNLISTED = 'unlisted'
+    NOT_READY = 'not ready'
+    DRAINED = 'drained by the owner'
+    UNPOLLED = 'not polled yet'
+    COOLDOWN = 'in cooldown'
+    QUARANTINE = 'in quarantine'
+    UNRESPONSIVE = 'unresponsive'
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
     """An entry of the platform's list of workers.
@@ -117,6 +129,8 @@
     acknowledged by an answered poll. The worker may delete the ends that are
     acknowledged. ``predecessor_runs_expire_at`` is when the runs that a
     previous owner started have ended even if the worker does not answer.
+    Until ``lease_unknown_until`` its runs may hold a longer lease than this
+    owner gave them, as calls meant for its last boot may have extended it.
     ``has_answered_poll`` means that the worker has answered a poll,
     ``last_poll_ended_at`` is when the last poll was answered or failed,
     ``poll_failures`` counts the failed polls since the last answer. No task
@@ -141,6 +155,7 @@
     last_poll_ended_at: float = 0.0
     poll_failures: int = 0
     predecessor_runs_expire_at: float = 0.0
+    lease_unknown_until: float = 0.0
     cooldown_until: float = 0.0
     is_drained_by_owner: bool = False
     quarantine: Quarantine = field(default_factory=Quarantine)
@@ -173,21 +188,30 @@
         )
 
     def may_start_tasks(self, now: float) -> bool:
-        """Return whether new tasks may start on the worker.
+        """Return whether new tasks may start on the worker."""
+        return self.start_obstacle(now) is None
+
+    def start_obstacle(self, now: float) -> StartObstacle | None:
+        """Return why no new tasks may start on the worker, None if they may.
 
         The worker must be listed and ready, have answered the last poll,
         and be neither draining, in cooldown nor in quarantine.
         """
-        return (
-            self.is_listed
-            and self.entry.state is WorkerState.READY
-            and not self.is_drained_by_owner
-            and self.has_answered_poll
-            and self.lease_clock.clock_ms is not None
-            and now >= self.cooldown_until
-            and not self.quarantine.is_active(now)
-            and not self.poll_failures
-        )
+        if not self.is_listed:
+            return StartObstacle.UNLISTED
+        if self.entry.state is not WorkerState.READY:
+            return StartObstacle.NOT_READY
+        if self.is_drained_by_owner:
+            return StartObstacle.DRAINED
+        if not self.has_answered_poll or self.lease_clock.clock_ms is None:
+            return StartObstacle.UNPOLLED
+        if now < self.cooldown_until:
+            return StartObstacle.COOLDOWN
+        if self.quarantine.is_active(now):
+            return StartObstacle.QUARANTINE
+        if self.poll_failures:
+            return StartObstacle.UNRESPONSIVE
+        return None
 
     def add_task(self, task: Task) -> None:
         """Add a task that is planned or may be running, and its resources."""
--- a/src/primroseledge/jobs/worker_orders.py
+++ b/src/primroseledge/jobs/worker_orders.py
@@ -9,7 +9,7 @@
 from primroseledge.jobs.actions import OrderEnded
 from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.actions import SendStop
+from primroseledge.jobs.actions import Target
 from primroseledge.jobs.actions import target_of
 from primroseledge.jobs.advice import StepKey
 from primroseledge.jobs.ends import fail_job_without_attempts
@@ -53,12 +53,17 @@
     deadline_ms = None
     if worker is not None and worker.entry.boot == run.boot:
         deadline_ms = start_deadline(state, run, worker, now)
-    if run.is_stop_requested or worker is None or deadline_ms is None:
+    if run.is_stop_requested:
         state.finish_run(task, now)
         return
+    if worker is None or deadline_ms is None:
+        state.give_up_run(task, 'the worker left before the start', now)
+        return
     worker.lease_clock.record_deadline(deadline_ms)
     run.phase = RunPhase.SENT
     run.send_count += 1
+    if run.sent_at is None:
+        run.sent_at = now
     if not job.has_started:
         job.has_started = True
         log(
@@ -141,7 +146,7 @@
         run.phase = RunPhase.RUNNING
         run.confirmed_at = answer.received_at
     elif answer.result is OrderResult.UNANSWERED:
-        handle_unanswered_start(state, task, run, worker, now)
+        handle_unanswered_start(state, task, run, order.target, now)
     elif answer.result is OrderResult.OLD_RUN:
         # The worker knew the run already: it has ended or was stopped. The
         # lists of a later poll show which.
@@ -149,7 +154,7 @@
         run.confirmed_at = answer.received_at
     elif run.send_count > 1:
         # An earlier send of the same start may have been carried out.
-        handle_unanswered_start(state, task, run, worker, now)
+        handle_unanswered_start(state, task, run, order.target, now)
     else:
         handle_refused_start(state, task, worker, answer.result, now)
 
@@ -158,19 +163,21 @@
     state: FleetState,
     task: Task,
     run: Run,
-    worker: Worker | None,
+    target: Target,
     now: float,
 ) -> None:
     """Send an unanswered start again, up to ``MAX_START_SENDS`` times.
 
-    Starting the same run again is idempotent. After the last send the run
-    is unresolved: if the next poll does not list it, it is stopped, as the
-    start may still arrive late.
+    Starting the same run again is idempotent. After the last send, or if the
+    worker has restarted, the run is unresolved: if the next poll does not
+    list it, it is stopped, as the start may still arrive late.
     """
-    if worker is None:
-        run.phase = RunPhase.UNRESOLVED
-        return
-    if run.send_count < MAX_START_SENDS and not run.is_stop_requested:
+    may_send_again = (
+        run.send_count < MAX_START_SENDS
+        and run.boot == target.boot
+        and run.worker in state.workers
+    )
+    if may_send_again and not run.is_stop_requested:
         send_start(state, task, now)
         return
     run.phase = RunPhase.UNRESOLVED
@@ -227,7 +234,7 @@
         if is_stop_confirmed(run, now):
             continue
         run.stop_sent_at = now
-        state.actions.append(SendStop(target_of(worker), task.key, run.number))
+        state.order_stop(worker, task.key, run.number, 'it was requested')
 
 
 def is_stop_confirmed(run: Run, now: float) -> bool:
@@ -257,6 +264,9 @@
     run = task.run if task else None
     if run is None or run.number != answer.order.run_number:
         return
+    if run.boot != answer.order.target.boot:
+        # The next boot may not know of the stop.
+        return
     is_stopped = answer.result in (OrderResult.DONE, OrderResult.OLD_RUN)
     if is_stopped and run.stop_answered_at is None:
         # Only the first answer counts. With a later one, polls sent before
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -28,11 +28,8 @@
 from primroseledge.jobs.admission import find_refusal
 from primroseledge.jobs.advice import AdviceAnswered
 from primroseledge.jobs.advice import AdviceFailed
-from primroseledge.jobs.arrival_rate import Arrival
-from primroseledge.jobs.arrival_rate import ArrivalRate
 from primroseledge.jobs.configuration import Configuration
-from primroseledge.jobs.demand import estimated_core_s
-from primroseledge.jobs.demand import initial_cores_of
+from primroseledge.jobs.demand import record_arrival
 from primroseledge.jobs.ends import end_job
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.fleet_state import Timing
@@ -42,6 +39,7 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.throttling import throttle_workers
+from primroseledge.jobs.wait_report import WaitReport
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.jobs.worker_orders import handle_start_answer
 from primroseledge.jobs.worker_orders import handle_stop_answer
@@ -56,7 +54,9 @@
 from primroseledge.maintenance.actions import MoveInstance
 from primroseledge.maintenance.actions import StartMaintenance
 from primroseledge.maintenance.evacuation import evacuate_draining_workers
+from primroseledge.maintenance.instance_list import apply_instance_list
 from primroseledge.maintenance.instance_list import InstanceList
+from primroseledge.maintenance.instance_list import keep_living_worker
 from primroseledge.maintenance.list_refresh import refresh_list
 from primroseledge.maintenance.pool_moves import handle_move_answer
 from primroseledge.maintenance.pools import size_pools
@@ -96,6 +96,7 @@
         self.state = state
         self.outbox = Outbox()
         self.instance_list = InstanceList()
+        self.wait_report = WaitReport()
         self.is_fenced = False
         self.handover_started_at: float | None = None
         self.swept_at = -inf
@@ -136,24 +137,13 @@
             state.active_jobs[job_id] = job
             state.mark_dirty(job, now)
             state.request_planning(job)
-            self.record_arrival(job, now)
+            record_arrival(state, job, now)
         elif not job.accepted.spec.steps:
             cancelled = Answer(Verdict.NO_SUCH_JOB, reason='cancelled before')
             state.actions.append(SendAnswer(event.call, cancelled))
             return
         self.answer_when_stored(event, job)
 
-    def record_arrival(self, job: Job, now: float) -> None:
-        """Add a new job's estimated work to its service's arrival rate.
-
-        Pools are sized by this rate and by the work that waits.
-        """
-        service = self.state.service_of(job)
-        core_s = estimated_core_s(job.accepted.spec)
-        if service is not None and core_s:
-            rate = self.state.arrival_rates.setdefault(service, ArrivalRate())
-            rate.add(Arrival(now, core_s, initial_cores_of(job.accepted.spec)))
-
     def cancel(self, event: CancelJob, now: float) -> None:
         """Cancel a job, and answer the caller once that is stored.
 
@@ -246,6 +236,7 @@
     def handle_poll_answer(self, answer: PollAnswered, now: float) -> None:
         """Apply the runs and run ends that a worker's poll answer lists."""
         handle_poll_answer(self.state, answer, now)
+        keep_living_worker(self.state, self.instance_list, answer)
 
     def handle_poll_failure(self, failure: PollFailed, now: float) -> None:
         """Record a failed poll of a worker.
@@ -295,7 +286,7 @@
         instances = self.instance_list
         self.swept_at = -inf
         if isinstance(report, InstancesListed):
-            instances.apply_list(report)
+            apply_instance_list(self.state, instances, report)
         elif isinstance(report, ListFailed):
             instances.is_list_in_flight = False
             log(Event.LIST_FAILED, problem=report.problem)
@@ -344,11 +335,12 @@
         if self.outbox.may_build_batch(state, now):
             # A start that is planned earlier waits for the same batch.
             plan_services(state, now)
+        self.wait_report.report(state, now)
 
     def sweep(self, now: float) -> None:
         """Do what depends on time alone, for all jobs and instances."""
         state = self.state
-        self.open_due_occurrences(now)
+        state.open_due_occurrences(now)
         advance_waves(state, self.instance_list, now)
         size_pools(state, self.instance_list, now)
         evacuate_draining_workers(state, now)
@@ -371,20 +363,6 @@
         state.actions = kept
         return polls
 
-    def open_due_occurrences(self, now: float) -> None:
-        """Create the steps of repeated jobs whose next occurrence is due.
-
-        An occurrence is one of the repetitions of such a job.
-        """
-        wall_ms = self.state.wall_ms(now)
-        for job in self.state.active_jobs.values():
-            if not job.accepted.spec.repetitions:
-                continue
-            before = len(job.steps)
-            job.open_due_steps(wall_ms)
-            if len(job.steps) > before:
-                self.state.request_planning(job)
-
 
 def create_engine(
     configuration: Configuration,
--- a/standins/worker_application.py
+++ b/standins/worker_application.py
@@ -5,7 +5,7 @@
 from typing import Any
 from typing import Final
 
-from primroseledge.ids import Boot
+from primroseledge.ids import WorkerId
 from primroseledge.jobs.actions import Order
 from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.actions import PollAnswered
@@ -55,10 +55,8 @@
         The id is all that is compared: calls that were meant for an
         earlier life under the same id are carried out.
         """
-        boot = self.core.boot
-        if expected and expected != self.core.id:
-            boot = Boot(0)
-        target = Target(self.core.id, boot, '')
+        worker = WorkerId(expected or self.core.id)
+        target = Target(worker, self.core.boot, '')
         if path == '/-/hold':
             return self.look(fields, target)
         return self.order(path, fields, target)
