Let a restarted worker's entry follow later in the soak

Cause: the next life of a worker wrote its entry at once, which left the owner little time in which it doesn't know that life.

--- a/standins/job_soak_disturber.py
+++ b/standins/job_soak_disturber.py
@@ -26,6 +26,7 @@
 """In seconds; jobs that stand still are only judged after calm."""
 
 LONG_CALM_SHARE: Final = 0.5
+ENTRY_AFTER_S: Final = (0.0, 0.0, 0.4, 1.5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,9 +91,17 @@
             self.fleet.tell(client, '/-/faults')
 
     def restart(self, machine: str, gap_s: float) -> None:
-        """Let a worker crash and start again in place."""
+        """Let a worker crash and start again in place.
+
+        The entry of the next life follows at once or a moment later.
+        """
         with self.struck('restart', machine):
-            self.fleet.change_life(machine, end='crash', begin_after_s=gap_s)
+            self.fleet.change_life(
+                machine,
+                end='crash',
+                begin_after_s=gap_s,
+                entry_after_s=self.random.choice(ENTRY_AFTER_S),
+            )
             sleep(gap_s + 0.02)
 
 
