Probe a worker in quarantine where a step has no other

Callers: jobs stand still for 3 to 12 s beside a worker that is up and empty, after tasks of two jobs failed there by their own fault.

Cause: a worker in quarantine got no task at all, even if the pool or the step's label left no other, so that the quarantine protected nobody.

Change: a step that none of the other workers could take, even when empty, starts one task, or its gang, on a worker in quarantine, at most one each second and worker. A worker that fails everything uses up attempts slowly, and the success of a probe shows that it is sound. Where another worker could take the step, it waits for that as before.

--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -58,17 +58,18 @@
     waiting = waiting_steps(state, service, now)
     if not waiting:
         return
-    workers = [
-        worker
-        for worker in state.workers.values()
-        if worker.entry.service == service and worker.may_start_tasks(now)
-    ]
+    pool = [w for w in state.workers.values() if w.entry.service == service]
+    workers = [worker for worker in pool if worker.may_start_tasks(now)]
+    suspects = [worker for worker in pool if may_probe(worker, now)]
     batch_workers = workers
     shortage = CapacityShortage(workers)
     for _, job, step in waiting:
         if len(state.planned_tasks) >= MAX_PLANNED_STARTS:
             state.services_to_plan.add(service)
             return
+        if suspects and not could_any_take(step.spec, workers):
+            plan_probe(state, job, step, suspects, now)
+            continue
         if shortage.affects(step):
             continue
         is_batch = not step.spec.is_long_running
@@ -88,6 +89,47 @@
     shortage.end_pass(step for _, _, step in waiting)
 
 
+def may_probe(worker: Worker, now: float) -> bool:
+    """Return whether only a quarantine keeps tasks from a worker.
+
+    The worker must not have been probed recently.
+    """
+    quarantine = worker.quarantine
+    return (
+        quarantine.is_active(now)
+        and now >= max(quarantine.probe_at, worker.cooldown_until)
+        and worker.may_start_tasks(quarantine.ends_at)
+    )
+
+
+def could_any_take(step: StepSpec, workers: list[Worker]) -> bool:
+    """Return whether a worker could take a task without its batch tasks."""
+    nowhere = StepPlacement()
+    return any(could_take(step, worker, nowhere) for worker in workers)
+
+
+def plan_probe(
+    state: FleetState,
+    job: Job,
+    step: StepOccurrence,
+    suspects: list[Worker],
+    now: float,
+) -> None:
+    """Plan a start of a step that has only workers in quarantine.
+
+    One task or a whole gang is planned. ``suspects`` are the workers that may
+    be probed; those that are get removed from it.
+    """
+    waiting = [task for task in step.tasks if task.is_waiting]
+    probed = waiting if step.spec.is_gang else waiting[:1]
+    plan_step(state, job, step, suspects, now, probed)
+    for task in probed:
+        worker = state.workers.get(task.run.worker) if task.run else None
+        if worker in suspects:
+            worker.quarantine.record_probe(now)
+            suspects.remove(worker)
+
+
 class StepPlan(Enum):
     """The outcome of planning a step's starts.
 
@@ -139,8 +181,9 @@
     step: StepOccurrence,
     workers: list[Worker],
     now: float,
+    tasks: list[Task] | None = None,
 ) -> StepPlan:
-    """Plan the starts of a step's waiting tasks.
+    """Plan the starts of a step's waiting tasks, or of some of them.
 
     If a task cannot be placed, the tasks before it stay planned; of a gang,
     no task is planned then. Tasks that avoid workers don't keep the others of
@@ -156,7 +199,7 @@
     placement = count_placement(step, state.workers)
     chooser = WorkerChooser(step.spec, workers, placement)
     outcome = StepPlan.PLACED
-    for task in step.tasks:
+    for task in step.tasks if tasks is None else tasks:
         if not task.is_waiting:
             continue
         if not is_within_limit(state, job, step.spec.resources):
--- a/src/primroseledge/jobs/quarantine.py
+++ b/src/primroseledge/jobs/quarantine.py
@@ -8,6 +8,10 @@
 time. If another task then fails on the worker before one succeeds, a new
 quarantine starts after this one failure and lasts twice as long, up to
 ``MAX_QUARANTINE_S``.
+
+Where a step has no other worker, its tasks probe one that is in quarantine,
+one of them each ``PROBE_INTERVAL_S``. A worker that fails everything uses up
+their attempts slowly then, and a sound one does not leave them waiting.
 """
 
 from dataclasses import dataclass
@@ -25,6 +29,9 @@
 MAX_QUARANTINE_S: Final = 12.0
 """Longest duration in s of a quarantine."""
 
+PROBE_INTERVAL_S: Final = 1.0
+"""Time in s without tasks before each probe of a worker in quarantine."""
+
 STALL_TIMEOUT_S: Final = 1.8
 """Time in s without progress after which a task counts as stalled."""
 
@@ -35,12 +42,14 @@
 
     ``failed_jobs`` are the jobs with a failure since the last success or
     start of the last quarantine. ``duration_s`` is the duration of the last
-    quarantine, or 0 if a task has succeeded since.
+    quarantine, or 0 if a task has succeeded since. ``probe_at`` is when the
+    worker may be probed next.
     """
 
     failed_jobs: set[JobId] = field(default_factory=set)
     duration_s: float = 0.0
     ends_at: float = 0.0
+    probe_at: float = 0.0
 
     def record_success(self) -> None:
         """Record that a task succeeded on the worker; clear the failures."""
@@ -59,8 +68,13 @@
         doubled_s = min(MAX_QUARANTINE_S, 2 * self.duration_s)
         self.duration_s = max(FIRST_QUARANTINE_S, doubled_s)
         self.ends_at = now + self.duration_s
+        self.probe_at = now + PROBE_INTERVAL_S
         self.failed_jobs.clear()
 
+    def record_probe(self, now: float) -> None:
+        """Record that a task starts on the worker in its quarantine."""
+        self.probe_at = now + PROBE_INTERVAL_S
+
     def is_suspect(self, job: JobId) -> bool:
         """Return whether nothing has succeeded since a job failed there.
 
