Show requests for advice that can't be used

A test shows that the advisory service, which answers one request at a time, is asked for a step at the limit of its workspace, before one that could start.

--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -7,13 +7,18 @@
 
 import unittest
 
+from msgspec import structs
+
 from primroseledge.ids import WorkerId
+from primroseledge.ids import WorkspaceId
 from primroseledge.jobs.actions import OrderResult
 from primroseledge.jobs.advice import AdviceAnswered
 from primroseledge.jobs.advice import AdviceFailed
 from primroseledge.jobs.advice import RequestAdvice
 from primroseledge.jobs.configuration import AdviceConfig
 from primroseledge.jobs.configuration import Queue
+from primroseledge.jobs.configuration import Workspace
+from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.worker import WorkerEntry
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_configuration
@@ -22,6 +27,7 @@
 from tests.engine_bench import make_worker_entry
 from tests.engine_bench import QUEUE
 from tests.engine_bench import SERVICE
+from tests.engine_bench import WORKSPACE
 
 WORKERS = [make_worker_entry(f'worker-{number}') for number in range(3)]
 
@@ -72,6 +78,26 @@
             {(start.target.worker, start.ticket) for start in starts},
         )
 
+    def test_no_request_for_a_step_at_the_limit_of_its_workspace(
+        self,
+    ) -> None:
+        # Its tickets would expire and be requested again for ever, while
+        # other steps wait for their turn.
+        bench = AdviceBench(*WORKERS)
+        configuration = bench.engine.state.configuration
+        other = WorkspaceId('other')
+        for workspace, cpu_millis in ((WORKSPACE, 2000), (other, 0)):
+            configuration.workspaces[workspace] = Workspace(
+                workspace, frozenset(), limit=Resources(cpu_millis, 0, 0)
+            )
+        bench.submit(make_job('a', make_step(1, 3000)))
+        bench.submit(make_job('b', make_step(4, is_gang=True)))
+        job = structs.replace(make_job('z', make_step(1)), workspace=other)
+        bench.submit(job)
+        bench.store_changes()
+        [request] = bench.pop_advice_requests()
+        self.assertEqual(job.id, request.step.job)
+
     def test_one_request_is_in_flight_at_a_time(self) -> None:
         bench = AdviceBench(*WORKERS)
         bench.submit(make_job('a', make_step(1)))
