Request no advice for steps at their workspace's limit

Callers: jobs of a queue with advice wait although workers have room, because the one request at a time goes to steps of other workspaces that can't start; their tickets expire and are requested again.

Cause: the advice was requested before the workspace's limit was checked.

Evidence: the test failed before ('z' != 'a') and passes now; 620 unit tests pass.

--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -192,6 +192,9 @@
     queue = state.queue_of(job)
     no_worker = StepPlan.NO_CAPACITY
     if queue is not None and queue.advice is not None:
+        count = step.spec.count if step.spec.is_gang else 1
+        if not is_within_limit(state, job, step.spec.resources.times(count)):
+            return StepPlan.NOT_ALLOWED
         workers = advised_workers(state, job, step, workers, now)
         no_worker = StepPlan.NOT_ALLOWED
     if step.spec.is_gang:
