Show that a busy service holds up the others

A planning pass ends when 64 starts are planned. A test shows that a service with many tasks to start reaches that in each pass, and that another service gets its first start only after it.

--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -15,16 +15,21 @@
 from bench.job_load import small_shape
 from primroseledge.ids import Boot
 from primroseledge.ids import JobId
+from primroseledge.ids import QueueId
+from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
 from primroseledge.ids import WorkspaceId
 from primroseledge.ids import ZoneId
 from primroseledge.jobs.capacity_shortage import MAX_UNPLACED_STEPS
+from primroseledge.jobs.configuration import Queue
+from primroseledge.jobs.configuration import Service
 from primroseledge.jobs.configuration import Workspace
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.placement import choose_worker
 from primroseledge.jobs.placement import count_placement
+from primroseledge.jobs.planning import MAX_PLANNED_STARTS
 from primroseledge.jobs.planning import WorkerChooser
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.resources import Resources
@@ -200,6 +205,51 @@
         )
 
 
+class ServiceOrderTest(unittest.TestCase):
+    """A service with many tasks to start must not hold up another."""
+
+    def count_batches_before_other(
+        self, busy: ServiceId, other: ServiceId
+    ) -> int:
+        """Return how many batches have starts of a busy service only."""
+        bench = EngineBench()
+        config = bench.engine.state.configuration
+        for service in (busy, other):
+            config.services[service] = Service(service)
+            queue = QueueId(f'queue of {service}')
+            config.queues[queue] = Queue(queue, 'host', '/', service)
+        jobs = [
+            (f'{number:03}', busy) for number in range(10 * MAX_PLANNED_STARTS)
+        ]
+        for name, service in [*jobs, ('other', other)]:
+            job = make_job(name, make_step(1, 10))
+            queue = QueueId(f'queue of {service}')
+            bench.submit(structs.replace(job, queue=queue))
+        bench.store_changes()
+        bench.list_workers(
+            make_worker_entry('worker-1', busy),
+            make_worker_entry('worker-2', other),
+        )
+        bench.answer_poll(WorkerId('worker-1'))
+        bench.answer_poll(WorkerId('worker-2'))
+        bench.store_changes()
+        jobs_of_batches = [
+            {task.key.job for task in batch.starts}
+            for batch in bench.batches
+            if batch.starts
+        ]
+        return next(
+            number
+            for number, started in enumerate(jobs_of_batches)
+            if 'other' in started
+        )
+
+    def test_services_take_turns_when_many_starts_are_planned(self) -> None:
+        first, second = ServiceId('first'), ServiceId('second')
+        self.assertLess(self.count_batches_before_other(first, second), 5)
+        self.assertLess(self.count_batches_before_other(second, first), 5)
+
+
 class IndexTest(unittest.TestCase):
     def check_index(self, state: FleetState) -> None:
         """Check that the index has each job with tasks to start."""
