Plan the services with the fewest planned starts first

Callers: all jobs of a service stand still beside idle workers while another service has a burst; the slower the store, the longer.

Cause: a pass ends at 64 planned starts that are in no batch yet, and the services were planned in the order of a set. With a burst, the service that came first filled up the 64 in every pass.

Change: services with the fewest planned starts come first.

--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -7,6 +7,7 @@
 becomes empty enough for the long-running task.
 """
 
+from collections import Counter
 from enum import Enum
 from typing import Final
 
@@ -42,10 +43,18 @@
 
 
 def plan_services(state: FleetState, now: float) -> None:
-    """Plan the starts for all services marked in ``services_to_plan``."""
+    """Plan the starts for all services marked in ``services_to_plan``.
+
+    Those with the fewest planned starts come first: a service with many tasks
+    to start would otherwise reach ``MAX_PLANNED_STARTS`` in each pass.
+    """
+    planned = Counter(
+        state.service_of(state.jobs[task.key.job])
+        for task in state.planned_tasks
+    )
     services = state.services_to_plan
     state.services_to_plan = set()
-    for service in services:
+    for service in sorted(services, key=lambda id: (planned[id], id)):
         plan_service(state, service, now)
 
 
