Excuse jobs of the soak that are at work to its end

By the rule a job is lost then only if nothing of it runs for 3 s with room for it, which another condition judges. Change: a known job with a run in the 3 s before the last answer is excused, and listed as such.

--- a/standins/job_soak_history.py
+++ b/standins/job_soak_history.py
@@ -177,6 +177,10 @@
         ]
         return min(ends) if step.is_gang else max(ends, default=-inf)
 
+    def is_at_work(self, since: float) -> bool:
+        """Tell whether a run of it was there at some time since then."""
+        return any(r.ended_at > since for rs in self.runs.values() for r in rs)
+
     def has_failed(self, at: float) -> bool:
         """Tell whether a task or gang had failed as often as it may."""
         failed = dict[str, set[int]]()
--- a/standins/job_soak_judge.py
+++ b/standins/job_soak_judge.py
@@ -28,6 +28,7 @@
 from standins.job_soak_standing import find_standing
 from standins.job_soak_standing import has_room
 from standins.job_soak_standing import Standing
+from standins.job_soak_standing import STANDING_S
 from standins.job_soak_verdicts import condition
 from standins.job_soak_verdicts import describe_pair
 from standins.job_soak_verdicts import describe_run
@@ -164,7 +165,8 @@
     """The last answer after the last submission shows an ended job.
 
     A long-running job that wasn't cancelled before has to be running. A
-    known job that waits is excused if there was never room for it.
+    known job is excused if a run of it was there in the last seconds before
+    that answer, or if there was never room for it.
     """
     traffic_ended_at = max(
         (c.ended_at for c in history.calls if c.kind is CallKind.SUBMIT),
@@ -188,7 +190,11 @@
                 state in FINAL_STATES
                 or (job.is_long_running and state == 'running'),
                 describe_job(history, job, state or 'not known'),
-                bool(state) and not has_room(history, job, traffic_ended_at),
+                bool(state)
+                and (
+                    job.is_at_work(told[-1].sent_at - STANDING_S)
+                    or not has_room(history, job, traffic_ended_at)
+                ),
             )
 
 
--- a/standins/job_soak_standing.py
+++ b/standins/job_soak_standing.py
@@ -181,7 +181,7 @@
 
 def has_room(history: History, job: Job, since: float) -> bool:
     """Tell whether there was room, or a run, for a due step since then."""
-    if any(r.ended_at > since for runs in job.runs.values() for r in runs):
+    if job.is_at_work(since):
         return True
     room = PoolRoom(history, job.evidence.pool)
     return any(
--- a/tests/test_job_soak_judge.py
+++ b/tests/test_job_soak_judge.py
@@ -229,6 +229,14 @@
         self.assertEqual(verdict.excused, 1)
         self.assertIn('excused: a of copper is queued', verdict.examples[0])
 
+    def test_job_that_is_at_work_to_the_end(self) -> None:
+        for ended_at, conditions in ((6.0, ()), (5.8, (ENDS,))):
+            world = World(calm=False)
+            world.submit(1.0)
+            world.run('w1', 2.0, ended_at, 'failed')
+            world.ask(9.0, 'running')
+            self.assert_broken(world, *conditions)
+
     def test_job_without_room_that_is_not_known(self) -> None:
         world = World(StepEvidence(1, 4000, 1.0), calm=False)
         world.submit(1.0)
