--- a/tests/test_job_soak_standing.py
+++ b/tests/test_job_soak_standing.py
@@ -150,6 +150,19 @@
         world.ask(9.2, 'completed')
         self.assert_broken(world, STANDING)
 
+    def test_job_whose_last_end_was_noted_before_its_worker_ended(
+        self,
+    ) -> None:
+        for state, conditions in (('completed', ()), ('running', (STANDING,))):
+            world = World()
+            world.submit(3.9)
+            world.run('w1', 4.0, 5.0)
+            world.crash(5.1, 'w1')
+            world.boot(5.1, 'w3')
+            world.ask(9.0, state)
+            world.cancel(9.1)
+            self.assert_broken(world, *conditions)
+
     def test_job_that_has_failed_too_often(self) -> None:
         world = World()
         world.submit(4.0)
