--- a/standins/job_soak_standing.py
+++ b/standins/job_soak_standing.py
@@ -5,6 +5,7 @@
 from math import inf
 from typing import Final
 
+from standins.job_soak_history import DONE
 from standins.job_soak_history import History
 from standins.job_soak_history import Job
 from standins.job_soak_history import parse_task
@@ -181,7 +182,7 @@
 
 def has_room(history: History, job: Job, since: float) -> bool:
     """Tell whether there was room, or a run, for a due step since then."""
-    if any(r.ended_at > since for runs in job.runs.values() for r in runs):
+    if job.is_at_work(since):
         return True
     room = PoolRoom(history, job.evidence.pool)
     return any(
@@ -194,7 +195,10 @@
     """Return the first task of a step that isn't done."""
     for task in job.tasks_of(number):
         runs = job.runs.get(task, [])
-        if not any(r.is_counted('done') and r.ended_at <= at for r in runs):
+        if not any(
+            run.how == DONE and job.is_noted(run) and run.ended_at <= at
+            for run in runs
+        ):
             return task
     return job.tasks_of(number)[0]
 
