Restart idle workers faster, one after another, in the soak

Change: restart_idle_workers restarts 8 to 16 workers with gaps of 50 to 300 ms, and waits 50 to 400 ms between them.

--- a/standins/job_soak_events.py
+++ b/standins/job_soak_events.py
@@ -19,9 +19,10 @@
 @fault
 def restart_idle_workers(d: Disturbance) -> None:
     """Workers with few runs restart in place, one after another."""
-    for _ in range(d.random.randint(3, 8)):
-        d.restart(d.machine_by_load(is_busy=False), d.gap_s())
-        sleep(d.random.uniform(0.1, 0.6))
+    for _ in range(d.random.randint(8, 16)):
+        gap_s = d.random.uniform(0.05, 0.3)
+        d.restart(d.machine_by_load(is_busy=False), gap_s)
+        sleep(d.random.uniform(0.05, 0.4))
 
 
 @fault
