Let a job probe workers in quarantine when no other has room

Cause: tasks of jobs at fault fail on sound workers and put them into quarantine for 3 to 12 s. A step that other workers could take when they are empty had to wait for those, though they were full.

Change: a step of a job with nothing running, or a long-running one, probes a worker in quarantine when no other has room, one each second and worker, but no task where it has failed. A success ends the quarantine: the worker is sound. A batch step whose job has runs waits for the others as before, so that a worker that fails everything uses up few attempts.

--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -26,6 +26,8 @@
 from primroseledge.jobs.placement import count_placement
 from primroseledge.jobs.placement import is_ranked_once
 from primroseledge.jobs.placement import StepPlacement
+from primroseledge.jobs.probing import find_probe_tasks
+from primroseledge.jobs.probing import may_probe
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.start_priority import start_priority_of
@@ -76,14 +78,14 @@
         if len(state.planned_tasks) >= MAX_PLANNED_STARTS:
             state.services_to_plan.add(service)
             return
-        if suspects and not could_any_take(step.spec, workers):
-            plan_probe(state, job, step, suspects, now)
-            continue
         if shortage.affects(step):
+            plan_probe(state, job, step, workers, suspects, now)
             continue
         is_batch = not step.spec.is_long_running
         allowed = batch_workers if is_batch else workers
         outcome = plan_step(state, job, step, allowed, now)
+        if outcome in (StepPlan.NO_CAPACITY, StepPlan.AVOIDING):
+            plan_probe(state, job, step, workers, suspects, now)
         if outcome is StepPlan.AVOIDING:
             shortage.count(step)
         if outcome is not StepPlan.NO_CAPACITY:
@@ -98,39 +100,22 @@
     shortage.end_pass(step for _, _, step in waiting)
 
 
-def may_probe(worker: Worker, now: float) -> bool:
-    """Return whether only a quarantine keeps tasks from a worker.
-
-    The worker must not have been probed recently.
-    """
-    quarantine = worker.quarantine
-    return (
-        quarantine.is_active(now)
-        and now >= max(quarantine.probe_at, worker.cooldown_until)
-        and worker.may_start_tasks(quarantine.ends_at)
-    )
-
-
-def could_any_take(step: StepSpec, workers: list[Worker]) -> bool:
-    """Return whether a worker could take a task without its batch tasks."""
-    nowhere = StepPlacement()
-    return any(could_take(step, worker, nowhere) for worker in workers)
-
-
 def plan_probe(
     state: FleetState,
     job: Job,
     step: StepOccurrence,
+    workers: list[Worker],
     suspects: list[Worker],
     now: float,
 ) -> None:
-    """Plan a start of a step that has only workers in quarantine.
+    """Plan a start of a step on a worker in quarantine, as no other has room.
 
-    One task or a whole gang is planned. ``suspects`` are the workers that may
-    be probed; those that are get removed from it.
+    ``suspects`` are the workers that may be probed; those that are get removed
+    from it.
     """
-    waiting = [task for task in step.tasks if task.is_waiting]
-    probed = waiting if step.spec.is_gang else waiting[:1]
+    probed = find_probe_tasks(job, step, workers, suspects)
+    if not probed:
+        return
     plan_step(state, job, step, suspects, now, probed)
     for task in probed:
         worker = state.workers.get(task.run.worker) if task.run else None
--- /dev/null
+++ b/src/primroseledge/jobs/probing.py
@@ -0,0 +1,63 @@
+"""Choose the tasks that probe workers in quarantine.
+
+A quarantine must not leave a job waiting beside room for it. So where no other
+worker has room, a task of the job starts on one in quarantine now and then.
+"""
+
+from primroseledge.jobs.job import Job
+from primroseledge.jobs.job import StepOccurrence
+from primroseledge.jobs.placement import could_take
+from primroseledge.jobs.placement import StepPlacement
+from primroseledge.jobs.spec import StepSpec
+from primroseledge.jobs.task import Task
+from primroseledge.jobs.worker import Worker
+
+
+def may_probe(worker: Worker, now: float) -> bool:
+    """Return whether only a quarantine keeps tasks from a worker.
+
+    The worker must not have been probed recently.
+    """
+    quarantine = worker.quarantine
+    return (
+        quarantine.is_active(now)
+        and now >= max(quarantine.probe_at, worker.cooldown_until)
+        and worker.may_start_tasks(quarantine.ends_at)
+    )
+
+
+def find_probe_tasks(
+    job: Job,
+    step: StepOccurrence,
+    workers: list[Worker],
+    suspects: list[Worker],
+) -> list[Task]:
+    """Return the tasks of a step that may probe one of the suspects.
+
+    These are one task or a whole gang, or none. If one of the ``workers``, who
+    have no room now, could take the step later, a batch step whose job has
+    runs waits for that, as does a task that has failed on a suspect.
+    """
+    needed = step.spec.counted_resources
+    if not any(worker.has_capacity_for(needed) for worker in suspects):
+        return []
+    waiting = [task for task in step.tasks if task.is_waiting]
+    if could_any_take(step.spec, workers):
+        if not step.spec.is_long_running and has_runs(job):
+            return []
+        ids = {worker.id for worker in suspects}
+        waiting = [task for task in waiting if not task.failed_workers & ids]
+    if step.spec.is_gang:
+        return waiting if len(waiting) == len(step.tasks) else []
+    return waiting[:1]
+
+
+def could_any_take(step: StepSpec, workers: list[Worker]) -> bool:
+    """Return whether a worker could take a task without its batch tasks."""
+    nowhere = StepPlacement()
+    return any(could_take(step, worker, nowhere) for worker in workers)
+
+
+def has_runs(job: Job) -> bool:
+    """Return whether a task of a job may be running."""
+    return any(task.run is not None for task in job.tasks())
--- a/src/primroseledge/jobs/quarantine.py
+++ b/src/primroseledge/jobs/quarantine.py
@@ -9,9 +9,10 @@
 quarantine starts after this one failure and lasts twice as long, up to
 ``MAX_QUARANTINE_S``.
 
-Where a step has no other worker, its tasks probe one that is in quarantine,
-one of them each ``PROBE_INTERVAL_S``. A worker that fails everything uses up
-their attempts slowly then, and a sound one does not leave them waiting.
+Where no other worker has room for a job, its tasks probe one that is in
+quarantine, one of them each ``PROBE_INTERVAL_S``. A worker that fails
+everything uses up their attempts slowly then. A success ends the quarantine,
+so that a sound worker leaves no job waiting.
 """
 
 from dataclasses import dataclass
@@ -52,9 +53,10 @@
     probe_at: float = 0.0
 
     def record_success(self) -> None:
-        """Record that a task succeeded on the worker; clear the failures."""
+        """Record that a task succeeded on the worker; end a quarantine."""
         self.failed_jobs.clear()
         self.duration_s = 0.0
+        self.ends_at = 0.0
 
     def record_failure(self, job: JobId, now: float) -> None:
         """Record that a task failed or stalled on the worker.
@@ -72,8 +74,13 @@
         self.failed_jobs.clear()
 
     def record_probe(self, now: float) -> None:
-        """Record that a task starts on the worker in its quarantine."""
-        self.probe_at = now + PROBE_INTERVAL_S
+        """Record that a task starts on the worker in its quarantine.
+
+        The next may start an interval after this one was due: services are
+        planned again only from time to time.
+        """
+        due_at = self.probe_at + PROBE_INTERVAL_S
+        self.probe_at = max(due_at, now + PROBE_INTERVAL_S / 2)
 
     def is_suspect(self, job: JobId) -> bool:
         """Return whether nothing has succeeded since a job failed there.
--- a/src/primroseledge/jobs/wait_report.py
+++ b/src/primroseledge/jobs/wait_report.py
@@ -14,6 +14,7 @@
 from primroseledge.ids import ServiceId
 from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
+from primroseledge.jobs.probing import has_runs
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 
@@ -92,6 +93,4 @@
 
 def is_idle(job: Job) -> bool:
     """Return whether a job has a task to start and none that may run."""
-    return any(True for _ in job.waiting_steps()) and not any(
-        task.run is not None for task in job.tasks()
-    )
+    return any(True for _ in job.waiting_steps()) and not has_runs(job)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -43,6 +43,13 @@
         quarantine.record_failure(JobId('b'), 10.0)
         self.assertFalse(quarantine.is_active(10.1))
 
+    def test_success_ends_a_quarantine(self) -> None:
+        quarantine = Quarantine()
+        quarantine.record_failure(JobId('a'), 10.0)
+        quarantine.record_failure(JobId('b'), 10.0)
+        quarantine.record_success()
+        self.assertFalse(quarantine.is_active(10.1))
+
     def test_repeated_quarantine_starts_sooner_and_lasts_longer(self) -> None:
         quarantine = Quarantine()
         quarantine.record_failure(JobId('a'), 10.0)
