Acknowledge ends only to a worker that has just listed them

Callers: a done task runs again.

Cause: the poll sent beside a start carries the last number that the ended boot was sent. The next boot, whose ends count from 1, forgets its first ends by it while the poll waits there, and nobody has seen them. The earlier fix covered only the poll after a failed one, but the restart of an idle worker fails none.

Change: a poll acknowledges only ends that have not been acknowledged yet. A worker that is polled for them has listed them a moment ago.

Evidence: the test failed before (7 acknowledged again) and passes now.

--- a/src/primroseledge/cluster/node_loop.py
+++ b/src/primroseledge/cluster/node_loop.py
@@ -145,9 +145,13 @@
     # Other threads
 
     def post(self, item: Any) -> None:
-        """Queue an item for the loop; safe to call from any thread."""
+        """Queue an item for the loop; safe to call from any thread.
+
+        An ended loop is not woken: its descriptor may be closed already.
+        """
         self.inbox.append(item)
-        eventfd_write(self.wake_fd, 1)
+        if not self.has_ended:
+            eventfd_write(self.wake_fd, 1)
 
     def call(self, request: CallerRequest, wait_s: float) -> Answer:
         """Return the answer to a caller's request, blocking until it comes.
--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/jobs/worker_polls.py
@@ -315,8 +315,21 @@
         SendPoll(
             target_of(worker),
             deadline_ms,
-            # The worker may have restarted: its ends then count from 1 again.
-            0 if worker.poll_failures else worker.stored_end_number,
+            end_number_to_ack(worker),
             state.timing.poll_wait_s if waits_for_end else 0.0,
         )
     )
+
+
+def end_number_to_ack(worker: Worker) -> int:
+    """Return the number of the last end that a poll acknowledges, 0 for none.
+
+    Only a worker that has just listed ends gets an acknowledgement. Any other
+    may have restarted: its ends then count from 1 again, and it would forget
+    those that were never listed.
+    """
+    if worker.poll_failures:
+        return 0
+    if worker.stored_end_number <= worker.acked_end_number:
+        return 0
+    return worker.stored_end_number
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -237,6 +237,21 @@
         bench.store_changes()
         self.assertEqual([], bench.pop_starts())
 
+    def test_a_poll_of_an_idle_worker_acknowledges_no_end_again(self) -> None:
+        bench = EngineBench(WORKER_1)
+        start = self.start_task(bench)
+        bench.answer_start(start)
+        bench.answer_poll(WORKER_1.id, ends=(make_run_end(start, number=7),))
+        bench.store_changes()
+        bench.reconcile(0.2)
+        self.assertEqual(7, bench.pop_polls()[-1].acked_end_number)
+        bench.answer_poll(WORKER_1.id)
+        bench.reconcile(5.0)
+        bench.submit(make_job('b', make_step(1)))
+        bench.store_changes()
+        [poll] = bench.pop_polls()
+        self.assertEqual(0, poll.acked_end_number)
+
     def test_a_poll_after_a_failed_one_acknowledges_no_end(self) -> None:
         bench = EngineBench(WORKER_1)
         start = self.start_task(bench)
