Show what a restart of a worker under its id can still do wrong

Cause: a poll of an idle worker acknowledges the last number of an ended boot again; a copy of a start, a batch, an answer about a ticket, a clock reading and a lease are still ascribed to the boot that was addressed.

No source is changed.

--- a/tests/test_worker_restart_fuzz.py
+++ b/tests/test_worker_restart_fuzz.py
@@ -1,7 +1,9 @@
 """Fuzzing of the fleet while workers restart under their ids."""
 
 import unittest
+from unittest.mock import patch
 
+from tests.restart_world import RestartWorld
 from tests.test_fleet_fuzz import FaultScenario
 
 SEEDS = range(300, 312)
@@ -14,6 +16,10 @@
     the list of workers or from an answer of the next boot.
     """
 
+    def __init__(self, seed: int) -> None:
+        with patch('tests.test_fleet_fuzz.World', RestartWorld):
+            super().__init__(seed)
+
     def fault_restart_worker(self) -> None:
         worker = self.random.choice(list(self.world.workers.values()))
         if not worker.is_alive:
