Let no poll wait at a worker that acknowledges ends

Callers: a done task runs again, if its worker restarts between two polls.

Cause: a poll that acknowledges ends waits up to 1 s for the next end. In a boot that has just begun it goes on to forget the ends with small numbers all the while.

Change: such a poll does not wait; the next one does.

--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/jobs/worker_polls.py
@@ -292,8 +292,8 @@
     """Send a poll to a worker.
 
     The worker is to delay its answer until a run ends, by at most
-    ``Timing.poll_wait_s``, if it has tasks, answered the last poll, and the
-    effects of all its handled ends are stored.
+    ``Timing.poll_wait_s``, if it has tasks, answered the last poll, the
+    effects of all its handled ends are stored and none is acknowledged.
     """
     deadline_ms = None
     if not worker.poll_failures:
@@ -304,18 +304,22 @@
         )
     if deadline_ms is not None:
         worker.lease_clock.record_deadline(deadline_ms)
+    acked_end_number = end_number_to_ack(worker)
     waits_for_end = (
         bool(worker.tasks)
         and worker.has_answered_poll
         and not worker.poll_failures
         and worker.handled_end_number == worker.stored_end_number
+        # While it waited, a worker that has restarted would go on to forget
+        # the ends of its next boot up to the number.
+        and not acked_end_number
     )
     worker.is_poll_in_flight = True
     state.actions.append(
         SendPoll(
             target_of(worker),
             deadline_ms,
-            end_number_to_ack(worker),
+            acked_end_number,
             state.timing.poll_wait_s if waits_for_end else 0.0,
         )
     )
