Stop a start with an unanswered copy in each further boot

Callers: a task could run twice.

Cause: a run whose start was sent twice and answered after the restart counted as confirmed, and one that was sent once without an answer lost its unresolved state with the first stop that a boot answered. In both, a copy may still reach the next boot, where no stop was sent.

Change: a run is expected in the next boot as unresolved unless all its sends were answered. Target and OrderResult say what an order's addressee is, and move_to_boot is expect_in_boot, as nothing moves.

--- a/src/primroseledge/jobs/actions.py
+++ b/src/primroseledge/jobs/actions.py
@@ -28,7 +28,8 @@
 class Target:
     """The recipient of an order: a worker in one of its boots.
 
-    If the worker has restarted since, the order is not carried out.
+    Orders name only the worker. If it has restarted since, its next boot
+    carries the order out.
     """
 
     worker: WorkerId
@@ -105,7 +106,8 @@
     ``FENCED``: the worker refused it because of the epoch that it carried,
     so this instance is no longer the owner. ``OLD_RUN``: the worker already
     knew the run. ``NO_TICKET``: the worker refused the ticket.
-    ``OTHER_BOOT``: the worker has restarted.
+    ``OTHER_BOOT``: another worker has the address, or a poll was answered by
+    another boot than was meant; see ``PollFailed``.
     """
 
     DONE = 'done'
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -98,11 +98,11 @@
             return True
         return self.listed_at is not None and self.send_count <= 1
 
-    def move_to_boot(self, boot: Boot, now: float) -> None:
+    def expect_in_boot(self, boot: Boot, now: float) -> None:
         """Expect the run in the next boot of its worker, if it runs at all.
 
-        If its start was sent more than once, a copy may still be delivered:
-        the run is then resolved as one whose start was not answered.
+        If not all sends of its start were answered, a copy may still be
+        delivered: the run is then resolved as one without an answer.
         """
         self.boot = boot
         self.speed_percent = FULL_SPEED_PERCENT
@@ -111,7 +111,9 @@
         self.stop_answered_at = None
         if self.phase is RunPhase.RUNNING:
             self.phase = RunPhase.UNRESOLVED
-        if self.phase is RunPhase.UNRESOLVED and self.send_count > 1:
+        if self.phase is RunPhase.SENT:
+            return
+        if self.send_count > 1 or self.unresolved_at is not None:
             self.confirmed_at = None
             self.unresolved_at = now
 
--- a/src/primroseledge/jobs/worker_orders.py
+++ b/src/primroseledge/jobs/worker_orders.py
@@ -142,7 +142,11 @@
             worker=run.worker,
             result=answer.result.value,
         )
-    if answer.result is OrderResult.DONE:
+    if run.boot != order.target.boot and run.send_count > 1:
+        # An earlier send may still be delivered to the worker's next boot.
+        run.phase = RunPhase.UNRESOLVED
+        run.unresolved_at = now
+    elif answer.result is OrderResult.DONE:
         run.phase = RunPhase.RUNNING
         run.confirmed_at = answer.received_at
     elif answer.result is OrderResult.UNANSWERED:
--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/jobs/worker_polls.py
@@ -132,7 +132,7 @@
     state.workers_to_check.add(entry.id)
     for task in worker.tasks.values():
         if task.run is not None:
-            task.run.move_to_boot(entry.boot, now)
+            task.run.expect_in_boot(entry.boot, now)
         next_worker.add_task(task)
 
 
