Read a worker's clock from answers to polls alone

Callers: a task waits for minutes after its worker has gone.

Cause: an answer to an order names no boot. That of a next boot, which the owner did not know yet, was recorded as the clock of the ended one, whose deadlines are later by the age of that boot: the lease counted as running for so long.

Change: only polls, whose answers name the boot, give readings.

Evidence: the review's test failed before (still expected after 12 s) and passes now.

--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -251,20 +251,10 @@
     def handle_order_ended(self, answer: OrderEnded, now: float) -> None:
         """Act on the result of an order (a start, a stop or a throttle).
 
-        The reading of the worker's clock that came with the answer is
-        recorded only if the worker has not rebooted since the order was
-        sent.
+        The worker's clock is read from polls alone: an answer to an order
+        does not say which boot of the worker it comes from.
         """
         self.is_fenced |= answer.result is OrderResult.FENCED
-        worker = self.state.workers.get(answer.order.target.worker)
-        if (
-            worker is not None
-            and answer.clock_ms is not None
-            and worker.entry.boot == answer.order.target.boot
-        ):
-            worker.lease_clock.record_clock(
-                answer.clock_ms, answer.received_at
-            )
         if isinstance(answer.order, SendStart):
             handle_start_answer(self.state, answer, now)
         elif isinstance(answer.order, SendStop):
