Wait out the longest lease for a start that no poll has listed

Callers: a task could run twice, if its worker restarts unseen, carries the start out and falls silent.

Cause: the next boot shortens a deadline of the ended boot's clock to the longest lease, 6 s, which on a slow clock takes 6.12 s; the owner gave the run up after 5.42 s.

--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -52,7 +52,7 @@
 class Run:
     """One start of a task on one worker.
 
-    ``sent_at`` is when the start was first sent.
+    ``sent_at`` is when the start was last sent.
     ``confirmed_at`` is when the worker acknowledged the start or the stop,
     or first listed the run; after a takeover it is the time when the run
     was restored. The answer to a poll sent later must list the run or its
--- a/src/primroseledge/jobs/worker_orders.py
+++ b/src/primroseledge/jobs/worker_orders.py
@@ -62,8 +62,7 @@
     worker.lease_clock.record_deadline(deadline_ms)
     run.phase = RunPhase.SENT
     run.send_count += 1
-    if run.sent_at is None:
-        run.sent_at = now
+    run.sent_at = now
     if not job.has_started:
         job.has_started = True
         log(
--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/jobs/worker_polls.py
@@ -16,6 +16,7 @@
 from primroseledge.jobs.ends import apply_poll_lists
 from primroseledge.jobs.ends import give_up_all_runs
 from primroseledge.jobs.fleet_state import FleetState
+from primroseledge.jobs.task import Task
 from primroseledge.jobs.worker import Worker
 from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.jobs.worker import WorkerState
@@ -244,8 +245,21 @@
         worker.predecessor_runs_expire_at,
         worker.lease_unknown_until,
     )
-    if now > expires_at:
-        give_up_all_runs(state, worker, 'the lease of the worker expired', now)
+    for task in list(worker.tasks.values()):
+        if now > max(expires_at, unseen_lease_end(state, task)):
+            state.give_up_run(task, 'the lease of the worker expired', now)
+
+
+def unseen_lease_end(state: FleetState, task: Task) -> float:
+    """Return until when a boot that was never seen may run a task, or 0.
+
+    A start that no poll has listed may have been carried out by a boot that
+    the owner does not know, under the longest lease that a worker grants.
+    """
+    run = task.run
+    if run is None or run.is_bound_to_boot or run.sent_at is None:
+        return 0.0
+    return run.sent_at + state.timing.unknown_lease_s
 
 
 def is_poll_due(state: FleetState, worker: Worker, now: float) -> bool:
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -310,7 +310,7 @@
     RUN_LOST = warning(
         705,
         'task {task} run {run} on {worker} of boot {boot} given up: {reason}; '
-        '{phase}, sent {sends} times, first {sent_age} s, acknowledged '
+        '{phase}, sent {sends} times, last {sent_age} s, acknowledged '
         '{confirmed_age} s and listed {listed_age} s ago',
         'A run is over for certain and its end will not be listed.',
         'Look at the worker; the task starts again.',
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -220,6 +220,7 @@
     ) -> None:
         bench = EngineBench(WORKER_1)
         [start] = bench.run_job(make_job('a', make_step(1)))
+        bench.answer_poll(WORKER_1.id, running=(make_listed_run(start),))
         bench.list_workers(WORKER_1, WORKER_2)
         bench.answer_poll(WORKER_2.id)
         expires_at = bench.engine.state.workers[
