Store with a batch only ends of the boot that listed them

Callers: an end could be acknowledged before its effect is stored, and be lost with the owner: a done task runs again.

Cause: a batch named the ends that are stored with it by worker and number. If the worker restarted while the batch was written, and the next boot had listed as many ends, those counted as stored.

Change: a batch names them by worker, boot and number.

--- a/src/primroseledge/owner/batch.py
+++ b/src/primroseledge/owner/batch.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from primroseledge.ids import Boot
 from primroseledge.ids import WorkerId
 from primroseledge.jobs.actions import SendAnswer
 from primroseledge.jobs.progress import ProgressRecord
@@ -18,8 +19,8 @@
     ``accepted``, ``progress`` and ``waves`` are the records. Once they are
     stored, the runs of ``starts`` are sent to their workers, ``answers`` to
     the callers, and each worker may discard the run ends that it has kept
-    up to its number in ``end_numbers``. ``built_at`` is on the owner's
-    monotonic clock, in seconds.
+    up to its number in ``end_numbers``, if it is still in the same boot.
+    ``built_at`` is on the owner's monotonic clock, in seconds.
     """
 
     number: int
@@ -28,5 +29,5 @@
     waves: list[WaveRecord] = field(default_factory=list)
     starts: list[Task] = field(default_factory=list)
     answers: list[SendAnswer] = field(default_factory=list)
-    end_numbers: dict[WorkerId, int] = field(default_factory=dict)
+    end_numbers: dict[tuple[WorkerId, Boot], int] = field(default_factory=dict)
     built_at: float = 0.0
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -9,6 +9,7 @@
 from dataclasses import field
 from typing import Final
 
+from primroseledge.ids import Boot
 from primroseledge.ids import JobId
 from primroseledge.ids import WorkerId
 from primroseledge.jobs.actions import Answer
@@ -146,9 +147,11 @@
             if job is not None:
                 job.is_stored = True
                 job.stored_state = record.state
-        for worker_id, number in batch.end_numbers.items():
+        for (worker_id, boot), number in batch.end_numbers.items():
             worker = state.workers.get(worker_id)
-            if worker is not None and worker.handled_end_number >= number:
+            if worker is None or worker.entry.boot != boot:
+                continue
+            if worker.handled_end_number >= number:
                 worker.stored_end_number = max(
                     worker.stored_end_number, number
                 )
@@ -219,16 +222,19 @@
     return [*ordered, *others]
 
 
-def pop_stored_ends(state: FleetState) -> dict[WorkerId, int]:
-    """Return the last run end of each worker that is stored with a batch.
+def pop_stored_ends(state: FleetState) -> dict[tuple[WorkerId, Boot], int]:
+    """Return the last end of each worker's boot that is stored with a batch.
 
     To be called when the batch is built. An end is stored with it if neither
     its own job nor that of an earlier end of the worker is left to store.
     """
-    stored = dict[WorkerId, int]()
+    stored = dict[tuple[WorkerId, Boot], int]()
     for worker_id, ends in list(state.unstored_ends.items()):
+        worker = state.workers.get(worker_id)
         while ends and ends[0].job not in state.dirty_jobs:
-            stored[worker_id] = ends.popleft().number
+            number = ends.popleft().number
+            if worker is not None:
+                stored[worker_id, worker.entry.boot] = number
         if not ends:
             del state.unstored_ends[worker_id]
     return stored
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -223,9 +223,8 @@
         bench.answer_poll(WORKER_1.id, running=(make_listed_run(start),))
         bench.list_workers(WORKER_1, WORKER_2)
         bench.answer_poll(WORKER_2.id)
-        expires_at = bench.engine.state.workers[
-            WORKER_1.id
-        ].lease_clock.expires_at()
+        worker = bench.engine.state.workers[WORKER_1.id]
+        expires_at = worker.lease_clock.expires_at()
         while bench.now < expires_at - 0.2:
             bench.fail_poll(WORKER_1.id)
             bench.reconcile(0.2)
