Cache advice for the boots that it was asked for

Callers: jobs of a queue with advice wait for good beside a worker that they may use.

Cause: an answer of the advisory service was cached for the boot that a worker had when the answer came. If the worker had restarted, perhaps as one of another kind, a refusal of the ended boot held for the next one, which was never asked about.

Change: a request keeps the boots of the workers that it names.

Evidence: the review's test failed before (no second request) and passes now.

--- a/src/primroseledge/jobs/advice.py
+++ b/src/primroseledge/jobs/advice.py
@@ -49,10 +49,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestAdvice(Action):
-    """Action: ask the advisory service which workers may run a step."""
+    """Action: ask the advisory service which workers may run a step.
+
+    ``boots`` are those of the workers at that time: the answer says nothing
+    about later ones.
+    """
 
     step: StepKey
     workers: tuple[WorkerId, ...]
+    boots: tuple[Boot, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,31 +164,30 @@
         )
         if not candidates:
             return None
-        worker_ids = tuple(worker.id for worker in candidates[:named_count])
-        self.request_in_flight = RequestAdvice(key, worker_ids)
+        named = candidates[:named_count]
+        self.request_in_flight = RequestAdvice(
+            key,
+            tuple(worker.id for worker in named),
+            tuple(worker.entry.boot for worker in named),
+        )
         return self.request_in_flight
 
     def handle_answer(
         self,
         answer: AdviceAnswered | AdviceFailed,
-        workers: dict[WorkerId, Worker],
         now: float,
     ) -> None:
-        """Cache the answer to the request in flight, or schedule its retry.
-
-        ``workers`` are all workers that the owner knows.
-        """
+        """Cache the answer to the request in flight, or schedule its retry."""
         self.request_in_flight = None
         advice = self.steps.setdefault(answer.request.step, StepAdvice())
         if isinstance(answer, AdviceFailed):
             advice.retry_at = now + ADVICE_RETRY_S
             return
         expires_at = answer.sent_at + answer.validity_s
-        for worker_id in answer.request.workers:
-            worker = workers.get(worker_id)
-            if worker is None:
-                continue
-            boot = worker.entry.boot
+        request = answer.request
+        for worker_id, boot in zip(
+            request.workers, request.boots, strict=True
+        ):
             text = answer.tickets.get(worker_id)
             if text is None:
                 advice.disallowed_workers.add((worker_id, boot))
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -269,7 +269,7 @@
         state = self.state
         if isinstance(answer, AdviceFailed):
             log(Event.ADVICE_FAILED, problem=answer.problem)
-        state.advice.handle_answer(answer, state.workers, now)
+        state.advice.handle_answer(answer, now)
         state.services_to_plan.update(state.configuration.services)
 
     def handle_instance_report(
