--- a/src/primroseledge/cluster/node_loop.py
+++ b/src/primroseledge/cluster/node_loop.py
@@ -145,12 +145,9 @@
     # Other threads
 
     def post(self, item: Any) -> None:
-        """Queue an item for the loop; safe to call from any thread.
-
-        An ended loop is not woken: its descriptor may be closed already.
-        """
+        """Queue an item for the loop; safe to call from any thread."""
         self.inbox.append(item)
-        if not self.has_ended:
+        if not self.has_ended:  # The descriptor may be closed already.
             eventfd_write(self.wake_fd, 1)
 
     def call(self, request: CallerRequest, wait_s: float) -> Answer:
@@ -182,9 +179,8 @@
         Worker threads call this just before they send.
         """
         ownership = self.node.ownership
-        return ownership.epoch == epoch and ownership.may_send_orders(
-            boot_time()
-        )
+        may_send = ownership.may_send_orders(boot_time())
+        return may_send and ownership.epoch == epoch
 
     def leave(self) -> None:
         """Begin a graceful shutdown; safe to call in a signal handler."""
