Let a task probe any quarantined worker on which it has not failed

Callers: a job stands still for 3 s beside six empty workers.

Cause: a task that had failed on one worker in quarantine probed none of the others either.

Change: it waits only if it has failed on all that have room.

Evidence: the test failed before (neither job started within 2.5 s) and passes now.

--- a/src/primroseledge/jobs/probing.py
+++ b/src/primroseledge/jobs/probing.py
@@ -36,17 +36,17 @@
 
     These are one task or a whole gang, or none. If one of the ``workers``, who
     have no room now, could take the step later, a batch step whose job has
-    runs waits for that, as does a task that has failed on a suspect.
+    runs waits for that, as does a task that has failed on all suspects.
     """
     needed = step.spec.counted_resources
-    if not any(worker.has_capacity_for(needed) for worker in suspects):
+    with_room = {w.id for w in suspects if w.has_capacity_for(needed)}
+    if not with_room:
         return []
     waiting = [task for task in step.tasks if task.is_waiting]
     if could_any_take(step.spec, workers):
         if not step.spec.is_long_running and has_runs(job):
             return []
-        ids = {worker.id for worker in suspects}
-        waiting = [task for task in waiting if not task.failed_workers & ids]
+        waiting = [t for t in waiting if with_room - t.failed_workers]
     if step.spec.is_gang:
         return waiting if len(waiting) == len(step.tasks) else []
     return waiting[:1]
--- a/tests/test_quarantine_room.py
+++ b/tests/test_quarantine_room.py
@@ -7,6 +7,7 @@
 from unittest import TestCase
 
 from primroseledge.jobs.actions import EndKind
+from primroseledge.jobs.actions import PollAnswered
 from primroseledge.jobs.actions import SendStart
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
@@ -63,6 +64,45 @@
             self.fail_job(name)
         self.assertLess(self.measure_wait('sound'), MAX_WAIT_S)
 
+    def test_task_that_failed_on_one_worker_probes_another(self) -> None:
+        bench = self.bench
+        bench.run_job(make_job('fill', make_step(1, WORKER_CPU_MILLIS)))
+        failed_on = {}
+        for names in (('a', 'b'), ('c', 'd')):
+            for job in [*bench.engine.state.active_jobs.values()]:
+                if job.accepted.id != 'fill':
+                    bench.cancel(job.accepted)
+            bench.store_changes()
+            starts = [
+                bench.run_job(make_job(name, make_step(1, 9000)))[0]
+                for name in names
+            ]
+            for start in starts:
+                failed_on[start.task.job] = start.target.worker
+                end = make_run_end(start, EndKind.FAILED, ord(names[0]))
+                bench.engine.handle_poll_answer(
+                    PollAnswered(
+                        start.target.worker,
+                        start.target.boot,
+                        bench.clock_ms(),
+                        (),
+                        (end,),
+                        0,
+                        bench.now,
+                        bench.now,
+                    ),
+                    bench.now,
+                )
+        began_at = bench.now
+        again = []
+        while bench.now < began_at + MAX_WAIT_S:
+            bench.reconcile(STEP_S)
+            bench.store_changes()
+            again += bench.pop_starts()
+        self.assertEqual({'c', 'd'}, {start.task.job for start in again})
+        for start in again:
+            self.assertNotEqual(failed_on[start.task.job], start.target.worker)
+
     def test_job_starts_at_once_without_a_quarantine(self) -> None:
         self.fill_others()
         self.fail_job('faulty-1')
