Await ends at once after a poll that acknowledged some

Callers: the next task of a chain starts up to 80 ms later than before.

Cause: since polls that acknowledge ends no longer wait, ends that came after one were listed only by the next regular poll.

Change: that poll follows at once.

Result: the new test failed before and passes now.

--- a/src/primroseledge/jobs/worker.py
+++ b/src/primroseledge/jobs/worker.py
@@ -133,6 +133,8 @@
     owner gave them, as calls meant for its last boot may have extended it.
     ``has_answered_poll`` means that the worker has answered a poll,
     ``last_poll_ended_at`` is when the last poll was answered or failed,
+    ``has_only_acked`` means that it was sent to acknowledge ends and listed
+    no others,
     ``poll_failures`` counts the failed polls since the last answer. No task
     is started on the worker before ``cooldown_until`` or while
     ``is_drained_by_owner``, which is set when the owner empties the worker
@@ -153,6 +155,7 @@
     is_poll_in_flight: bool = False
     has_answered_poll: bool = False
     last_poll_ended_at: float = 0.0
+    has_only_acked: bool = False
     poll_failures: int = 0
     predecessor_runs_expire_at: float = 0.0
     lease_unknown_until: float = 0.0
--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/jobs/worker_polls.py
@@ -166,6 +166,10 @@
         worker.has_answered_poll = True
         state.services_to_plan.add(worker.entry.service)
     apply_poll_lists(state, answer, now)
+    worker.has_only_acked = (
+        answer.acked_end_number > 0
+        and worker.handled_end_number == answer.acked_end_number
+    )
 
 
 def handle_poll_failure(
@@ -288,6 +292,9 @@
         # The effects of its last ends are not stored yet, and a poll now
         # would list these ends again. Other runs may end meanwhile.
         return now >= worker.last_poll_ended_at + UNSTORED_POLL_INTERVAL_S
+    if worker.has_only_acked:
+        # It waited for no end, as a regular poll does.
+        return True
     return now >= worker.last_poll_ended_at + POLL_INTERVAL_S
 
 
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -252,6 +252,19 @@
         [poll] = bench.pop_polls()
         self.assertEqual(0, poll.acked_end_number)
 
+    def test_ends_are_awaited_at_once_after_an_acknowledgement(self) -> None:
+        bench = EngineBench(WORKER_1)
+        [start, other] = bench.run_job(make_job('a', make_step(2)))
+        running = (make_listed_run(other),)
+        bench.answer_poll(WORKER_1.id, running, (make_run_end(start),))
+        bench.store_changes()
+        bench.reconcile(0.2)
+        acknowledgement = bench.pop_polls()[-1]
+        self.assertEqual(0.0, acknowledgement.wait_s)
+        bench.answer_poll(WORKER_1.id, running)
+        [poll] = bench.pop_polls()
+        self.assertGreater(poll.wait_s, 0.0)
+
     def test_a_poll_after_a_failed_one_acknowledges_no_end(self) -> None:
         bench = EngineBench(WORKER_1)
         start = self.start_task(bench)
