Keep the last worker with a required label in its pool

Callers: a job waits until it is cancelled.

Cause: a pool releases the workers with the fewest tasks, whatever their labels.

Change: the last worker with a label that an unfinished step of the pool's jobs requires stays. A pool that has no such worker still doesn't get one from the standby pool: the list of instances is read without labels. That stays open.

--- a/src/primroseledge/maintenance/pool_moves.py
+++ b/src/primroseledge/maintenance/pool_moves.py
@@ -213,14 +213,16 @@
     """Begin to release up to ``count`` of a pool's workers.
 
     The ones with the fewest tasks come first; workers with long-running tasks
-    stay. Each is drained and its instance moved to a pool with a shortfall or
-    to the standby pool.
+    stay, as does the last one with a label that a job requires. Each is
+    drained and its instance moved to a pool with a shortfall or to the standby
+    pool.
     """
     instance_of = {
         row.worker: row.id
         for row in instances.rows.values()
         if row.worker is not None and row.state is InstanceState.UP
     }
+    labels = find_required_labels(state, members)
     for worker in sorted(members, key=release_rank)[:count]:
         instance = instance_of.get(worker.id)
         if instance is None or instance in instances.operations:
@@ -229,6 +231,8 @@
             continue
         if worker.long_running_count:
             continue
+        if is_last_with_label(worker, members, labels):
+            continue
         operation = Operation(
             instance,
             worker.id,
@@ -240,6 +244,34 @@
         advance_move(state, instances, operation, now)
 
 
+def find_required_labels(state: FleetState, members: list[Worker]) -> set[str]:
+    """Return the labels that unfinished steps of a pool's jobs require."""
+    services = {worker.entry.service for worker in members}
+    return {
+        step.spec.required_label
+        for job in state.active_jobs.values()
+        if state.service_of(job) in services
+        for step in job.steps.values()
+        if step.spec.required_label and not step.is_done
+    }
+
+
+def is_last_with_label(
+    worker: Worker, members: list[Worker], labels: set[str]
+) -> bool:
+    """Return whether no other worker of a pool has one of the labels."""
+    others = [
+        other
+        for other in members
+        if other is not worker and not other.is_drained_by_owner
+    ]
+    return any(
+        label in worker.entry.labels
+        and not any(label in other.entry.labels for other in others)
+        for label in labels
+    )
+
+
 def release_rank(worker: Worker) -> tuple[bool, int]:
     """Return a worker's sort key; the lowest is released first.
 
