Mend texts that claimed too much or needed their bodies

Cause: a last reading. Two fields of a worker looked like one idea, and 'suspects' was this project's own word.

Change: texts, docstrings, and the name of a local list in planning and probing.

--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/jobs/planning.py
@@ -71,7 +71,7 @@
         return
     pool = [w for w in state.workers.values() if w.entry.service == service]
     workers = [worker for worker in pool if worker.may_start_tasks(now)]
-    suspects = [worker for worker in pool if may_probe(worker, now)]
+    quarantined = [worker for worker in pool if may_probe(worker, now)]
     batch_workers = workers
     shortage = CapacityShortage(workers)
     for _, job, step in waiting:
@@ -79,13 +79,13 @@
             state.services_to_plan.add(service)
             return
         if shortage.affects(step):
-            plan_probe(state, job, step, workers, suspects, now)
+            plan_probe(state, job, step, workers, quarantined, now)
             continue
         is_batch = not step.spec.is_long_running
         allowed = batch_workers if is_batch else workers
         outcome = plan_step(state, job, step, allowed, now)
         if outcome in (StepPlan.NO_CAPACITY, StepPlan.AVOIDING):
-            plan_probe(state, job, step, workers, suspects, now)
+            plan_probe(state, job, step, workers, quarantined, now)
         if outcome is StepPlan.AVOIDING:
             shortage.count(step)
         if outcome is not StepPlan.NO_CAPACITY:
@@ -105,23 +105,23 @@
     job: Job,
     step: StepOccurrence,
     workers: list[Worker],
-    suspects: list[Worker],
+    quarantined: list[Worker],
     now: float,
 ) -> None:
     """Plan a start of a step on a worker in quarantine, as no other has room.
 
-    ``suspects`` are the workers that may be probed; those that are get removed
-    from it.
+    ``quarantined`` are the workers that may be probed; those that get a task
+    are removed from it.
     """
-    probed = find_probe_tasks(job, step, workers, suspects)
+    probed = find_probe_tasks(job, step, workers, quarantined)
     if not probed:
         return
-    plan_step(state, job, step, suspects, now, probed)
+    plan_step(state, job, step, quarantined, now, probed)
     for task in probed:
         worker = state.workers.get(task.run.worker) if task.run else None
-        if worker in suspects:
+        if worker in quarantined:
             worker.quarantine.record_probe(now)
-            suspects.remove(worker)
+            quarantined.remove(worker)
 
 
 class StepPlan(Enum):
--- a/src/primroseledge/jobs/probing.py
+++ b/src/primroseledge/jobs/probing.py
@@ -30,16 +30,17 @@
     job: Job,
     step: StepOccurrence,
     workers: list[Worker],
-    suspects: list[Worker],
+    quarantined: list[Worker],
 ) -> list[Task]:
-    """Return the tasks of a step that may probe one of the suspects.
+    """Return the tasks of a step that may probe a quarantined worker.
 
-    These are one task or a whole gang, or none. If one of the ``workers``, who
-    have no room now, could take the step later, a batch step whose job has
-    runs waits for that, as does a task that has failed on all suspects.
+    These are one task or a whole gang, or none. If one of the ``workers``,
+    which have no room now, could take the step later, a batch step whose job
+    has runs waits for that, as does a task that has failed on each quarantined
+    worker with room.
     """
     needed = step.spec.counted_resources
-    with_room = {w.id for w in suspects if w.has_capacity_for(needed)}
+    with_room = {w.id for w in quarantined if w.has_capacity_for(needed)}
     if not with_room:
         return []
     waiting = [task for task in step.tasks if task.is_waiting]
--- a/src/primroseledge/jobs/worker.py
+++ b/src/primroseledge/jobs/worker.py
@@ -128,14 +128,16 @@
     one whose effect is stored, and ``acked_end_number`` that of the last one
     acknowledged by an answered poll. The worker may delete the ends that are
     acknowledged. ``predecessor_runs_expire_at`` is when the runs that a
-    previous owner started have ended even if the worker does not answer.
-    Until ``lease_unknown_until`` its runs may hold a longer lease than this
-    owner gave them, as calls meant for its last boot may have extended it.
+    previous owner started have ended even if the worker does not answer; an
+    answered poll resets it, as the worker then refuses that owner. Until
+    ``lease_unknown_until`` runs may hold a longer lease than this owner gave
+    them, as calls meant for the worker's last boot may have extended it; an
+    answer does not shorten that.
     ``has_answered_poll`` means that the worker has answered a poll,
-    ``last_poll_ended_at`` is when the last poll was answered or failed,
-    ``has_only_acked`` means that it was sent to acknowledge ends and listed
-    no others,
-    ``poll_failures`` counts the failed polls since the last answer. No task
+    ``last_poll_ended_at`` is when the last poll was answered or failed, and
+    ``poll_failures`` counts the failed polls since the last answer.
+    ``has_only_acked`` means that the last answered poll acknowledged ends and
+    listed no new ones, so that the next poll follows at once. No task
     is started on the worker before ``cooldown_until`` or while
     ``is_drained_by_owner``, which is set when the owner empties the worker
     for a maintenance or a move.
--- a/src/primroseledge/jobs/worker_orders.py
+++ b/src/primroseledge/jobs/worker_orders.py
@@ -123,7 +123,8 @@
     """Handle the result of a start, which may be that it was not answered.
 
     The result is ignored if the task has a newer run, or if a poll has
-    listed the run in the meantime.
+    listed the run in the meantime. If the worker has restarted since, and the
+    start was sent more than once, any answer leaves the run unresolved.
     """
     order = answer.order
     task = find_task(state, order.task)
