--- a/bench/job_workers.py
+++ b/bench/job_workers.py
@@ -9,18 +9,18 @@
 
 from primroseledge.ids import JobId
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import ListedRun
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import RunEnd
-from primroseledge.jobs.actions import SendPoll
-from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.actions import SendStop
 from primroseledge.jobs.task import TaskKey
-from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import ListedRun
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import PollFailed
+from primroseledge.scheduling.actions import RunEnd
+from primroseledge.scheduling.actions import SendPoll
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.actions import SendStop
+from primroseledge.workers.worker import WorkerEntry
 
 ONE_WAY_S: Final = 0.0005
 STOP_S: Final = 0.1
--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -23,11 +23,11 @@
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
-from primroseledge.jobs.placement import Rank
-from primroseledge.jobs.placement import StepPlacement
 from primroseledge.jobs.spec import StepSpec
-from primroseledge.jobs.start_priority import StartPriority
-from primroseledge.jobs.worker import Worker
+from primroseledge.scheduling.placement import Rank
+from primroseledge.scheduling.placement import StepPlacement
+from primroseledge.scheduling.start_priority import StartPriority
+from primroseledge.workers.worker import Worker
 
 SEEDS: Final = {'small': (1, 2, 3, 4), 'large': (1,)}
 
@@ -79,12 +79,14 @@
     with ExitStack() as stack:
         stack.enter_context(
             mock.patch(
-                'primroseledge.jobs.planning.start_priority_of',
+                'primroseledge.scheduling.planning.start_priority_of',
                 acceptance_order,
             )
         )
         stack.enter_context(
-            mock.patch('primroseledge.jobs.placement.rank_batch', first_fit)
+            mock.patch(
+                'primroseledge.scheduling.placement.rank_batch', first_fit
+            )
         )
         stack.enter_context(contextmanager(no_reserve)())
         yield
--- a/bench/planning_cost.py
+++ b/bench/planning_cost.py
@@ -19,16 +19,16 @@
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.configuration import Service
-from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
-from primroseledge.jobs.planning import plan_service
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.spec import StepSpec
-from primroseledge.jobs.worker import Worker
-from primroseledge.jobs.worker import WorkerEntry
-from primroseledge.jobs.worker import WorkerState
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.scheduling.planning import plan_service
+from primroseledge.workers.worker import Worker
+from primroseledge.workers.worker import WorkerEntry
+from primroseledge.workers.worker import WorkerState
 
 WORKER_COUNTS: Final = (30, 100, 300, 1_000)
 WAITING_COUNTS: Final = (100, 1_000, 10_000)
--- a/src/primroseledge/cluster/commands.py
+++ b/src/primroseledge/cluster/commands.py
@@ -14,15 +14,15 @@
 from primroseledge.cluster.messages import OwnerView
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
-from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import PollFailed
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.owner.batch import Batch
+from primroseledge.scheduling.actions import Answer
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import PollFailed
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -58,22 +58,22 @@
 from primroseledge.cluster.pending_calls import PendingCalls
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
-from primroseledge.jobs.actions import Action
-from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import CallId
-from primroseledge.jobs.actions import CancelJob
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import SendAnswer
-from primroseledge.jobs.actions import SubmitJob
-from primroseledge.jobs.advice import AdviceAnswered
-from primroseledge.jobs.advice import AdviceFailed
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.owner.engine import create_engine
 from primroseledge.owner.engine import Engine
 from primroseledge.owner.recovery import restore_engine
+from primroseledge.scheduling.actions import Action
+from primroseledge.scheduling.actions import Answer
+from primroseledge.scheduling.actions import CallId
+from primroseledge.scheduling.actions import CancelJob
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import PollFailed
+from primroseledge.scheduling.actions import SendAnswer
+from primroseledge.scheduling.actions import SubmitJob
+from primroseledge.scheduling.advice import AdviceAnswered
+from primroseledge.scheduling.advice import AdviceFailed
 
 WORKER_LIST_MAX_AGE_S: Final = 1.0
 """Greatest age of the owner's list of workers, in seconds."""
--- a/src/primroseledge/cluster/fleet_view.py
+++ b/src/primroseledge/cluster/fleet_view.py
@@ -28,11 +28,11 @@
 from primroseledge.errors import DocumentError
 from primroseledge.ids import EntryId
 from primroseledge.jobs.configuration import Configuration
-from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveNumber
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.workers.worker import WorkerEntry
 
 GOSSIP_INTERVAL_S: Final = 0.4
 """Interval between queries to peers, in seconds.
--- a/src/primroseledge/cluster/messages.py
+++ b/src/primroseledge/cluster/messages.py
@@ -16,8 +16,8 @@
 from primroseledge.ids import Epoch
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
-from primroseledge.jobs.actions import Answer
 from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.scheduling.actions import Answer
 
 
 class OwnerView(Struct, frozen=True, array_like=True):
--- a/src/primroseledge/cluster/pending_calls.py
+++ b/src/primroseledge/cluster/pending_calls.py
@@ -17,8 +17,8 @@
 from primroseledge.cluster.messages import StateRequest
 from primroseledge.cluster.messages import SubmitRequest
 from primroseledge.ids import Epoch
-from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import Verdict
+from primroseledge.scheduling.actions import Answer
+from primroseledge.scheduling.actions import Verdict
 
 RESEND_INTERVAL_S: Final = 0.7
 """Delay before an unanswered request is sent again, in seconds.
--- a/src/primroseledge/cluster/worker_links.py
+++ b/src/primroseledge/cluster/worker_links.py
@@ -17,12 +17,12 @@
 from primroseledge.cluster.call_thread import log_call_failure
 from primroseledge.cluster.commands import WorkerReport
 from primroseledge.ids import Epoch
-from primroseledge.jobs.actions import Order
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import SendPoll
+from primroseledge.scheduling.actions import Order
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import PollFailed
+from primroseledge.scheduling.actions import SendPoll
 
 WORKER_IDLE_TIMEOUT_S: Final = 10.0
 """Idle time after which a worker's connections are closed, in seconds."""
--- /dev/null
+++ b/src/primroseledge/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to workers, polls of them, and the effects of their answers."""
--- a/src/primroseledge/jobs/ends.py
+++ b/src/primroseledge/dispatch/ends.py
@@ -7,22 +7,22 @@
 
 from typing import Final
 
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import ListedRun
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import RunEnd
-from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.progress import JobState
-from primroseledge.jobs.quarantine import STALL_TIMEOUT_S
 from primroseledge.jobs.task import FULL_SPEED_PERCENT
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.task import TaskKey
-from primroseledge.jobs.worker import Worker
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import ListedRun
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import RunEnd
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.quarantine import STALL_TIMEOUT_S
+from primroseledge.workers.worker import Worker
 
 MAX_LISTED_ENDS: Final = 500
 """Largest number of ends in the answer to a poll, by the platform's protocol.
--- a/src/primroseledge/jobs/worker_orders.py
+++ b/src/primroseledge/dispatch/orders.py
@@ -6,21 +6,21 @@
 
 from typing import Final
 
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.actions import Target
-from primroseledge.jobs.actions import target_of
-from primroseledge.jobs.advice import StepKey
-from primroseledge.jobs.ends import fail_job_without_attempts
-from primroseledge.jobs.ends import find_task
-from primroseledge.jobs.fleet_state import FleetState
+from primroseledge.dispatch.ends import fail_job_without_attempts
+from primroseledge.dispatch.ends import find_task
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
-from primroseledge.jobs.worker import Worker
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.actions import Target
+from primroseledge.scheduling.actions import target_of
+from primroseledge.scheduling.advice import StepKey
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
 
 MAX_START_SENDS: Final = 3
 """Largest number of times that an unanswered start is sent.
--- a/src/primroseledge/jobs/worker_polls.py
+++ b/src/primroseledge/dispatch/polls.py
@@ -7,22 +7,22 @@
 from dataclasses import replace
 from typing import Final
 
+from primroseledge.dispatch.ends import apply_poll_lists
+from primroseledge.dispatch.ends import give_up_all_runs
+from primroseledge.dispatch.orders import send_requested_stops
 from primroseledge.ids import Boot
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import SendPoll
-from primroseledge.jobs.actions import target_of
-from primroseledge.jobs.ends import apply_poll_lists
-from primroseledge.jobs.ends import give_up_all_runs
-from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.task import Task
-from primroseledge.jobs.worker import Worker
-from primroseledge.jobs.worker import WorkerEntry
-from primroseledge.jobs.worker import WorkerState
-from primroseledge.jobs.worker_orders import send_requested_stops
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import PollFailed
+from primroseledge.scheduling.actions import SendPoll
+from primroseledge.scheduling.actions import target_of
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
+from primroseledge.workers.worker import WorkerEntry
+from primroseledge.workers.worker import WorkerState
 
 POLL_INTERVAL_S: Final = 0.08
 """Time in s from an answered poll of a worker to the next regular poll.
--- a/src/primroseledge/jobs/throttling.py
+++ b/src/primroseledge/dispatch/throttling.py
@@ -8,17 +8,17 @@
 
 from typing import Final
 
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import SendThrottle
-from primroseledge.jobs.actions import target_of
-from primroseledge.jobs.ends import find_task
-from primroseledge.jobs.fleet_state import FleetState
+from primroseledge.dispatch.ends import find_task
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
-from primroseledge.jobs.worker import Worker
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import SendThrottle
+from primroseledge.scheduling.actions import target_of
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
 
 THROTTLE_ABOVE_RATIO: Final = 0.85
 """Fraction of the objective above which best-effort tasks are slowed."""
--- a/src/primroseledge/jobs/__init__.py
+++ b/src/primroseledge/jobs/__init__.py
@@ -1,1 +1,1 @@
-"""Schedule jobs: the state of jobs and workers, and the planning of runs."""
+"""Jobs as submitted, their steps and tasks, and the records stored of them."""
--- a/src/primroseledge/maintenance/actions.py
+++ b/src/primroseledge/maintenance/actions.py
@@ -5,9 +5,9 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
-from primroseledge.jobs.actions import Action
 from primroseledge.maintenance.wave import InstanceRow
 from primroseledge.maintenance.wave import WaveNumber
+from primroseledge.scheduling.actions import Action
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/maintenance/evacuation.py
+++ b/src/primroseledge/maintenance/evacuation.py
@@ -6,11 +6,11 @@
 
 from typing import Final
 
-from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
-from primroseledge.jobs.worker import Worker
-from primroseledge.jobs.worker import WorkerState
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
+from primroseledge.workers.worker import WorkerState
 
 MAX_LISTING_AGE_S: Final = 3.0
 """A task that no poll has listed for this long counts as unavailable.
--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -8,10 +8,7 @@
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.actions import PollAnswered
 from primroseledge.jobs.configuration import Configuration
-from primroseledge.jobs.fleet_state import FleetState
-from primroseledge.jobs.worker import Worker
 from primroseledge.maintenance.actions import InstancesListed
 from primroseledge.maintenance.pool_reserve import DemandPeak
 from primroseledge.maintenance.wave import InstanceRow
@@ -19,6 +16,9 @@
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveNumber
 from primroseledge.maintenance.wave import WaveRecord
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
 
 
 class OperationState(Enum):
--- a/src/primroseledge/maintenance/pool_moves.py
+++ b/src/primroseledge/maintenance/pool_moves.py
@@ -8,8 +8,6 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
-from primroseledge.jobs.fleet_state import FleetState
-from primroseledge.jobs.worker import Worker
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import MoveInstance
@@ -22,6 +20,8 @@
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
 
 MOVE_RETRY_INTERVAL_S: Final = 0.7
 MOVE_TIMEOUT_S: Final = 4.0
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -12,13 +12,7 @@
 from typing import Final
 
 from primroseledge.ids import ServiceId
-from primroseledge.jobs.arrival_rate import Rate
 from primroseledge.jobs.configuration import Service
-from primroseledge.jobs.demand import Demand
-from primroseledge.jobs.demand import measure_demand
-from primroseledge.jobs.fleet_state import FleetState
-from primroseledge.jobs.worker import Worker
-from primroseledge.jobs.worker import WorkerState
 from primroseledge.maintenance.instance_list import InstanceList
 from primroseledge.maintenance.pool_moves import advance_move
 from primroseledge.maintenance.pool_moves import count_free_instances
@@ -28,6 +22,12 @@
 from primroseledge.maintenance.pool_reserve import DemandPeak
 from primroseledge.maintenance.pool_reserve import divide_instances
 from primroseledge.maintenance.pool_reserve import reserve_size
+from primroseledge.scheduling.arrival_rate import Rate
+from primroseledge.scheduling.demand import Demand
+from primroseledge.scheduling.demand import measure_demand
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
+from primroseledge.workers.worker import WorkerState
 
 BELOW_RESERVE_WAIT_S: Final = 2.5
 """Delay before a pool that meets its demand grows to its reserve.
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -9,8 +9,6 @@
 
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
-from primroseledge.jobs.fleet_state import FleetState
-from primroseledge.jobs.worker import Worker
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import StartMaintenance
@@ -26,6 +24,8 @@
 from primroseledge.maintenance.wave import WaveState
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
 
 MAINTENANCE_ROUND_S: Final = 5.0
 """Expected time of one instance's drain, maintenance and return."""
--- a/src/primroseledge/owner/batch.py
+++ b/src/primroseledge/owner/batch.py
@@ -5,11 +5,11 @@
 
 from primroseledge.ids import Boot
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.actions import SendAnswer
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.task import Task
 from primroseledge.maintenance.wave import WaveRecord
+from primroseledge.scheduling.actions import SendAnswer
 
 
 @dataclass(slots=True)
--- a/src/primroseledge/owner/fleet_counts.py
+++ b/src/primroseledge/owner/fleet_counts.py
@@ -5,11 +5,11 @@
 
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkspaceId
-from primroseledge.jobs.fleet_state import FleetState
-from primroseledge.jobs.worker import Worker
 from primroseledge.observability.fleet_figures import FleetFigures
 from primroseledge.observability.fleet_figures import TaskCount
 from primroseledge.observability.fleet_figures import WorkerCount
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
 
 TaskCountKey = tuple[WorkspaceId, ServiceId, str]
 
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -9,23 +9,23 @@
 from dataclasses import field
 from typing import Final
 
+from primroseledge.dispatch.orders import send_start
 from primroseledge.ids import Boot
 from primroseledge.ids import JobId
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import Verdict
-from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
-from primroseledge.jobs.worker_orders import send_start
 from primroseledge.maintenance.instance_list import InstanceList
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
 from primroseledge.owner.store_health import RETRY_AFTER_S
 from primroseledge.owner.store_health import StoreHealth
+from primroseledge.scheduling.actions import Answer
+from primroseledge.scheduling.actions import Verdict
+from primroseledge.scheduling.fleet_state import FleetState
 
 MAX_RECORDS_PER_BATCH: Final = 30
 """Most job and wave records per transaction, besides the owner's ledger.
--- a/src/primroseledge/owner/recovery.py
+++ b/src/primroseledge/owner/recovery.py
@@ -6,18 +6,18 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
 from primroseledge.ids import ZoneId
-from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import restore_job
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.resources import NO_RESOURCES
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.task import Run
-from primroseledge.jobs.worker import Worker
-from primroseledge.jobs.worker import WorkerEntry
-from primroseledge.jobs.worker import WorkerState
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.owner.engine import Engine
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
+from primroseledge.workers.worker import WorkerEntry
+from primroseledge.workers.worker import WorkerState
 
 
 def restore_engine(
--- a/src/primroseledge/platform/advice_client.py
+++ b/src/primroseledge/platform/advice_client.py
@@ -13,11 +13,11 @@
 from primroseledge.http_client import NoAnswerError
 from primroseledge.http_client import NotSentError
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.advice import AdviceAnswered
-from primroseledge.jobs.advice import AdviceFailed
-from primroseledge.jobs.advice import RequestAdvice
 from primroseledge.platform.wire import MALFORMED_ERRORS
 from primroseledge.platform.wire import WireAdviceResponse
+from primroseledge.scheduling.advice import AdviceAnswered
+from primroseledge.scheduling.advice import AdviceFailed
+from primroseledge.scheduling.advice import RequestAdvice
 
 CALL_TIMEOUT_S: Final = 3.0
 """In seconds; long, as the service needs time for each worker in a call."""
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -36,9 +36,7 @@
 from primroseledge.cluster.worker_links import WorkerLinks
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
-from primroseledge.jobs.advice import AdviceFailed
 from primroseledge.jobs.configuration import Configuration
-from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceCall
 from primroseledge.maintenance.actions import InstanceResult
@@ -63,6 +61,8 @@
 from primroseledge.platform.wsgi_applications import CallerApplication
 from primroseledge.platform.wsgi_applications import MetricsApplication
 from primroseledge.platform.wsgi_applications import ReadinessApplication
+from primroseledge.scheduling.advice import AdviceFailed
+from primroseledge.workers.worker import WorkerEntry
 
 STANDARD_OUTPUT: Final = 1
 """File descriptor to which log lines are written."""
--- a/src/primroseledge/platform/decoding.py
+++ b/src/primroseledge/platform/decoding.py
@@ -26,8 +26,6 @@
 from primroseledge.jobs.spec import find_spec_problem
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.spec import StepSpec
-from primroseledge.jobs.worker import WorkerEntry
-from primroseledge.jobs.worker import WorkerState
 from primroseledge.platform.wire import MALFORMED_ERRORS
 from primroseledge.platform.wire import WireConfiguration
 from primroseledge.platform.wire import WireJob
@@ -35,6 +33,8 @@
 from primroseledge.platform.wire import WireResources
 from primroseledge.platform.wire import WireStep
 from primroseledge.platform.wire import WireWorkerEntry
+from primroseledge.workers.worker import WorkerEntry
+from primroseledge.workers.worker import WorkerState
 
 WORKER_PREFIX = 'servers/'
 WORKER_STATES = {
--- a/src/primroseledge/platform/wire_names.py
+++ b/src/primroseledge/platform/wire_names.py
@@ -3,8 +3,8 @@
 from typing import Final
 
 from primroseledge.ids import JobId
-from primroseledge.jobs.actions import EndKind
 from primroseledge.jobs.task import TaskKey
+from primroseledge.scheduling.actions import EndKind
 
 TASK_NAME_PARTS: Final = 4
 
--- a/src/primroseledge/platform/worker_client.py
+++ b/src/primroseledge/platform/worker_client.py
@@ -17,18 +17,6 @@
 from primroseledge.http_client import NotSentError
 from primroseledge.ids import Boot
 from primroseledge.ids import Epoch
-from primroseledge.jobs.actions import ListedRun
-from primroseledge.jobs.actions import Order
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import RunEnd
-from primroseledge.jobs.actions import SendPoll
-from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.actions import SendStop
-from primroseledge.jobs.actions import SendThrottle
-from primroseledge.jobs.actions import Target
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.platform.wire import MALFORMED_ERRORS
@@ -36,6 +24,18 @@
 from primroseledge.platform.wire_names import END_KINDS
 from primroseledge.platform.wire_names import format_task_name
 from primroseledge.platform.wire_names import parse_task_name
+from primroseledge.scheduling.actions import ListedRun
+from primroseledge.scheduling.actions import Order
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import PollFailed
+from primroseledge.scheduling.actions import RunEnd
+from primroseledge.scheduling.actions import SendPoll
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.actions import SendStop
+from primroseledge.scheduling.actions import SendThrottle
+from primroseledge.scheduling.actions import Target
 
 ORDER_TIMEOUT_S: Final = 0.6
 """In seconds; a worker in the same region answers within milliseconds."""
--- a/src/primroseledge/platform/wsgi_applications.py
+++ b/src/primroseledge/platform/wsgi_applications.py
@@ -18,8 +18,6 @@
 from primroseledge.errors import DocumentError
 from primroseledge.ids import JobId
 from primroseledge.ids import WorkspaceId
-from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import Verdict
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.spec import AcceptedJob
@@ -28,6 +26,8 @@
 from primroseledge.observability.logs import log
 from primroseledge.observability.metrics_page import CONTENT_TYPE
 from primroseledge.platform.decoding import decode_job
+from primroseledge.scheduling.actions import Answer
+from primroseledge.scheduling.actions import Verdict
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
--- a/src/primroseledge/jobs/actions.py
+++ b/src/primroseledge/scheduling/actions.py
@@ -15,7 +15,7 @@
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.task import TaskKey
-from primroseledge.jobs.worker import Worker
+from primroseledge.workers.worker import Worker
 
 
 class Action:
--- a/src/primroseledge/jobs/admission.py
+++ b/src/primroseledge/scheduling/admission.py
@@ -1,9 +1,9 @@
 """Admission of jobs: refuse those whose queue is not configured."""
 
-from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import Verdict
-from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.scheduling.actions import Answer
+from primroseledge.scheduling.actions import Verdict
+from primroseledge.scheduling.fleet_state import FleetState
 
 
 def find_refusal(state: FleetState, job: AcceptedJob) -> Answer | None:
--- a/src/primroseledge/jobs/advice.py
+++ b/src/primroseledge/scheduling/advice.py
@@ -15,9 +15,9 @@
 from primroseledge.ids import Boot
 from primroseledge.ids import JobId
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.actions import Action
 from primroseledge.jobs.job import StepOccurrence
-from primroseledge.jobs.worker import Worker
+from primroseledge.scheduling.actions import Action
+from primroseledge.workers.worker import Worker
 
 MAX_WORKERS_PER_REQUEST: Final = 12
 """Largest number of workers that one request names."""
--- a/src/primroseledge/jobs/capacity_shortage.py
+++ b/src/primroseledge/scheduling/capacity_shortage.py
@@ -12,7 +12,7 @@
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import StepSpec
-from primroseledge.jobs.worker import Worker
+from primroseledge.workers.worker import Worker
 
 MAX_UNPLACED_STEPS: Final = 12
 """Number of unplaced steps of a kind that a pass tries in their order.
--- a/src/primroseledge/jobs/demand.py
+++ b/src/primroseledge/scheduling/demand.py
@@ -10,13 +10,13 @@
 from typing import Final
 
 from primroseledge.ids import ServiceId
-from primroseledge.jobs.arrival_rate import Arrival
-from primroseledge.jobs.arrival_rate import ArrivalRate
-from primroseledge.jobs.arrival_rate import Rate
-from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import DEFAULT_ESTIMATE_MS
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.spec import JobSpec
+from primroseledge.scheduling.arrival_rate import Arrival
+from primroseledge.scheduling.arrival_rate import ArrivalRate
+from primroseledge.scheduling.arrival_rate import Rate
+from primroseledge.scheduling.fleet_state import FleetState
 
 CATCH_UP_S: Final = 1.2
 """Time in s within which the work that waits now is to be completed."""
--- a/src/primroseledge/jobs/fleet_state.py
+++ b/src/primroseledge/scheduling/fleet_state.py
@@ -11,12 +11,6 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
 from primroseledge.ids import WorkspaceId
-from primroseledge.jobs.actions import Action
-from primroseledge.jobs.actions import SendAnswer
-from primroseledge.jobs.actions import SendStop
-from primroseledge.jobs.actions import target_of
-from primroseledge.jobs.advice import AdviceCache
-from primroseledge.jobs.arrival_rate import ArrivalRate
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.job import Job
@@ -25,9 +19,15 @@
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.task import TaskKey
-from primroseledge.jobs.worker import Worker
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.scheduling.actions import Action
+from primroseledge.scheduling.actions import SendAnswer
+from primroseledge.scheduling.actions import SendStop
+from primroseledge.scheduling.actions import target_of
+from primroseledge.scheduling.advice import AdviceCache
+from primroseledge.scheduling.arrival_rate import ArrivalRate
+from primroseledge.workers.worker import Worker
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/jobs/gang_placement.py
+++ b/src/primroseledge/scheduling/gang_placement.py
@@ -9,11 +9,11 @@
 
 from msgspec import structs
 
-from primroseledge.jobs.placement import choose_worker
-from primroseledge.jobs.placement import could_take
-from primroseledge.jobs.placement import StepPlacement
 from primroseledge.jobs.spec import StepSpec
-from primroseledge.jobs.worker import Worker
+from primroseledge.scheduling.placement import choose_worker
+from primroseledge.scheduling.placement import could_take
+from primroseledge.scheduling.placement import StepPlacement
+from primroseledge.workers.worker import Worker
 
 
 def place_gang(step: StepSpec, workers: list[Worker]) -> list[Worker] | None:
--- a/src/primroseledge/jobs/placement.py
+++ b/src/primroseledge/scheduling/placement.py
@@ -19,7 +19,7 @@
 from primroseledge.jobs.resources import NO_RESOURCES
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import StepSpec
-from primroseledge.jobs.worker import Worker
+from primroseledge.workers.worker import Worker
 
 LONG_RUNNING_WORKERS: Final = 3
 """Number of workers over which a step's long-running tasks are spread.
--- a/src/primroseledge/jobs/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -13,27 +13,27 @@
 
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.advice import step_key
-from primroseledge.jobs.capacity_shortage import CapacityShortage
-from primroseledge.jobs.fleet_state import FleetState
-from primroseledge.jobs.gang_placement import place_gang
-from primroseledge.jobs.gang_placement import spread_gang
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
-from primroseledge.jobs.placement import BatchWorkerQueue
-from primroseledge.jobs.placement import choose_worker
-from primroseledge.jobs.placement import could_take
-from primroseledge.jobs.placement import count_placement
-from primroseledge.jobs.placement import is_ranked_once
-from primroseledge.jobs.placement import StepPlacement
-from primroseledge.jobs.probing import find_probe_tasks
-from primroseledge.jobs.probing import may_probe
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import StepSpec
-from primroseledge.jobs.start_priority import start_priority_of
-from primroseledge.jobs.start_priority import StartPriority
 from primroseledge.jobs.task import Task
-from primroseledge.jobs.worker import Worker
+from primroseledge.scheduling.advice import step_key
+from primroseledge.scheduling.capacity_shortage import CapacityShortage
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.scheduling.gang_placement import place_gang
+from primroseledge.scheduling.gang_placement import spread_gang
+from primroseledge.scheduling.placement import BatchWorkerQueue
+from primroseledge.scheduling.placement import choose_worker
+from primroseledge.scheduling.placement import could_take
+from primroseledge.scheduling.placement import count_placement
+from primroseledge.scheduling.placement import is_ranked_once
+from primroseledge.scheduling.placement import StepPlacement
+from primroseledge.scheduling.probing import find_probe_tasks
+from primroseledge.scheduling.probing import may_probe
+from primroseledge.scheduling.start_priority import start_priority_of
+from primroseledge.scheduling.start_priority import StartPriority
+from primroseledge.workers.worker import Worker
 
 MAX_PLANNED_STARTS: Final = 64
 """Number of planned starts at which a planning pass ends.
--- a/src/primroseledge/jobs/probing.py
+++ b/src/primroseledge/scheduling/probing.py
@@ -6,11 +6,11 @@
 
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
-from primroseledge.jobs.placement import could_take
-from primroseledge.jobs.placement import StepPlacement
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.task import Task
-from primroseledge.jobs.worker import Worker
+from primroseledge.scheduling.placement import could_take
+from primroseledge.scheduling.placement import StepPlacement
+from primroseledge.workers.worker import Worker
 
 
 def may_probe(worker: Worker, now: float) -> bool:
--- a/src/primroseledge/jobs/wait_report.py
+++ b/src/primroseledge/scheduling/wait_report.py
@@ -12,11 +12,11 @@
 
 from primroseledge.ids import JobId
 from primroseledge.ids import ServiceId
-from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.job import Job
-from primroseledge.jobs.probing import has_runs
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.scheduling.probing import has_runs
 
 REPORT_INTERVAL_S: Final = 1.0
 MIN_REPORTED_WAIT_S: Final = 1.5
--- /dev/null
+++ b/src/primroseledge/workers/__init__.py
@@ -0,0 +1,1 @@
+"""What the owner knows of each worker: capacity, lease, runs, reliability."""
--- a/src/primroseledge/jobs/worker.py
+++ b/src/primroseledge/workers/worker.py
@@ -9,10 +9,10 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
 from primroseledge.ids import ZoneId
-from primroseledge.jobs.quarantine import Quarantine
 from primroseledge.jobs.resources import NO_RESOURCES
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.task import Task
+from primroseledge.workers.quarantine import Quarantine
 
 MAX_CLOCK_DRIFT: Final = 0.02
 """Largest fraction by which a worker's clock may run slow.
--- a/standins/fleet_platform.py
+++ b/standins/fleet_platform.py
@@ -20,12 +20,12 @@
 from primroseledge.ids import Boot
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import SendStart
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.task import TaskKey
 from primroseledge.platform.wire_names import format_task_name
 from primroseledge.platform.wire_names import parse_task_name
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import SendStart
 from standins.call_server import Reply
 from standins.http_app import create_server
 from standins.http_app import fields_of
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -25,7 +25,7 @@
 from primroseledge.http_client import HttpClient
 from primroseledge.http_client import NoAnswerError
 from primroseledge.http_client import NotSentError
-from primroseledge.jobs.worker import WorkerState
+from primroseledge.workers.worker import WorkerState
 from standins.call_server import Call
 from standins.call_server import CallServer
 from standins.call_server import Reply
--- a/standins/worker_core.py
+++ b/standins/worker_core.py
@@ -11,21 +11,21 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
 from primroseledge.ids import ZoneId
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import ListedRun
-from primroseledge.jobs.actions import Order
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import RunEnd
-from primroseledge.jobs.actions import SendPoll
-from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.actions import SendThrottle
 from primroseledge.jobs.resources import NO_RESOURCES
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.task import TaskKey
-from primroseledge.jobs.worker import WorkerEntry
-from primroseledge.jobs.worker import WorkerState
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import ListedRun
+from primroseledge.scheduling.actions import Order
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import PollFailed
+from primroseledge.scheduling.actions import RunEnd
+from primroseledge.scheduling.actions import SendPoll
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.actions import SendThrottle
+from primroseledge.workers.worker import WorkerEntry
+from primroseledge.workers.worker import WorkerState
 
 
 class WorkerLedger(Protocol):
--- a/tests/engine_bench.py
+++ b/tests/engine_bench.py
@@ -9,21 +9,6 @@
 from primroseledge.ids import WorkerId
 from primroseledge.ids import WorkspaceId
 from primroseledge.ids import ZoneId
-from primroseledge.jobs.actions import Action
-from primroseledge.jobs.actions import CallId
-from primroseledge.jobs.actions import CancelJob
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import ListedRun
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import RunEnd
-from primroseledge.jobs.actions import SendAnswer
-from primroseledge.jobs.actions import SendPoll
-from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.actions import SendStop
-from primroseledge.jobs.actions import SubmitJob
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.configuration import Service
@@ -32,10 +17,25 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.spec import StepSpec
-from primroseledge.jobs.worker import WorkerEntry
-from primroseledge.jobs.worker import WorkerState
 from primroseledge.owner.batch import Batch
 from primroseledge.owner.engine import create_engine
+from primroseledge.scheduling.actions import Action
+from primroseledge.scheduling.actions import CallId
+from primroseledge.scheduling.actions import CancelJob
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import ListedRun
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import PollFailed
+from primroseledge.scheduling.actions import RunEnd
+from primroseledge.scheduling.actions import SendAnswer
+from primroseledge.scheduling.actions import SendPoll
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.actions import SendStop
+from primroseledge.scheduling.actions import SubmitJob
+from primroseledge.workers.worker import WorkerEntry
+from primroseledge.workers.worker import WorkerState
 
 SERVICE = ServiceId('copper')
 STANDBY_SERVICE = ServiceId('office')
--- a/tests/fleet_rule_checker.py
+++ b/tests/fleet_rule_checker.py
@@ -14,13 +14,13 @@
 from primroseledge.ids import JobId
 from primroseledge.ids import WorkerId
 from primroseledge.ids import WorkspaceId
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import SendStart
 from primroseledge.jobs.resources import NO_RESOURCES
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.task import TaskKey
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import SendStart
 
 CANCEL_GRACE_S = 3.0
 """Seconds after a confirmed cancellation in which tasks may still start."""
--- a/tests/lossy_fleet.py
+++ b/tests/lossy_fleet.py
@@ -13,14 +13,6 @@
 
 from primroseledge.ids import JobId
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.actions import CallId
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import SendPoll
-from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.actions import SendStop
-from primroseledge.jobs.actions import SubmitJob
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.resources import NO_RESOURCES
@@ -35,6 +27,14 @@
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveNumber
 from primroseledge.owner.engine import create_engine
+from primroseledge.scheduling.actions import CallId
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import PollFailed
+from primroseledge.scheduling.actions import SendPoll
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.actions import SendStop
+from primroseledge.scheduling.actions import SubmitJob
 from tests.engine_bench import make_configuration
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
--- a/tests/maintenance_bench.py
+++ b/tests/maintenance_bench.py
@@ -4,7 +4,6 @@
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import InstancesListed
@@ -16,6 +15,7 @@
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveNumber
 from primroseledge.maintenance.wave import WaveState
+from primroseledge.workers.worker import WorkerEntry
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_worker_entry
 from tests.engine_bench import SERVICE
--- a/tests/restart_world.py
+++ b/tests/restart_world.py
@@ -2,10 +2,10 @@
 
 from primroseledge.ids import Boot
 from primroseledge.ids import Epoch
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import SendPoll
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import PollFailed
+from primroseledge.scheduling.actions import SendPoll
 from tests.fleet_world import SimNode
 from tests.fleet_world import World
 
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -11,15 +11,15 @@
 
 from primroseledge.ids import WorkerId
 from primroseledge.ids import WorkspaceId
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.advice import AdviceAnswered
-from primroseledge.jobs.advice import AdviceFailed
-from primroseledge.jobs.advice import RequestAdvice
 from primroseledge.jobs.configuration import AdviceConfig
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.configuration import Workspace
 from primroseledge.jobs.resources import Resources
-from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.advice import AdviceAnswered
+from primroseledge.scheduling.advice import AdviceFailed
+from primroseledge.scheduling.advice import RequestAdvice
+from primroseledge.workers.worker import WorkerEntry
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_configuration
 from tests.engine_bench import make_job
--- a/tests/test_call_threads.py
+++ b/tests/test_call_threads.py
@@ -35,19 +35,19 @@
 from primroseledge.ids import JobId
 from primroseledge.ids import Revision
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.actions import Order
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import PollFailed
-from primroseledge.jobs.actions import SendPoll
-from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.actions import SendStop
-from primroseledge.jobs.actions import Target
 from primroseledge.jobs.task import TaskKey
 from primroseledge.observability.fleet_metrics import create_fleet_metrics
 from primroseledge.owner.batch import Batch
 from primroseledge.platform.store_keys import StoreKeys
 from primroseledge.platform.worker_client import ORDER_TIMEOUT_S
+from primroseledge.scheduling.actions import Order
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import PollFailed
+from primroseledge.scheduling.actions import SendPoll
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.actions import SendStop
+from primroseledge.scheduling.actions import Target
 
 RESULT_WAIT_S: Final = 3.0
 EPOCH: Final = Epoch(3)
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -7,13 +7,13 @@
 
 import unittest
 
-from primroseledge.jobs.arrival_rate import Arrival
-from primroseledge.jobs.arrival_rate import ArrivalRate
-from primroseledge.jobs.arrival_rate import Rate
-from primroseledge.jobs.arrival_rate import RATE_WINDOW_S
-from primroseledge.jobs.demand import Demand
-from primroseledge.jobs.demand import estimated_core_s
-from primroseledge.jobs.demand import initial_cores_of
+from primroseledge.scheduling.arrival_rate import Arrival
+from primroseledge.scheduling.arrival_rate import ArrivalRate
+from primroseledge.scheduling.arrival_rate import Rate
+from primroseledge.scheduling.arrival_rate import RATE_WINDOW_S
+from primroseledge.scheduling.demand import Demand
+from primroseledge.scheduling.demand import estimated_core_s
+from primroseledge.scheduling.demand import initial_cores_of
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -8,17 +8,17 @@
 
 import unittest
 
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import ListedRun
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import Verdict
+from primroseledge.dispatch.polls import POLL_INTERVAL_S
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.progress import TaskRecord
 from primroseledge.jobs.resources import Resources
-from primroseledge.jobs.worker import WorkerState
-from primroseledge.jobs.worker_polls import POLL_INTERVAL_S
 from primroseledge.owner.recovery import restore_engine
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import ListedRun
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import Verdict
+from primroseledge.workers.worker import WorkerState
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
--- a/tests/test_fleet_fuzz.py
+++ b/tests/test_fleet_fuzz.py
@@ -19,7 +19,6 @@
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.configuration import Service
 from primroseledge.jobs.configuration import Workspace
-from primroseledge.jobs.fleet_state import FleetState
 from primroseledge.jobs.progress import FINAL_STATES
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.resources import NO_RESOURCES
@@ -27,6 +26,7 @@
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import JobSpec
 from primroseledge.jobs.spec import StepSpec
+from primroseledge.scheduling.fleet_state import FleetState
 from standins.worker_core import SimWorker
 from tests.fleet_rule_checker import FleetRuleChecker
 from tests.fleet_world import World
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -56,12 +56,12 @@
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
-from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import Verdict
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.progress import JobState
-from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.scheduling.actions import Answer
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import Verdict
+from primroseledge.workers.worker import WorkerEntry
 from tests.engine_bench import make_configuration
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
--- a/tests/test_job_soak_load.py
+++ b/tests/test_job_soak_load.py
@@ -14,9 +14,9 @@
 from primroseledge.http_client import NoAnswerError
 from primroseledge.http_client import NotSentError
 from primroseledge.ids import JobId
-from primroseledge.jobs.actions import EndKind
 from primroseledge.jobs.task import TaskKey
 from primroseledge.platform.decoding import decode_job
+from primroseledge.scheduling.actions import EndKind
 from standins.job_evidence import CallEvidence
 from standins.job_evidence import CallKind
 from standins.job_evidence import EvidenceFile
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -13,9 +13,7 @@
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkerId
-from primroseledge.jobs.actions import SendStart
 from primroseledge.jobs.configuration import Service
-from primroseledge.jobs.worker import WorkerState
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import ListInstances
 from primroseledge.maintenance.evacuation import may_be_unavailable
@@ -27,6 +25,8 @@
 from primroseledge.maintenance.wave import WaveNumber
 from primroseledge.maintenance.wave import WaveState
 from primroseledge.owner.outbox import MAX_WAVES_PER_BATCH
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.workers.worker import WorkerState
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
--- a/tests/test_node_loop.py
+++ b/tests/test_node_loop.py
@@ -22,8 +22,6 @@
 from primroseledge.http_client import HttpClient
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
-from primroseledge.jobs.actions import Answer
-from primroseledge.jobs.actions import Verdict
 from primroseledge.observability.fleet_metrics import create_fleet_metrics
 from primroseledge.platform.daemon import create_loop
 from primroseledge.platform.daemon import ShutdownTimer
@@ -31,6 +29,8 @@
 from primroseledge.platform.daemon import start_server
 from primroseledge.platform.daemon import start_servers
 from primroseledge.platform.settings import PlatformSettings
+from primroseledge.scheduling.actions import Answer
+from primroseledge.scheduling.actions import Verdict
 from standins.processes import free_port
 
 REQUEST = StateRequest(QueueId('sheets'), JobId('0' * 16))
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -11,7 +11,7 @@
 
 from bench.job_fleet import JobFleet
 from bench.job_load import small_shape
-from primroseledge.jobs.worker_polls import UNSTORED_POLL_INTERVAL_S
+from primroseledge.dispatch.polls import UNSTORED_POLL_INTERVAL_S
 from primroseledge.owner.outbox import MAX_RECORDS_PER_BATCH
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,9 +8,9 @@
 import unittest
 
 from primroseledge.ids import JobId
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.quarantine import Quarantine
-from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.workers.quarantine import Quarantine
+from primroseledge.workers.worker import WorkerEntry
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
--- a/tests/test_quarantine_room.py
+++ b/tests/test_quarantine_room.py
@@ -6,9 +6,9 @@
 
 from unittest import TestCase
 
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import SendStart
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import SendStart
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_run_end
--- a/tests/test_stale_boot.py
+++ b/tests/test_stale_boot.py
@@ -4,12 +4,12 @@
 import unittest
 
 from primroseledge.ids import Boot
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import PollAnswered
-from primroseledge.jobs.actions import RunEnd
-from primroseledge.jobs.actions import SendStart
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.actions import RunEnd
+from primroseledge.scheduling.actions import SendStart
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
--- a/tests/test_store_health.py
+++ b/tests/test_store_health.py
@@ -14,12 +14,12 @@
 from bench.job_fleet import TICK_S
 from bench.job_load import Outcome
 from bench.job_load import small_shape
-from primroseledge.jobs.actions import Verdict
 from primroseledge.owner.outbox import SLOW_BATCH_S
 from primroseledge.owner.store_health import MAX_STORE_WAIT_S
 from primroseledge.owner.store_health import MIN_OUTAGE_S
 from primroseledge.owner.store_health import RETRY_AFTER_S
 from primroseledge.owner.store_health import StoreHealth
+from primroseledge.scheduling.actions import Verdict
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -7,15 +7,15 @@
 
 import unittest
 
-from primroseledge.jobs.actions import ListedRun
-from primroseledge.jobs.actions import OrderEnded
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.actions import SendThrottle
+from primroseledge.dispatch.throttling import next_speed_percent
 from primroseledge.jobs.resources import Resources
-from primroseledge.jobs.throttling import next_speed_percent
-from primroseledge.jobs.worker import WorkerEntry
 from primroseledge.owner.recovery import restore_engine
+from primroseledge.scheduling.actions import ListedRun
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.actions import SendThrottle
+from primroseledge.workers.worker import WorkerEntry
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
--- a/tests/test_unplaced_steps.py
+++ b/tests/test_unplaced_steps.py
@@ -7,11 +7,11 @@
 
 import unittest
 
-from primroseledge.jobs.actions import EndKind
-from primroseledge.jobs.actions import SendStart
-from primroseledge.jobs.capacity_shortage import MAX_UNPLACED_STEPS
 from primroseledge.jobs.spec import StepSpec
-from primroseledge.jobs.worker import WorkerEntry
+from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.capacity_shortage import MAX_UNPLACED_STEPS
+from primroseledge.workers.worker import WorkerEntry
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_run_end
--- a/tests/test_wait_report.py
+++ b/tests/test_wait_report.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from primroseledge.jobs.wait_report import WaitReport
 from primroseledge.observability.events import Event
+from primroseledge.scheduling.wait_report import WaitReport
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -8,12 +8,12 @@
 import unittest
 
 from primroseledge.ids import Boot
-from primroseledge.jobs.actions import OrderResult
-from primroseledge.jobs.actions import SendStart
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.progress import TaskRecord
 from primroseledge.owner.recovery import restore_engine
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import SendStart
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
--- a/tools/adapter_names.py
+++ b/tools/adapter_names.py
@@ -16,7 +16,7 @@
     r'\b(kv-\w+|run-(start|stop)|machine-(move|upkeep)|fencing_token'
     r'|last_seen|memory_request_mb|api_keys|slack_factor|allow_anonymous'
     r'|task_spec|may_miss|anti_affinity|estimated_duration_ms'
-    r'|Expected-Instance|Duty-Holder|op/(config|wave)|servers/)'
+    r'|Expected-Instance|Duty-Holder|op/(config|wave|evacuate)|servers/)'
 )
 
 
