--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -12,27 +12,23 @@
 from typing import Final
 
 from primroseledge.ids import ServiceId
-from primroseledge.ids import WorkerId
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.resources import Resources
-from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.task import Task
 from primroseledge.scheduling.advice import step_key
 from primroseledge.scheduling.capacity_shortage import CapacityShortage
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.scheduling.gang_placement import place_gang
 from primroseledge.scheduling.gang_placement import spread_gang
-from primroseledge.scheduling.placement import BatchWorkerQueue
-from primroseledge.scheduling.placement import choose_worker
 from primroseledge.scheduling.placement import could_take
 from primroseledge.scheduling.placement import count_placement
-from primroseledge.scheduling.placement import is_ranked_once
 from primroseledge.scheduling.placement import StepPlacement
 from primroseledge.scheduling.probing import find_probe_tasks
 from primroseledge.scheduling.probing import may_probe
 from primroseledge.scheduling.start_priority import start_priority_of
 from primroseledge.scheduling.start_priority import StartPriority
+from primroseledge.scheduling.worker_choice import WorkerChooser
 from primroseledge.workers.worker import Worker
 
 MAX_PLANNED_STARTS: Final = 64
@@ -216,70 +212,6 @@
     return outcome
 
 
-class WorkerChooser:
-    """Chooses workers for the tasks of one step, one after the other.
-
-    Where the rank of a worker depends only on itself, all workers are ranked
-    once for the step; otherwise they are compared for each task.
-    """
-
-    def __init__(
-        self,
-        step: StepSpec,
-        workers: list[Worker],
-        placement: StepPlacement,
-    ) -> None:
-        self.step = step
-        self.workers = workers
-        self.placement = placement
-        self.queue: BatchWorkerQueue | None = None
-        self.unplaced_after: list[set[WorkerId]] = []
-
-    def choose(self, task: Task) -> Worker | None:
-        """Return the best worker for a task, or None if none has capacity."""
-        if task.failed_workers:
-            return self.choose_again(task)
-        if not is_ranked_once(self.step):
-            return choose_worker(self.step, self.workers, self.placement)
-        if self.queue is None:
-            self.queue = BatchWorkerQueue(
-                self.step, self.workers, self.placement
-            )
-        return self.queue.best_worker()
-
-    def choose_again(self, task: Task) -> Worker | None:
-        """Return the best worker for a task that has failed, or None.
-
-        A worker on which it failed is chosen only if no other has capacity.
-        Besides, a task must have succeeded there since, unless the rules and
-        the size of the step leave no other, or the task is long-running and
-        may fail any number of times.
-        """
-        if task.failed_workers in self.unplaced_after:
-            return None
-        others = [w for w in self.workers if w.id not in task.failed_workers]
-        failed = [w for w in self.workers if w.id in task.failed_workers]
-        if not self.step.is_long_running and any(
-            could_take(self.step, other, self.placement) for other in others
-        ):
-            job = task.key.job
-            failed = [w for w in failed if not w.quarantine.is_suspect(job)]
-        for workers in (others, failed):
-            worker = choose_worker(self.step, workers, self.placement)
-            if worker is not None:
-                return worker
-        self.unplaced_after.append(task.failed_workers)
-        return None
-
-    def record_placement(self, worker: Worker) -> None:
-        """Rank the workers again after a task was placed on one of them."""
-        queue = self.queue
-        if queue is not None and queue.best_worker() is worker:
-            queue.rank_again()
-        else:
-            self.queue = None
-
-
 def advised_workers(
     state: FleetState,
     job: Job,
