--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -10,6 +10,25 @@
 from primroseledge.observability.event_info import error
 from primroseledge.observability.event_info import info
 from primroseledge.observability.event_info import warning
+from primroseledge.observability.job_events import ADVICE_FAILED_INFO
+from primroseledge.observability.job_events import CALL_REFUSED_INFO
+from primroseledge.observability.job_events import CALL_UNSERVED_INFO
+from primroseledge.observability.job_events import INSTANCE_CALLED_INFO
+from primroseledge.observability.job_events import JOB_ACCEPTED_INFO
+from primroseledge.observability.job_events import JOB_ENDED_INFO
+from primroseledge.observability.job_events import JOB_REFUSED_INFO
+from primroseledge.observability.job_events import JOB_STARTED_INFO
+from primroseledge.observability.job_events import JOBS_WAIT_INFO
+from primroseledge.observability.job_events import PACE_SET_INFO
+from primroseledge.observability.job_events import RUN_ENDED_INFO
+from primroseledge.observability.job_events import RUN_LOST_INFO
+from primroseledge.observability.job_events import RUN_ORDERED_INFO
+from primroseledge.observability.job_events import RUN_STALLED_INFO
+from primroseledge.observability.job_events import START_FAILED_INFO
+from primroseledge.observability.job_events import STOP_ORDERED_INFO
+from primroseledge.observability.job_events import WORKER_ANSWERS_INFO
+from primroseledge.observability.job_events import WORKER_CHANGED_INFO
+from primroseledge.observability.job_events import WORKER_SILENT_INFO
 from primroseledge.observability.thread_events import CALL_FAILED_INFO
 from primroseledge.observability.thread_events import LINES_DROPPED_INFO
 from primroseledge.observability.thread_events import SERVER_PROBLEM_INFO
@@ -281,130 +300,24 @@
     )
     TRACE_DROPPED = TRACE_DROPPED_INFO
     LINES_DROPPED = LINES_DROPPED_INFO
-    JOB_ACCEPTED = info(
-        701,
-        'job {job} of workspace {workspace} accepted for queue {queue}: '
-        '{tasks} tasks, by configuration {revision}',
-        'A job is being stored; its caller is answered when it is.',
-        'Nothing.',
-    )
-    JOB_ENDED = info(
-        702,
-        'job {job} is {state} after {seconds} s',
-        'A job has reached its final state.',
-        'For a failed job, see the ends of its runs (704).',
-    )
-    RUN_ORDERED = info(
-        703,
-        'task {task} run {run} ordered on {worker} of boot {boot} '
-        'with a lease until {deadline_ms}, {look_age} s after its last poll',
-        'A stored start is being sent; the time is on the worker.',
-        'Nothing.',
-    )
-    RUN_ENDED = info(
-        704,
-        'task {task} run {run} on {worker} ended: {how}',
-        'A worker has listed the end of a run.',
-        'For many failed runs on one worker, look at the worker.',
-    )
-    RUN_LOST = warning(
-        705,
-        'task {task} run {run} on {worker} of boot {boot} given up: {reason}; '
-        '{phase}, sent {sends} times, last {sent_age} s, acknowledged '
-        '{confirmed_age} s and listed {listed_age} s ago',
-        'A run is over for certain and its end will not be listed.',
-        'Look at the worker; the task starts again.',
-    )
-    JOB_REFUSED = info(
-        706,
-        'job {job} refused: {reason}',
-        'A job was not accepted and never runs.',
-        'Look at the store, or at the load of the service.',
-    )
-    WORKER_CHANGED = info(
-        707,
-        'worker {worker} of {service} at {address} is {state}, boot {boot}',
-        'A worker came, changed its state, started again or left.',
-        'Nothing.',
-    )
-    WORKER_SILENT = warning(
-        708,
-        'worker {worker} did not answer a poll: {result}',
-        'No tasks are placed there until it answers.',
-        'Look at the worker and the network.',
-    )
-    START_FAILED = warning(
-        709,
-        'task {task} run {run} not started on {worker}: {result}',
-        'A start was refused or its answer is missing.',
-        'For many on one worker, look at the worker.',
-    )
-    INSTANCE_CALLED = info(
-        710,
-        '{what} of instance {instance}: {result}',
-        'The platform was told to move or to maintain an instance.',
-        'Nothing.',
-    )
-    ADVICE_FAILED = warning(
-        711,
-        'no advice: {problem}',
-        'The advisory service did not answer; the step waits.',
-        'Look at the advisory service.',
-    )
-    RUN_STALLED = warning(
-        712,
-        'task {task} run {run} on {worker} makes no progress at {percent} %',
-        'The task is stopped and starts on another worker.',
-        'For many on one worker, look at the worker.',
-    )
-    CALL_UNSERVED = warning(
-        713,
-        '{kind} of {job} ends as {verdict} after {seconds} s: sent {sends} '
-        'times, {declines} of them declined, owner of epoch {epoch}',
-        'No owner answered in time; unknown means that it may have been done.',
-        'Look for events 304 and 305 of that time, and for the store (202).',
-    )
-    JOB_STARTED = info(
-        714,
-        'job {job} begins after {seconds} s',
-        'The first start of a job is being sent.',
-        'For a long wait, look at the size of the pool and its workers (707).',
-    )
-    CALL_REFUSED = info(
-        715,
-        '{method} {path} refused with {status}: {reason}',
-        'A request was refused before any owner was asked; nothing ran.',
-        'Look at the configuration in force (205), or at what was sent.',
-    )
-    WORKER_ANSWERS = info(
-        716,
-        'worker {worker} answers polls again after {failures} failures',
-        'Tasks are placed there again.',
-        'Nothing.',
-    )
-    PACE_SET = info(
-        717,
-        'task {task} on {worker} is throttled to {percent} %, since {strain} '
-        'of the objective beside it is in use',
-        'A best-effort task is slowed down beside one that serves, or freed.',
-        'Nothing; see the service that shares the worker.',
-    )
-    STOP_ORDERED = info(
-        718,
-        'stop of task {task} run {run} ordered on {worker} of boot {boot}: '
-        '{reason}',
-        'A run is to end; its end is listed later.',
-        'For a run that nobody expects there, see its start (703) and why it '
-        'was given up (705).',
-    )
-    JOBS_WAIT = warning(
-        719,
-        '{jobs} jobs of service {service} have nothing running, {job} for '
-        '{seconds} s; of {workers} workers may not start tasks: {obstacles}; '
-        'most free capacity of one: {free_cpu} thousandths of a core',
-        'Steps wait though their turn has come.',
-        'If workers are free, see what holds them: polls (708), lists (707), '
-        'moves and maintenance (710); else look at the size of the pool.',
-    )
+    JOB_ACCEPTED = JOB_ACCEPTED_INFO
+    JOB_ENDED = JOB_ENDED_INFO
+    RUN_ORDERED = RUN_ORDERED_INFO
+    RUN_ENDED = RUN_ENDED_INFO
+    RUN_LOST = RUN_LOST_INFO
+    JOB_REFUSED = JOB_REFUSED_INFO
+    WORKER_CHANGED = WORKER_CHANGED_INFO
+    WORKER_SILENT = WORKER_SILENT_INFO
+    START_FAILED = START_FAILED_INFO
+    INSTANCE_CALLED = INSTANCE_CALLED_INFO
+    ADVICE_FAILED = ADVICE_FAILED_INFO
+    RUN_STALLED = RUN_STALLED_INFO
+    CALL_UNSERVED = CALL_UNSERVED_INFO
+    JOB_STARTED = JOB_STARTED_INFO
+    CALL_REFUSED = CALL_REFUSED_INFO
+    WORKER_ANSWERS = WORKER_ANSWERS_INFO
+    PACE_SET = PACE_SET_INFO
+    STOP_ORDERED = STOP_ORDERED_INFO
+    JOBS_WAIT = JOBS_WAIT_INFO
     CALL_FAILED = CALL_FAILED_INFO
     SERVER_PROBLEM = SERVER_PROBLEM_INFO
--- a/tools/module_names.py
+++ b/tools/module_names.py
@@ -18,7 +18,6 @@
     'src/primroseledge/cluster/fleet_node.py': 672,
     'src/primroseledge/cluster/node_loop.py': 481,
     'src/primroseledge/gateway/node.py': 435,
-    'src/primroseledge/observability/events.py': 410,
     'src/primroseledge/requests/entry.py': 403,
     'tests/agreement_node.py': 429,
     'tests/fleet_world.py': 731,
