Bound the number of a job's tasks

A caller could submit a job of 9,000,000,000 tasks: decode_job accepted it on, and the owner would have created an object for each. Its progress is one value of the store: 310 KB for 10,000 running tasks, 1,240 KB for 40,000, more than a value holds, so that the batch could never be stored; each next owner would fail by the same job. A job now has at most 10,000 tasks, those of all occurrences together, and a larger one is refused with 400 before any owner is asked.

--- a/src/primroseledge/jobs/spec.py
+++ b/src/primroseledge/jobs/spec.py
@@ -1,5 +1,7 @@
 """Jobs as callers submit them: steps, each with a number of tasks."""
 
+from typing import Final
+
 from msgspec import Struct
 
 from primroseledge.ids import JobId
@@ -7,6 +9,12 @@
 from primroseledge.ids import WorkspaceId
 from primroseledge.jobs.resources import Resources
 
+MAX_TASKS_PER_JOB: Final = 10_000
+"""Most tasks of a job, those of all occurrences together.
+
+The progress of all of them is one value of the store, which holds a megabyte.
+"""
+
 
 class StepSpec(Struct, frozen=True, array_like=True, kw_only=True):
     """A step of a job: ``count`` tasks with equal requirements.
@@ -112,4 +120,7 @@
             return f'step {number} comes after a step that is not earlier'
         if not Resources().fits_in(step.resources):
             return f'step {number} needs less than nothing'
+    tasks = spec.occurrences * sum(step.count for step in spec.steps)
+    if tasks > MAX_TASKS_PER_JOB:
+        return f'a job has at most {MAX_TASKS_PER_JOB} tasks, not {tasks}'
     return ''
