--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -56,6 +56,7 @@
 from primroseledge.cluster.messages import SubmitRequest
 from primroseledge.cluster.pending_calls import PendingCall
 from primroseledge.cluster.pending_calls import PendingCalls
+from primroseledge.cluster.worker_list_timing import WorkerListTiming
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.jobs.configuration import Configuration
@@ -75,17 +76,6 @@
 from primroseledge.scheduling.advice import AdviceAnswered
 from primroseledge.scheduling.advice import AdviceFailed
 
-WORKER_LIST_MAX_AGE_S: Final = 1.0
-"""Greatest age of the owner's list of workers, in seconds."""
-
-WORKER_LIST_RETRY_S: Final = 0.2
-
-WORKER_LIST_BUSY_MAX_AGE_S: Final = 0.3
-"""Greatest age of the owner's list of workers, in seconds.
-
-It applies while instances are being moved or are in maintenance.
-"""
-
 RELEASE_RETRY_S: Final = 0.5
 
 MIN_OWNERSHIP_S: Final = 10.0
@@ -138,9 +128,7 @@
     lease: LeaseId | None = None
     engine: Engine | None = None
     is_leaving: bool = False
-    workers_listed_at: float = 0.0
-    worker_list_retry_at: float = 0.0
-    is_worker_list_in_flight: bool = False
+    worker_list: WorkerListTiming = field(default_factory=WorkerListTiming)
     release_sent_at: float = 0.0
     vacant_since: float | None = None
     has_sent_leave: bool = False
@@ -382,8 +370,7 @@
                 now + TAKEOVER_PAUSE_S
             )
         self.engine = engine
-        self.workers_listed_at = now
-        self.is_worker_list_in_flight = False
+        self.worker_list.record_listed(now)
         ownership.advance('restored')
         log(
             Event.JOBS_RESTORED,
@@ -395,8 +382,7 @@
 
     def handle_workers_listed(self, event: WorkersListed, now: float) -> None:
         """Apply the list of workers to the engine."""
-        self.is_worker_list_in_flight = False
-        self.workers_listed_at = now
+        self.worker_list.record_listed(now)
         if self.engine is not None:
             self.engine.apply_worker_entries(
                 self.view.decode_workers(event.items), now
@@ -405,13 +391,9 @@
     def handle_worker_list_failed(
         self, event: WorkerListFailed, now: float
     ) -> None:
-        """Log the failure, and have the workers listed again soon.
-
-        The next ``ListWorkers`` follows after ``WORKER_LIST_RETRY_S``.
-        """
+        """Log the failure, and have the workers listed again soon."""
         log(Event.STORE_RETRIED, step='workers', problem=event.problem)
-        self.is_worker_list_in_flight = False
-        self.worker_list_retry_at = now + WORKER_LIST_RETRY_S
+        self.worker_list.record_failure(now)
 
     def handle_batch_stored(self, event: BatchStored, now: float) -> None:
         """Let the engine send what had to wait until a batch was stored."""
@@ -616,13 +598,8 @@
         if engine.is_fenced:
             self.ownership.lose_ownership()
             return []
-        if (
-            not self.is_worker_list_in_flight
-            and now >= self.worker_list_retry_at
-            and now
-            >= self.workers_listed_at + self.worker_list_max_age_s(engine)
-        ):
-            self.is_worker_list_in_flight = True
+        has_operations = bool(engine.instance_list.operations)
+        if self.worker_list.begin_if_due(has_operations, now):
             self.commands.append(ListWorkers())
         actions, batch = engine.reconcile(now)
         if batch is not None:
@@ -638,12 +615,6 @@
                 other_actions.append(action)
         return other_actions
 
-    def worker_list_max_age_s(self, engine: Engine) -> float:
-        """Return the greatest age of the list of workers, in seconds."""
-        if engine.instance_list.operations:
-            return WORKER_LIST_BUSY_MAX_AGE_S
-        return WORKER_LIST_MAX_AGE_S
-
     def is_ready(self, now: float) -> bool:
         """Return whether this instance is ready to serve new callers."""
         return (
