Keep the set of evacuated zones at each instance, by revision

EvacuatedZones orders complete reads, watch events, peers' replies and the read of a takeover by the store's revision; older knowledge is ignored. Messages and results get the set and its revision at their end. A key whose value cannot be decoded still counts. Malformed watched values are logged once a revision.

--- a/src/primroseledge/cluster/commands.py
+++ b/src/primroseledge/cluster/commands.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from primroseledge.cluster.evacuated_zones import EvacuatedZones
+from primroseledge.cluster.evacuated_zones import NO_ZONES
 from primroseledge.cluster.fleet_store import Item
 from primroseledge.cluster.fleet_store import LeaseId
 from primroseledge.cluster.messages import Message
@@ -57,20 +59,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RestoreJobs:
-    """Command to read all job and wave records and the list of workers."""
+    """Command to read the records, the list of workers and evacuated zones."""
 
     epoch: Epoch
 
 
 @dataclass(frozen=True, slots=True)
 class JobsRestored:
-    """Result of RestoreJobs: the records and the list of workers."""
+    """Result of RestoreJobs: records, list of workers, evacuated zones."""
 
     epoch: Epoch
     accepted: tuple[AcceptedJob, ...]
     progress: tuple[ProgressRecord, ...]
     waves: tuple[WaveRecord, ...]
     workers: tuple[Item, ...]
+    zones: EvacuatedZones = NO_ZONES
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/cluster/fleet_view.py
+++ b/src/primroseledge/cluster/fleet_view.py
@@ -1,8 +1,8 @@
 """What one entry instance knows of the fleet from the store and peers.
 
-This is the operators' configuration and waves, the members' addresses, and
-whether the store answers. A value that cannot be decoded is logged and
-ignored.
+This is the operators' configuration and waves, the evacuated zones, the
+members' addresses, and whether the store answers. A value that cannot be
+decoded is logged and ignored.
 """
 
 from collections.abc import Callable
@@ -16,6 +16,9 @@
 from primroseledge.cluster.commands import WatchedKeysRead
 from primroseledge.cluster.compression import compress_data
 from primroseledge.cluster.compression import decompress_data
+from primroseledge.cluster.evacuated_zones import EvacuatedZones
+from primroseledge.cluster.evacuated_zones import find_evacuated_zones
+from primroseledge.cluster.evacuated_zones import NO_ZONES
 from primroseledge.cluster.fleet_ownership import FleetOwnership
 from primroseledge.cluster.fleet_store import Item
 from primroseledge.cluster.keys import decode_member
@@ -27,6 +30,8 @@
 from primroseledge.cluster.messages import PeerStateReply
 from primroseledge.errors import DocumentError
 from primroseledge.ids import EntryId
+from primroseledge.ids import Revision
+from primroseledge.ids import ZoneId
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveNumber
@@ -45,9 +50,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Decoders:
-    """Decoders for the values of the platform's keys.
+    """Decoders for the platform's keys and their values.
 
-    Each of them raises DocumentError for a malformed value.
+    Those of values raise DocumentError for a malformed one.
+    ``find_evacuated_zone`` returns the zone that a key evacuates, if any.
     """
 
     configuration_key: str
@@ -55,14 +61,16 @@
     worker: Callable[[Item, Configuration], WorkerEntry]
     is_wave_key: Callable[[str], bool]
     wave: Callable[[Item], Wave]
+    find_evacuated_zone: Callable[[str], ZoneId | None] = lambda _key: None
+    check_evacuation: Callable[[Item], None] = lambda _item: None
 
 
 @dataclass(slots=True)
 class FleetView:
     """This instance's latest knowledge of the fleet.
 
-    ``rejected_worker_entries`` maps the key of each malformed worker entry
-    to its revision, so that the same entry is logged only once.
+    ``rejected_items`` maps the key of each malformed value to its revision,
+    so that the same value is logged only once.
     """
 
     entry: EntryId
@@ -75,20 +83,32 @@
     compressed_configuration: bytes = b''
     members: dict[EntryId, MemberRecord] = field(default_factory=dict)
     waves: dict[WaveNumber, Wave] = field(default_factory=dict)
+    zones: EvacuatedZones = NO_ZONES
     is_store_unavailable: bool = False
     store_unavailable_since: float = 0.0
     gossiped_at: float = 0.0
-    rejected_worker_entries: dict[str, int] = field(default_factory=dict)
+    rejected_items: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def evacuated_zones(self) -> frozenset[ZoneId]:
+        """Return the zones in which nothing is to be started."""
+        return self.zones.zones
+
+    @property
+    def zones_revision(self) -> Revision:
+        """Return the store's revision at which the evacuated zones held."""
+        return self.zones.revision
 
     def apply_keys(
         self, event: WatchedKeysRead, ownership: FleetOwnership, now: float
     ) -> None:
         """Apply watched keys to this view and to the ownership.
 
-        If the event is complete, the owner and members without a key in it
-        are dropped.
+        If the event is complete, the owner, members and evacuated zones
+        without a key in it are dropped.
         """
         self.record_store_available(now)
+        self.apply_zone_keys(event)
         present_keys = set[str]()
         for item in event.items:
             present_keys.add(item.key)
@@ -101,6 +121,19 @@
             if f'{MEMBER_PREFIX}{entry}' not in present_keys:
                 self.drop_member(entry)
 
+    def apply_zone_keys(self, event: WatchedKeysRead) -> None:
+        """Update the evacuated zones; the key counts, not its value."""
+        find_zone = self.decoders.find_evacuated_zone
+        if event.is_complete:
+            found = find_evacuated_zones(
+                event.items, event.revision, find_zone
+            )
+            self.zones = self.zones.newest(found)
+        else:
+            self.zones = self.zones.after_changes(
+                event.items, event.revision, find_zone
+            )
+
     def apply_key(self, item: Item, ownership: FleetOwnership) -> None:
         """Apply one key's value or deletion; log a malformed value."""
         try:
@@ -113,7 +146,15 @@
                 self.apply_wave(item)
             elif item.key == self.decoders.configuration_key and item.value:
                 self.apply_configuration(item.value)
+            elif item.value is not None:
+                self.decoders.check_evacuation(item)
         except DocumentError as error:
+            self.log_rejected(item, error)
+
+    def log_rejected(self, item: Item, error: DocumentError) -> None:
+        """Log a malformed value, once for each revision of its key."""
+        if self.rejected_items.get(item.key) != item.revision:
+            self.rejected_items[item.key] = item.revision
             log(Event.INPUT_SKIPPED, subject=item.key, problem=str(error))
 
     def apply_member(self, item: Item) -> None:
@@ -178,13 +219,7 @@
             try:
                 entries.append(self.decoders.worker(item, configuration))
             except DocumentError as error:
-                if self.rejected_worker_entries.get(item.key) != item.revision:
-                    self.rejected_worker_entries[item.key] = item.revision
-                    log(
-                        Event.INPUT_SKIPPED,
-                        subject=item.key,
-                        problem=str(error),
-                    )
+                self.log_rejected(item, error)
         return entries
 
     def handle_store_unavailable(
@@ -239,7 +274,13 @@
         is_newer = version > query.configuration_version
         is_sent = is_newer and query.wants_configuration
         compressed = self.compress_configuration() if is_sent else b''
-        return PeerStateReply(ownership.owner, version, compressed)
+        return PeerStateReply(
+            ownership.owner,
+            version,
+            compressed,
+            tuple(sorted(self.evacuated_zones)),
+            self.zones_revision,
+        )
 
     def compress_configuration(self) -> bytes:
         """Return the configuration in compressed form; cache the result."""
@@ -252,7 +293,11 @@
     def handle_peer_state(
         self, peer_state: PeerStateReply, ownership: FleetOwnership
     ) -> None:
-        """Apply a peer's owner and configuration where they are newer."""
+        """Apply a peer's owner, zones and configuration if newer."""
+        zones = EvacuatedZones(
+            frozenset(peer_state.evacuated_zones), peer_state.zones_revision
+        )
+        self.zones = self.zones.newest(zones)
         if peer_state.owner is not None:
             ownership.apply_owner_from_peer(peer_state.owner)
         if not peer_state.compressed_configuration:
--- a/src/primroseledge/cluster/messages.py
+++ b/src/primroseledge/cluster/messages.py
@@ -16,6 +16,8 @@
 from primroseledge.ids import Epoch
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
+from primroseledge.ids import Revision
+from primroseledge.ids import ZoneId
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.scheduling.actions import Answer
 
@@ -87,7 +89,7 @@
 
 
 class PeerStateQuery(Struct, frozen=True, tag='NewsQuery', array_like=True):
-    """A query for a peer's owner and configuration.
+    """A query for a peer's owner, configuration and evacuated zones.
 
     It is sent while the store does not answer. ``configuration_version``
     is the sender's own version; only one peer at a time is queried with
@@ -102,12 +104,15 @@
     """A peer's reply to a ``PeerStateQuery``.
 
     ``compressed_configuration`` is empty unless the query wanted it and
-    had an older version.
+    had an older version. ``evacuated_zones`` were true at ``zones_revision``
+    of the store; 0 means that the peer does not know them.
     """
 
     owner: OwnerView | None
     configuration_version: int
     compressed_configuration: bytes
+    evacuated_zones: tuple[ZoneId, ...] = ()
+    zones_revision: Revision = Revision(0)
 
 
 Message = (
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -12,7 +12,6 @@
 from threading import Thread
 from typing import Any
 from typing import Final
-from typing import Protocol
 
 from msgspec import msgpack
 
@@ -35,6 +34,7 @@
 from primroseledge.cluster.commands import StoreBatch
 from primroseledge.cluster.commands import WorkerListFailed
 from primroseledge.cluster.commands import WorkersListed
+from primroseledge.cluster.evacuated_zones import find_evacuated_zones
 from primroseledge.cluster.fleet_store import FleetStore
 from primroseledge.cluster.fleet_store import Put
 from primroseledge.cluster.fleet_store import Transaction
@@ -51,6 +51,7 @@
 from primroseledge.cluster.keys import RECORD_PREFIX
 from primroseledge.cluster.keys import WAVE_PREFIX
 from primroseledge.cluster.messages import OwnerView
+from primroseledge.cluster.platform_keys import PlatformKeys
 from primroseledge.cluster.store_failures import fail_command
 from primroseledge.cluster.store_failures import StoreCommand
 from primroseledge.errors import ConflictError
@@ -76,17 +77,6 @@
 """
 
 
-class PlatformKeys(Protocol):
-    """The store keys that the platform defines."""
-
-    @property
-    def worker_prefix(self) -> str:
-        """Return the common prefix of the keys of workers."""
-
-    def encode_wave_status(self, wave: WaveRecord) -> Put:
-        """Return the write of a wave's status, which operators read."""
-
-
 class StoreThread:
     """Executes commands one at a time and posts their results.
 
@@ -228,14 +218,17 @@
 def restore_jobs(
     thread: StoreThread, command: RestoreJobs
 ) -> JobsRestored | OwnershipLost:
-    """Read all records and workers, with retries until the store answers.
+    """Read what a new owner needs, with retries until the store answers.
 
-    The result is OwnershipLost if the thread is stopped before that.
+    Evacuated zones are read last, so that they are as new as possible when
+    the owner begins to plan. The result is OwnershipLost if the thread is
+    stopped before all was read.
     """
     while True:
         try:
             records = thread.store.read_all(RECORD_PREFIX).items
             workers = thread.store.read_all(thread.keys.worker_prefix).items
+            evacuations = thread.store.read_all(thread.keys.evacuation_prefix)
         except StoreError as error:
             log(Event.STORE_RETRIED, step='restore', problem=str(error))
             if not thread.wait_before_retry():
@@ -247,6 +240,11 @@
             tuple(decode_records(records, PROGRESS_PREFIX, ProgressRecord)),
             tuple(decode_records(records, WAVE_PREFIX, WaveRecord)),
             workers,
+            find_evacuated_zones(
+                evacuations.items,
+                evacuations.revision,
+                thread.keys.find_evacuated_zone,
+            ),
         )
 
 
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -183,6 +183,8 @@
             decode_configured_worker,
             keys.is_wave_key,
             keys.decode_wave,
+            keys.find_evacuated_zone,
+            keys.check_evacuation,
         ),
         settings.seed_addresses,
     )
--- a/src/primroseledge/platform/store.py
+++ b/src/primroseledge/platform/store.py
@@ -32,6 +32,7 @@
 from primroseledge.ids import Revision
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.platform.store_keys import EVACUATION_PREFIX
 from primroseledge.platform.wire import MALFORMED_ERRORS
 from primroseledge.platform.wire import WireItem
 from primroseledge.platform.wire import WireItemPage
@@ -228,13 +229,19 @@
 
 
 def to_items(wire_items: list[WireItem]) -> list[Item]:
-    """Convert items; log and skip those that cannot be decoded."""
+    """Convert items; log and skip those that cannot be decoded.
+
+    An evacuation counts by its key: it is kept with an empty value.
+    """
     items = list[Item]()
     for wire_item in wire_items:
         try:
             items.append(to_item(wire_item))
         except StoreError as error:
             log(Event.INPUT_SKIPPED, subject=wire_item.key, problem=str(error))
+            if wire_item.key.startswith(EVACUATION_PREFIX):
+                revision = Revision(wire_item.revision)
+                items.append(Item(wire_item.key, b'', revision))
     return items
 
 
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -55,7 +55,6 @@
 from primroseledge.jobs.configuration import Configuration
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.spec import AcceptedJob
-from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.scheduling.actions import Answer
 from primroseledge.scheduling.actions import OrderEnded
 from primroseledge.scheduling.actions import OrderResult
@@ -69,11 +68,11 @@
 from primroseledge.workers.worker import WorkerEntry
 from standins.storage_core import SimStorage
 from standins.worker_core import SimWorker
+from tests.fleet_platform_keys import SimPlatformKeys
+from tests.fleet_platform_keys import WORKER_PREFIX
 from tests.fleet_rule_checker import FleetRuleChecker
 from tests.fleet_storage import SimStoreClient
 
-WORKER_PREFIX = 'workers/'
-"""Key prefix of the workers' entries; the platform's has another value."""
 TICK_S = 0.05
 LEASE_TTL_S = 2.0
 ORDER_TIMEOUT_S = 0.6
@@ -85,15 +84,6 @@
     """Raised where the store thread would wait before it retries a call."""
 
 
-class SimPlatformKeys:
-    """The names of the platform's keys in the simulation."""
-
-    worker_prefix = WORKER_PREFIX
-
-    def encode_wave_status(self, wave: WaveRecord) -> Put:
-        return Put(f'wave/{wave.number}', b'')
-
-
 @dataclass(eq=False)
 class SimStoreThread:
     """The state of a store thread, passed to the handlers of its commands.
@@ -188,12 +178,14 @@
     # Processes
 
     def start_node(self, entry: EntryId, incarnation: int) -> SimNode:
+        sim_keys = SimPlatformKeys()
         decoders = Decoders(
             'op/config',
             lambda _data: self.configuration,
             self.decode_worker,
             lambda _key: False,
             self.reject_wave,
+            sim_keys.find_evacuated_zone,
         )
         view = FleetView(
             entry, f'{entry}:{incarnation}', decoders, random=self.random
