Keep instances of an evacuated zone out of pools and moves

Maintenance of the zone's instances goes first and is held up neither by a backlog nor by the limit for a pool, as they serve nothing.

--- a/src/primroseledge/maintenance/pool_moves.py
+++ b/src/primroseledge/maintenance/pool_moves.py
@@ -16,6 +16,9 @@
 from primroseledge.maintenance.instance_list import OperationState
 from primroseledge.maintenance.instance_list import record_call
 from primroseledge.maintenance.instance_list import release_worker
+from primroseledge.maintenance.pool_release import find_required_labels
+from primroseledge.maintenance.pool_release import is_last_with_label
+from primroseledge.maintenance.pool_release import release_rank
 from primroseledge.maintenance.wave import InstanceRow
 from primroseledge.maintenance.wave import InstanceState
 from primroseledge.observability.events import Event
@@ -34,7 +37,8 @@
 
     These are the instances that this owner's operations will add, and other
     ones listed in the pool that are moving, in maintenance or up without a
-    known worker. An earlier owner may have moved those.
+    known worker. An earlier owner may have moved those. Instances of
+    evacuated zones don't count.
     """
     without_operation = sum(
         1
@@ -43,18 +47,22 @@
         and is_incoming(state, row)
         and row.id not in instances.operations
     )
-    return without_operation + count_incoming_operations(instances, service)
+    return without_operation + count_incoming_operations(
+        state, instances, service
+    )
 
 
 def is_incoming(state: FleetState, row: InstanceRow) -> bool:
     """Return whether an instance is about to have a worker in its pool."""
+    if row.zone in state.evacuated_zones:
+        return False
     if row.state is InstanceState.UP:
         return row.worker is None or row.worker not in state.workers
     return row.state in (InstanceState.MOVING, InstanceState.IN_MAINTENANCE)
 
 
 def count_incoming_operations(
-    instances: InstanceList, service: ServiceId
+    state: FleetState, instances: InstanceList, service: ServiceId
 ) -> int:
     """Return how many operations will add an instance to a pool.
 
@@ -64,15 +72,26 @@
     return sum(
         1
         for operation in instances.operations.values()
-        if operation.target_pool == service
-        or (
-            operation.wave_number is not None
-            and operation.state is OperationState.AWAITING_RETURN
-            and pool_of(instances, operation) == service
+        if not is_in_evacuated_zone(state, instances, operation)
+        and (
+            operation.target_pool == service
+            or (
+                operation.wave_number is not None
+                and operation.state is OperationState.AWAITING_RETURN
+                and pool_of(instances, operation) == service
+            )
         )
     )
 
 
+def is_in_evacuated_zone(
+    state: FleetState, instances: InstanceList, operation: Operation
+) -> bool:
+    """Return whether an operation's instance is in an evacuated zone."""
+    row = instances.rows.get(operation.instance)
+    return row is not None and row.zone in state.evacuated_zones
+
+
 def pool_of(instances: InstanceList, operation: Operation) -> ServiceId | None:
     """Return the pool that an operation's instance is in, if it is listed."""
     row = instances.rows.get(operation.instance)
@@ -94,7 +113,7 @@
     pool, then up to ``max_free`` free ones are moved from the standby pool,
     then instances that other pools release are redirected. What is still
     missing is recorded as the pool's shortfall; pools that shrink later
-    release instances to it.
+    release instances to it. Instances of evacuated zones are left out.
     """
     for operation in list(instances.operations.values()):
         if count <= 0:
@@ -102,13 +121,15 @@
         is_leaving = operation.target_pool == standby and (
             operation.state is OperationState.DRAINING
         )
+        if is_in_evacuated_zone(state, instances, operation):
+            continue
         if is_leaving and pool_of(instances, operation) == service:
             cancel_move(state, instances, operation)
             count -= 1
-    free = standby_instances(instances, service, standby)
+    free = standby_instances(state, instances, service, standby)
     free = free[: min(count, max_free)]
     count -= len(free)
-    count -= redirect_moves(instances, service, standby, count)
+    count -= redirect_moves(state, instances, service, standby, count)
     if count > 0:
         instances.shortfalls[service] = count
     for instance in free:
@@ -121,12 +142,16 @@
 
 
 def redirect_moves(
-    instances: InstanceList, service: ServiceId, standby: ServiceId, count: int
+    state: FleetState,
+    instances: InstanceList,
+    service: ServiceId,
+    standby: ServiceId,
+    count: int,
 ) -> int:
     """Redirect up to ``count`` moves to a pool; return how many were.
 
     These are moves from other pools to the standby pool whose instances still
-    drain.
+    drain, but for those in evacuated zones.
     """
     redirected = 0
     for operation in instances.operations.values():
@@ -136,6 +161,8 @@
             operation.state is OperationState.DRAINING
         )
         move = (operation.instance, service)
+        if is_in_evacuated_zone(state, instances, operation):
+            continue
         if is_leaving and move not in instances.refused_moves:
             operation.target_pool = service
             redirected += 1
@@ -165,24 +192,39 @@
     return service
 
 
-def count_free_instances(instances: InstanceList, standby: ServiceId) -> int:
+def count_free_instances(
+    state: FleetState, instances: InstanceList, standby: ServiceId
+) -> int:
     """Return how many instances of the standby pool may be moved."""
-    return sum(is_free(instances, r, standby) for r in instances.rows.values())
+    return sum(
+        is_free(state, instances, row, standby)
+        for row in instances.rows.values()
+    )
 
 
 def is_free(
-    instances: InstanceList, row: InstanceRow, standby: ServiceId
+    state: FleetState,
+    instances: InstanceList,
+    row: InstanceRow,
+    standby: ServiceId,
 ) -> bool:
-    """Return whether an instance is up and unused in the standby pool."""
+    """Return whether an instance is up and unused in the standby pool.
+
+    None of an evacuated zone is.
+    """
     return (
-        row.pool == standby
+        row.zone not in state.evacuated_zones
+        and row.pool == standby
         and row.state is InstanceState.UP
         and row.id not in instances.operations
     )
 
 
 def standby_instances(
-    instances: InstanceList, service: ServiceId, standby: ServiceId
+    state: FleetState,
+    instances: InstanceList,
+    service: ServiceId,
+    standby: ServiceId,
 ) -> list[InstanceId]:
     """Return the standby instances that may be moved to a pool.
 
@@ -195,7 +237,7 @@
     free = [
         row
         for row in instances.rows.values()
-        if is_free(instances, row, standby)
+        if is_free(state, instances, row, standby)
         and (row.id, service) not in instances.refused_moves
     ]
     free.sort(key=lambda row: (per_rack.get(row.rack, 0), row.id))
@@ -244,42 +286,6 @@
         advance_move(state, instances, operation, now)
 
 
-def find_required_labels(state: FleetState, members: list[Worker]) -> set[str]:
-    """Return the labels that unfinished steps of a pool's jobs require."""
-    services = {worker.entry.service for worker in members}
-    return {
-        step.spec.required_label
-        for job in state.active_jobs.values()
-        if state.service_of(job) in services
-        for step in job.steps.values()
-        if step.spec.required_label and not step.is_done
-    }
-
-
-def is_last_with_label(
-    worker: Worker, members: list[Worker], labels: set[str]
-) -> bool:
-    """Return whether no other worker of a pool has one of the labels."""
-    others = [
-        other
-        for other in members
-        if other is not worker and not other.is_drained_by_owner
-    ]
-    return any(
-        label in worker.entry.labels
-        and not any(label in other.entry.labels for other in others)
-        for label in labels
-    )
-
-
-def release_rank(worker: Worker) -> tuple[bool, int]:
-    """Return a worker's sort key; the lowest is released first.
-
-    Workers without long-running tasks come first, then those with few tasks.
-    """
-    return (worker.long_running_count > 0, len(worker.tasks))
-
-
 def advance_move(
     state: FleetState,
     instances: InstanceList,
@@ -288,8 +294,9 @@
 ) -> None:
     """Continue a move: drain the worker, then send the call, and retry it.
 
-    The move is cancelled if the instance's worker has changed, or if the call
-    has not succeeded ``MOVE_TIMEOUT_S`` after it was first sent.
+    The move is cancelled if the instance's worker has changed, if its zone is
+    evacuated, or if the call has not succeeded ``MOVE_TIMEOUT_S`` after it was
+    first sent.
     """
     if (
         operation.state is OperationState.AWAITING_RETURN
@@ -298,9 +305,13 @@
     ):
         return
     row = instances.rows.get(operation.instance)
-    if row is None or row.worker != operation.worker:
-        # The instance has restarted, moved or is gone. The next sizing of
-        # the pools decides anew.
+    if (
+        row is None
+        or row.worker != operation.worker
+        or row.zone in state.evacuated_zones
+    ):
+        # The instance has restarted, moved, is gone or of no use. The next
+        # sizing of the pools decides anew.
         cancel_move(state, instances, operation)
         return
     worker = state.workers.get(operation.worker) if operation.worker else None
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -154,7 +154,7 @@
         for pool in targets
         if is_growth_due(instances, pool, now)
     }
-    free = count_free_instances(instances, standby)
+    free = count_free_instances(state, instances, standby)
     for service, part in divide_instances(free, lacking).items():
         grow(state, instances, service, standby, lacking[service], part, now)
 
@@ -255,7 +255,8 @@
 ) -> list[Worker]:
     """Return a pool's workers that can be given tasks.
 
-    Draining, unresponsive, quarantined and unlisted ones are left out.
+    Draining, unresponsive, quarantined and unlisted ones are left out, and
+    those in evacuated zones.
     """
     return [
         worker
@@ -263,6 +264,7 @@
         if worker.entry.service == service
         and worker.is_listed
         and worker.entry.state is WorkerState.READY
+        and not worker.is_zone_evacuated
         and not worker.is_drained_by_owner
         and not worker.poll_failures
         and not worker.quarantine.is_active(now)
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -154,16 +154,25 @@
 ) -> list[InstanceId]:
     """Return up to ``limit`` instances whose maintenance may start now.
 
-    Those with the least load come first. An instance is left out while its
-    pool has a backlog or too many instances that are drained or down. This
-    does not apply to the standby pool, nor if the wave is urgent.
+    Those of evacuated zones come first, then those with the least load. An
+    instance is left out while its pool has a backlog or too many instances
+    that are drained or down. This does not apply to the standby pool, to
+    evacuated zones, which serve nothing, nor if the wave is urgent.
     """
     backlog = services_with_backlog(state)
     chosen = list[InstanceId]()
-    unavailable = count_unavailable(instances)
-    for instance in sorted(
-        remaining, key=lambda i: count_tasks_by_kind(state, instances, i)
-    ):
+    evacuated = {
+        row.id
+        for row in instances.rows.values()
+        if row.zone in state.evacuated_zones
+    }
+    unavailable = count_unavailable(instances, evacuated)
+
+    def rank(instance: InstanceId) -> tuple[bool, tuple[int, int]]:
+        tasks = count_tasks_by_kind(state, instances, instance)
+        return (instance not in evacuated, tasks)
+
+    for instance in sorted(remaining, key=rank):
         row = instances.rows[instance]
         if (
             instance in instances.operations
@@ -172,15 +181,20 @@
             continue
         service = state.configuration.services.get(row.pool)
         is_standby = service is not None and service.is_standby
-        size = sum(1 for r in instances.rows.values() if r.pool == row.pool)
+        size = sum(
+            other.pool == row.pool and other.id not in evacuated
+            for other in instances.rows.values()
+        )
         max_unavailable = max(1, int(size * MAX_UNAVAILABLE_SHARE))
         is_blocked = (
             unavailable.get(row.pool, 0) >= max_unavailable
             or row.pool in backlog
         )
-        if is_blocked and not (is_urgent or is_standby):
+        is_in_use = not is_standby and instance not in evacuated
+        if is_blocked and is_in_use and not is_urgent:
             continue
-        unavailable[row.pool] = unavailable.get(row.pool, 0) + 1
+        if instance not in evacuated:
+            unavailable[row.pool] = unavailable.get(row.pool, 0) + 1
         chosen.append(instance)
         if len(chosen) >= limit:
             break
@@ -201,12 +215,17 @@
     return services
 
 
-def count_unavailable(instances: InstanceList) -> dict[ServiceId, int]:
-    """Return how many instances of each pool have an operation in progress."""
+def count_unavailable(
+    instances: InstanceList, evacuated: set[InstanceId]
+) -> dict[ServiceId, int]:
+    """Return how many instances of each pool have an operation in progress.
+
+    The ``evacuated`` ones are left out: they are not in use anyway.
+    """
     unavailable = dict[ServiceId, int]()
     for operation in instances.operations.values():
         row = instances.rows.get(operation.instance)
-        if row is not None:
+        if row is not None and row.id not in evacuated:
             unavailable[row.pool] = unavailable.get(row.pool, 0) + 1
     return unavailable
 
