--- a/src/primroseledge/cluster/commands.py
+++ b/src/primroseledge/cluster/commands.py
@@ -140,14 +140,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ListWorkers:
-    """Command to read the list of workers."""
+    """Command to read the list of workers and the evacuated zones."""
 
 
 @dataclass(frozen=True, slots=True)
 class WorkersListed:
-    """Result of ListWorkers: the worker entries stored by the platform."""
+    """Result of ListWorkers: the platform's worker entries, and the zones."""
 
     items: tuple[Item, ...]
+    zones: EvacuatedZones = NO_ZONES
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -385,8 +385,10 @@
         )
 
     def handle_workers_listed(self, event: WorkersListed, now: float) -> None:
-        """Apply the list of workers to the engine."""
+        """Apply the list of workers and the zones to the engine."""
         self.worker_list.record_listed(now)
+        self.view.zones = self.view.zones.newest(event.zones)
+        self.apply_view_to_engine(now)
         if self.engine is not None:
             self.engine.apply_worker_entries(
                 self.view.decode_workers(event.items), now
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -34,7 +34,6 @@
 from primroseledge.cluster.commands import StoreBatch
 from primroseledge.cluster.commands import WorkerListFailed
 from primroseledge.cluster.commands import WorkersListed
-from primroseledge.cluster.evacuated_zones import find_evacuated_zones
 from primroseledge.cluster.fleet_store import FleetStore
 from primroseledge.cluster.fleet_store import Put
 from primroseledge.cluster.fleet_store import Transaction
@@ -52,6 +51,7 @@
 from primroseledge.cluster.keys import WAVE_PREFIX
 from primroseledge.cluster.messages import OwnerView
 from primroseledge.cluster.platform_keys import PlatformKeys
+from primroseledge.cluster.platform_keys import read_evacuated_zones
 from primroseledge.cluster.store_failures import fail_command
 from primroseledge.cluster.store_failures import StoreCommand
 from primroseledge.errors import ConflictError
@@ -228,7 +228,7 @@
         try:
             records = thread.store.read_all(RECORD_PREFIX).items
             workers = thread.store.read_all(thread.keys.worker_prefix).items
-            evacuations = thread.store.read_all(thread.keys.evacuation_prefix)
+            zones = read_evacuated_zones(thread.store, thread.keys)
         except StoreError as error:
             log(Event.STORE_RETRIED, step='restore', problem=str(error))
             if not thread.wait_before_retry():
@@ -240,11 +240,7 @@
             tuple(decode_records(records, PROGRESS_PREFIX, ProgressRecord)),
             tuple(decode_records(records, WAVE_PREFIX, WaveRecord)),
             workers,
-            find_evacuated_zones(
-                evacuations.items,
-                evacuations.revision,
-                thread.keys.find_evacuated_zone,
-            ),
+            zones,
         )
 
 
@@ -385,9 +381,13 @@
 def list_workers(
     thread: StoreThread, _command: ListWorkers
 ) -> WorkersListed | WorkerListFailed:
-    """Read the list of workers, without retries."""
+    """Read the list of workers and the evacuated zones, without retries.
+
+    So an owner learns of an evacuation also while its watch is interrupted.
+    """
     try:
         listed = thread.store.read_all(thread.keys.worker_prefix)
+        zones = read_evacuated_zones(thread.store, thread.keys)
     except StoreError as error:
         return WorkerListFailed(str(error))
-    return WorkersListed(listed.items)
+    return WorkersListed(listed.items, zones)
--- a/standins/worker_core.py
+++ b/standins/worker_core.py
@@ -98,6 +98,7 @@
     is_gone: bool = False
     fails_all: bool = False
     state: WorkerState = WorkerState.READY
+    zone: ZoneId = ZoneId('z')
     epoch: int = 0
     deadline_ms: int = 0
     ends_seen: int = 0
@@ -118,7 +119,7 @@
             self.boot,
             self.service,
             f'{self.id}:1',
-            ZoneId('z'),
+            self.zone,
             self.state,
             self.capacity,
             self.labels,
--- a/tests/fleet_rule_checker.py
+++ b/tests/fleet_rule_checker.py
@@ -14,6 +14,7 @@
 from primroseledge.ids import JobId
 from primroseledge.ids import WorkerId
 from primroseledge.ids import WorkspaceId
+from primroseledge.ids import ZoneId
 from primroseledge.jobs.resources import NO_RESOURCES
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import AcceptedJob
@@ -24,6 +25,10 @@
 
 CANCEL_GRACE_S = 3.0
 """Seconds after a confirmed cancellation in which tasks may still start."""
+EVACUATION_S = 5.0
+"""Seconds after an evacuation was stored in which a start may be sent."""
+REJECTED_EVACUATION_S = 11.0
+"""Replaces ``EVACUATION_S`` for an owner that the store rejects."""
 LIMIT_TOLERANCE = 1.1
 """Factor of a workspace's limit that its running tasks may reach.
 
@@ -61,6 +66,8 @@
       due.
     - ``QUOTA``: the running tasks of a workspace exceed its limit.
     - ``BUDGET``: a task runs although it failed as often as is allowed.
+    - ``ZONE``: a start is sent into an evacuated zone after the time in which
+      every owner must know of the evacuation.
     """
 
     def __init__(
@@ -81,6 +88,7 @@
         self.histories: dict[TaskKey, TaskHistory] = collections.defaultdict(
             TaskHistory
         )
+        self.evacuated: dict[ZoneId, float] = {}
         self.violations: list[str] = []
         self.advance_workers: Callable[[float], None] = lambda _now: None
         self.start_count = 0
@@ -143,6 +151,17 @@
         if cancelled_at is not None and now > cancelled_at + CANCEL_GRACE_S:
             self.violations.append(f'UNASKED {task} after its cancel')
 
+    def check_zone(
+        self, order: SendStart, zone: ZoneId, is_rejected: bool, now: float
+    ) -> None:
+        allowed_s = REJECTED_EVACUATION_S if is_rejected else EVACUATION_S
+        evacuated_at = self.evacuated.get(zone)
+        if evacuated_at is not None and now > evacuated_at + allowed_s:
+            self.violations.append(
+                f'ZONE {order.task} sent into {zone} at {now:.3f}, '
+                f'evacuated at {evacuated_at:.3f}'
+            )
+
     def check_order(self, task: TaskKey, now: float) -> None:
         job = self.jobs[task.job]
         for required_step in job.spec.steps[task.step].after:
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -522,6 +522,11 @@
 
     def send_order(self, sim: SimNode, order: Any, epoch: Epoch) -> None:
         worker = self.workers[order.target.worker]
+        if isinstance(order, SendStart):
+            is_rejected = sim.thread.store.is_disconnected
+            self.rule_checker.check_zone(
+                order, worker.zone, is_rejected, self.now
+            )
         free_at = max(self.now, sim.next_order_at.get(worker.id, 0.0))
         arrives = free_at + self.random.uniform(0.001, 0.004)
         sim.next_order_at[worker.id] = arrives + 0.002
--- a/tools/module_names.py
+++ b/tools/module_names.py
@@ -15,12 +15,12 @@
 
 LARGE_MODULES: Final = {
     'bench/policy.py': 472,
-    'src/primroseledge/cluster/fleet_node.py': 638,
+    'src/primroseledge/cluster/fleet_node.py': 640,
     'src/primroseledge/cluster/node_loop.py': 481,
     'src/primroseledge/gateway/node.py': 435,
     'src/primroseledge/requests/entry.py': 403,
     'tests/agreement_node.py': 429,
-    'tests/fleet_world.py': 731,
+    'tests/fleet_world.py': 728,
     'tests/specification.py': 405,
     'tests/test_fleet_fuzz.py': 421,
     'tests/test_fleet_node.py': 582,
