--- a/src/primroseledge/cli.py
+++ b/src/primroseledge/cli.py
@@ -30,6 +30,7 @@
 from primroseledge.operators.cli_story import story
 from primroseledge.operators.cli_team import team
 from primroseledge.operators.cli_wave import wave
+from primroseledge.operators.cli_zone import zone
 from primroseledge.operators.console import exit_on_error
 from primroseledge.settings.settings import load
 from primroseledge.settings.settings import Settings
@@ -61,6 +62,7 @@
     wave,
     explain,
     running,
+    zone,
     story,
     candidates,
 ):
--- a/src/primroseledge/operators/cli_running.py
+++ b/src/primroseledge/operators/cli_running.py
@@ -4,6 +4,7 @@
 and while none answers.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -31,10 +32,13 @@
 from primroseledge.errors import StoreError
 from primroseledge.exit_codes import code_of
 from primroseledge.exit_codes import ExitCode
+from primroseledge.ids import ZoneId
 from primroseledge.jobs.progress import FINAL_STATES
 from primroseledge.jobs.progress import ProgressRecord
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.maintenance.wave import WaveRecord
+from primroseledge.operators.zone_changes import read_worker_zones
+from primroseledge.operators.zone_changes import read_zones
 from primroseledge.platform.decoding import decode_configuration
 from primroseledge.platform.decoding import decode_worker_entry
 from primroseledge.platform.decoding import WORKER_PREFIX
@@ -80,7 +84,7 @@
 @option('--store', 'address', required=True, help=ADDRESS_HELP)
 @option('--json', 'as_json', is_flag=True, help='One JSON object a line.')
 def running(address: str, as_json: bool) -> None:
-    """Show jobs, owner, workers and waves of a running system."""
+    """Show jobs, owner, workers, waves and zones of a running system."""
     get_current_context().obj = Source(address, as_json)
 
 
@@ -184,3 +188,40 @@
                 'begun': len(wave.started_instances),
             }
             source.show([row])
+
+
+@running.command()
+@pass_obj
+def zones(source: Source) -> None:
+    """Show which zones are evacuated, and what is left in them.
+
+    The row without a zone counts the tasks on workers that are not listed.
+    """
+    with source.open() as store:
+        source.show(describe_zones(store))
+
+
+def describe_zones(store: FleetStore) -> list[Row]:
+    """Return a row for each zone that a worker or an evacuation names."""
+    evacuated = read_zones(store).zones
+    zone_of = read_worker_zones(store)
+    workers = collections.Counter(zone_of.values())
+    tasks = collections.Counter(
+        zone_of.get(task.worker, ZoneId(''))
+        for record in decode_records(
+            store.read_all(PROGRESS_PREFIX).items,
+            PROGRESS_PREFIX,
+            ProgressRecord,
+        )
+        for task in record.tasks
+        if task.may_run
+    )
+    return [
+        {
+            'zone': zone,
+            'evacuated': zone in evacuated,
+            'workers': workers[zone],
+            'tasks': tasks[zone],
+        }
+        for zone in sorted(evacuated | workers.keys() | tasks.keys())
+    ]
--- a/src/primroseledge/platform/decoding.py
+++ b/src/primroseledge/platform/decoding.py
@@ -196,6 +196,18 @@
     )
 
 
+def decode_worker_zone(item: Item) -> ZoneId:
+    """Decode the zone in a worker's entry, whatever its service and state.
+
+    Raises DocumentError if the entry is malformed.
+    """
+    try:
+        entry = json.decode(item.value or b'', type=WireWorkerEntry)
+    except MALFORMED_ERRORS as error:
+        raise DocumentError(f'invalid worker entry: {error}') from error
+    return ZoneId(entry.zone)
+
+
 def check_address(address: str) -> None:
     """Raise DocumentError unless an address is HOST:PORT."""
     match = ADDRESS_PATTERN.fullmatch(address)
