--- a/src/primroseledge/operators/story.py
+++ b/src/primroseledge/operators/story.py
@@ -106,6 +106,8 @@
         Event.JOBS_RESTORED,
         Event.OWNER_TAKEN,
         Event.OWNER_LOST,
+        Event.ZONE_EVACUATED,
+        Event.ZONE_RETURNED,
     )
 )
 """Events that concern every job of their time."""
