Report a failed read of a zone command as nothing written

Any unexpected failure of the store counted as a lost answer, also that of a read before anything was sent, so the command ended with 3 (unknown) although nothing had been written.

--- a/src/primroseledge/operators/zone_changes.py
+++ b/src/primroseledge/operators/zone_changes.py
@@ -16,6 +16,7 @@
 from primroseledge.errors import DocumentError
 from primroseledge.errors import OperatorError
 from primroseledge.errors import StoreError
+from primroseledge.errors import StoreOutcomeUnknownError
 from primroseledge.errors import StoreUnavailableError
 from primroseledge.ids import Revision
 from primroseledge.ids import WorkerId
@@ -61,7 +62,7 @@
             left = find_zone_left(zone, known, evacuated)
             # Another operator may evacuate that zone at the same moment.
             expected[evacuation_key(left)] = Revision(0)
-        store.commit(Transaction(expected, (Put(key, EVACUATION_VALUE),)))
+        send(store, Transaction(expected, (Put(key, EVACUATION_VALUE),)))
         return Result.ACCEPTED
 
     return change_safely(attempt, pause)
@@ -105,7 +106,7 @@
         if was_sent and item.revision not in revisions:
             raise OperatorError(f'{zone} was evacuated again meanwhile')
         revisions.append(item.revision)
-        store.commit(Transaction({key: item.revision}, removals=(key,)))
+        send(store, Transaction({key: item.revision}, removals=(key,)))
         return Result.ACCEPTED
 
     return change_safely(attempt, pause)
@@ -114,8 +115,8 @@
 def change_safely(attempt: Attempt, pause: Pause) -> Result:
     """Attempt a change until its outcome is known.
 
-    Raises StoreUnavailableError if nothing was written. Once an answer was
-    lost, any failure leaves the outcome unknown.
+    Raises StoreError if nothing was written. Once an answer was lost, any
+    failure leaves the outcome unknown.
     """
     was_sent = False
     for _ in range(MAX_ATTEMPTS):
@@ -123,20 +124,33 @@
             result = attempt(was_sent)
         except ConflictError:
             result = None
-        except (StoreUnavailableError, OperatorError):
+        except StoreOutcomeUnknownError:
+            was_sent = True
+            result = None
+        except (StoreError, OperatorError):
             if was_sent:
                 return Result.UNKNOWN
             raise
-        except StoreError:
-            # The answer was lost, or the store failed in an unexpected way.
-            was_sent = True
-            result = None
         if result is not None:
             return result
         pause()
     return Result.UNKNOWN if was_sent else Result.CONFLICT
 
 
+def send(store: FleetStore, transaction: Transaction) -> None:
+    """Commit a transaction.
+
+    Raises ConflictError or StoreUnavailableError if nothing was written, and
+    StoreOutcomeUnknownError after any other failure.
+    """
+    try:
+        store.commit(transaction)
+    except (ConflictError, StoreUnavailableError):
+        raise
+    except StoreError as error:
+        raise StoreOutcomeUnknownError(str(error)) from error
+
+
 def check_known(zone: ZoneId, known: frozenset[ZoneId]) -> None:
     """Raise OperatorError unless a worker or an instance names a zone."""
     if zone not in known:
--- a/tests/test_cli_zone.py
+++ b/tests/test_cli_zone.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Any
 import unittest
+from unittest.mock import Mock
 
 from click.testing import CliRunner
 from msgspec import json
@@ -15,6 +16,7 @@
 from primroseledge.cluster.fleet_store import Put
 from primroseledge.cluster.fleet_store import Transaction
 from primroseledge.errors import OperatorError
+from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
 from primroseledge.ids import Revision
 from primroseledge.ids import ZoneId
@@ -43,6 +45,8 @@
         if self.others:
             super().commit(self.others.pop())
         loss = self.losses.pop(0) if self.losses else ''
+        if loss == 'failed':
+            raise StoreError('store answered 500')
         if loss != 'lost':
             revision = super().commit(transaction)
         if loss:
@@ -60,6 +64,7 @@
             (('done',), Result.ACCEPTED),
             (('lost',), Result.ACCEPTED),
             (('lost', 'done'), Result.ACCEPTED),
+            (('failed', 'done'), Result.ACCEPTED),
             (('lost', 'lost', 'lost'), Result.UNKNOWN),
         ):
             for change in (evacuate_zone, return_zone):
@@ -74,6 +79,14 @@
                     is_done == (change is evacuate_zone), is_evacuated
                 )
 
+    def test_a_failed_read_is_no_unknown_outcome(self) -> None:
+        store: Any = LossyStore()
+        failure = StoreError('malformed answer')
+        store.read = store.read_all = Mock(side_effect=failure)
+        for change in (evacuate_zone, return_zone):
+            with self.assertRaises(StoreError):
+                store.change(change)
+
     def test_two_operators_do_not_evacuate_the_last_zones(self) -> None:
         store = LossyStore()
         # The other operator's write arrives between the read and the write.
