--- a/tests/test_fleet_metrics.py
+++ b/tests/test_fleet_metrics.py
@@ -62,6 +62,7 @@
                 epoch=4,
                 is_owner=True,
                 active_jobs=2,
+                evacuated_zones=1,
                 tasks=(TaskCount(SALES, COPPER, 'waiting', 12),),
                 workers=(WorkerCount(COPPER, 'ready', 3),),
             )
@@ -69,8 +70,10 @@
         waiting = 'tasks{service="copper",state="waiting",workspace="sales"}'
         ready = 'workers{service="copper",state="ready"}'
         self.check('epoch 4', 'is_owner 1', f'{waiting} 12', f'{ready} 3')
+        self.check('evacuated_zones 1')
         self.metrics.publish(FleetFigures(epoch=5))
         self.check('is_owner 0', f'{waiting} 0', f'{ready} 0')
+        self.check('evacuated_zones 0')
 
 
 if __name__ == '__main__':
