--- a/src/primroseledge/cluster/messages.py
+++ b/src/primroseledge/cluster/messages.py
@@ -16,6 +16,8 @@
 from primroseledge.ids import Epoch
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
+from primroseledge.ids import Revision
+from primroseledge.ids import ZoneId
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.scheduling.actions import Answer
 
@@ -57,6 +59,15 @@
 CallerRequest = SubmitRequest | CancelRequest | StateRequest | PendingRequest
 
 
+def job_or_queue_of(request: CallerRequest) -> str:
+    """Return the id of the job that a request names, or of its queue."""
+    if isinstance(request, SubmitRequest):
+        return request.job.id
+    if isinstance(request, PendingRequest):
+        return request.queue
+    return request.job
+
+
 class ForwardedRequest(Struct, frozen=True, tag='Ask', array_like=True):
     """A caller's request that a peer forwards to the owner.
 
@@ -87,7 +98,7 @@
 
 
 class PeerStateQuery(Struct, frozen=True, tag='NewsQuery', array_like=True):
-    """A query for a peer's owner and configuration.
+    """A query for a peer's owner, configuration and evacuated zones.
 
     It is sent while the store does not answer. ``configuration_version``
     is the sender's own version; only one peer at a time is queried with
@@ -102,12 +113,15 @@
     """A peer's reply to a ``PeerStateQuery``.
 
     ``compressed_configuration`` is empty unless the query wanted it and
-    had an older version.
+    had an older version. ``evacuated_zones`` were true at ``zones_revision``
+    of the store; 0 means that the peer does not know them.
     """
 
     owner: OwnerView | None
     configuration_version: int
     compressed_configuration: bytes
+    evacuated_zones: tuple[ZoneId, ...] = ()
+    zones_revision: Revision = Revision(0)
 
 
 Message = (
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -12,7 +12,6 @@
 from threading import Thread
 from typing import Any
 from typing import Final
-from typing import Protocol
 
 from msgspec import msgpack
 
@@ -51,6 +50,8 @@
 from primroseledge.cluster.keys import RECORD_PREFIX
 from primroseledge.cluster.keys import WAVE_PREFIX
 from primroseledge.cluster.messages import OwnerView
+from primroseledge.cluster.platform_keys import PlatformKeys
+from primroseledge.cluster.platform_keys import read_evacuated_zones
 from primroseledge.cluster.store_failures import fail_command
 from primroseledge.cluster.store_failures import StoreCommand
 from primroseledge.errors import ConflictError
@@ -76,17 +77,6 @@
 """
 
 
-class PlatformKeys(Protocol):
-    """The store keys that the platform defines."""
-
-    @property
-    def worker_prefix(self) -> str:
-        """Return the common prefix of the keys of workers."""
-
-    def encode_wave_status(self, wave: WaveRecord) -> Put:
-        """Return the write of a wave's status, which operators read."""
-
-
 class StoreThread:
     """Executes commands one at a time and posts their results.
 
@@ -228,14 +218,17 @@
 def restore_jobs(
     thread: StoreThread, command: RestoreJobs
 ) -> JobsRestored | OwnershipLost:
-    """Read all records and workers, with retries until the store answers.
+    """Read what a new owner needs, with retries until the store answers.
 
-    The result is OwnershipLost if the thread is stopped before that.
+    Evacuated zones are read last, so that they are as new as possible when
+    the owner begins to plan. The result is OwnershipLost if the thread is
+    stopped before all was read.
     """
     while True:
         try:
             records = thread.store.read_all(RECORD_PREFIX).items
             workers = thread.store.read_all(thread.keys.worker_prefix).items
+            zones = read_evacuated_zones(thread.store, thread.keys)
         except StoreError as error:
             log(Event.STORE_RETRIED, step='restore', problem=str(error))
             if not thread.wait_before_retry():
@@ -247,6 +240,7 @@
             tuple(decode_records(records, PROGRESS_PREFIX, ProgressRecord)),
             tuple(decode_records(records, WAVE_PREFIX, WaveRecord)),
             workers,
+            zones,
         )
 
 
@@ -387,9 +381,13 @@
 def list_workers(
     thread: StoreThread, _command: ListWorkers
 ) -> WorkersListed | WorkerListFailed:
-    """Read the list of workers, without retries."""
+    """Read the list of workers and the evacuated zones, without retries.
+
+    So an owner learns of an evacuation also while its watch is interrupted.
+    """
     try:
         listed = thread.store.read_all(thread.keys.worker_prefix)
+        zones = read_evacuated_zones(thread.store, thread.keys)
     except StoreError as error:
         return WorkerListFailed(str(error))
-    return WorkersListed(listed.items)
+    return WorkersListed(listed.items, zones)
