Learn runtimes and correct callers' estimates by them

The owner compares runs that ended as done with their estimates, by workspace, image (without one, queue) and size. Only runs with a known begin and a promptly listed end count.

--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -7,12 +7,13 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 from contextlib import contextmanager
 from contextlib import ExitStack
 from json import dumps
 import logging
 from statistics import fmean
-from sys import argv
+import sys
 from typing import Final
 from unittest import mock
 
@@ -60,6 +61,13 @@
         yield
 
 
+@register_policy("callers' estimates")
+def estimates_of_callers() -> Iterator[None]:
+    """Correct no estimate by the runs that ended."""
+    with mock.patch('primroseledge.scheduling.runtimes.MIN_RUNS', sys.maxsize):
+        yield
+
+
 @register_policy('fixed pools')
 def fixed_pools() -> Iterator[None]:
     """Move no instance between pools."""
@@ -93,7 +101,11 @@
 
 
 def acceptance_order(
-    job: Job, step: StepOccurrence, queue: Queue, wall_ms: int
+    job: Job,
+    step: StepOccurrence,
+    queue: Queue,
+    wall_ms: int,
+    estimates_ms: Sequence[int],
 ) -> StartPriority:
     """Return a priority that follows the order of acceptance."""
     accepted = job.accepted
@@ -133,7 +145,7 @@
     """Print the figures of all loads and policies as JSON."""
     logging.disable(logging.CRITICAL)
     shapes = [small_shape()]
-    if '--quick' not in argv:
+    if '--quick' not in sys.argv:
         shapes.append(large_shape())
     result = {
         shape.name: {
--- a/src/primroseledge/dispatch/ends.py
+++ b/src/primroseledge/dispatch/ends.py
@@ -7,6 +7,7 @@
 
 from typing import Final
 
+from primroseledge.dispatch.run_durations import record_runtime
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.task import FULL_SPEED_PERCENT
@@ -46,7 +47,7 @@
         ended_runs.add((end.task, end.run_number))
         if end.number > worker.handled_end_number:
             state.record_end(worker, end.number, end.task.job)
-            handle_run_end(state, worker, end, now)
+            handle_run_end(state, worker, end, answer.received_at, now)
     listed_runs = {(run.task, run.run_number): run for run in answer.running}
     for (key, run_number), listed_run in listed_runs.items():
         task = find_task(state, key)
@@ -175,10 +176,16 @@
 
 
 def handle_run_end(
-    state: FleetState, worker: Worker, end: RunEnd, now: float
+    state: FleetState,
+    worker: Worker,
+    end: RunEnd,
+    received_at: float,
+    now: float,
 ) -> None:
     """Handle the end of a run that its worker listed.
 
+    ``received_at`` is when the answer that lists the end arrived.
+
     The run's resources are released, and a task that is not done waits for
     its next start. A run that ended as done completes its task, unless the
     task is long-running; the last completed task completes the job. A failed
@@ -206,6 +213,7 @@
         return
     if end.kind is EndKind.DONE:
         worker.quarantine.record_success()
+        record_runtime(state, worker, task, run, received_at)
     if end.kind is EndKind.DONE and not task.spec.is_long_running:
         finish_task(state, job, task, now)
     elif end.kind is EndKind.FAILED:
--- a/src/primroseledge/dispatch/orders.py
+++ b/src/primroseledge/dispatch/orders.py
@@ -8,6 +8,7 @@
 
 from primroseledge.dispatch.ends import fail_job_without_attempts
 from primroseledge.dispatch.ends import find_task
+from primroseledge.dispatch.run_durations import record_begin
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
@@ -131,7 +132,10 @@
     run = task.run if task else None
     if task is None or run is None or run.number != order.run_number:
         return
-    if run.worker != order.target.worker or run.phase is not RunPhase.SENT:
+    if run.worker != order.target.worker:
+        return
+    record_begin(run, answer)
+    if run.phase is not RunPhase.SENT:
         return
     worker = state.workers.get(run.worker)
     if answer.result is not OrderResult.DONE:
--- a/src/primroseledge/dispatch/polls.py
+++ b/src/primroseledge/dispatch/polls.py
@@ -188,6 +188,7 @@
     worker.is_poll_in_flight = False
     worker.last_poll_ended_at = now
     worker.poll_failures += 1
+    worker.last_poll_failed_at = now
     if worker.poll_failures == 1:
         log(
             Event.WORKER_SILENT,
--- /dev/null
+++ b/src/primroseledge/dispatch/run_durations.py
@@ -0,0 +1,65 @@
+"""Measure how long runs took, as far as begin and end are known."""
+
+from primroseledge.jobs.task import Run
+from primroseledge.jobs.task import Task
+from primroseledge.observability.events import Event
+from primroseledge.observability.logs import log
+from primroseledge.scheduling.actions import OrderEnded
+from primroseledge.scheduling.actions import OrderResult
+from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.workers.worker import Worker
+
+
+def record_begin(run: Run, answer: OrderEnded) -> None:
+    """Record when a run began, if the answer to its start shows that.
+
+    A start that was sent more than once may have been carried out earlier. A
+    run that resumed from a checkpoint is shorter than others and is left out.
+    """
+    order = answer.order
+    if not isinstance(order, SendStart) or order.checkpoint:
+        return
+    if answer.result is not OrderResult.DONE or run.send_count != 1:
+        return
+    if run.boot == order.target.boot:
+        run.begun_at = answer.received_at
+
+
+def record_runtime(
+    state: FleetState,
+    worker: Worker,
+    task: Task,
+    run: Run,
+    received_at: float,
+) -> None:
+    """Record the runtime of a run that ended as done.
+
+    ``received_at`` is when the poll answer that lists the end arrived. It is
+    not the end if a poll of the worker has failed in the meantime. The time
+    of a long-running or best-effort task tells nothing of the next one's.
+    """
+    spec = task.spec
+    begun_at = run.begun_at
+    if begun_at is None or spec.is_long_running or spec.is_best_effort:
+        return
+    if worker.last_poll_failed_at >= begun_at:
+        return
+    job = state.jobs[task.key.job]
+    service = state.service_of(job)
+    if service is None:
+        return
+    actual_ms = (received_at - begun_at) * 1000
+    learned = state.runtimes.record(
+        spec, job.accepted, service, actual_ms, received_at
+    )
+    if learned.take_report():
+        log(
+            Event.RUNTIME_LEARNED,
+            workspace=job.accepted.workspace,
+            kind=spec.image or job.accepted.queue,
+            cpu=spec.resources.cpu_millis,
+            ratio=round(learned.median, 3),
+            high=round(learned.high_quantile, 3),
+            runs=len(learned.ratios),
+        )
--- a/src/primroseledge/jobs/job.py
+++ b/src/primroseledge/jobs/job.py
@@ -1,6 +1,7 @@
 """A job in the owner's memory, and how it is stored and restored."""
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Final
@@ -146,18 +147,19 @@
         """
         return any(step.is_long_running for step in self.accepted.spec.steps)
 
-    def critical_path_ms(self) -> int:
+    def critical_path_ms(self, estimates_ms: Sequence[int]) -> int:
         """Return the estimated duration of the critical path, in ms.
 
         This is the longest chain of steps in which each waits for the
-        previous one, within one occurrence.
+        previous one, within one occurrence. ``estimates_ms`` are the expected
+        runtimes of the tasks of each step; 0 means that there is none.
         """
         ends_ms = list[int]()
-        for step in self.accepted.spec.steps:
+        for step, estimate_ms in zip(
+            self.accepted.spec.steps, estimates_ms, strict=True
+        ):
             begin_ms = max((ends_ms[i] for i in step.after), default=0)
-            ends_ms.append(
-                begin_ms + (step.estimate_ms or DEFAULT_ESTIMATE_MS)
-            )
+            ends_ms.append(begin_ms + (estimate_ms or DEFAULT_ESTIMATE_MS))
         return max(ends_ms)
 
     def to_record(self) -> ProgressRecord:
--- a/src/primroseledge/jobs/spec.py
+++ b/src/primroseledge/jobs/spec.py
@@ -21,8 +21,9 @@
     means none. ``is_best_effort`` tasks use the processor time that other
     tasks leave idle, so their processors are not counted. ``max_unavailable``
     is how many tasks of the step may be unavailable at once when a task is
-    stopped to empty its worker; 0 means no limit. The scheduler does not use
-    ``is_speculative`` and ``image``.
+    stopped to empty its worker; 0 means no limit. Tasks of one ``image`` are
+    expected to take about as long as their estimates, or to differ from them
+    by the same factor. The scheduler does not use ``is_speculative``.
     """
 
     count: int
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -52,7 +52,9 @@
 class Run:
     """One start of a task on one worker.
 
-    ``sent_at`` is when the start was last sent.
+    ``sent_at`` is when the start was last sent. ``begun_at`` is when the
+    run began; it is None if that is not known exactly, and for a run that
+    resumed from a checkpoint.
     ``confirmed_at`` is when the worker acknowledged the start or the stop,
     or first listed the run; after a takeover it is the time when the run
     was restored. The answer to a poll sent later must list the run or its
@@ -72,6 +74,7 @@
     boot: Boot
     phase: RunPhase = RunPhase.PLANNED
     sent_at: float | None = None
+    begun_at: float | None = None
     confirmed_at: float | None = None
     listed_at: float | None = None
     send_count: int = 0
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -106,7 +106,7 @@
     state: FleetState, instances: InstanceList, now: float
 ) -> list[PoolTarget]:
     """Return the sizes that all pools but the standby pool should have."""
-    demands = measure_demand(state)
+    demands = measure_demand(state, now)
     targets = list[PoolTarget]()
     for service in state.configuration.services.values():
         if service.is_standby:
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from enum import unique
 
+from primroseledge.observability.copy_events import RUNTIME_LEARNED_INFO
 from primroseledge.observability.event_info import error
 from primroseledge.observability.event_info import info
 from primroseledge.observability.event_info import warning
@@ -321,3 +322,4 @@
     JOBS_WAIT = JOBS_WAIT_INFO
     CALL_FAILED = CALL_FAILED_INFO
     SERVER_PROBLEM = SERVER_PROBLEM_INFO
+    RUNTIME_LEARNED = RUNTIME_LEARNED_INFO
--- a/src/primroseledge/observability/fleet_figures.py
+++ b/src/primroseledge/observability/fleet_figures.py
@@ -26,6 +26,18 @@
     workers: int
 
 
+@dataclass(frozen=True, slots=True)
+class EstimateError:
+    """By what mean factor estimates of a service's runtimes were wrong.
+
+    ``source`` is ``caller`` or ``learned``; ``factor`` is at least 1.
+    """
+
+    service: ServiceId
+    source: str
+    factor: float
+
+
 @dataclass(frozen=True, slots=True)
 class FleetFigures:
     """Figures of an entry instance; only an owner has jobs and workers."""
@@ -39,3 +51,4 @@
     unstored_jobs: int = 0
     tasks: tuple[TaskCount, ...] = field(default_factory=tuple)
     workers: tuple[WorkerCount, ...] = field(default_factory=tuple)
+    estimate_errors: tuple[EstimateError, ...] = field(default_factory=tuple)
--- a/src/primroseledge/observability/fleet_metrics.py
+++ b/src/primroseledge/observability/fleet_metrics.py
@@ -73,6 +73,11 @@
             'tasks', 'Tasks by workspace, service and state.'
         )
         self.workers = self.gauge('workers', 'Workers by service and state.')
+        self.estimate_errors = self.gauge(
+            'estimate_error_factor',
+            'Mean factor between runtimes and estimates, by service and '
+            'source; 0 until enough runs are known.',
+        )
 
     def call_ended(self, kind: str, verdict: str, took_s: float) -> None:
         """Record a caller's request that got its answer."""
@@ -106,7 +111,7 @@
 
     def publish_owned(self, figures: FleetFigures) -> None:
         """Show the owner's tasks and workers; what is gone becomes zero."""
-        for gauge in (self.tasks, self.workers):
+        for gauge in (self.tasks, self.workers, self.estimate_errors):
             for labels, _ in gauge.get_all():
                 gauge.set(labels, 0)
         for count in figures.tasks:
@@ -119,6 +124,9 @@
         for held in figures.workers:
             labels = {'service': held.service, 'state': held.state}
             self.workers.set(labels, held.workers)
+        for error in figures.estimate_errors:
+            labels = {'service': error.service, 'source': error.source}
+            self.estimate_errors.set(labels, error.factor)
 
 
 Observer = Callable[[FleetMetrics, Fields], None]
--- a/src/primroseledge/owner/fleet_counts.py
+++ b/src/primroseledge/owner/fleet_counts.py
@@ -5,6 +5,7 @@
 
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkspaceId
+from primroseledge.observability.fleet_figures import EstimateError
 from primroseledge.observability.fleet_figures import FleetFigures
 from primroseledge.observability.fleet_figures import TaskCount
 from primroseledge.observability.fleet_figures import WorkerCount
@@ -23,6 +24,7 @@
         unstored_jobs=len(state.dirty_jobs),
         tasks=count_tasks(state),
         workers=count_workers(state),
+        estimate_errors=list_estimate_errors(state),
     )
 
 
@@ -55,6 +57,18 @@
     return tuple(WorkerCount(*key, total) for key, total in counts.items())
 
 
+def list_estimate_errors(state: FleetState) -> tuple[EstimateError, ...]:
+    """Return the mean errors of callers' and of learned estimates."""
+    return tuple(
+        EstimateError(service, source, round(factor, 3))
+        for service, errors in state.runtimes.errors.items()
+        for source, factor in (
+            ('caller', errors.caller),
+            ('learned', errors.learned),
+        )
+    )
+
+
 def state_label(worker: Worker) -> str:
     """Return the value of the metric label ``state`` for a worker.
 
--- a/src/primroseledge/scheduling/demand.py
+++ b/src/primroseledge/scheduling/demand.py
@@ -6,6 +6,7 @@
 more processors are needed to catch up.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -56,17 +57,18 @@
         return self.long_running_cores + max(current_cores, forecast_cores)
 
 
-def estimated_core_s(spec: JobSpec) -> float:
+def estimated_core_s(spec: JobSpec, estimates_ms: Sequence[int]) -> float:
     """Return a job's estimated work in processor-seconds.
 
+    ``estimates_ms`` are the expected runtimes of the tasks of each step.
     Long-running steps are left out, as they have no end to estimate.
     """
     return sum(
         step.count
         * step.counted_resources.cpu_millis
-        * (step.estimate_ms or DEFAULT_ESTIMATE_MS)
+        * (estimate_ms or DEFAULT_ESTIMATE_MS)
         / 1_000_000
-        for step in spec.steps
+        for step, estimate_ms in zip(spec.steps, estimates_ms, strict=True)
         if not step.is_long_running
     )
 
@@ -90,13 +92,14 @@
     Pools are sized by this rate and by the work that waits.
     """
     service = state.service_of(job)
-    core_s = estimated_core_s(job.accepted.spec)
+    estimates_ms = state.runtimes.estimates_ms(job.accepted, now)
+    core_s = estimated_core_s(job.accepted.spec, estimates_ms)
     if service is not None and core_s:
         rate = state.arrival_rates.setdefault(service, ArrivalRate())
         rate.add(Arrival(now, core_s, initial_cores_of(job.accepted.spec)))
 
 
-def measure_demand(state: FleetState) -> dict[ServiceId, Demand]:
+def measure_demand(state: FleetState, now: float) -> dict[ServiceId, Demand]:
     """Return the present demand of each configured service.
 
     A task with a run counts for the service of its worker, a waiting task
@@ -120,11 +123,15 @@
             continue
         for step in job.ready_steps():
             waiting_count = sum(1 for task in step.tasks if task.is_waiting)
-            estimate_ms = step.spec.estimate_ms or DEFAULT_ESTIMATE_MS
+            if not waiting_count:
+                continue
+            estimate_ms = state.runtimes.estimate_ms(
+                step.spec, job.accepted, now
+            )
             demand.waiting_core_s += (
                 waiting_count
                 * step.spec.counted_resources.cpu_millis
-                * estimate_ms
+                * (estimate_ms or DEFAULT_ESTIMATE_MS)
                 / 1e6
             )
     return demands
--- a/src/primroseledge/scheduling/fleet_state.py
+++ b/src/primroseledge/scheduling/fleet_state.py
@@ -27,6 +27,7 @@
 from primroseledge.scheduling.actions import target_of
 from primroseledge.scheduling.advice import AdviceCache
 from primroseledge.scheduling.arrival_rate import ArrivalRate
+from primroseledge.scheduling.runtimes import Runtimes
 from primroseledge.workers.worker import Worker
 
 
@@ -111,6 +112,7 @@
     ended_boots: dict[WorkerId, Boot] = field(default_factory=dict)
     advice: AdviceCache = field(default_factory=AdviceCache)
     arrival_rates: dict[ServiceId, ArrivalRate] = field(default_factory=dict)
+    runtimes: Runtimes = field(default_factory=Runtimes)
 
     def wall_ms(self, now: float) -> int:
         """Return the wall-clock time at ``now``, in ms since 1970."""
--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -153,8 +153,9 @@
         if queue is None or queue.service != service or not steps:
             del waiting_jobs[job.accepted.id]
             continue
+        estimates_ms = state.runtimes.estimates_ms(job.accepted, now)
         for step in steps:
-            key = start_priority_of(job, step, queue, wall_ms)
+            key = start_priority_of(job, step, queue, wall_ms, estimates_ms)
             found.append((key, job, step))
     found.sort(key=sort_key)
     return found
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -85,7 +85,9 @@
     def test_initial_cores_count_only_the_first_steps(self) -> None:
         job = make_job('a', make_step(6, 880), make_step(6, 880, after=(0,)))
         self.assertAlmostEqual(5.28, initial_cores_of(job.spec))
-        self.assertAlmostEqual(2 * 5.28, estimated_core_s(job.spec))
+        self.assertAlmostEqual(
+            2 * 5.28, estimated_core_s(job.spec, [1000, 1000])
+        )
 
 
 class PackingTest(unittest.TestCase):
--- a/tests/test_fleet_metrics.py
+++ b/tests/test_fleet_metrics.py
@@ -5,6 +5,7 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import WorkspaceId
 from primroseledge.observability.events import Event
+from primroseledge.observability.fleet_figures import EstimateError
 from primroseledge.observability.fleet_figures import FleetFigures
 from primroseledge.observability.fleet_figures import TaskCount
 from primroseledge.observability.fleet_figures import WorkerCount
@@ -64,13 +65,16 @@
                 active_jobs=2,
                 tasks=(TaskCount(SALES, COPPER, 'waiting', 12),),
                 workers=(WorkerCount(COPPER, 'ready', 3),),
+                estimate_errors=(EstimateError(COPPER, 'caller', 1.4),),
             )
         )
         waiting = 'tasks{service="copper",state="waiting",workspace="sales"}'
         ready = 'workers{service="copper",state="ready"}'
+        error = 'estimate_error_factor{service="copper",source="caller"}'
         self.check('epoch 4', 'is_owner 1', f'{waiting} 12', f'{ready} 3')
+        self.check(f'{error} 1.4')
         self.metrics.publish(FleetFigures(epoch=5))
-        self.check('is_owner 0', f'{waiting} 0', f'{ready} 0')
+        self.check('is_owner 0', f'{waiting} 0', f'{ready} 0', f'{error} 0')
 
 
 if __name__ == '__main__':
--- a/tools/module_names.py
+++ b/tools/module_names.py
@@ -32,7 +32,7 @@
 MIN_WORD_LENGTH: Final = 3
 """Shorter parts are no words, but ends of others, such as 'ed'."""
 
-COMPOUNDS: Final = frozenset(('keyring', 'traceparent'))
+COMPOUNDS: Final = frozenset(('keyring', 'runtimes', 'traceparent'))
 """Words of the field that are written without a space."""
 
 
