Learn runtimes only of steps that say their tasks behave alike

Only steps that name an image or allow copies are learned from and corrected now. Jobs without any such step keep their callers' estimates everywhere, and cost no keys. Tests: tests.test_runtimes, whose runs of the former kind name an image now; tests.test_planning and tests.test_demand pass.

--- a/src/primroseledge/dispatch/run_durations.py
+++ b/src/primroseledge/dispatch/run_durations.py
@@ -8,6 +8,7 @@
 from primroseledge.scheduling.actions import OrderResult
 from primroseledge.scheduling.actions import SendStart
 from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.scheduling.runtimes import is_learned
 from primroseledge.workers.worker import Worker
 
 
@@ -36,12 +37,12 @@
     """Record the runtime of a run that ended as done.
 
     ``received_at`` is when the poll answer that lists the end arrived. It is
-    not the end if a poll of the worker has failed in the meantime. The time
-    of a long-running or best-effort task tells nothing of the next one's.
+    not the end if a poll of the worker has failed in the meantime. Steps for
+    which ``is_learned`` is false are left out.
     """
     spec = task.spec
     begun_at = run.begun_at
-    if begun_at is None or spec.is_long_running or spec.is_best_effort:
+    if begun_at is None or not is_learned(spec):
         return
     if worker.last_poll_failed_at >= begun_at:
         return
--- a/src/primroseledge/jobs/spec.py
+++ b/src/primroseledge/jobs/spec.py
@@ -23,7 +23,8 @@
     is how many tasks of the step may be unavailable at once when a task is
     stopped to empty its worker; 0 means no limit. Tasks of one ``image`` are
     expected to take about as long as their estimates, or to differ from them
-    by the same factor. The scheduler does not use ``is_speculative``.
+    by the same factor; of steps without one that is expected only if they are
+    ``is_speculative``. The scheduler does not use ``is_speculative``.
     """
 
     count: int
--- a/src/primroseledge/scheduling/runtimes.py
+++ b/src/primroseledge/scheduling/runtimes.py
@@ -58,6 +58,18 @@
     size: int
 
 
+def is_learned(step: StepSpec) -> bool:
+    """Return whether a step's runtimes are learned and its estimate corrected.
+
+    By its image or by allowing copies, a step states that tasks of its kind
+    behave alike. The runtime of a long-running task tells nothing of the next
+    one's, and a best-effort task is slowed by others.
+    """
+    if step.is_long_running or step.is_best_effort:
+        return False
+    return bool(step.image) or step.is_speculative
+
+
 def runtime_key_of(step: StepSpec, job: AcceptedJob) -> RuntimeKey:
     """Return the key under which the runtimes of a job's step are learned."""
     queue = QueueId('') if step.image else job.queue
@@ -150,7 +162,7 @@
         self, step: StepSpec, job: AcceptedJob, now: float
     ) -> RatioDistribution | None:
         """Return the usable distribution of a job's step, or None."""
-        if step.is_long_running or step.is_best_effort:
+        if not is_learned(step):
             return None
         of_workspace = self.keys.get(job.workspace)
         if of_workspace is None:
