Count no failed attempts of a gang that is done

A gang is done when one of its members is. A member that failed after that still used up an attempt, so a job whose later steps were running could fail.

A task that is done counts no failed attempt now; the failure still counts for the worker. tests.test_gang_end fails before and passes now; tests.test_engine and tests.test_worker_restart pass.

--- a/src/primroseledge/dispatch/ends.py
+++ b/src/primroseledge/dispatch/ends.py
@@ -189,7 +189,8 @@
     The run's resources are released, and a task that is not done waits for
     its next start. A run that ended as done completes its task, unless the
     task is long-running; the last completed task completes the job. A failed
-    run counts as a failure of the worker and uses up an attempt of the task.
+    run counts as a failure of the worker and, unless the task is done, uses up
+    one of its attempts.
     The end of any run but the task's current one is ignored.
     """
     task = find_task(state, end.task)
@@ -217,10 +218,9 @@
     if end.kind is EndKind.DONE and not task.spec.is_long_running:
         finish_task(state, job, task, now)
     elif end.kind is EndKind.FAILED:
-        task.failures += 1
         task.failed_workers.add(worker.id)
         worker.quarantine.record_failure(job.accepted.id, now)
-        fail_job_without_attempts(state, job, task, now)
+        record_failed_attempt(state, task, now)
 
 
 def finish_task(state: FleetState, job: Job, task: Task, now: float) -> None:
@@ -239,6 +239,20 @@
         end_job(state, job, JobState.COMPLETED, now)
 
 
+def record_failed_attempt(state: FleetState, task: Task, now: float) -> None:
+    """Count a failed attempt of a task, and fail its job if it was the last.
+
+    A task that is done needs no attempts: a member of a gang may fail after
+    another one has completed the gang.
+    """
+    if task.is_done:
+        return
+    task.failures += 1
+    job = state.jobs[task.key.job]
+    if not job.is_final:
+        fail_job_without_attempts(state, job, task, now)
+
+
 def fail_job_without_attempts(
     state: FleetState, job: Job, task: Task, now: float
 ) -> None:
--- a/src/primroseledge/dispatch/orders.py
+++ b/src/primroseledge/dispatch/orders.py
@@ -6,8 +6,8 @@
 
 from typing import Final
 
-from primroseledge.dispatch.ends import fail_job_without_attempts
 from primroseledge.dispatch.ends import find_task
+from primroseledge.dispatch.ends import record_failed_attempt
 from primroseledge.dispatch.run_durations import record_begin
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import RunPhase
@@ -212,10 +212,7 @@
     elif worker is not None:
         worker.cooldown_until = now + START_COOLDOWN_S
     if result is OrderResult.INVALID:
-        task.failures += 1
-        job = state.jobs[task.key.job]
-        if not job.is_final:
-            fail_job_without_attempts(state, job, task, now)
+        record_failed_attempt(state, task, now)
 
 
 def send_requested_stops(
