--- a/src/primroseledge/dispatch/ends.py
+++ b/src/primroseledge/dispatch/ends.py
@@ -7,6 +7,7 @@
 
 from typing import Final
 
+from primroseledge.dispatch.run_durations import record_runtime
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.task import FULL_SPEED_PERCENT
@@ -46,7 +47,7 @@
         ended_runs.add((end.task, end.run_number))
         if end.number > worker.handled_end_number:
             state.record_end(worker, end.number, end.task.job)
-            handle_run_end(state, worker, end, now)
+            handle_run_end(state, worker, end, answer.received_at, now)
     listed_runs = {(run.task, run.run_number): run for run in answer.running}
     for (key, run_number), listed_run in listed_runs.items():
         task = find_task(state, key)
@@ -175,14 +176,21 @@
 
 
 def handle_run_end(
-    state: FleetState, worker: Worker, end: RunEnd, now: float
+    state: FleetState,
+    worker: Worker,
+    end: RunEnd,
+    received_at: float,
+    now: float,
 ) -> None:
     """Handle the end of a run that its worker listed.
 
+    ``received_at`` is when the answer that lists the end arrived.
+
     The run's resources are released, and a task that is not done waits for
     its next start. A run that ended as done completes its task, unless the
     task is long-running; the last completed task completes the job. A failed
-    run counts as a failure of the worker and uses up an attempt of the task.
+    run counts as a failure of the worker and, unless the task is done, uses up
+    one of its attempts.
     The end of any run but the task's current one is ignored.
     """
     task = find_task(state, end.task)
@@ -206,13 +214,13 @@
         return
     if end.kind is EndKind.DONE:
         worker.quarantine.record_success()
+        record_runtime(state, worker, task, run, received_at)
     if end.kind is EndKind.DONE and not task.spec.is_long_running:
         finish_task(state, job, task, now)
     elif end.kind is EndKind.FAILED:
-        task.failures += 1
         task.failed_workers.add(worker.id)
         worker.quarantine.record_failure(job.accepted.id, now)
-        fail_job_without_attempts(state, job, task, now)
+        record_failed_attempt(state, task, now)
 
 
 def finish_task(state: FleetState, job: Job, task: Task, now: float) -> None:
@@ -231,6 +239,20 @@
         end_job(state, job, JobState.COMPLETED, now)
 
 
+def record_failed_attempt(state: FleetState, task: Task, now: float) -> None:
+    """Count a failed attempt of a task, and fail its job if it was the last.
+
+    A task that is done needs no attempts: a member of a gang may fail after
+    another one has completed the gang.
+    """
+    if task.is_done:
+        return
+    task.failures += 1
+    job = state.jobs[task.key.job]
+    if not job.is_final:
+        fail_job_without_attempts(state, job, task, now)
+
+
 def fail_job_without_attempts(
     state: FleetState, job: Job, task: Task, now: float
 ) -> None:
--- a/src/primroseledge/dispatch/orders.py
+++ b/src/primroseledge/dispatch/orders.py
@@ -6,8 +6,9 @@
 
 from typing import Final
 
-from primroseledge.dispatch.ends import fail_job_without_attempts
 from primroseledge.dispatch.ends import find_task
+from primroseledge.dispatch.ends import record_failed_attempt
+from primroseledge.dispatch.run_durations import record_begin
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
@@ -135,7 +136,10 @@
     run = task.run if task else None
     if task is None or run is None or run.number != order.run_number:
         return
-    if run.worker != order.target.worker or run.phase is not RunPhase.SENT:
+    if run.worker != order.target.worker:
+        return
+    record_begin(run, answer)
+    if run.phase is not RunPhase.SENT:
         return
     worker = state.workers.get(run.worker)
     if answer.result is not OrderResult.DONE:
@@ -217,10 +221,7 @@
     elif worker is not None:
         worker.cooldown_until = now + START_COOLDOWN_S
     if result is OrderResult.INVALID:
-        task.failures += 1
-        job = state.jobs[task.key.job]
-        if not job.is_final:
-            fail_job_without_attempts(state, job, task, now)
+        record_failed_attempt(state, task, now)
 
 
 def send_requested_stops(
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from enum import unique
 
+from primroseledge.observability.copy_events import RUNTIME_LEARNED_INFO
 from primroseledge.observability.event_info import error
 from primroseledge.observability.event_info import info
 from primroseledge.observability.event_info import warning
@@ -331,3 +332,4 @@
     ZONE_EMPTY = ZONE_EMPTY_INFO
     ALL_ZONES_EVACUATED = ALL_ZONES_EVACUATED_INFO
     ZONE_UNKNOWN = ZONE_UNKNOWN_INFO
+    RUNTIME_LEARNED = RUNTIME_LEARNED_INFO
