Give played loads weights of workspaces and a flood

Fair shares have to be tested by a load in which one workspace sends several times its usual while capacity is short. A load now may have weights and a flood; the other submissions are the same with and without it.

tests.test_pool_reserve and tests.test_store_health pass.

--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -22,9 +22,9 @@
 from bench.job_load import make_submissions
 from bench.job_load import MAX_RETRIES
 from bench.job_load import objective_s
-from bench.job_load import Outcome
 from bench.job_load import STANDBY
 from bench.job_load import Submission
+from bench.job_outcome import Outcome
 from bench.job_workers import ONE_WAY_S
 from bench.job_workers import SimWorker
 from bench.job_workers import SimWorkers
--- a/bench/job_load.py
+++ b/bench/job_load.py
@@ -1,4 +1,4 @@
-"""Loads of jobs whose demand rises and falls by turns, and what callers got.
+"""Loads of jobs whose demand rises and falls by turns.
 
 Each service has its turn, in which several times its mean load arrives;
 between its turns almost nothing does. In a turn more jobs arrive than the
@@ -7,11 +7,12 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
-from dataclasses import field
+from dataclasses import replace
 from random import Random
-from statistics import fmean
 from typing import Final
 
+from msgspec import structs
+
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
 from primroseledge.ids import ServiceId
@@ -27,16 +28,6 @@
 
 STANDBY: Final = ServiceId('standby')
 
-LATE_FACTOR: Final = 3
-"""A job is late, and not lost, up to this many times its objective."""
-
-WINDOW_S: Final = 2.0
-"""Length of the windows of which the worst are reported."""
-
-WORST_SHARE: Final = 0.1
-"""Share of the windows and workspaces that count as the worst ones."""
-
-
 SIZE_SHAPE: Final = 2.8
 """Shape of the gamma distribution of the sizes of jobs."""
 
@@ -58,6 +49,19 @@
     two_steps: float
 
 
+@dataclass(frozen=True)
+class Flood:
+    """A workspace that sends ``factor`` times its usual load for a time.
+
+    ``begin`` and ``end`` are in seconds from the start of the load.
+    """
+
+    workspace: WorkspaceId
+    factor: float
+    begin: float
+    end: float
+
+
 @dataclass(frozen=True)
 class LoadShape:
     """A fleet and its load.
@@ -67,6 +71,7 @@
     ``peak`` and ``valley`` are the load in and between the turns, as
     multiples of the mean. ``store_s`` is how long the store takes to answer.
     ``store_outage`` is when it stops to answer, and when it answers again.
+    ``weights`` are those of the first workspaces; the others have 1.
     """
 
     name: str
@@ -83,6 +88,8 @@
     length_s: float = 34.0
     store_s: float = 0.008
     store_outage: tuple[float, float] | None = None
+    weights: tuple[float, ...] = ()
+    flood: Flood | None = None
 
 
 CALLER_DEADLINE_S: Final = 3.0
@@ -101,97 +108,6 @@
     task_s: float
 
 
-@dataclass
-class Outcome:
-    """What the callers of one load got, and what it cost.
-
-    ``job_ratios`` are the times that jobs took as a multiple of their
-    objective. ``refused`` are the jobs whose callers gave up after a refusal,
-    ``held_s`` how long each refusal took to be sent. ``pool_s`` are the
-    seconds of instances in pools, ``engine_s`` the processor time of the
-    engine.
-    """
-
-    submissions: list[Submission] = field(default_factory=list)
-    job_ratios: dict[JobId, float] = field(default_factory=dict)
-    refused: set[JobId] = field(default_factory=set)
-    held_s: list[float] = field(default_factory=list)
-    started_after: list[float] = field(default_factory=list)
-    pool_s: float = 0.0
-    moves: int = 0
-    engine_s: float = 0.0
-    longest_reconcile_s: float = 0.0
-
-    def is_in_time(self, submission: Submission) -> bool:
-        return self.job_ratios.get(submission.job.id, LATE_FACTOR) <= 1
-
-    def share_in_time(self, submissions: list[Submission]) -> float:
-        """Return the share of jobs that met their objective."""
-        if not submissions:
-            return 1.0
-        return fmean(self.is_in_time(s) for s in submissions)
-
-    def worst_windows(self) -> float:
-        """Return the share in time in the worst windows of the load."""
-        windows = dict[int, list[Submission]]()
-        for submission in self.submissions:
-            number = int(submission.at / WINDOW_S)
-            windows.setdefault(number, []).append(submission)
-        return self.worst_of(list(windows.values()))
-
-    def worst_workspaces(self) -> float:
-        """Return the share in time of the worst-served workspaces."""
-        groups = dict[WorkspaceId, list[Submission]]()
-        for submission in self.submissions:
-            groups.setdefault(submission.job.workspace, []).append(submission)
-        return self.worst_of(list(groups.values()))
-
-    def worst_of(self, groups: list[list[Submission]]) -> float:
-        shares = sorted(self.share_in_time(group) for group in groups)
-        count = max(1, int(len(shares) * WORST_SHARE))
-        return fmean(shares[:count])
-
-    def largest_jobs(self) -> float:
-        """Return the share in time of the largest tenth of the jobs."""
-        by_size = sorted(self.submissions, key=size_of)
-        count = max(1, len(by_size) // 10)
-        return self.share_in_time(by_size[-count:])
-
-    def failed_share(self) -> float:
-        """Return the share of jobs without an end within the late bound."""
-        if not self.submissions:
-            return 0.0
-        return fmean(
-            self.job_ratios.get(s.job.id, LATE_FACTOR + 1) > LATE_FACTOR
-            for s in self.submissions
-        )
-
-    def figures(self) -> dict[str, float]:
-        """Return the measures of this outcome by name."""
-        waits = sorted(self.started_after) or [0.0]
-        return {
-            'jobs': len(self.submissions),
-            'in_time': round(self.share_in_time(self.submissions), 3),
-            'worst_windows': round(self.worst_windows(), 3),
-            'worst_workspaces': round(self.worst_workspaces(), 3),
-            'largest_tenth': round(self.largest_jobs(), 3),
-            'failed': round(self.failed_share(), 3),
-            'first_start_p95_s': round(waits[int(len(waits) * 0.95)], 3),
-            'pool_s': round(self.pool_s, 1),
-            'moves': self.moves,
-            'engine_s': round(self.engine_s, 2),
-            'longest_reconcile_s': round(self.longest_reconcile_s, 3),
-        }
-
-
-def size_of(submission: Submission) -> int:
-    """Return a job's size, the processors of all its tasks together."""
-    return sum(
-        step.count * step.resources.cpu_millis
-        for step in submission.job.spec.steps
-    )
-
-
 def queue_of(service: ServiceId) -> QueueId:
     """Return the queue whose jobs a service runs."""
     return QueueId(f'queue-{service}')
@@ -214,8 +130,8 @@
     services = {k.service: Service(k.service) for k in shape.kinds}
     services[STANDBY] = Service(STANDBY, is_standby=True)
     workspaces = {
-        name: Workspace(name, frozenset({name}))
-        for name in workspace_names(shape)
+        name: Workspace(name, frozenset({name}), weight)
+        for name, weight in workspace_weights(shape).items()
     }
     return Configuration(1, queues, services, workspaces)
 
@@ -225,6 +141,13 @@
     return [WorkspaceId(f'ws-{i}') for i in range(shape.workspaces)]
 
 
+def workspace_weights(shape: LoadShape) -> dict[WorkspaceId, float]:
+    """Return the weights of the workspaces that submit jobs."""
+    weights = dict.fromkeys(workspace_names(shape), 1.0)
+    weights.update(zip(weights, shape.weights, strict=False))
+    return weights
+
+
 def load_factor(shape: LoadShape, number: int, at: float) -> float:
     """Return the load of the kind with this number, as multiple of its mean.
 
@@ -241,10 +164,31 @@
         random = Random(f'{seed} {kind.service}')
         for at in arrival_times(shape, number, random):
             found.append(make_submission(shape, kind, at, random))
+        if shape.flood is not None:
+            found.extend(make_flood(shape, shape.flood, number, seed))
     found.sort(key=lambda submission: submission.at)
     return found
 
 
+def make_flood(
+    shape: LoadShape, flood: Flood, number: int, seed: int
+) -> Iterator[Submission]:
+    """Yield what a workspace sends of a kind beyond its usual load.
+
+    The other submissions of the load are the same as without it.
+    """
+    kind = shape.kinds[number]
+    random = Random(f'{seed} {kind.service} flood')
+    added = (flood.factor - 1) / shape.workspaces
+    faster = replace(kind, per_s=kind.per_s * added)
+    kinds = (*shape.kinds[:number], faster, *shape.kinds[number + 1 :])
+    for at in arrival_times(replace(shape, kinds=kinds), number, random):
+        submission = make_submission(shape, kind, at, random)
+        job = structs.replace(submission.job, workspace=flood.workspace)
+        if flood.begin <= at < flood.end:
+            yield replace(submission, job=job)
+
+
 def arrival_times(
     shape: LoadShape, number: int, random: Random
 ) -> Iterator[float]:
@@ -340,6 +284,23 @@
     )
 
 
+def crowded_shape(name: str = 'crowded') -> LoadShape:
+    """Return a fleet without spare workers, and a workspace that floods it.
+
+    There are 20 workspaces, one of which has weight 3.
+    """
+    return replace(
+        small_shape(name),
+        workers=3,
+        standby_workers=0,
+        peak=2.6,
+        valley=0.3,
+        workspaces=20,
+        weights=(3.0,),
+        flood=Flood(WorkspaceId('ws-7'), 7.0, 4.0, 30.0),
+    )
+
+
 def large_shape(name: str = 'large') -> LoadShape:
     """Return a fleet of 270 workers whose turns ask for more than a pool."""
     return LoadShape(
--- a/tests/test_pool_reserve.py
+++ b/tests/test_pool_reserve.py
@@ -10,8 +10,8 @@
 from unittest import mock
 
 from bench.job_fleet import JobFleet
-from bench.job_load import Outcome
 from bench.job_load import small_shape
+from bench.job_outcome import Outcome
 from primroseledge.ids import InstanceId
 from primroseledge.ids import ServiceId
 from primroseledge.maintenance.instance_list import InstanceList
--- a/tests/test_store_health.py
+++ b/tests/test_store_health.py
@@ -12,8 +12,8 @@
 
 from bench.job_fleet import JobFleet
 from bench.job_fleet import TICK_S
-from bench.job_load import Outcome
 from bench.job_load import small_shape
+from bench.job_outcome import Outcome
 from primroseledge.owner.outbox import SLOW_BATCH_S
 from primroseledge.owner.store_health import MAX_STORE_WAIT_S
 from primroseledge.owner.store_health import MIN_OUTAGE_S
