Divide scarce capacity by the weights of workspaces

A workspace that sent several times its usual load delayed all others, as steps start by deadline whoever sent them. Where weights differ and a service is short, a workspace whose dominant share of all services has reached the level of a max-min fair division now goes behind the others; long-running steps stay first, and within both groups the order is as before. Up to 2 s of unused share count as credit, so that single large jobs of neighbours pass.

--- a/bench/job_outcome.py
+++ b/bench/job_outcome.py
@@ -8,6 +8,7 @@
 from bench.job_load import Flood
 from bench.job_load import Submission
 from primroseledge.ids import JobId
+from primroseledge.ids import QueueId
 from primroseledge.ids import WorkspaceId
 
 LATE_FACTOR: Final = 3
@@ -84,15 +85,29 @@
             if ratio <= LATE_FACTOR
         }
 
+    def neighbours(self, flood: Flood | None) -> set[JobId]:
+        """Return the jobs of all workspaces but one that floods."""
+        return {
+            submission.job.id
+            for submission in self.submissions
+            if flood is None or submission.job.workspace != flood.workspace
+        }
+
     def served_neighbours(self, flood: Flood | None) -> float:
         """Return the served share of jobs whose workspace doesn't flood."""
+        neighbours = self.neighbours(flood)
+        if not neighbours:
+            return 1.0
+        return len(neighbours & self.served()) / len(neighbours)
+
+    def served_by_size(self) -> dict[QueueId, list[bool]]:
+        """Return whether each job was served, by queue, the largest first."""
         served = self.served()
-        neighbours = [
-            submission.job.id in served
-            for submission in self.submissions
-            if flood is None or submission.job.workspace != flood.workspace
-        ]
-        return fmean(neighbours) if neighbours else 1.0
+        found = dict[QueueId, list[bool]]()
+        for submission in sorted(self.submissions, key=size_of, reverse=True):
+            is_served = submission.job.id in served
+            found.setdefault(submission.job.queue, []).append(is_served)
+        return found
 
     def failed_share(self) -> float:
         """Return the share of jobs without an end within the late bound."""
--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -17,6 +17,7 @@
 from unittest import mock
 
 from bench.job_fleet import JobFleet
+from bench.job_load import crowded_shape
 from bench.job_load import large_shape
 from bench.job_load import LoadShape
 from bench.job_load import small_shape
@@ -24,12 +25,14 @@
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.spec import StepSpec
+from primroseledge.scheduling.fair_shares import Row
+from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.scheduling.placement import Rank
 from primroseledge.scheduling.placement import StepPlacement
 from primroseledge.scheduling.start_priority import StartPriority
 from primroseledge.workers.worker import Worker
 
-SEEDS: Final = {'small': (1, 2, 3, 4), 'large': (1,)}
+SEEDS: Final = {'small': (1, 2, 3, 4), 'crowded': (1, 2, 3), 'large': (1,)}
 
 Policy = Callable[[], Iterator[None]]
 POLICIES: dict[str, Policy] = {}
@@ -74,7 +77,7 @@
 def first_come_first_served() -> Iterator[None]:
     """Start jobs in order of their acceptance on the first worker that fits.
 
-    Pools keep no reserve.
+    Pools keep no reserve, and weights have no effect.
     """
     with ExitStack() as stack:
         stack.enter_context(
@@ -89,9 +92,26 @@
             )
         )
         stack.enter_context(contextmanager(no_reserve)())
+        stack.enter_context(contextmanager(no_shares)())
         yield
 
 
+@register_policy('no shares')
+def no_shares() -> Iterator[None]:
+    """Let the weights of workspaces have no effect."""
+    with mock.patch(
+        'primroseledge.scheduling.planning.order_by_shares', start_order
+    ):
+        yield
+
+
+def start_order(
+    rows: list[Row], state: FleetState, workers: list[Worker], now: float
+) -> list[Row]:
+    """Return the rows in the order of their start priorities."""
+    return rows
+
+
 def acceptance_order(
     job: Job, step: StepOccurrence, queue: Queue, wall_ms: int
 ) -> StartPriority:
@@ -119,10 +139,10 @@
 def measure(shape: LoadShape, policy: Policy) -> dict[str, float]:
     """Return the mean figures of a policy over the seeds of a load."""
     with contextmanager(policy)():
-        figures = [
-            JobFleet(shape, seed).play().figures()
-            for seed in SEEDS[shape.name]
-        ]
+        outcomes = [JobFleet(shape, seed).play() for seed in SEEDS[shape.name]]
+    figures = [outcome.figures() for outcome in outcomes]
+    for row, outcome in zip(figures, outcomes, strict=True):
+        row['neighbours_served'] = outcome.served_neighbours(shape.flood)
     return {
         name: round(fmean(row[name] for row in figures), 3)
         for name in figures[0]
@@ -132,7 +152,7 @@
 def main() -> None:
     """Print the figures of all loads and policies as JSON."""
     logging.disable(logging.CRITICAL)
-    shapes = [small_shape()]
+    shapes = [small_shape(), crowded_shape()]
     if '--quick' not in argv:
         shapes.append(large_shape())
     result = {
--- a/src/primroseledge/jobs/configuration.py
+++ b/src/primroseledge/jobs/configuration.py
@@ -64,7 +64,8 @@
 
     Requests with one of the API keys in ``keys`` belong to it. ``limit``
     bounds the resources of all its planned and running tasks together; an
-    amount of 0 means no limit. The scheduler does not use ``weight``.
+    amount of 0 means no limit. ``weight`` is its share of a service that is
+    short of capacity, in proportion to the weights of the others.
     """
 
     id: WorkspaceId
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -29,6 +29,7 @@
 from primroseledge.observability.job_events import WORKER_ANSWERS_INFO
 from primroseledge.observability.job_events import WORKER_CHANGED_INFO
 from primroseledge.observability.job_events import WORKER_SILENT_INFO
+from primroseledge.observability.share_events import SHARES_APPLIED_INFO
 from primroseledge.observability.thread_events import CALL_FAILED_INFO
 from primroseledge.observability.thread_events import LINES_DROPPED_INFO
 from primroseledge.observability.thread_events import SERVER_PROBLEM_INFO
@@ -321,3 +322,4 @@
     JOBS_WAIT = JOBS_WAIT_INFO
     CALL_FAILED = CALL_FAILED_INFO
     SERVER_PROBLEM = SERVER_PROBLEM_INFO
+    SHARES_APPLIED = SHARES_APPLIED_INFO
--- a/src/primroseledge/observability/job_events.py
+++ b/src/primroseledge/observability/job_events.py
@@ -141,8 +141,10 @@
     719,
     '{jobs} jobs of service {service} have nothing running, {job} for '
     '{seconds} s; of {workers} workers may not start tasks: {obstacles}; '
-    'most free capacity of one: {free_cpu} thousandths of a core',
+    'most free capacity of one: {free_cpu} thousandths of a core; '
+    'its workspace: {share}',
     'Steps wait though their turn has come.',
     'If workers are free, see what holds them: polls (708), lists (707), '
-    'moves and maintenance (710); else look at the size of the pool.',
+    'moves and maintenance (710); else look at the size of the pool, and at '
+    'the shares of workspaces (727).',
 )
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -106,6 +106,7 @@
         """Replace the configuration and plan all services again."""
         self.swept_at = -inf
         self.state.configuration = configuration
+        self.state.recount_share_usage()
         self.state.request_planning_of_all()
 
     def submit(self, event: SubmitJob, now: float) -> None:
--- a/src/primroseledge/scheduling/fleet_state.py
+++ b/src/primroseledge/scheduling/fleet_state.py
@@ -27,6 +27,8 @@
 from primroseledge.scheduling.actions import target_of
 from primroseledge.scheduling.advice import AdviceCache
 from primroseledge.scheduling.arrival_rate import ArrivalRate
+from primroseledge.scheduling.share_state import FairShares
+from primroseledge.scheduling.share_state import ShareUsage
 from primroseledge.workers.worker import Worker
 
 
@@ -78,6 +80,7 @@
     ``workers_checked_at``.
     ``ended_boots`` contains, by worker, the boots that ended with a
     maintenance or a move; the platform may still list these boots.
+    ``fair_shares`` has the usage, the shares and the credits of workspaces.
     ``took_over_at`` is when this instance became the owner, ``replanned_at``
     when all services were last planned. ``wall_offset_s`` is added to the
     owner's clock to get the wall-clock time.
@@ -111,6 +114,7 @@
     ended_boots: dict[WorkerId, Boot] = field(default_factory=dict)
     advice: AdviceCache = field(default_factory=AdviceCache)
     arrival_rates: dict[ServiceId, ArrivalRate] = field(default_factory=dict)
+    fair_shares: FairShares = field(default_factory=FairShares)
 
     def wall_ms(self, now: float) -> int:
         """Return the wall-clock time at ``now``, in ms since 1970."""
@@ -190,10 +194,26 @@
         """Add the resources of a task's run to its worker and workspace."""
         worker.add_task(task)
         self.workers_to_check.add(worker.id)
-        workspace = self.jobs[task.key.job].accepted.workspace
+        job = self.jobs[task.key.job]
+        workspace = job.accepted.workspace
         self.usage[workspace] = self.workspace_usage(workspace).plus(
             task.spec.resources
         )
+        self.fair_shares.usage.add(
+            self.service_of(job), workspace, task.spec.counted_resources
+        )
+
+    def recount_share_usage(self) -> None:
+        """Count the runs by service again, as queues may have changed it."""
+        self.fair_shares.usage = ShareUsage()
+        for worker in self.workers.values():
+            for task in worker.tasks.values():
+                job = self.jobs[task.key.job]
+                self.fair_shares.usage.add(
+                    self.service_of(job),
+                    job.accepted.workspace,
+                    task.spec.counted_resources,
+                )
 
     def finish_run(self, task: Task, now: float) -> None:
         """Remove a task's run, which can no longer be running.
@@ -213,6 +233,9 @@
         self.usage[workspace] = self.workspace_usage(workspace).minus(
             task.spec.resources
         )
+        self.fair_shares.usage.remove(
+            self.service_of(job), workspace, task.spec.counted_resources
+        )
         self.mark_dirty(job, now)
         self.request_planning(job)
 
--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -1,10 +1,11 @@
 """Plan the starts of a service's waiting tasks.
 
-Tasks start in the order of module ``start_priority``, within the resource
-limits of their workspace and the free capacity of workers. When a long-running
-task fits on no worker, the emptiest worker that could take it gets no batch
-tasks for the rest of the pass. As this repeats in each pass, that worker
-becomes empty enough for the long-running task.
+Tasks start in the order of module ``start_priority``, and of ``fair_shares``
+where capacity is short, within the resource limits of their workspace and the
+free capacity of workers. When a long-running task fits on no worker, the
+emptiest worker that could take it gets no batch tasks for the rest of the
+pass. As this repeats in each pass, that worker becomes empty enough for the
+long-running task.
 """
 
 from collections import Counter
@@ -18,6 +19,8 @@
 from primroseledge.jobs.task import Task
 from primroseledge.scheduling.advice import step_key
 from primroseledge.scheduling.capacity_shortage import CapacityShortage
+from primroseledge.scheduling.fair_shares import order_by_shares
+from primroseledge.scheduling.fair_shares import Row
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.scheduling.gang_placement import place_gang
 from primroseledge.scheduling.gang_placement import spread_gang
@@ -70,7 +73,7 @@
     quarantined = [worker for worker in pool if may_probe(worker, now)]
     batch_workers = workers
     shortage = CapacityShortage(workers)
-    for _, job, step in waiting:
+    for _, job, step in order_by_shares(waiting, state, workers, now):
         if len(state.planned_tasks) >= MAX_PLANNED_STARTS:
             state.services_to_plan.add(service)
             return
@@ -138,14 +141,14 @@
 
 def waiting_steps(
     state: FleetState, service: ServiceId, now: float
-) -> list[tuple[StartPriority, Job, StepOccurrence]]:
+) -> list[Row]:
     """Return a service's steps with tasks to start, the most urgent first.
 
     Jobs without such a step are removed from ``waiting_jobs``;
     ``request_planning`` adds them again when they may have one.
     """
     wall_ms = state.wall_ms(now)
-    found = list[tuple[StartPriority, Job, StepOccurrence]]()
+    found = list[Row]()
     waiting_jobs = state.waiting_jobs.get(service, {})
     for job in list(waiting_jobs.values()):
         queue = state.queue_of(job)
@@ -160,7 +163,7 @@
     return found
 
 
-def sort_key(row: tuple[StartPriority, Job, StepOccurrence]) -> StartPriority:
+def sort_key(row: Row) -> StartPriority:
     """Return the sort key of a row of ``waiting_steps``, its priority."""
     return row[0]
 
--- a/src/primroseledge/scheduling/wait_report.py
+++ b/src/primroseledge/scheduling/wait_report.py
@@ -2,7 +2,8 @@
 
 One line a service tells how long the oldest of them has waited, and which of
 the service's workers may not start tasks, and why. It shows whether such a
-job waits for capacity or is held up by what the owner believes of workers.
+job waits for capacity or for its workspace's share, or is held up by what the
+owner believes of workers.
 """
 
 from collections import Counter
@@ -15,6 +16,7 @@
 from primroseledge.jobs.job import Job
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.scheduling.fair_shares import describe_share
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.scheduling.probing import has_runs
 
@@ -88,6 +90,7 @@
                 (worker.free_capacity.cpu_millis for worker in workers),
                 default=0,
             ),
+            share=describe_share(state, service, oldest.accepted.workspace),
         )
 
 
