--- a/src/primroseledge/operators/cli_running.py
+++ b/src/primroseledge/operators/cli_running.py
@@ -33,8 +33,10 @@
 from primroseledge.exit_codes import ExitCode
 from primroseledge.jobs.progress import FINAL_STATES
 from primroseledge.jobs.progress import ProgressRecord
+from primroseledge.jobs.resources import NO_RESOURCES
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.maintenance.wave import WaveRecord
+from primroseledge.operators.workspace_shares import find_workspace_shares
 from primroseledge.platform.decoding import decode_configuration
 from primroseledge.platform.decoding import decode_worker_entry
 from primroseledge.platform.decoding import WORKER_PREFIX
@@ -170,6 +172,48 @@
             source.show([row])
 
 
+@running.command()
+@pass_obj
+def shares(source: Source) -> None:
+    """Show each workspace's weight, share and usage, as parts of 1."""
+    with source.open() as store:
+        item = store.read(CONFIGURATION_KEY)
+        if item is None or item.value is None:
+            echo('no configuration', err=True)
+            get_current_context().exit(ExitCode.REFUSED)
+        configuration = decode_configuration(item.value)
+        capacity = NO_RESOURCES
+        for entry_item in store.read_all(WORKER_PREFIX).items:
+            try:
+                entry = decode_worker_entry(entry_item, configuration.services)
+            except PrimroseledgeError as error:
+                echo(f'{entry_item.key}: {error}', err=True)
+                continue
+            capacity = capacity.plus(entry.capacity)
+        rows = find_workspace_shares(
+            configuration,
+            decode_records(
+                store.read_all(JOB_PREFIX).items, JOB_PREFIX, AcceptedJob
+            ),
+            decode_records(
+                store.read_all(PROGRESS_PREFIX).items,
+                PROGRESS_PREFIX,
+                ProgressRecord,
+            ),
+            capacity,
+        )
+        source.show(
+            {
+                'workspace': row.workspace,
+                'weight': row.weight,
+                'share': round(row.share, 4),
+                'usage': round(row.usage, 4),
+                'tasks': row.tasks,
+            }
+            for row in rows
+        )
+
+
 @running.command()
 @pass_obj
 def waves(source: Source) -> None:
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -24,6 +24,8 @@
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.observability.events import Event
+from primroseledge.operators.workspace_shares import find_workspace_shares
+from primroseledge.operators.workspace_shares import WorkspaceShare
 from primroseledge.owner.engine import create_engine
 from primroseledge.owner.recovery import restore_engine
 from primroseledge.scheduling.fair_shares import is_above_share
@@ -223,6 +225,25 @@
         restored = engine.state.fair_shares.usage
         self.assertEqual(old.fair_shares.usage, restored)
 
+    def test_operators_see_weight_share_and_usage(self) -> None:
+        bench = ShareBench(a=1, b=3)
+        bench.start('a', 'a1', 8)
+        state = bench.engine.state
+        job = state.jobs[JobId('a1')]
+        rows = find_workspace_shares(
+            state.configuration,
+            [job.accepted],
+            [job.to_record()],
+            WORKER.capacity,
+        )
+        self.assertEqual(
+            [
+                WorkspaceShare(WorkspaceId('a'), 1, 0.25, 0.5, 8),
+                WorkspaceShare(WorkspaceId('b'), 3, 0.75, 0.0, 0),
+            ],
+            rows,
+        )
+
 
 def play(shape: LoadShape, seed: int) -> JobFleet:
     fleet = JobFleet(shape, seed)
