--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -30,6 +30,7 @@
 from primroseledge.observability.job_events import WORKER_ANSWERS_INFO
 from primroseledge.observability.job_events import WORKER_CHANGED_INFO
 from primroseledge.observability.job_events import WORKER_SILENT_INFO
+from primroseledge.observability.share_events import SHARES_APPLIED_INFO
 from primroseledge.observability.thread_events import CALL_FAILED_INFO
 from primroseledge.observability.thread_events import LINES_DROPPED_INFO
 from primroseledge.observability.thread_events import SERVER_PROBLEM_INFO
@@ -332,4 +333,5 @@
     ZONE_EMPTY = ZONE_EMPTY_INFO
     ALL_ZONES_EVACUATED = ALL_ZONES_EVACUATED_INFO
     ZONE_UNKNOWN = ZONE_UNKNOWN_INFO
+    SHARES_APPLIED = SHARES_APPLIED_INFO
     RUNTIME_LEARNED = RUNTIME_LEARNED_INFO
