Keep refusals of requests true for sendings on their way

An id that must not run twice may be sent by several ways at once. The owner of a cell refused one sending as not run and forgot it; when the cause had passed, it granted another that had begun earlier, which ran before or after the refusal was told. An entry instance whose attempt was proved not run let the owner forget the id in the same way.

The owner now remembers refused ids. A refusal is open until its instance has told it (Cancel) or the call's deadline has passed; until then, and after that for sendings that began before, the id is refused. All fields are at the end of messages, with defaults. Also, an id in the future that has run is no longer told as not run.

--- a/bench/capacity_cores.py
+++ b/bench/capacity_cores.py
@@ -27,7 +27,6 @@
 from primroseledge.ids import TeamId
 from primroseledge.requests.dispatcher import create_dispatcher
 from primroseledge.requests.dispatcher import Dispatcher
-from primroseledge.requests.entry import Arrival
 from primroseledge.requests.entry import EntryCore
 from primroseledge.requests.keyring import Keyring
 from primroseledge.requests.messages import Ask
@@ -40,6 +39,7 @@
 from primroseledge.requests.messages import Envelope
 from primroseledge.requests.messages import Grant
 from primroseledge.requests.messages import PROTOCOL_VERSION
+from primroseledge.requests.open_call import Arrival
 from primroseledge.requests.retry_budget import RetryBudget
 from primroseledge.storage.documents import encode_document
 from primroseledge.storage.documents import Placement
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -39,12 +39,12 @@
 from primroseledge.requests.actions import SendToOwner
 from primroseledge.requests.attempt_end import AttemptEnd
 from primroseledge.requests.dispatcher import create_dispatcher
-from primroseledge.requests.entry import Arrival
 from primroseledge.requests.entry import EntryCore
 from primroseledge.requests.messages import Ask
 from primroseledge.requests.messages import Done
 from primroseledge.requests.messages import EndState
 from primroseledge.requests.messages import Grant
+from primroseledge.requests.open_call import Arrival
 from primroseledge.requests.retry_budget import RetryBudget
 from standins.deployment import Deployment
 from standins.processes import start_standin
--- a/src/primroseledge/gateway/node.py
+++ b/src/primroseledge/gateway/node.py
@@ -245,8 +245,7 @@
         actions: list[Action] = []
         for ownership in self.ownerships.values():
             steps = ownership.tick(now, self.configuration.members)
-            if steps:
-                actions += self.follow(steps, now)
+            actions += self.follow(steps, now)
         return actions
 
     def follow_cells(self) -> None:
@@ -320,8 +319,9 @@
         for ownership in self.ownerships.values():
             epochs |= ownership.stated_epochs
             vacant += ownership.stated_vacant(now)
-        for dispatcher in self.dispatchers.values():
+        for cell, dispatcher in self.dispatchers.items():
             dispatcher.heard(self.entry_id, now, now)
+            self.entry.note_owner(cell, dispatcher.epoch, now)
         # Each echoes its receiver alone, so its size stays the same.
         return [
             SendToEntry(
--- a/src/primroseledge/requests/admission.py
+++ b/src/primroseledge/requests/admission.py
@@ -46,17 +46,18 @@
         self.work.end(ask.not_run, EndState.NOT_RUN, now)
         reason = self.objection(ask, now)
         if reason is not None:
-            return [self.refuse(entry, ask, reason)]
+            return [self.refuse(entry, ask, reason, now)]
         service = self.configuration.services[ask.service]
         deadline = now + min(remaining_s, service.queue_wait_s)
         actions: list[SendToEntry] = []
         if self.queue.length(ask.service) >= service.queue_limit:
             loser = self.displaced(ask)
             if loser is None:
-                return [self.refuse(entry, ask, Reason.QUEUE_FULL)]
+                return [self.refuse(entry, ask, Reason.QUEUE_FULL, now)]
             self.queue.remove(loser.ask.ask_id)
-            refusal = self.refuse(loser.entry, loser.ask, Reason.QUEUE_FULL)
-            actions.append(refusal)
+            actions.append(
+                self.refuse(loser.entry, loser.ask, Reason.QUEUE_FULL, now)
+            )
         self.queue.add(Waiting(entry, ask, deadline, now))
         return actions
 
@@ -101,12 +102,18 @@
     def refuse_late(self, now: float) -> list[SendToEntry]:
         """Refuse what has too little time left to run."""
         return [
-            self.refuse(waiting.entry, waiting.ask, Reason.DEADLINE)
+            self.refuse(waiting.entry, waiting.ask, Reason.DEADLINE, now)
             for waiting in self.queue.late(now)
         ]
 
-    def refuse(self, entry: EntryId, ask: Ask, reason: Reason) -> SendToEntry:
-        """Return a refusal of a request, with when to come back."""
+    def refuse(
+        self, entry: EntryId, ask: Ask, reason: Reason, now: float
+    ) -> SendToEntry:
+        """Return a refusal of a request, with when to come back.
+
+        From now on it holds for all sendings of the id that have begun.
+        """
+        self.work.note_refusal(ask, reason, now)
         retry_after_s = MIN_RETRY_AFTER_S
         service = self.configuration.services.get(ask.service)
         is_overload = reason in (Reason.QUEUE_FULL, Reason.DEADLINE)
--- a/src/primroseledge/requests/dispatcher.py
+++ b/src/primroseledge/requests/dispatcher.py
@@ -19,6 +19,7 @@
 from primroseledge.ids import GrantId
 from primroseledge.ids import PoolId
 from primroseledge.ids import TeamId
+from primroseledge.refused_ids import RefusedIds
 from primroseledge.requests.actions import SendToEntry
 from primroseledge.requests.admission import Admission
 from primroseledge.requests.fair_queue import Waiting
@@ -139,10 +140,11 @@
             return actions
         return actions + self.dispatch(PoolId(service.pool), now)
 
-    def cancelled(self, cancel: Cancel) -> None:
-        """Take a request out of the queue."""
+    def cancelled(self, cancel: Cancel, now: float) -> None:
+        """Take a request out of the queue, or its refusal as told."""
         self.admission.queue.remove(cancel.ask_id)
         self.pending.pop(cancel.ask_id, None)
+        self.work.refused.confirm(cancel.request_id, cancel.ask_id, now)
 
     def done(
         self, entry: EntryId, done: Done, now: float
@@ -163,6 +165,8 @@
         self.health.judge(running, done, now)
         if not self.work.end(done.grant_id, done.end, now):
             return actions
+        if done.end is EndState.NOT_RUN:
+            self.work.note_told(running, done.told, now)
         if done.end is EndState.ENDED and running.granted_at is not None:
             self.admission.note_run(running.service, now - running.granted_at)
         return actions + self.dispatch_after(running, now)
@@ -355,7 +359,9 @@
 ) -> Dispatcher:
     """Create the dispatcher of an epoch; ``begin`` opens it."""
     work = RunningWork(
+        epoch,
         RequestMemory(id_window_s, id_clock_skew_s),
+        RefusedIds(id_window_s),
         TeamLimits(configuration),
         Slots(configuration),
     )
--- a/src/primroseledge/requests/entry.py
+++ b/src/primroseledge/requests/entry.py
@@ -18,11 +18,6 @@
 from primroseledge.ids import Epoch
 from primroseledge.ids import GrantId
 from primroseledge.ids import Incarnation
-from primroseledge.ids import InstanceId
-from primroseledge.ids import KeyId
-from primroseledge.ids import RequestId
-from primroseledge.ids import ServiceId
-from primroseledge.ids import TeamId
 from primroseledge.requests.actions import Deliver
 from primroseledge.requests.actions import EntryAction
 from primroseledge.requests.actions import RefuseCall
@@ -43,6 +38,13 @@
 from primroseledge.requests.messages import EndState
 from primroseledge.requests.messages import Grant
 from primroseledge.requests.messages import Refuse
+from primroseledge.requests.open_call import Arrival
+from primroseledge.requests.open_call import Call
+from primroseledge.requests.open_call import carried_of
+from primroseledge.requests.open_call import NO_EPOCH
+from primroseledge.requests.open_call import NO_MARK
+from primroseledge.requests.open_call import OwnerMark
+from primroseledge.requests.open_call import run_ends_at
 from primroseledge.requests.outcomes import Outcome
 from primroseledge.requests.outcomes import Reason
 from primroseledge.requests.outcomes import VERDICTS
@@ -51,43 +53,6 @@
 FIRST_RETRY_PAUSE_S: Final = 0.05
 MAX_RETRY_PAUSE_S: Final = 1.0
 MAX_EXCLUDED: Final = 4
-NO_EPOCH: Final = Epoch(0)
-
-
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """A request whose key and service have been checked."""
-
-    handle: int
-    request_id: RequestId
-    team: TeamId
-    service: ServiceId
-    cell: CellId
-    is_idempotent: bool
-    is_urgent: bool
-    deadline: float
-    issued_at: float = 0.0
-    key_id: KeyId = KeyId('')
-
-
-@dataclass(slots=True)
-class Call:
-    """An arrival and what has become of it.
-
-    ``ask_at`` is when to ask next, unless an answer comes before.
-    ``not_run`` is its last grant if that is proved not run;
-    ``may_have_run`` that the end of an earlier attempt is not known.
-    """
-
-    arrival: Arrival
-    ask_id: str
-    ask_at: float
-    attempt: int = 1
-    excluded: tuple[InstanceId, ...] = ()
-    grant: Grant | None = None
-    granted_at: float = 0.0
-    not_run: GrantId = GrantId('')
-    may_have_run: bool = False
 
 
 @dataclass(slots=True)
@@ -111,6 +76,7 @@
     unacked: dict[GrantId, Unacked] = field(default_factory=dict)
     history: AttemptHistory = field(default_factory=AttemptHistory)
     epochs: dict[CellId, Epoch] = field(default_factory=dict)
+    owner_marks: dict[CellId, OwnerMark] = field(default_factory=dict)
     is_stopping: bool = False
     counter: int = 0
 
@@ -120,7 +86,8 @@
             return [RefuseCall(arrival.handle, Reason.STOPPING)]
         self.budget.earn()
         self.counter += 1
-        call = Call(arrival, f'{self.prefix}{self.counter}', now)
+        mark = self.owner_marks.get(arrival.cell, NO_MARK)
+        call = Call(arrival, f'{self.prefix}{self.counter}', now, mark)
         self.calls[call.ask_id] = call
         self.by_handle[arrival.handle] = call
         return [self.ask(call, now)]
@@ -130,6 +97,10 @@
         """Return how the ask ids of this run begin."""
         return f'{self.entry}.{self.incarnation}.'
 
+    def note_owner(self, cell: CellId, epoch: Epoch, sent_at: float) -> None:
+        """Note when the owner of a cell sent its newest heartbeat."""
+        self.owner_marks[cell] = OwnerMark(epoch, sent_at)
+
     def ask(self, call: Call, now: float) -> SendToOwner:
         """Return the Ask for a call as it stands."""
         arrival = call.arrival
@@ -150,6 +121,8 @@
                 excluded=call.excluded,
                 zone=self.zone,
                 not_run=call.not_run,
+                begun_epoch=call.mark.epoch,
+                begun_after=call.mark.sent_at,
             ),
         )
 
@@ -212,22 +185,35 @@
 
     def deny(self, grant: Grant, now: float) -> list[EntryAction]:
         """Give a grant back and refuse its call: its key was withdrawn."""
-        actions: list[EntryAction] = [
-            self.finish(grant, AttemptEnd.TOO_LATE, now)
-        ]
         call = self.calls.get(grant.ask_id)
         if call is None or call.grant is not None:
-            return actions
-        return actions + self.close(call, Reason.BAD_KEY, is_checked=True)
+            return [self.finish(grant, AttemptEnd.TOO_LATE, now)]
+        told = Reason.BAD_KEY
+        return [
+            self.finish(grant, AttemptEnd.TOO_LATE, now, told),
+            *self.close(call, told, is_checked=True),
+        ]
 
     def refused(self, refuse: Refuse, now: float) -> list[EntryAction]:
-        """Pass the owner's refusal on to the caller."""
+        """Pass the owner's refusal on to the caller, and confirm that.
+
+        After the deadline the owner no longer takes care that it is true.
+        """
         call = self.calls.get(refuse.ask_id)
         if call is None or call.grant is not None:
             return []
-        return self.close(
+        if now >= call.arrival.deadline:
+            return [self.cancel(call), *self.close(call, Reason.DEADLINE)]
+        refusal = self.close(
             call, refuse.reason, refuse.retry_after_s, is_checked=True
         )
+        return [*refusal, self.cancel(call)]
+
+    def cancel(self, call: Call) -> SendToOwner:
+        """Return the message that a call without a grant is over."""
+        arrival = call.arrival
+        cancel = Cancel(arrival.cell, call.ask_id, arrival.request_id)
+        return SendToOwner(arrival.cell, cancel)
 
     def attempt_ended(
         self, handle: int, end: AttemptEnd, now: float
@@ -238,16 +224,18 @@
             return []
         grant = call.grant
         self.remember(call, end, now)
-        actions: list[EntryAction] = [self.finish(grant, end, now)]
         call.grant = None
         call.may_have_run |= END_STATES[end] is EndState.UNKNOWN
         if end in DELIVERED:
             self.forget(call)
-            return [*actions, Deliver(handle)]
+            return [self.finish(grant, end, now), Deliver(handle)]
         if not self.may_retry(call, end, now):
-            return actions + self.close(
-                call, FAILURE_REASONS[end], is_checked=True
-            )
+            told = FAILURE_REASONS[end]
+            return [
+                self.finish(grant, end, now, told),
+                *self.close(call, told, is_checked=True),
+            ]
+        actions: list[EntryAction] = [self.finish(grant, end, now)]
         if end is not AttemptEnd.TOO_LATE:
             excluded = (*call.excluded, grant.upstream)
             call.excluded = excluded[-MAX_EXCLUDED:]
@@ -292,14 +280,24 @@
         if not is_known:
             self.history.add(carried_of(call, state), now, run_ends_at(call))
 
-    def finish(self, grant: Grant, end: AttemptEnd, now: float) -> SendToOwner:
-        """Return the Done for a grant and keep it until acknowledged."""
+    def finish(
+        self,
+        grant: Grant,
+        end: AttemptEnd,
+        now: float,
+        told: Reason | None = None,
+    ) -> SendToOwner:
+        """Return the Done for a grant and keep it until acknowledged.
+
+        ``told`` is what the caller is told if the call ends with it.
+        """
         done = Done(
             cell=grant.cell,
             grant_id=grant.grant_id,
             end=END_STATES[end],
             has_upstream_failed=end in UPSTREAM_FAILURES,
             was_refused=end is AttemptEnd.REFUSED,
+            told=told,
         )
         self.unacked[grant.grant_id] = Unacked(done, now)
         return SendToOwner(grant.cell, done)
@@ -351,8 +349,7 @@
         for call in waiting:
             arrival = call.arrival
             if arrival.deadline - now < MIN_ATTEMPT_S:
-                cancel = Cancel(arrival.cell, call.ask_id)
-                actions.append(SendToOwner(arrival.cell, cancel))
+                actions.append(self.cancel(call))
                 actions += self.close(call, Reason.DEADLINE)
             elif now >= call.ask_at:
                 actions.append(self.ask(call, now))
@@ -376,28 +373,3 @@
             if call.grant is not None and call.arrival.cell == cell
         )
         return running + self.history.carried(now)
-
-
-def run_ends_at(call: Call) -> float:
-    """Return when the attempt of a call has ended in any case.
-
-    It may start as late as the grant is valid.
-    """
-    assert call.grant is not None
-    return call.granted_at + GRANT_VALID_S + call.grant.run_limit_s
-
-
-def carried_of(call: Call, end: EndState | None) -> Carried:
-    """Return what is to be reported of a call's attempt."""
-    assert call.grant is not None
-    return Carried(
-        grant_id=call.grant.grant_id,
-        request_id=call.arrival.request_id,
-        team=call.arrival.team,
-        service=call.arrival.service,
-        upstream=call.grant.upstream,
-        is_idempotent=call.arrival.is_idempotent,
-        end=end,
-        remaining_s=0.0,
-        issued_at=call.arrival.issued_at,
-    )
--- a/src/primroseledge/requests/handlers.py
+++ b/src/primroseledge/requests/handlers.py
@@ -77,8 +77,11 @@
         node.membership.echoed_at(peer),
     )
     echoed_at = node.membership.echoed_at(peer)
-    for ownership in node.ownerships.values():
+    for cell, ownership in node.ownerships.items():
         ownership.on_heartbeat(peer, message, echoed_at, now)
+        is_owner = ownership.owner == peer
+        if is_owner and message.epochs.get(cell) == ownership.epoch:
+            node.entry.note_owner(cell, ownership.epoch, message.sent_at)
     for dispatcher in node.dispatchers.values():
         dispatcher.heard(peer, message.sent_at, now)
     if message.revision > node.configuration.revision:
@@ -142,10 +145,10 @@
 def handle_cancel(
     node: Node, envelope: Envelope, message: Cancel, now: float
 ) -> list[Action]:
-    """Take a request out of the queue."""
+    """Take a request out of the queue, or its refusal as told."""
     dispatcher = node.dispatchers.get(message.cell)
     if dispatcher is not None:
-        dispatcher.cancelled(message)
+        dispatcher.cancelled(message, now)
     return []
 
 
--- a/src/primroseledge/requests/messages.py
+++ b/src/primroseledge/requests/messages.py
@@ -107,7 +107,9 @@
     ``issued_at`` is the wall-clock time in the request's id, 0 when it
     has none; ``excluded`` are upstreams on which it just failed.
     ``not_run`` is the earlier grant of the same call that is proved not
-    run; it ends that grant even when its Done comes later.
+    run; it ends that grant even when its Done comes later. The call began
+    after the owner of ``begun_epoch`` sent a heartbeat at ``begun_after``
+    by its own clock; ``refused_ids`` says what that is for.
     """
 
     cell: CellId
@@ -123,6 +125,8 @@
     excluded: tuple[InstanceId, ...] = ()
     zone: str = ''
     not_run: GrantId = GrantId('')
+    begun_epoch: Epoch = Epoch(0)
+    begun_after: float = float('-inf')
 
 
 class Grant(Message, frozen=True):
@@ -158,7 +162,8 @@
 class Done(Message, frozen=True):
     """Tells the owner how a granted attempt ended.
 
-    ``was_refused`` says that the upstream refused before it ran.
+    ``was_refused`` says that the upstream refused before it ran. ``told``
+    is set if the call ended with it: the reason that its caller was told.
     """
 
     cell: CellId
@@ -166,6 +171,7 @@
     end: EndState
     has_upstream_failed: bool = False
     was_refused: bool = False
+    told: Reason | None = None
 
 
 class DoneAck(Message, frozen=True):
@@ -176,10 +182,14 @@
 
 
 class Cancel(Message, frozen=True):
-    """Withdraws a request that has not been granted."""
+    """Says that a call which has no grant is over.
+
+    It was withdrawn, or its caller has been told the owner's refusal.
+    """
 
     cell: CellId
     ask_id: str
+    request_id: RequestId = RequestId('')
 
 
 class Carried(Struct, frozen=True, array_like=True):
@@ -209,12 +219,21 @@
     issued_at: float
 
 
+class Refused(Struct, frozen=True, array_like=True):
+    """A refused id, and how long its callers may yet be told."""
+
+    request_id: RequestId
+    reason: Reason
+    remaining_s: float
+
+
 class Handover(Struct, frozen=True, array_like=True):
     """What an earlier owner of a cell knows, for the next one.
 
     Ids issued before ``lost_before``, in wall-clock seconds, may be
     missing in ``remembered``; so may ids without a time until
-    ``untimed_lost_until``.
+    ``untimed_lost_until``. ``refused`` may lack ids if
+    ``has_forgotten_refusals``.
     """
 
     epoch: Epoch
@@ -222,6 +241,8 @@
     granted: tuple[Carried, ...]
     lost_before: float
     untimed_lost_until: float
+    refused: tuple[Refused, ...] = ()
+    has_forgotten_refusals: bool = False
 
 
 class ReportRequest(Message, frozen=True):
--- a/src/primroseledge/requests/request_check.py
+++ b/src/primroseledge/requests/request_check.py
@@ -8,8 +8,8 @@
 from primroseledge.ids import RequestId
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
-from primroseledge.requests.entry import Arrival
 from primroseledge.requests.keyring import Keyring
+from primroseledge.requests.open_call import Arrival
 from primroseledge.requests.outcomes import Reason
 from primroseledge.storage.documents import Service
 from primroseledge.storage.keys import parse_key
--- a/src/primroseledge/requests/request_memory.py
+++ b/src/primroseledge/requests/request_memory.py
@@ -65,11 +65,11 @@
         """Return why an id must not run, or None when it may."""
         if request_id.startswith(OWN_ID_PREFIX):
             return None
-        if issued_at > wall + self.clock_skew_s:
-            return Reason.ID_IN_FUTURE
         entry = self.entries.get(request_id)
         if entry is not None:
             return entry.reason
+        if issued_at > wall + self.clock_skew_s:
+            return Reason.ID_IN_FUTURE
         if issued_at == 0.0:
             is_lost = wall < self.untimed_lost_until
             return Reason.MEMORY_LOST if is_lost else None
--- a/src/primroseledge/requests/running_work.py
+++ b/src/primroseledge/requests/running_work.py
@@ -3,11 +3,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 
 from primroseledge.constants import RUN_MARGIN_S
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import GrantId
+from primroseledge.ids import RequestId
+from primroseledge.refused_ids import RefusedIds
 from primroseledge.requests.grant_ledger import GrantLedger
 from primroseledge.requests.grant_ledger import Running
 from primroseledge.requests.limits import TeamLimits
@@ -15,8 +18,12 @@
 from primroseledge.requests.messages import Carried
 from primroseledge.requests.messages import EndState
 from primroseledge.requests.messages import Handover
+from primroseledge.requests.messages import Refused
 from primroseledge.requests.messages import Report
+from primroseledge.requests.outcomes import Outcome
 from primroseledge.requests.outcomes import Reason
+from primroseledge.requests.outcomes import VERDICTS
+from primroseledge.requests.request_memory import OWN_ID_PREFIX
 from primroseledge.requests.request_memory import RequestMemory
 from primroseledge.requests.slots import Slots
 
@@ -29,7 +36,9 @@
     while that is not known.
     """
 
+    epoch: Epoch
     memory: RequestMemory
+    refused: RefusedIds[Reason]
     limits: TeamLimits
     slots: Slots
     ledger: GrantLedger = field(default_factory=GrantLedger)
@@ -44,7 +53,32 @@
     def objection(self, ask: Ask, now: float) -> Reason | None:
         """Return why the id of a request must not run, if so."""
         wall = self.wall(now, ask.issued_at)
-        return self.memory.check(ask.request_id, ask.issued_at, wall)
+        reason = self.memory.check(ask.request_id, ask.issued_at, wall)
+        if reason is not None or ask.request_id.startswith(OWN_ID_PREFIX):
+            return reason
+        is_ours = ask.begun_epoch == self.epoch
+        begun_after = ask.begun_after if is_ours else -inf
+        if self.refused.is_forgotten(begun_after):
+            return Reason.MEMORY_LOST
+        return self.refused.find(ask.request_id, begun_after, now)
+
+    def note_refusal(self, ask: Ask, reason: Reason, now: float) -> None:
+        """Remember a refusal that says *not run*, to keep it true."""
+        if is_guarded(ask) and VERDICTS[reason].outcome is Outcome.NOT_RUN:
+            self.refused.refuse(
+                ask.request_id, ask.ask_id, reason, ask.remaining_s, now
+            )
+
+    def note_told(
+        self, running: Running, reason: Reason | None, now: float
+    ) -> None:
+        """Remember what the caller of an attempt that did not run was told.
+
+        ``reason`` is None if its call goes on.
+        """
+        is_own = running.request_id.startswith(OWN_ID_PREFIX)
+        if reason is not None and not running.is_idempotent and not is_own:
+            self.refused.record(running.request_id, reason, now)
 
     def start(self, grant_id: GrantId, running: Running, now: float) -> None:
         """Count a granted attempt."""
@@ -84,6 +118,7 @@
             self.remember(running, Reason.MEMORY_LOST, now)
             self.stop(grant_id)
         self.memory.expire(self.wall(now))
+        self.refused.expire(now)
 
     def remember(self, running: Running, reason: Reason, now: float) -> None:
         """Remember what became of a non-idempotent request."""
@@ -118,9 +153,23 @@
                 handover.remembered, handover.lost_before, self.wall(now)
             )
             self.memory.untimed_lost_until = handover.untimed_lost_until
+            self.adopt_refusals(handover, now)
             return True
         return False
 
+    def adopt_refusals(self, handover: Handover, now: float) -> None:
+        """Take over the last owner's refusals.
+
+        Sendings that began under it can no longer be told apart, so the
+        refusals hold for all of them.
+        """
+        for item in handover.refused:
+            self.refused.refuse(
+                item.request_id, '', item.reason, item.remaining_s, now
+            )
+        if handover.has_forgotten_refusals:
+            self.refused.forgotten_at = now
+
     def hand_over(self, epoch: Epoch, now: float) -> Handover:
         """Return all that the next owner needs."""
         wall = self.wall(now)
@@ -134,9 +183,27 @@
             granted=self.ledger.export(now),
             lost_before=max(self.memory.lost_before, forgotten_before),
             untimed_lost_until=self.memory.untimed_lost_until,
+            refused=tuple(
+                Refused(
+                    RequestId(request_id),
+                    entry.refusal,
+                    max([now, *entry.unconfirmed.values()]) - now,
+                )
+                for request_id, entry in self.refused.entries.items()
+            ),
+            has_forgotten_refusals=self.refused.forgotten_at is not None,
         )
 
 
+def is_guarded(ask: Ask) -> bool:
+    """Return whether a request must not run twice, by any way.
+
+    Its caller chose the id, and may have sent it through others as well.
+    """
+    is_own = ask.request_id.startswith(OWN_ID_PREFIX)
+    return not ask.is_idempotent and not is_own
+
+
 def running_of(entry: EntryId, item: Carried, now: float) -> Running:
     """Return a reported attempt as the owner counts it."""
     return Running(
--- a/tests/requests_fleet.py
+++ b/tests/requests_fleet.py
@@ -4,7 +4,6 @@
 choice of an owner is given here; its rules are tested elsewhere.
 """
 
-import collections
 from collections.abc import Callable
 from heapq import heappop
 from heapq import heappush
@@ -18,8 +17,6 @@
 from primroseledge.ids import Incarnation
 from primroseledge.ids import RequestId
 from primroseledge.requests.actions import Action
-from primroseledge.requests.actions import Deliver
-from primroseledge.requests.actions import RefuseCall
 from primroseledge.requests.actions import SendToEntry
 from primroseledge.requests.actions import SendToOwner
 from primroseledge.requests.actions import StartAttempt
@@ -35,9 +32,9 @@
 from primroseledge.requests.messages import Message
 from primroseledge.requests.messages import Refuse
 from primroseledge.requests.messages import Report
-from primroseledge.requests.outcomes import Outcome
-from primroseledge.requests.outcomes import told_outcome
+from primroseledge.requests.open_call import OwnerMark
 from primroseledge.requests.retry_budget import RetryBudget
+from tests.requests_judge import Judge
 from tests.requests_records import CELL
 from tests.requests_records import create_arrival
 from tests.requests_records import create_delta
@@ -70,12 +67,10 @@
         self.entries = [EntryId(f'e{n}') for n in range(size)]
         self.draining: dict[str, float] = {}
         self.upstreams = [f'u{n}' for n in range(upstreams)]
-        self.executions: list[Execution] = []
         self.running: list[Execution] = []
-        self.ran = collections.Counter[RequestId]()
-        self.ran_for = collections.Counter[int]()
-        self.sendings: dict[int, Sending] = {}
-        self.problems: list[str] = []
+        self.judge = Judge()
+        self.sendings = self.judge.sendings
+        self.problems = self.judge.problems
         self.hosts: dict[EntryId, Host] = {}
         self.epoch = 0
         self.reports: dict[EntryId, Report] = {}
@@ -134,6 +129,7 @@
             self.perform(host, [*host.core.tick(now)])
             if host.dispatcher is not None:
                 self.perform(host, [*host.dispatcher.tick(now)])
+                self.send_marks(host, OwnerMark(host.dispatcher.epoch, now))
             self.transmit(host, None, self.hosts[host.owner].core.entry)
 
         self.at_host(host, act)
@@ -149,7 +145,27 @@
             elif isinstance(action, StartAttempt):
                 self.later(LINK_S, lambda a=action: self.carry(host, a))
             else:
-                self.answer(action)
+                self.judge.check_answer(action, self.now)
+
+    def send_marks(self, owner: Host, mark: OwnerMark) -> None:
+        """Let entry instances hear the owner's heartbeats, but for some."""
+
+        def arrive(core: EntryCore) -> None:
+            known = core.owner_marks.get(CELL, mark)
+            if core.epochs.get(CELL, mark.epoch) == mark.epoch:
+                newest = max(known, mark, key=lambda m: (m.epoch, m.sent_at))
+                core.owner_marks[CELL] = newest
+
+        for host in self.hosts.values():
+            ends = {owner.core.entry, host.core.entry}
+            is_cut = len(ends) > 1 and bool(ends & self.faults.cut)
+            if is_cut or self.random.random() < self.faults.drop:
+                continue
+            delay_s = LINK_S + self.random.random() * self.faults.jitter_s
+            self.later(
+                delay_s,
+                lambda h=host: self.at_host(h, lambda _: arrive(h.core)),
+            )
 
     def transmit(
         self, host: Host, message: Message | None, to: EntryId
@@ -194,7 +210,7 @@
         elif isinstance(message, Done):
             actions += dispatcher.done(sender, message, now)
         elif isinstance(message, Cancel):
-            dispatcher.cancelled(message)
+            dispatcher.cancelled(message, now)
         self.perform(host, actions)
 
     def carry(self, host: Host, start: StartAttempt) -> None:
@@ -232,14 +248,8 @@
 
     def check_start(self, execution: Execution) -> None:
         """Count a run, and compare it with what must always hold."""
-        request_id = execution.request_id
-        self.executions.append(execution)
         self.running.append(execution)
-        self.ran[request_id] += 1
-        self.ran_for[execution.handle] += 1
-        sending = self.sendings[execution.handle]
-        if not sending.is_idempotent and self.ran[request_id] > 1:
-            self.problems.append(f'{request_id} ran twice at {self.now}')
+        self.judge.check_run(execution, self.now)
         count = sum(e.team == execution.team for e in self.running)
         if count > LIMITS[execution.team]:
             self.problems.append(f'{execution.team} has {count} running')
@@ -257,26 +267,6 @@
 
         self.later(wait_s, lambda: self.at_host(host, report))
 
-    def answer(self, action: Deliver | RefuseCall) -> None:
-        """Compare what a caller is told with the ledger."""
-        sending = self.sendings[action.handle]
-        if sending.is_over:
-            self.problems.append(f'{action} is a second answer')
-        sending.is_over = True
-        ran = self.ran[sending.request_id]
-        if sending.is_idempotent:
-            ran = self.ran_for[action.handle]
-        if isinstance(action, Deliver):
-            outcome = Outcome.RAN
-        else:
-            outcome = told_outcome(
-                action.reason, not sending.is_idempotent, action.is_checked
-            )
-        if outcome is Outcome.NOT_RUN and ran:
-            self.problems.append(f'{action} but it ran: {sending}')
-        if outcome is Outcome.RAN and not ran:
-            self.problems.append(f'{action} but it did not run: {sending}')
-
     def call(
         self,
         entry: EntryId,
@@ -297,6 +287,7 @@
             self.sendings[handle] = Sending(
                 typed_id, is_idempotent, entry, self.now + timeout_s
             )
+            self.sendings[handle].began_at = self.now
             arrival = create_arrival(
                 handle, self.sendings[handle], team, now + timeout_s, issued_at
             )
--- a/tests/requests_records.py
+++ b/tests/requests_records.py
@@ -11,10 +11,10 @@
 from primroseledge.ids import ServiceId
 from primroseledge.ids import TeamId
 from primroseledge.requests.dispatcher import Dispatcher
-from primroseledge.requests.entry import Arrival
 from primroseledge.requests.entry import EntryCore
 from primroseledge.requests.messages import ConfigChange
 from primroseledge.requests.messages import ConfigDelta
+from primroseledge.requests.open_call import Arrival
 from primroseledge.storage.documents import document_key
 from primroseledge.storage.documents import encode_document
 from primroseledge.storage.documents import Instance
@@ -57,6 +57,7 @@
     entry: EntryId
     deadline: float
     is_over: bool = False
+    began_at: float = 0.0
 
 
 @dataclass
--- a/tests/test_inquiry.py
+++ b/tests/test_inquiry.py
@@ -30,9 +30,9 @@
 from primroseledge.policy.plan import StepReport
 from primroseledge.policy.policy_state import ControlNews
 from primroseledge.requests.dispatcher import create_dispatcher
-from primroseledge.requests.entry import Arrival
 from primroseledge.requests.messages import Carried
 from primroseledge.requests.messages import EndState
+from primroseledge.requests.open_call import Arrival
 from primroseledge.storage.documents import Instance
 from primroseledge.storage.documents import Pool
 from primroseledge.storage.documents import Service
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from msgspec import structs
+
 from primroseledge.agreement.membership import Timing
 from primroseledge.agreement.owner_record import OwnerRecord
 from primroseledge.agreement.ownership_actions import ReadRecord
@@ -137,6 +139,22 @@
             [RefuseCall(1, Reason.BAD_KEY)], self.request(0.1, other)
         )
 
+    def test_an_ask_names_the_owner_s_time_at_the_call_s_arrival(
+        self,
+    ) -> None:
+        """Else the owner could not tell a new attempt from a late one."""
+        self.follow_owner(0.1)
+        old = self.asked(self.request(0.2, self.key))
+        self.assertEqual((old.begun_epoch, old.begun_after), (Epoch(1), 0.1))
+        self.receive(self.heartbeat_of_owner(0.3), 0.3)
+        again = self.asked(self.node.settle(self.node.entry.tick(1.3), 1.3))
+        self.assertEqual(again.begun_after, 0.1)
+        self.receive(
+            structs.replace(self.heartbeat_of_owner(0.4), epochs={}), 0.4
+        )
+        new = self.asked(self.request(0.5, self.key))
+        self.assertEqual(new.begun_after, 0.3)
+
     def test_node_that_read_nothing_for_long_refuses(self) -> None:
         late = FRESHNESS_S + 0.1
         self.assertEqual(
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -19,7 +19,6 @@
 from primroseledge.requests.attempt_end import AttemptEnd
 from primroseledge.requests.dispatcher import create_dispatcher
 from primroseledge.requests.ejection import Ejection
-from primroseledge.requests.entry import Arrival
 from primroseledge.requests.entry import EntryCore
 from primroseledge.requests.fair_queue import FairQueue
 from primroseledge.requests.fair_queue import Waiting
@@ -30,6 +29,7 @@
 from primroseledge.requests.messages import EndState
 from primroseledge.requests.messages import Grant
 from primroseledge.requests.messages import Report
+from primroseledge.requests.open_call import Arrival
 from primroseledge.requests.outcomes import Outcome
 from primroseledge.requests.outcomes import Reason
 from primroseledge.requests.outcomes import told_outcome
@@ -228,7 +228,7 @@
     def test_a_cancelled_ask_is_not_granted(self) -> None:
         self.now += 1.2
         self.ask(1, 'e1')
-        self.dispatcher.cancelled(Cancel(CELL, 'e1.1'))
+        self.dispatcher.cancelled(Cancel(CELL, 'e1.1'), self.now)
         self.dispatcher.heard(EntryId('e1'), 1.0, self.now)
         self.assertEqual(self.dispatcher.tick(self.now), [])
 
--- a/tests/test_requests_fuzz.py
+++ b/tests/test_requests_fuzz.py
@@ -197,7 +197,7 @@
     def retries_are_bounded(self) -> None:
         """Repeated runs are at most a tenth of the requests."""
         requests = len(self.fleet.sendings)
-        repeated = sum(n - 1 for n in self.fleet.ran_for.values())
+        repeated = sum(n - 1 for n in self.fleet.judge.ran_for.values())
         assert repeated <= 0.1 * requests
 
     def teardown(self) -> None:
