Keep refusals of submitted jobs true for submissions on their way

owner/refused_calls.py remembers refused jobs with the calls that were refused. An instance confirms the refusals that it has told, and says with each call what time of the owner it knew when the call began; only a call that began after the last confirmation is a new attempt. A refusal that arrives after its call's deadline is not told. Fields are at the end of the messages, with defaults.

--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -46,6 +46,7 @@
 from primroseledge.cluster.fleet_view import FleetView
 from primroseledge.cluster.messages import CallerRequest
 from primroseledge.cluster.messages import CancelRequest
+from primroseledge.cluster.messages import create_reply
 from primroseledge.cluster.messages import ForwardedReply
 from primroseledge.cluster.messages import ForwardedRequest
 from primroseledge.cluster.messages import Message
@@ -54,6 +55,7 @@
 from primroseledge.cluster.messages import PendingRequest
 from primroseledge.cluster.messages import StateRequest
 from primroseledge.cluster.messages import SubmitRequest
+from primroseledge.cluster.pending_calls import job_or_queue_of
 from primroseledge.cluster.pending_calls import PendingCall
 from primroseledge.cluster.pending_calls import PendingCalls
 from primroseledge.ids import EntryId
@@ -182,15 +184,14 @@
             self.log_unanswered_call(call, answer, now)
             self.commands.append(AnswerCaller(call.number, answer))
         owner = self.ownership.owner
-        if not self.pending_calls.calls or owner is None:
+        if owner is None:
             return
         if owner.entry == self.entry:
             if self.ownership.may_send_orders(now):
                 self.serve_own_calls(now)
             return
-        for call in self.pending_calls.calls_to_send(owner.epoch, now):
-            forwarded = ForwardedRequest(call.number, call.request)
-            self.commands.append(SendToPeer(owner.address, forwarded))
+        for request in self.pending_calls.requests_to_send(owner.epoch, now):
+            self.commands.append(SendToPeer(owner.address, request))
 
     def log_unanswered_call(
         self, call: PendingCall, answer: Answer, now: float
@@ -210,14 +211,19 @@
 
     def serve_own_calls(self, now: float) -> None:
         """Serve the requests of this instance's own callers as the owner."""
-        for call in self.pending_calls.calls_to_send(
-            self.ownership.epoch, now
-        ):
+        epoch = self.ownership.epoch
+        for call in self.pending_calls.calls_to_send(epoch, now):
             call_id = CallId('', call.number)
-            self.serve(call_id, call.request, now)
-
-    def serve(self, call: CallId, request: CallerRequest, now: float) -> None:
-        """Serve a caller's request as the owner.
+            self.serve(call_id, call.request, call.received_at, now)
+
+    def serve(
+        self,
+        call: CallId,
+        request: CallerRequest,
+        begun_after: float | None,
+        now: float,
+    ) -> None:
+        """Serve a caller's request, which began then, as the owner.
 
         Queries are answered at once, the others by the engine in a later
         ``reconcile``.
@@ -226,17 +232,17 @@
         if engine is None:
             return
         if isinstance(request, SubmitRequest):
-            engine.submit(SubmitJob(call, request.job), now)
+            engine.submit(SubmitJob(call, request.job, begun_after), now)
         elif isinstance(request, CancelRequest):
             engine.cancel(CancelJob(call, request.queue, request.job), now)
         elif isinstance(request, StateRequest):
-            self.send_answer(SendAnswer(call, engine.find_state(request.job)))
+            answer = engine.find_state(request.job)
+            self.send_answer(SendAnswer(call, answer), now)
         elif isinstance(request, PendingRequest):
-            self.send_answer(
-                SendAnswer(call, engine.count_pending(request.queue))
-            )
+            answer = engine.count_pending(request.queue)
+            self.send_answer(SendAnswer(call, answer), now)
 
-    def send_answer(self, action: SendAnswer) -> None:
+    def send_answer(self, action: SendAnswer, now: float) -> None:
         """Send the owner's answer to a request to where it came from.
 
         That is a caller of this instance, or the peer that forwarded the
@@ -244,7 +250,7 @@
         """
         number = action.call.number
         if action.call.peer_identity:
-            reply = ForwardedReply(number, action.answer)
+            reply = create_reply(action, self.ownership.epoch, now)
             self.commands.append(ReplyToPeer(action.call.peer_identity, reply))
         elif self.pending_calls.remove(number):
             self.commands.append(AnswerCaller(number, action.answer))
@@ -262,15 +268,18 @@
         if isinstance(message, ForwardedRequest):
             if self.ownership.may_send_orders(now) and self.engine is not None:
                 call = CallId(sender, message.number)
-                self.serve(call, message.request, now)
+                for told in message.told:
+                    refused = CallId(sender, told.number)
+                    self.engine.refused_calls.confirm(refused, told.job, now)
+                begun_after = message.begun_after(self.ownership.epoch)
+                self.serve(call, message.request, begun_after, now)
                 return
             not_owner = NotOwner(message.number, self.ownership.owner)
             self.commands.append(ReplyToPeer(sender, not_owner))
         elif isinstance(message, ForwardedReply):
-            if self.pending_calls.remove(message.number):
-                self.commands.append(
-                    AnswerCaller(message.number, message.answer)
-                )
+            answer = self.pending_calls.handle_reply(message, now)
+            if answer is not None:
+                self.commands.append(AnswerCaller(message.number, answer))
         elif isinstance(message, NotOwner):
             self.pending_calls.record_decline(message.number)
             if message.owner is not None:
@@ -633,7 +642,7 @@
         other_actions = list[Action]()
         for action in actions:
             if isinstance(action, SendAnswer):
-                self.send_answer(action)
+                self.send_answer(action, now)
             else:
                 other_actions.append(action)
         return other_actions
@@ -653,15 +662,6 @@
         )
 
 
-def job_or_queue_of(request: CallerRequest) -> str:
-    """Return the id of the job that a request names, or of its queue."""
-    if isinstance(request, SubmitRequest):
-        return request.job.id
-    if isinstance(request, PendingRequest):
-        return request.queue
-    return request.job
-
-
 ABANDONABLE_STATES: Final = frozenset(
     (FleetOwnershipState.RESTORING, FleetOwnershipState.OWNING)
 )
--- a/src/primroseledge/cluster/messages.py
+++ b/src/primroseledge/cluster/messages.py
@@ -5,6 +5,8 @@
 of the caller requests are also written to logs and metrics and must stay.
 """
 
+from math import inf
+from math import nextafter
 from typing import Final
 
 from msgspec import DecodeError
@@ -18,6 +20,10 @@
 from primroseledge.ids import QueueId
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.scheduling.actions import Answer
+from primroseledge.scheduling.actions import SendAnswer
+
+NEVER: Final = -inf
+"""An owner's time when none is known."""
 
 
 class OwnerView(Struct, frozen=True, array_like=True):
@@ -57,22 +63,67 @@
 CallerRequest = SubmitRequest | CancelRequest | StateRequest | PendingRequest
 
 
+class CallOrigin(Struct, frozen=True, array_like=True):
+    """The newest time of an owner that was known when a call began.
+
+    The time is on that owner's clock.
+    """
+
+    epoch: Epoch = Epoch(0)
+    owner_time: float = NEVER
+
+
+class ToldRefusal(Struct, frozen=True, array_like=True):
+    """A call whose caller has been told that its job is refused."""
+
+    number: int
+    job: JobId
+
+
 class ForwardedRequest(Struct, frozen=True, tag='Ask', array_like=True):
     """A caller's request that a peer forwards to the owner.
 
     ``number`` identifies the request at the sender; the same request may
-    arrive more than once.
+    arrive more than once. ``told`` confirms the owner's refusals of other
+    calls. ``origin`` is missing in those of the previous version.
     """
 
     number: int
     request: CallerRequest
+    origin: CallOrigin | None = None
+    told: tuple[ToldRefusal, ...] = ()
+
+    def begun_after(self, epoch: Epoch) -> float | None:
+        """Return a time of the epoch's owner before which it did not begin.
+
+        None if the sender does not say.
+        """
+        if self.origin is None:
+            return None
+        return self.origin.owner_time if self.origin.epoch == epoch else NEVER
 
 
 class ForwardedReply(Struct, frozen=True, tag='Told', array_like=True):
-    """The owner's answer to the ``ForwardedRequest`` of the same number."""
+    """The owner's answer to the ``ForwardedRequest`` of the same number.
+
+    ``epoch`` is the owner's, ``sent_at`` the time of its clock.
+    """
 
     number: int
     answer: Answer
+    epoch: Epoch = Epoch(0)
+    sent_at: float = NEVER
+
+
+def create_reply(
+    action: SendAnswer, epoch: Epoch, now: float
+) -> ForwardedReply:
+    """Return a reply that leaves after all that was handled at ``now``.
+
+    So its time is later than that of a confirmation handled then.
+    """
+    number = action.call.number
+    return ForwardedReply(number, action.answer, epoch, nextafter(now, inf))
 
 
 class NotOwner(Struct, frozen=True, tag=True, array_like=True):
--- a/src/primroseledge/cluster/pending_calls.py
+++ b/src/primroseledge/cluster/pending_calls.py
@@ -13,9 +13,13 @@
 from typing import Final
 
 from primroseledge.cluster.messages import CallerRequest
+from primroseledge.cluster.messages import CallOrigin
+from primroseledge.cluster.messages import ForwardedReply
+from primroseledge.cluster.messages import ForwardedRequest
 from primroseledge.cluster.messages import PendingRequest
 from primroseledge.cluster.messages import StateRequest
 from primroseledge.cluster.messages import SubmitRequest
+from primroseledge.cluster.messages import ToldRefusal
 from primroseledge.ids import Epoch
 from primroseledge.scheduling.actions import Answer
 from primroseledge.scheduling.actions import Verdict
@@ -35,13 +39,20 @@
 
 RETRY_AFTER_S: Final = 1.0
 
+NO_CALL: Final = 0
+"""Number of a request that no caller waits for; those of calls begin at 1."""
+
+REFUSALS: Final = frozenset((Verdict.REFUSED, Verdict.NO_SUCH_QUEUE))
+"""Answers to a submission by which the job does not run."""
+
 
 @dataclass(slots=True)
 class PendingCall:
     """A caller's request that has no answer yet.
 
     ``sends`` counts how often it was sent to an owner, ``declines`` how
-    often an instance replied that it is not the owner.
+    often an instance replied that it is not the owner. It began after the
+    owner's time in ``origin``.
     """
 
     number: int
@@ -52,6 +63,7 @@
     sent_at: float = 0.0
     sends: int = 0
     declines: int = 0
+    origin: CallOrigin = CallOrigin()
 
     @property
     def may_have_run(self) -> bool:
@@ -61,14 +73,45 @@
 
 @dataclass(slots=True)
 class PendingCalls:
-    """The unanswered requests of this instance's callers, by number."""
+    """The unanswered requests of this instance's callers, by number.
+
+    ``newest_origin`` has the time of the owner's newest reply. ``told`` are
+    refusals that callers were told, to be confirmed to the owner.
+    """
 
     calls: dict[int, PendingCall] = field(default_factory=dict)
+    newest_origin: CallOrigin = CallOrigin()
+    told: list[tuple[ToldRefusal, SubmitRequest]] = field(default_factory=list)
 
     def add(self, call: PendingCall) -> None:
-        """Add a call."""
+        """Add a call that begins now."""
+        call.origin = self.newest_origin
         self.calls[call.number] = call
 
+    def requests_to_send(
+        self, epoch: Epoch, now: float
+    ) -> list[ForwardedRequest]:
+        """Return the messages that are due to be sent to a peer as owner.
+
+        Refusals that were told go along with a call. Without one they go
+        with a query, whose reply brings a new time of the owner: else an
+        instance without other calls could not show that a call is new.
+        """
+        requests = [
+            ForwardedRequest(call.number, call.request, call.origin)
+            for call in self.calls_to_send(epoch, now)
+        ]
+        if not self.told:
+            return requests
+        told = tuple(refusal for refusal, _ in self.told)
+        job = self.told[-1][1].job
+        self.told.clear()
+        query = StateRequest(job.queue, job.id)
+        return [
+            ForwardedRequest(NO_CALL, query, self.newest_origin, told),
+            *requests,
+        ]
+
     def calls_to_send(self, epoch: Epoch, now: float) -> list[PendingCall]:
         """Return the calls due to be sent to an owner, and mark them as sent.
 
@@ -91,6 +134,31 @@
         if call is not None:
             call.declines += 1
 
+    def handle_reply(self, reply: ForwardedReply, now: float) -> Answer | None:
+        """Return the answer for the caller, or None if it has one already.
+
+        A refusal that comes after the call's deadline is not told, as the
+        owner no longer keeps earlier submissions of the job from running.
+        """
+        origin = CallOrigin(reply.epoch, reply.sent_at)
+        newest = self.newest_origin
+        if (origin.epoch, origin.owner_time) > (
+            newest.epoch,
+            newest.owner_time,
+        ):
+            self.newest_origin = origin
+        call = self.calls.pop(reply.number, None)
+        if call is None:
+            return None
+        request = call.request
+        is_refusal = reply.answer.verdict in REFUSALS
+        if is_refusal and isinstance(request, SubmitRequest):
+            if now >= call.deadline:
+                return answer_without_owner(call)
+            told = ToldRefusal(call.number, request.job.id)
+            self.told.append((told, request))
+        return reply.answer
+
     def remove(self, number: int) -> bool:
         """Remove a call; return whether it was still unanswered."""
         return self.calls.pop(number, None) is not None
@@ -134,3 +202,12 @@
         )
     verdict = Verdict.UNKNOWN if call.may_have_run else Verdict.REFUSED
     return Answer(verdict, retry_after_s=RETRY_AFTER_S, reason='owner')
+
+
+def job_or_queue_of(request: CallerRequest) -> str:
+    """Return the id of the job that a request names, or of its queue."""
+    if isinstance(request, SubmitRequest):
+        return request.job.id
+    if isinstance(request, PendingRequest):
+        return request.queue
+    return request.job
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -45,6 +45,7 @@
 from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
 from primroseledge.owner.outbox import Outbox
+from primroseledge.owner.refused_calls import RefusedCalls
 from primroseledge.scheduling.actions import Action
 from primroseledge.scheduling.actions import Answer
 from primroseledge.scheduling.actions import CancelJob
@@ -97,6 +98,7 @@
         self.state = state
         self.outbox = Outbox()
         self.instance_list = InstanceList()
+        self.refused_calls = RefusedCalls()
         self.wait_report = WaitReport()
         self.is_fenced = False
         self.handover_started_at: float | None = None
@@ -113,16 +115,21 @@
 
         Idempotent: submitting a known job again only answers again. A job
         that was cancelled before it was submitted is answered with
-        ``NO_SUCH_JOB``.
+        ``NO_SUCH_JOB``. A submission that began before a refusal of the job
+        was told is refused too.
         """
         state = self.state
         job_id = event.job.id
         job = state.jobs.get(job_id)
         if job is None:
-            refusal = find_refusal(state, event.job)
+            refusal = self.refused_calls.find_refusal(event, now)
+            if refusal is None:
+                refusal = find_refusal(state, event.job)
             if refusal is not None:
                 log(Event.JOB_REFUSED, job=job_id, reason=refusal.reason)
-                state.actions.append(SendAnswer(event.call, refusal))
+                state.actions.append(
+                    self.refused_calls.refuse(event.call, job_id, refusal, now)
+                )
                 return
             job = Job(event.job, updated_ms=state.wall_ms(now))
             job.open_due_steps(state.wall_ms(now))
@@ -304,7 +311,7 @@
         if self.handover_started_at is None:
             self.plan(now)
         throttle_workers(state, now)
-        self.outbox.refuse_unstored_jobs(state, now)
+        self.outbox.refuse_unstored_jobs(state, self.refused_calls, now)
         batch = self.outbox.next_batch(state, self.instance_list, now)
         poll_workers(state, now)
         actions = state.actions
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -21,6 +21,7 @@
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
+from primroseledge.owner.refused_calls import RefusedCalls
 from primroseledge.owner.store_health import RETRY_AFTER_S
 from primroseledge.owner.store_health import StoreHealth
 from primroseledge.scheduling.actions import Answer
@@ -177,7 +178,9 @@
             changed=len(state.dirty_jobs),
         )
 
-    def refuse_unstored_jobs(self, state: FleetState, now: float) -> None:
+    def refuse_unstored_jobs(
+        self, state: FleetState, refused: RefusedCalls, now: float
+    ) -> None:
         """Refuse new jobs while the store fails.
 
         Only jobs that are in no batch are refused, as the store certainly
@@ -192,7 +195,7 @@
             job = state.jobs[job_id]
             if job.is_stored or job_id in in_flight:
                 continue
-            refuse_job(state, job, now)
+            refuse_job(state, refused, job, now)
 
 
 def order_changed_jobs(state: FleetState) -> list[JobId]:
@@ -254,7 +257,9 @@
     state.unstored_ends.clear()
 
 
-def refuse_job(state: FleetState, job: Job, now: float) -> None:
+def refuse_job(
+    state: FleetState, refused: RefusedCalls, job: Job, now: float
+) -> None:
     """Refuse a job that is in no batch, and remove it.
 
     Its planned starts are discarded, and its callers are asked to retry
@@ -269,7 +274,7 @@
         refusal = Answer(
             Verdict.REFUSED, retry_after_s=RETRY_AFTER_S, reason='store'
         )
-        state.actions.append(type(reply)(reply.call, refusal))
+        state.actions.append(refused.refuse(reply.call, job_id, refusal, now))
     state.dirty_jobs.pop(job_id, None)
     state.active_jobs.pop(job_id, None)
     del state.jobs[job_id]
--- a/src/primroseledge/platform/wsgi_applications.py
+++ b/src/primroseledge/platform/wsgi_applications.py
@@ -25,6 +25,7 @@
 from primroseledge.observability.fleet_metrics import FleetMetrics
 from primroseledge.observability.logs import log
 from primroseledge.observability.metrics_page import CONTENT_TYPE
+from primroseledge.owner.refused_calls import MAX_CALL_WAIT_S
 from primroseledge.platform.decoding import decode_job
 from primroseledge.scheduling.actions import Answer
 from primroseledge.scheduling.actions import Verdict
@@ -37,7 +38,6 @@
 DEFAULT_WAIT_S: Final = 2.5
 """In seconds; assumed wait of a caller that sends no ``Remaining-Time``."""
 
-MAX_WAIT_S: Final = 10.0
 ANSWER_MARGIN_S: Final = 0.15
 """In seconds; answers are sent this long before the caller's deadline.
 
@@ -239,12 +239,12 @@
     """Return how many seconds the owner has to answer a request.
 
     The caller's ``Remaining-Time`` (in ms) is limited by the queue's
-    timeout and ``MAX_WAIT_S`` and reduced by ``ANSWER_MARGIN_S``.
+    timeout and ``MAX_CALL_WAIT_S`` and reduced by ``ANSWER_MARGIN_S``.
     """
     wait_ms = str(environ.get('HTTP_REMAINING_TIME', ''))
     is_number = wait_ms.isdecimal() and wait_ms.isascii()
     wait_s = int(wait_ms) / 1000 if is_number else DEFAULT_WAIT_S
-    wait_s = min(wait_s, queue.timeout_s, MAX_WAIT_S) - ANSWER_MARGIN_S
+    wait_s = min(wait_s, queue.timeout_s, MAX_CALL_WAIT_S) - ANSWER_MARGIN_S
     return max(MIN_WAIT_S, wait_s)
 
 
--- a/src/primroseledge/scheduling/actions.py
+++ b/src/primroseledge/scheduling/actions.py
@@ -233,10 +233,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitJob:
-    """Event: a caller submitted a job."""
+    """Event: a caller submitted a job.
+
+    ``begun_after`` is a time of the owner's clock before which the call did
+    not begin, or None if its instance does not say.
+    """
 
     call: CallId
     job: AcceptedJob
+    begun_after: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -559,7 +559,7 @@
 
     def test_answers_to_peers_keep_their_field_names(self) -> None:
         answer = Answer(Verdict.REFUSED, JobState.QUEUED, 3, 1.5, 'full')
-        data = encode(ForwardedReply(1, answer))
+        data = encode(reply := ForwardedReply(1, answer, Epoch(2), 3.5))
         fields = {
             'verdict': 'refused',
             'state': 'queued',
@@ -567,8 +567,8 @@
             'retry_after_s': 1.5,
             'reason': 'full',
         }
-        self.assertEqual(['Told', 1, fields], msgpack.decode(data))
-        self.assertEqual(ForwardedReply(1, answer), decode(data))
+        self.assertEqual(['Told', 1, fields, 2, 3.5], msgpack.decode(data))
+        self.assertEqual(reply, decode(data))
 
     def test_metric_labels_of_results_keep_their_names(self) -> None:
         self.assertEqual('Deposed', outer_name(OwnershipLost(Epoch(1))))
