Check the owner's lease as the last step before the socket

An order thread checked the lease before it opened the connection, which may take 0.6 s, and polls and batches were not checked at all when they left their queues. So an owner that was paused (SIGSTOP, suspend) after the check, or for whom a connection opened slowly, sent under a lease that had ended.

A connection now asks after it was opened and before the headers and the body go out; OwnerRights answers by the boot clock, which counts suspension. Orders and calls to the instance service need the lease, polls the lease plus 1.5 s, batches the lease (a batch that is held back is sent later if the lease is renewed). What remains is a pause between the check and the system call; docs/PLATFORM.md says what bounds it.

--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -103,14 +103,6 @@
 none is in flight, its successor needs no ``TAKEOVER_PAUSE_S``.
 """
 
-POLL_GRACE_S: Final = 1.5
-"""Time after its lease expired in which an owner polls workers, in seconds.
-
-While the store does not answer, these polls renew the leases of runs. A
-successor relies on this bound for workers that it cannot reach; a worker that
-it has reached refuses polls of the older epoch.
-"""
-
 
 Command = Any
 
@@ -613,9 +605,9 @@
         ):
             return []
         if not self.ownership.may_send_orders(now):
-            if now < self.ownership.lease_expires_at + POLL_GRACE_S:
-                return engine.poll_only(now)
-            return []
+            return (
+                engine.poll_only(now) if self.ownership.may_poll(now) else []
+            )
         engine.state.wall_offset_s = self.wall_offset_s
         engine.outbox.store_health.unavailable_since = (
             self.view.store_unavailable_since
--- a/src/primroseledge/cluster/fleet_ownership.py
+++ b/src/primroseledge/cluster/fleet_ownership.py
@@ -31,6 +31,14 @@
 
 CLAIM_RETRY_S: Final = 0.15
 
+POLL_GRACE_S: Final = 1.5
+"""Time after its lease expired in which an owner polls workers, in seconds.
+
+While the store does not answer, these polls renew the leases of runs. A
+successor relies on this bound for workers that it cannot reach; a worker that
+it has reached refuses polls of the older epoch.
+"""
+
 
 class FleetOwnershipState(Enum):
     """Whether this instance is the owner, becomes it or ceases to be it.
@@ -167,6 +175,16 @@
             and now < self.lease_expires_at
         )
 
+    def may_poll(self, now: float) -> bool:
+        """Return whether this instance may poll workers as the owner now.
+
+        That is also allowed for ``POLL_GRACE_S`` after its lease expired.
+        """
+        return (
+            self.state is FleetOwnershipState.OWNING
+            and now < self.lease_expires_at + POLL_GRACE_S
+        )
+
 
 REVOCABLE_STATES: Final = frozenset(
     (
--- a/src/primroseledge/cluster/node_loop.py
+++ b/src/primroseledge/cluster/node_loop.py
@@ -44,6 +44,7 @@
 from primroseledge.cluster.fleet_node import FleetNode
 from primroseledge.cluster.fleet_ownership import FleetOwnershipState
 from primroseledge.cluster.messages import CallerRequest
+from primroseledge.cluster.owner_rights import OwnerRights
 from primroseledge.cluster.peer_transport import PeerTransport
 from primroseledge.cluster.pending_calls import answer_without_owner
 from primroseledge.cluster.pending_calls import PendingCall
@@ -123,6 +124,7 @@
         metrics: FleetMetrics,
     ) -> None:
         self.node = node
+        self.rights = OwnerRights(node.ownership)
         self.metrics = metrics
         self.transport = transport
         self.wake_fd = wake_fd
@@ -173,15 +175,6 @@
         self.metrics.call_ended(kind, answer.verdict.value, duration_s)
         return answer
 
-    def may_send_orders(self, epoch: Epoch) -> bool:
-        """Return whether an order of this epoch may still be sent.
-
-        Worker threads call this just before they send.
-        """
-        ownership = self.node.ownership
-        may_send = ownership.may_send_orders(boot_time())
-        return may_send and ownership.epoch == epoch
-
     def leave(self) -> None:
         """Begin a graceful shutdown; safe to call in a signal handler."""
         self.is_leaving = True
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -67,6 +67,7 @@
 from primroseledge.observability.fleet_metrics import FleetMetrics
 from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
+from primroseledge.send_check import send_only_if
 
 STORE_RETRY_S: Final = 0.12
 RELEASE_WRITE_NUMBER: Final = -1
@@ -91,7 +92,8 @@
     """Executes commands one at a time and posts their results.
 
     The loop sets ``current_epoch`` to the epoch in which this instance is
-    the owner, or to 0; a batch of another epoch is not retried.
+    the owner, or to 0; a batch of another epoch is not retried. A batch is
+    sent only while ``may_write`` is true of its epoch.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
         self.commands: SimpleQueue[StoreCommand | None] = SimpleQueue()
         self.is_stopped = ThreadEvent()
         self.current_epoch = Epoch(0)
+        self.may_write: Callable[[Epoch], bool] = lambda _epoch: True
         self.resources = ExitStack()
         self.thread = Thread(target=self.run, name='store', daemon=True)
 
@@ -270,7 +273,8 @@
     failures = 0
     while True:
         try:
-            revision = thread.store.commit(transaction)
+            with send_only_if(lambda: thread.may_write(command.epoch)):
+                revision = thread.store.commit(transaction)
             return BatchStored(command.epoch, command.batch.number, revision)
         except ConflictError:
             result = find_batch(thread, command)
--- a/src/primroseledge/cluster/worker_links.py
+++ b/src/primroseledge/cluster/worker_links.py
@@ -23,6 +23,7 @@
 from primroseledge.scheduling.actions import PollAnswered
 from primroseledge.scheduling.actions import PollFailed
 from primroseledge.scheduling.actions import SendPoll
+from primroseledge.send_check import send_only_if
 
 WORKER_IDLE_TIMEOUT_S: Final = 10.0
 """Idle time after which a worker's connections are closed, in seconds."""
@@ -48,6 +49,16 @@
     send_before: float
 
 
+class SendRights(Protocol):
+    """What an owner may send; threads ask just before they send."""
+
+    def may_send_orders(self, epoch: Epoch) -> bool:
+        """Return whether an order of this epoch may be sent now."""
+
+    def may_poll(self, epoch: Epoch) -> bool:
+        """Return whether a poll of this epoch may be sent now."""
+
+
 class WorkerClient(Protocol):
     """The calls that the owner makes to one worker."""
 
@@ -95,10 +106,10 @@
         self,
         inbox: Inbox,
         open_worker: OpenWorker,
-        may_send_orders: Callable[[Epoch], bool],
+        rights: SendRights,
         address: str,
     ) -> None:
-        self.may_send_orders = may_send_orders
+        self.rights = rights
         self.poll_client = open_worker(address)
         self.order_client = open_worker(address)
         self.poll_thread = CallThread(
@@ -123,9 +134,15 @@
         self.used_at = boot_time()
 
     def poll(self, call: tuple[SendPoll, Epoch]) -> WorkerReport:
-        """Send a poll and return its result."""
+        """Send a poll if the epoch may still renew leases of runs.
+
+        One that is not sent is reported as NOT_SENT.
+        """
         poll, epoch = call
-        return WorkerReport(epoch, self.poll_client.poll(poll, epoch))
+        if not self.rights.may_poll(epoch):
+            return report_failure(poll, epoch, OrderResult.NOT_SENT)
+        with send_only_if(lambda: self.rights.may_poll(epoch)):
+            return WorkerReport(epoch, self.poll_client.poll(poll, epoch))
 
     def send_order(self, queued: QueuedOrder) -> WorkerReport:
         """Send an order, if it is not too late and this is still the owner.
@@ -133,11 +150,19 @@
         An order that is not sent is reported as NOT_SENT.
         """
         order, epoch = queued.order, queued.epoch
-        if boot_time() < queued.send_before and self.may_send_orders(epoch):
+        if not self.may_send(queued):
+            return report_failure(order, epoch, OrderResult.NOT_SENT)
+        with send_only_if(lambda: self.may_send(queued)):
             return WorkerReport(
                 epoch, self.order_client.send_order(order, epoch)
             )
-        return report_failure(order, epoch, OrderResult.NOT_SENT)
+
+    def may_send(self, queued: QueuedOrder) -> bool:
+        """Return whether an order may be sent now."""
+        return (
+            boot_time() < queued.send_before
+            and self.rights.may_send_orders(queued.epoch)
+        )
 
     def close(self) -> None:
         """End both threads after the calls that are already queued."""
@@ -152,11 +177,11 @@
         self,
         inbox: Inbox,
         open_worker: OpenWorker,
-        may_send_orders: Callable[[Epoch], bool],
+        rights: SendRights,
     ) -> None:
         self.inbox = inbox
         self.open_worker = open_worker
-        self.may_send_orders = may_send_orders
+        self.rights = rights
         self.links: dict[str, WorkerLink] = {}
         self.resources = ExitStack()
         self.resources.callback(self.close_all)
@@ -184,9 +209,7 @@
 
     def open_link(self, address: str) -> WorkerLink:
         """Open and return the link to an address; raises on a bad one."""
-        link = WorkerLink(
-            self.inbox, self.open_worker, self.may_send_orders, address
-        )
+        link = WorkerLink(self.inbox, self.open_worker, self.rights, address)
         self.links[address] = link
         return link
 
--- a/src/primroseledge/http_client.py
+++ b/src/primroseledge/http_client.py
@@ -15,8 +15,6 @@
 from typing import Any
 from typing import Final
 
-from urllib3.connection import HTTPConnection
-from urllib3.connection import HTTPSConnection
 from urllib3.connectionpool import HTTPConnectionPool
 from urllib3.connectionpool import HTTPSConnectionPool
 from urllib3.exceptions import ConnectTimeoutError
@@ -25,6 +23,9 @@
 from urllib3.util import Timeout
 
 from primroseledge.errors import PrimroseledgeError
+from primroseledge.send_check import CheckedConnection
+from primroseledge.send_check import CheckedSecureConnection
+from primroseledge.send_check import SendForbiddenError
 
 JSON_HEADERS: Final = {'Content-Type': 'application/json'}
 CONNECT_TIMEOUT_S: Final = 0.6
@@ -53,7 +54,10 @@
 
 
 class NotSentError(PrimroseledgeError):
-    """No connection could be opened, so the call was not made."""
+    """The call was not made.
+
+    No connection could be opened, or the right to send it had ended.
+    """
 
 
 class NoAnswerError(PrimroseledgeError):
@@ -110,13 +114,13 @@
         self.fp = BufferedReader(TimedReader(connection, self.fp.detach()))
 
 
-class TimedConnection(HTTPConnection):
+class TimedConnection(CheckedConnection):
     """A connection whose answers are read in bounded time."""
 
     response_class = TimedAnswer
 
 
-class TimedSecureConnection(HTTPSConnection):
+class TimedSecureConnection(CheckedSecureConnection):
     """The same by TLS."""
 
     response_class = TimedAnswer
@@ -184,6 +188,9 @@
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise NotSentError(str(error)) from error
+        except SendForbiddenError as error:
+            failure = NoAnswerError if error.has_begun else NotSentError
+            raise failure(str(error)) from error
         except UNANSWERED_ERRORS as error:
             raise NoAnswerError(str(error)) from error
         return HttpAnswer(response.status, response.data)
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -62,6 +62,7 @@
 from primroseledge.platform.wsgi_applications import MetricsApplication
 from primroseledge.platform.wsgi_applications import ReadinessApplication
 from primroseledge.scheduling.advice import AdviceFailed
+from primroseledge.send_check import send_only_if
 from primroseledge.workers.worker import WorkerEntry
 
 STANDARD_OUTPUT: Final = 1
@@ -236,6 +237,7 @@
     for thread in (store, reader, lease, watch):
         resources.callback(thread.stop)
         thread.start()
+    store.may_write = loop.rights.may_send_orders
     loop.store_thread = store
     loop.read_thread = reader
     instance_client = PlatformInstanceClient(
@@ -259,9 +261,7 @@
             'advice',
         )
         resources.callback(loop.advice_thread.stop)
-    loop.worker_links = WorkerLinks(
-        loop, PlatformWorkerClient, loop.may_send_orders
-    )
+    loop.worker_links = WorkerLinks(loop, PlatformWorkerClient, loop.rights)
     resources.callback(loop.worker_links.close)
 
 
@@ -276,8 +276,11 @@
     Listing is always permitted. Other calls return REFUSED without being
     sent if this instance no longer owns the fleet in that epoch.
     """
-    if isinstance(call, ListInstances) or loop.may_send_orders(epoch):
+    if isinstance(call, ListInstances):
         return InstanceReported(epoch, client.call(call, epoch))
+    if loop.rights.may_send_orders(epoch):
+        with send_only_if(lambda: loop.rights.may_send_orders(epoch)):
+            return InstanceReported(epoch, client.call(call, epoch))
     refused = InstanceAnswered(call, InstanceResult.REFUSED, boot_time())
     return InstanceReported(epoch, refused)
 
--- a/tests/test_call_threads.py
+++ b/tests/test_call_threads.py
@@ -71,6 +71,16 @@
         return self.items.get(timeout=RESULT_WAIT_S)
 
 
+class Rights:
+    """Lets an owner send all."""
+
+    def may_send_orders(self, epoch: Epoch) -> bool:
+        return True
+
+    def may_poll(self, epoch: Epoch) -> bool:
+        return True
+
+
 class DefectiveWorker:
     """A client of a worker that raises what nobody foresees."""
 
@@ -90,7 +100,7 @@
         self.inbox = Results()
 
     def open_links(self, open_worker: Any) -> WorkerLinks:
-        links = WorkerLinks(self.inbox, open_worker, lambda epoch: True)
+        links = WorkerLinks(self.inbox, open_worker, Rights())
         self.resources.callback(links.close)
         return links
 
