Check a grant's age after the connection to the upstream is open

The carrier looked at its clock before it opened the connection (up to 0.5 s) and by the monotonic clock, which stands still while the instance is suspended. So an attempt could leave under a grant that the owner had already counted as ended. The connection now asks before headers and body go out, and the gateway measures its evidence by the boot clock, as the job path does.

--- a/src/primroseledge/agreement/freshness.py
+++ b/src/primroseledge/agreement/freshness.py
@@ -1,6 +1,6 @@
 """Whether one entry instance's view is new enough to act on.
 
-All times are of this node's own monotonic clock, in seconds. What a
+All times are of this node's own boot clock, in seconds. What a
 peer said is dated by the echo in the same heartbeat: it was said after
 our own heartbeat with that stamp was sent, however long the message
 lay in a buffer. So a date here is never later than the truth.
--- a/src/primroseledge/gateway/carrier.py
+++ b/src/primroseledge/gateway/carrier.py
@@ -6,7 +6,6 @@
 
 from contextlib import ExitStack
 from dataclasses import dataclass
-from time import monotonic
 from typing import Final
 
 from urllib3._collections import HTTPHeaderDict
@@ -18,8 +17,12 @@
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import Timeout
 
+from primroseledge.clock import boot_time
 from primroseledge.requests.actions import StartAttempt
 from primroseledge.requests.attempt_end import AttemptEnd
+from primroseledge.send_check import CheckedConnection
+from primroseledge.send_check import send_only_if
+from primroseledge.send_check import SendForbiddenError
 
 MAX_ADDRESSES: Final = 200
 """Fewer than the pools that the pool manager keeps open."""
@@ -53,6 +56,12 @@
     body: bytes
 
 
+class CheckedPool(HTTPConnectionPool):
+    """A pool whose connections check the right to send before each send."""
+
+    ConnectionCls = CheckedConnection
+
+
 class Carrier:
     """Keeps connections to upstreams and carries attempts over them."""
 
@@ -63,6 +72,7 @@
         self.pool = PoolManager(
             num_pools=256, maxsize=connections, block=False, retries=False
         )
+        self.pool.pool_classes_by_scheme = {'http': CheckedPool}
         self.resources.callback(self.pool.clear)
 
     def close(self) -> None:
@@ -77,10 +87,14 @@
         NOT_SENT and TOO_LATE mean that no byte of the request left,
         REFUSED that the upstream says that it did not run it.
         """
-        if monotonic() >= start.start_by:
+        if boot_time() >= start.start_by:
             return AttemptEnd.TOO_LATE, None
         try:
-            response = self.send(start, outbound)
+            with send_only_if(lambda: boot_time() < start.start_by):
+                response = self.send(start, outbound)
+        except SendForbiddenError as error:
+            is_unsent = not error.has_begun
+            return AttemptEnd.TOO_LATE if is_unsent else AttemptEnd.LOST, None
         except (NewConnectionError, ConnectTimeoutError):
             return AttemptEnd.NOT_SENT, None
         except HTTPError:
--- a/src/primroseledge/gateway/daemon.py
+++ b/src/primroseledge/gateway/daemon.py
@@ -6,7 +6,6 @@
 from signal import SIGINT
 from signal import signal
 from signal import SIGTERM
-from time import monotonic
 from time import time
 from typing import Any
 from typing import Final
@@ -14,6 +13,7 @@
 from cherrypy.process.wspbus import Bus
 
 from primroseledge.agreement.membership import Timing
+from primroseledge.clock import boot_time
 from primroseledge.gateway.carrier import Carrier
 from primroseledge.gateway.http_server import adapt
 from primroseledge.gateway.http_server import Application
@@ -64,8 +64,8 @@
         start_controls(settings, loop, metrics, resources)
         start_servers(settings, loop, metrics, resources)
         left = run_loop(loop)
-        stopping_since = loop.stopping_since or monotonic()
-    took_s = round(monotonic() - stopping_since, 1)
+        stopping_since = loop.stopping_since or boot_time()
+    took_s = round(boot_time() - stopping_since, 1)
     log(Event.STOPPED, seconds=took_s, left=left)
     return 0 if loop.has_ended_well else EXIT_LOOP_FAILED
 
@@ -165,7 +165,7 @@
         timing_of(settings),
         settings.freshness_s,
         settings.retry_budget,
-        monotonic(),
+        boot_time(),
         IdMemory(settings.id_window_s, settings.id_clock_skew_s),
     )
 
--- a/src/primroseledge/gateway/loop.py
+++ b/src/primroseledge/gateway/loop.py
@@ -10,7 +10,6 @@
 from math import ceil
 from os import eventfd_read
 from os import eventfd_write
-from time import monotonic
 from time import time
 from typing import Final
 from typing import Protocol
@@ -21,6 +20,7 @@
 
 from primroseledge.agreement.ownership_actions import ReadRecord
 from primroseledge.agreement.ownership_actions import WriteRecord
+from primroseledge.clock import boot_time
 from primroseledge.gateway.http_server import AttemptReport
 from primroseledge.gateway.http_server import ServerCall
 from primroseledge.gateway.node import Node
@@ -93,7 +93,7 @@
         self.is_ready = False
         self.is_watcher = True
         self.was_fresh = False
-        self.stale_since = monotonic()
+        self.stale_since = boot_time()
         self.publish_at = 0.0
         self.counted_bytes = (0, 0)
 
@@ -118,15 +118,15 @@
         poller.register(self.wake_fd, POLLIN)
         next_tick = 0.0
         while self.is_running:
-            wait_s = max(0.0, next_tick - monotonic())
+            wait_s = max(0.0, next_tick - boot_time())
             ready = dict(poller.poll(ceil(wait_s * 1000)))
             if self.wake_fd in ready:
                 eventfd_read(self.wake_fd)
             self.take_messages()
             self.take_items()
-            if monotonic() >= next_tick:
+            if boot_time() >= next_tick:
                 self.tick()
-                next_tick = monotonic() + TICK_S
+                next_tick = boot_time() + TICK_S
 
     def abandon(self) -> None:
         """Refuse every call in hand, since the loop has ended.
@@ -146,13 +146,13 @@
     def take_messages(self) -> None:
         """Take what peers have sent."""
         for envelope in self.link.receive():
-            self.perform(self.node.received(envelope, monotonic()))
+            self.perform(self.node.received(envelope, boot_time()))
 
     def take_items(self) -> None:
         """Take what other threads have posted."""
         while self.inbox:
             item = self.inbox.popleft()
-            now = monotonic()
+            now = boot_time()
             if isinstance(item, ServerCall):
                 self.calls[item.head.handle] = item
                 self.perform(self.node.request(item.head, now))
@@ -165,7 +165,7 @@
 
     def tick(self) -> None:
         """Let the node do what the time asks for, and publish its state."""
-        now = monotonic()
+        now = boot_time()
         self.node.wall_offset_s = time() - now
         self.begin_stop(now)
         self.perform(self.node.tick(now))
--- a/src/primroseledge/gateway/node.py
+++ b/src/primroseledge/gateway/node.py
@@ -88,7 +88,7 @@
 class Node:
     """The cores of one entry instance.
 
-    ``wall_offset_s`` is what to add to monotonic time to get wall-clock
+    ``wall_offset_s`` is what to add to boot time to get wall-clock
     time; the rim keeps it up to date.
     """
 
--- a/src/primroseledge/gateway/store_threads.py
+++ b/src/primroseledge/gateway/store_threads.py
@@ -5,7 +5,6 @@
 from random import uniform
 from threading import Event as Flag
 from threading import Thread
-from time import monotonic
 from typing import Final
 
 from primroseledge.agreement.configuration import snapshot_delta
@@ -13,6 +12,7 @@
 from primroseledge.agreement.ownership_actions import ReadRecord
 from primroseledge.agreement.ownership_actions import WriteRecord
 from primroseledge.agreement.ownership_actions import WriteResult
+from primroseledge.clock import boot_time
 from primroseledge.errors import ConflictError
 from primroseledge.errors import StoreError
 from primroseledge.errors import StoreOutcomeUnknownError
@@ -117,7 +117,7 @@
 
     def call(self, revision: Revision | None) -> Revision | None:
         """Make one call; return the revision to go on from."""
-        began_at = monotonic()
+        began_at = boot_time()
         try:
             if revision is None:
                 snapshot = self.store.read(CONFIG_PREFIX)
@@ -126,14 +126,14 @@
                     CONFIG_PREFIX, revision, WATCH_WAIT_S
                 )
         except StoreError as error:
-            self.metrics.store_called('watch', False, monotonic() - began_at)
+            self.metrics.store_called('watch', False, boot_time() - began_at)
             self.failed(began_at, error)
             # Jitter spreads the calls of all instances after an outage.
             self.stopped.wait(self.retry_s * uniform(0.5, 1.0))
             self.retry_s = min(MAX_RETRY_S, self.retry_s * BACKOFF)
             return None
         self.retry_s = RETRY_S
-        self.metrics.store_called('watch', True, monotonic() - began_at)
+        self.metrics.store_called('watch', True, boot_time() - began_at)
         self.succeeded(began_at)
         delta = snapshot_delta(snapshot, revision)
         self.loop.post(ConfigRead(delta, snapshot.revision, began_at))
@@ -181,7 +181,7 @@
     def run(self) -> None:
         """Make the calls until stopped."""
         while (step := self.queue.get()) is not None:
-            began_at = monotonic()
+            began_at = boot_time()
             if isinstance(step, ReadRecord):
                 read = self.read(step, began_at)
                 self.count('read', not read.has_failed, began_at)
@@ -194,7 +194,7 @@
 
     def count(self, operation: str, is_done: bool, began_at: float) -> None:
         """Count a call."""
-        took_s = monotonic() - began_at
+        took_s = boot_time() - began_at
         self.metrics.store_called(operation, is_done, took_s)
 
     def read(self, step: ReadRecord, began_at: float) -> RecordRead:
--- a/src/primroseledge/requests/actions.py
+++ b/src/primroseledge/requests/actions.py
@@ -37,8 +37,8 @@
 class StartAttempt:
     """Carry a request to an upstream.
 
-    The carrier checks ``start_by``, in monotonic seconds, right before
-    it sends, and gives up ``timeout_s`` seconds after that.
+    The carrier checks ``start_by``, in seconds of the boot clock, right
+    before it sends, and gives up ``timeout_s`` seconds after that.
     """
 
     handle: int
--- a/tests/test_paused_sender.py
+++ b/tests/test_paused_sender.py
@@ -15,6 +15,7 @@
 from subprocess import Popen
 import sys
 from threading import Thread
+from time import clock_gettime
 from time import sleep
 from typing import Any
 import unittest
@@ -23,16 +24,22 @@
 
 from urllib3.connection import HTTPConnection
 
+from primroseledge.clock import boot_time
 from primroseledge.cluster.commands import OwnershipLost
 from primroseledge.cluster.commands import StoreBatch
 from primroseledge.cluster.store_thread import StoreThread
 from primroseledge.cluster.worker_links import WorkerLinks
+from primroseledge.gateway.carrier import Carrier
+from primroseledge.gateway.carrier import Outbound
 from primroseledge.http_client import HttpClient
 from primroseledge.http_client import NoAnswerError
 from primroseledge.ids import Boot
 from primroseledge.ids import EntryId
+from primroseledge.ids import GrantId
 from primroseledge.ids import InstanceId
+from primroseledge.ids import RequestId
 from primroseledge.ids import Revision
+from primroseledge.ids import TeamId
 from primroseledge.ids import WorkerId
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
@@ -45,6 +52,8 @@
 from primroseledge.platform.store import PlatformStore
 from primroseledge.platform.store_keys import StoreKeys
 from primroseledge.platform.worker_client import PlatformWorkerClient
+from primroseledge.requests.actions import StartAttempt
+from primroseledge.requests.attempt_end import AttemptEnd
 from primroseledge.scheduling.actions import OrderResult
 from primroseledge.scheduling.actions import SendPoll
 from primroseledge.scheduling.actions import SendStart
@@ -165,6 +174,42 @@
         self.assertTrue(received.endswith(b'\r\n\r\n'), received)
 
 
+class SuspendedCarrierTest(unittest.TestCase):
+    def test_an_attempt_is_not_sent_after_a_suspension(self) -> None:
+        """The monotonic clock stands still meanwhile; a grant ages."""
+        connect = HTTPConnection.connect
+        suspended_s = 0.0
+
+        def connect_and_suspend(connection: HTTPConnection) -> None:
+            nonlocal suspended_s
+            connect(connection)
+            suspended_s = 60.0
+
+        def boot_clock(clock: int) -> float:
+            return clock_gettime(clock) + suspended_s
+
+        sink = ByteSink()
+        carrier = Carrier(1, 1000)
+        start = StartAttempt(
+            handle=1,
+            request_id=RequestId('r'),
+            team=TeamId('t'),
+            grant_id=GrantId('g'),
+            upstream=InstanceId('u'),
+            address=sink.address,
+            timeout_s=WAIT_S,
+            start_by=boot_time() + WAIT_S,
+        )
+        with (
+            patch.object(HTTPConnection, 'connect', connect_and_suspend),
+            patch('primroseledge.clock.clock_gettime', boot_clock),
+        ):
+            end, _ = carrier.carry(start, Outbound('POST', '/', {}, b'body'))
+        carrier.close()
+        self.assertIs(AttemptEnd.TOO_LATE, end)
+        self.assertEqual(b'', sink.take())
+
+
 class StoppedProcessTest(unittest.TestCase):
     def test_a_process_stopped_beyond_its_lease_sends_nothing(self) -> None:
         sink = ByteSink()
