Answer a submission after a cancel once the cancel is stored

A job that is cancelled before it is submitted is recorded as cancelled. A submission of it was answered no such job at once; if the store failed then, the cancel was refused and dropped, and an earlier submission on its way was accepted and ran. The answer now waits for the record, like that to the cancel.

test_a_cancel_that_is_not_stored_refuses_no_submission failed before; it and tests.test_engine pass.

--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -146,10 +146,6 @@
             state.mark_dirty(job, now)
             state.request_planning(job)
             record_arrival(state, job, now)
-        elif not job.accepted.spec.steps:
-            cancelled = Answer(Verdict.NO_SUCH_JOB, reason='cancelled before')
-            state.actions.append(SendAnswer(event.call, cancelled))
-            return
         self.answer_when_stored(event, job)
 
     def cancel(self, event: CancelJob, now: float) -> None:
@@ -196,11 +192,12 @@
         it was submitted is answered with ``NO_SUCH_JOB``.
         """
         state = self.state
-        verdict = Verdict.DONE
-        if not job.accepted.spec.steps:
-            verdict = Verdict.NO_SUCH_JOB
-        reply = SendAnswer(event.call, Answer(verdict))
         is_cancel = isinstance(event, CancelJob)
+        answer = Answer(Verdict.DONE)
+        if not job.accepted.spec.steps:
+            reason = '' if is_cancel else 'cancelled before'
+            answer = Answer(Verdict.NO_SUCH_JOB, reason=reason)
+        reply = SendAnswer(event.call, answer)
         is_state_stored = job.stored_state is job.state or not is_cancel
         if job.is_stored and is_state_stored:
             state.actions.append(reply)
--- a/tests/test_refused_calls.py
+++ b/tests/test_refused_calls.py
@@ -21,8 +21,10 @@
 from primroseledge.owner.store_health import MIN_OUTAGE_S
 from primroseledge.scheduling.actions import Answer
 from primroseledge.scheduling.actions import Verdict
+from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
+from tests.engine_bench import make_worker_entry
 from tests.test_fleet_node import NodeBench
 
 REQUEST = SubmitRequest(make_job('a', make_step(1)))
@@ -136,6 +138,17 @@
         self.fleet.deliver('peer-1')
         self.assertTrue(self.fleet.is_job_known())
 
+    def test_a_cancel_that_is_not_stored_refuses_no_submission(self) -> None:
+        """It may be dropped, and the job accepted after that."""
+        bench = EngineBench(make_worker_entry('worker-1'))
+        bench.cancel(REQUEST.job)
+        bench.submit(REQUEST.job)
+        bench.reconcile()
+        self.assertEqual([], bench.pop_answers())
+        bench.store_changes()
+        verdicts = [reply.answer.verdict for reply in bench.pop_answers()]
+        self.assertEqual([Verdict.NO_SUCH_JOB] * 2, verdicts)
+
     def test_a_second_attempt_through_an_idle_instance_is_accepted(
         self,
     ) -> None:
