Confirm refused cancels as told, like refused submissions

While the store fails, the owner refuses a cancel of an unstored job with the job. Instances confirmed only refused submissions, so the cancel's refusal stayed open for 10 s, and the owner refused new attempts of the caller to submit the job meanwhile.

test_nor_does_a_refused_cancel_keep_a_new_attempt_out failed before and passes, as does tests.test_fleet_node.

--- a/src/primroseledge/cluster/pending_calls.py
+++ b/src/primroseledge/cluster/pending_calls.py
@@ -14,6 +14,7 @@
 
 from primroseledge.cluster.messages import CallerRequest
 from primroseledge.cluster.messages import CallOrigin
+from primroseledge.cluster.messages import CancelRequest
 from primroseledge.cluster.messages import ForwardedReply
 from primroseledge.cluster.messages import ForwardedRequest
 from primroseledge.cluster.messages import PendingRequest
@@ -43,7 +44,7 @@
 """Number of a request that no caller waits for; those of calls begin at 1."""
 
 REFUSALS: Final = frozenset((Verdict.REFUSED, Verdict.NO_SUCH_QUEUE))
-"""Answers to a submission by which the job does not run."""
+"""Answers by which a job was not accepted, or not cancelled."""
 
 
 @dataclass(slots=True)
@@ -81,7 +82,7 @@
 
     calls: dict[int, PendingCall] = field(default_factory=dict)
     newest_origin: CallOrigin = CallOrigin()
-    told: list[tuple[ToldRefusal, SubmitRequest]] = field(default_factory=list)
+    told: list[tuple[ToldRefusal, StateRequest]] = field(default_factory=list)
 
     def add(self, call: PendingCall) -> None:
         """Add a call that begins now."""
@@ -104,9 +105,8 @@
         if not self.told:
             return requests
         told = tuple(refusal for refusal, _ in self.told)
-        job = self.told[-1][1].job
+        query = self.told[-1][1]
         self.told.clear()
-        query = StateRequest(job.queue, job.id)
         return [
             ForwardedRequest(NO_CALL, query, self.newest_origin, told),
             *requests,
@@ -150,13 +150,11 @@
         call = self.calls.pop(reply.number, None)
         if call is None:
             return None
-        request = call.request
-        is_refusal = reply.answer.verdict in REFUSALS
-        if is_refusal and isinstance(request, SubmitRequest):
+        query = state_query_of(call.request)
+        if query is not None and reply.answer.verdict in REFUSALS:
             if now >= call.deadline:
                 return answer_without_owner(call)
-            told = ToldRefusal(call.number, request.job.id)
-            self.told.append((told, request))
+            self.told.append((ToldRefusal(call.number, query.job), query))
         return reply.answer
 
     def remove(self, number: int) -> bool:
@@ -204,6 +202,15 @@
     return Answer(verdict, retry_after_s=RETRY_AFTER_S, reason='owner')
 
 
+def state_query_of(request: CallerRequest) -> StateRequest | None:
+    """Return the query for the job that a request would change, if any."""
+    if isinstance(request, SubmitRequest):
+        return StateRequest(request.job.queue, request.job.id)
+    if isinstance(request, CancelRequest):
+        return StateRequest(request.queue, request.job)
+    return None
+
+
 def job_or_queue_of(request: CallerRequest) -> str:
     """Return the id of the job that a request names, or of its queue."""
     if isinstance(request, SubmitRequest):
--- a/tests/test_refused_calls.py
+++ b/tests/test_refused_calls.py
@@ -11,6 +11,7 @@
 from primroseledge.cluster.commands import AnswerCaller
 from primroseledge.cluster.commands import ReplyToPeer
 from primroseledge.cluster.commands import SendToPeer
+from primroseledge.cluster.messages import CancelRequest
 from primroseledge.cluster.messages import decode
 from primroseledge.cluster.messages import encode
 from primroseledge.cluster.messages import ForwardedReply
@@ -25,6 +26,7 @@
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
 from tests.engine_bench import make_worker_entry
+from tests.engine_bench import QUEUE
 from tests.test_fleet_node import NodeBench
 
 REQUEST = SubmitRequest(make_job('a', make_step(1)))
@@ -138,6 +140,17 @@
         self.fleet.deliver('peer-1')
         self.assertTrue(self.fleet.is_job_known())
 
+    def test_nor_does_a_refused_cancel_keep_a_new_attempt_out(self) -> None:
+        self.fleet.set_store_failing(True)
+        peer = self.fleet.peers['peer-1']
+        cancel = CancelRequest(QUEUE, REQUEST.job.id)
+        peer.node.handle_call(98, cancel, peer.now + WAIT_S, peer.now)
+        self.fleet.collect('peer-1')
+        self.refuse_at('peer-1')
+        self.fleet.submit('peer-1')
+        self.fleet.deliver('peer-1')
+        self.assertTrue(self.fleet.is_job_known())
+
     def test_a_cancel_that_is_not_stored_refuses_no_submission(self) -> None:
         """It may be dropped, and the job accepted after that."""
         bench = EngineBench(make_worker_entry('worker-1'))
