Don't count the silence of a worker as a stall of its runs

A run without progress for 1.8 s counts as stalled: it is stopped, its task restarted and the worker's quarantine fed. A worker that was frozen (or suspended) for longer lists the same progress when it is back, so its runs were stopped though it was back well before its lease ended (5.2 s).

The time between two lists that are more than 1.3 s apart no longer counts. A run that stalls while its worker answers as usual is found as before.

test_a_run_that_stood_still_with_its_worker_is_not_stalled failed before. tests.test_engine, test_quarantine, test_quarantine_room, test_worker_restart and test_stale_boot pass.

--- a/src/primroseledge/dispatch/ends.py
+++ b/src/primroseledge/dispatch/ends.py
@@ -32,6 +32,13 @@
 """
 
 
+MAX_LISTING_GAP_S: Final = 1.3
+"""Longest time between two lists of a worker that answers as usual, in s.
+
+An answer to a poll comes within 1 s, and the next poll follows soon.
+"""
+
+
 def apply_poll_lists(
     state: FleetState, answer: PollAnswered, now: float
 ) -> None:
@@ -100,6 +107,11 @@
     it later, and what it lists may have changed since. A checkpoint that the
     worker lists becomes the task's checkpoint.
     """
+    if run.listed_at is not None and run.progressed_at is not None:
+        silent_s = received_at - run.listed_at
+        if silent_s > MAX_LISTING_GAP_S:
+            # A worker that was frozen made no progress, and is not stalled.
+            run.progressed_at += silent_s
     run.phase = RunPhase.RUNNING
     run.unresolved_at = None
     run.listed_at = received_at
