Renew the lease of a worker that is back before it ends

Polls of a worker that has not answered carry no deadline, so that its lease ends for certain. They were repeated after pauses of up to 1.6 s, and the poll that renews the lease followed 0.08 s after the first answer. A worker that was silent for 4 of its 5.2 s could so lose its runs though it was back.

While its runs may go on, a silent worker is polled 0.1 s after a failed poll, and at once after its first answer.

test_a_worker_back_before_its_lease_ends_loses_nothing: 20 of its 55 cases failed before, none after. tests.test_engine, test_quarantine, test_worker_restart, test_worker_restart_fuzz, test_stale_boot, test_fleet_fuzz and test_lossy_fleet pass.

--- a/src/primroseledge/dispatch/polls.py
+++ b/src/primroseledge/dispatch/polls.py
@@ -38,6 +38,9 @@
 slow store, polls at the shorter interval would mostly do that.
 """
 
+LEASED_POLL_RETRY_S: Final = 0.1
+"""Pause after a failed poll of a worker whose runs may go on, in seconds."""
+
 CHECK_ALL_INTERVAL_S: Final = 0.015
 """Least time between two checks of all workers for polls that are due.
 
@@ -156,6 +159,7 @@
             worker=worker.id,
             failures=worker.poll_failures,
         )
+    worker.is_lease_unrenewed = bool(worker.poll_failures)
     worker.poll_failures = 0
     worker.predecessor_runs_expire_at = 0.0
     worker.acked_end_number = max(
@@ -269,20 +273,21 @@
 def is_poll_due(state: FleetState, worker: Worker, now: float) -> bool:
     """Return whether a worker is to be polled now.
 
-    A worker that does not answer is polled at intervals that grow up to
-    4 x ``Timing.poll_retry_s``. A worker without tasks is polled until it
+    A worker that has answered after failed polls is polled at once, as these
+    did not renew its lease. A worker without tasks is polled until it
     has answered once and a poll has acknowledged all its stored ends. A
     worker of a standby pool gets its first poll only when it has a task.
     """
     if worker.entry.state is WorkerState.GONE or not worker.entry.address:
         return False
-    timing = state.timing
     if worker.poll_failures:
         needs_poll = worker.is_listed or bool(worker.tasks)
-        retry_delay_s = timing.poll_retry_s * min(worker.poll_failures, 4)
+        retry_delay_s = poll_retry_delay_s(state, worker, now)
         return needs_poll and now >= worker.last_poll_ended_at + retry_delay_s
     if not worker.has_answered_poll:
         return is_in_use(state, worker)
+    if worker.tasks and worker.is_lease_unrenewed:
+        return True
     if (
         not worker.tasks
         and worker.stored_end_number <= worker.acked_end_number
@@ -298,6 +303,18 @@
     return now >= worker.last_poll_ended_at + POLL_INTERVAL_S
 
 
+def poll_retry_delay_s(state: FleetState, worker: Worker, now: float) -> float:
+    """Return the pause after a failed poll of a worker, in seconds.
+
+    While its runs may go on, the owner must find out soon that it answers
+    again, to renew their lease in time. Otherwise the pauses grow up to
+    4 x ``Timing.poll_retry_s``.
+    """
+    if worker.tasks and now < worker.lease_clock.expires_at():
+        return LEASED_POLL_RETRY_S
+    return state.timing.poll_retry_s * min(worker.poll_failures, 4)
+
+
 def is_in_use(state: FleetState, worker: Worker) -> bool:
     """Return whether a worker has tasks or does not belong to a standby pool.
 
--- a/src/primroseledge/workers/worker.py
+++ b/src/primroseledge/workers/worker.py
@@ -136,6 +136,8 @@
     ``has_answered_poll`` means that the worker has answered a poll,
     ``last_poll_ended_at`` is when the last poll was answered or failed, and
     ``poll_failures`` counts the failed polls since the last answer.
+    ``is_lease_unrenewed`` means that the last answered poll followed failed
+    ones and renewed no lease.
     ``has_only_acked`` means that the last answered poll acknowledged ends and
     listed no new ones, so that the next poll follows at once. No task
     is started on the worker before ``cooldown_until`` or while
@@ -159,6 +161,7 @@
     last_poll_ended_at: float = 0.0
     has_only_acked: bool = False
     poll_failures: int = 0
+    is_lease_unrenewed: bool = False
     predecessor_runs_expire_at: float = 0.0
     lease_unknown_until: float = 0.0
     cooldown_until: float = 0.0
--- a/tests/test_silent_worker.py
+++ b/tests/test_silent_worker.py
@@ -14,6 +14,7 @@
 from primroseledge.scheduling.actions import PollFailed
 from primroseledge.scheduling.actions import SendPoll
 from primroseledge.scheduling.actions import SendStart
+from primroseledge.scheduling.fleet_state import Timing
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
@@ -22,6 +23,10 @@
 
 STEP_S: Final = 0.01
 PERCENT_PER_S: Final = 4
+LEASE_S: Final = Timing().lease_s
+MARGIN_S: Final = 0.15
+"""Time in which the owner has to find out that the worker is back."""
+
 WORKER: Final = make_worker_entry('worker-1')
 OTHER: Final = make_worker_entry('worker-2')
 
@@ -105,6 +110,18 @@
 
 
 class SilentWorkerTest(unittest.TestCase):
+    def test_a_worker_back_before_its_lease_ends_loses_nothing(self) -> None:
+        for begin in range(11):
+            for early_s in (MARGIN_S, 0.5, 1.0, 2.0, 4.0):
+                with self.subTest(begin=begin, early_s=early_s):
+                    worker = FrozenWorker()
+                    worker.pass_time(begin / 10)
+                    worker.freeze(worker.left_s() - early_s)
+                    worker.pass_time(2 * LEASE_S)
+                    self.assertFalse(worker.is_lost)
+                    self.assertEqual([], worker.starts)
+                    self.assertEqual([], worker.bench.pop_stops())
+
     def test_a_run_that_stood_still_with_its_worker_is_not_stalled(
         self,
     ) -> None:
