--- a/src/primroseledge/cluster/commands.py
+++ b/src/primroseledge/cluster/commands.py
@@ -137,7 +137,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ListWorkers:
-    """Command to read the list of workers."""
+    """Command to read the list of workers, for the owner of this epoch."""
+
+    epoch: Epoch
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +147,7 @@
     """Result of ListWorkers: the worker entries stored by the platform."""
 
     items: tuple[Item, ...]
+    epoch: Epoch
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +155,7 @@
     """Result of ListWorkers: the store did not return the list."""
 
     problem: str
+    epoch: Epoch
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -395,7 +395,13 @@
         )
 
     def handle_workers_listed(self, event: WorkersListed, now: float) -> None:
-        """Apply the list of workers to the engine."""
+        """Apply the list of workers to the engine.
+
+        One that was requested in an earlier epoch may be older than the
+        list that was read with the jobs.
+        """
+        if event.epoch != self.ownership.epoch:
+            return
         self.is_worker_list_in_flight = False
         self.workers_listed_at = now
         if self.engine is not None:
@@ -410,6 +416,8 @@
 
         The next ``ListWorkers`` follows after ``WORKER_LIST_RETRY_S``.
         """
+        if event.epoch != self.ownership.epoch:
+            return
         log(Event.STORE_RETRIED, step='workers', problem=event.problem)
         self.is_worker_list_in_flight = False
         self.worker_list_retry_at = now + WORKER_LIST_RETRY_S
@@ -624,7 +632,7 @@
             >= self.workers_listed_at + self.worker_list_max_age_s(engine)
         ):
             self.is_worker_list_in_flight = True
-            self.commands.append(ListWorkers())
+            self.commands.append(ListWorkers(self.ownership.epoch))
         actions, batch = engine.reconcile(now)
         if batch is not None:
             ownership = self.ownership
--- a/src/primroseledge/cluster/store_failures.py
+++ b/src/primroseledge/cluster/store_failures.py
@@ -44,7 +44,7 @@
             return OwnerReleased(command.epoch)
         case LeaveMembers():
             return MemberLeft()
-        case ListWorkers():
-            return WorkerListFailed(problem)
+        case ListWorkers(epoch):
+            return WorkerListFailed(problem, epoch)
         case _:
             assert_never(command)
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -389,11 +389,11 @@
 
 @register_handler(ListWorkers)
 def list_workers(
-    thread: StoreThread, _command: ListWorkers
+    thread: StoreThread, command: ListWorkers
 ) -> WorkersListed | WorkerListFailed:
     """Read the list of workers, without retries."""
     try:
         listed = thread.store.read_all(thread.keys.worker_prefix)
     except StoreError as error:
-        return WorkerListFailed(str(error))
-    return WorkersListed(listed.items)
+        return WorkerListFailed(str(error), command.epoch)
+    return WorkersListed(listed.items, command.epoch)
--- a/tests/test_call_threads.py
+++ b/tests/test_call_threads.py
@@ -226,7 +226,7 @@
             create_fleet_metrics(),
         )
         self.start(thread)
-        thread.submit(ListWorkers())
+        thread.submit(ListWorkers(EPOCH))
         self.assertIsInstance(self.inbox.take(), WorkerListFailed)
         thread.current_epoch = EPOCH
         thread.submit(StoreBatch(EPOCH, Revision(1), Batch(1)))
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -358,7 +358,7 @@
         bench.reconcile(1.1)
         self.assertEqual(1, len(bench.commands_of(ListWorkers)))
         bench.node.handle_worker_list_failed(
-            WorkerListFailed('down'), bench.now
+            WorkerListFailed('down', Epoch(1)), bench.now
         )
         bench.reconcile(0.3)
         self.assertEqual(1, len(bench.commands_of(ListWorkers)))
@@ -572,7 +572,7 @@
 
     def test_metric_labels_of_results_keep_their_names(self) -> None:
         self.assertEqual('Deposed', outer_name(OwnershipLost(Epoch(1))))
-        failed = WorkerListFailed('down')
+        failed = WorkerListFailed('down', Epoch(1))
         self.assertEqual('WorkersUnread', outer_name(failed))
         released = OwnerReleased(Epoch(1))
         self.assertEqual('OwnerReleased', outer_name(released))
