--- a/src/primroseledge/cluster/commands.py
+++ b/src/primroseledge/cluster/commands.py
@@ -140,7 +140,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ListWorkers:
-    """Command to read the list of workers and the evacuated zones."""
+    """Command to read the list of workers and the evacuated zones.
+
+    ``epoch`` is that of the owner that asks.
+    """
+
+    epoch: Epoch
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +153,7 @@
     """Result of ListWorkers: the platform's worker entries, and the zones."""
 
     items: tuple[Item, ...]
+    epoch: Epoch
     zones: EvacuatedZones = NO_ZONES
 
 
@@ -156,6 +162,7 @@
     """Result of ListWorkers: the store did not return the list."""
 
     problem: str
+    epoch: Epoch
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -46,15 +46,16 @@
 from primroseledge.cluster.fleet_view import FleetView
 from primroseledge.cluster.messages import CallerRequest
 from primroseledge.cluster.messages import CancelRequest
+from primroseledge.cluster.messages import create_reply
 from primroseledge.cluster.messages import ForwardedReply
 from primroseledge.cluster.messages import ForwardedRequest
-from primroseledge.cluster.messages import job_or_queue_of
 from primroseledge.cluster.messages import Message
 from primroseledge.cluster.messages import NotOwner
 from primroseledge.cluster.messages import PeerStateQuery
 from primroseledge.cluster.messages import PendingRequest
 from primroseledge.cluster.messages import StateRequest
 from primroseledge.cluster.messages import SubmitRequest
+from primroseledge.cluster.pending_calls import job_or_queue_of
 from primroseledge.cluster.pending_calls import PendingCall
 from primroseledge.cluster.pending_calls import PendingCalls
 from primroseledge.cluster.worker_list_timing import WorkerListTiming
@@ -92,14 +93,6 @@
 none is in flight, its successor needs no ``TAKEOVER_PAUSE_S``.
 """
 
-POLL_GRACE_S: Final = 1.5
-"""Time after its lease expired in which an owner polls workers, in seconds.
-
-While the store does not answer, these polls renew the leases of runs. A
-successor relies on this bound for workers that it cannot reach; a worker that
-it has reached refuses polls of the older epoch.
-"""
-
 
 Command = Any
 
@@ -171,15 +164,14 @@
             self.log_unanswered_call(call, answer, now)
             self.commands.append(AnswerCaller(call.number, answer))
         owner = self.ownership.owner
-        if not self.pending_calls.calls or owner is None:
+        if owner is None:
             return
         if owner.entry == self.entry:
             if self.ownership.may_send_orders(now):
                 self.serve_own_calls(now)
             return
-        for call in self.pending_calls.calls_to_send(owner.epoch, now):
-            forwarded = ForwardedRequest(call.number, call.request)
-            self.commands.append(SendToPeer(owner.address, forwarded))
+        for request in self.pending_calls.requests_to_send(owner.epoch, now):
+            self.commands.append(SendToPeer(owner.address, request))
 
     def log_unanswered_call(
         self, call: PendingCall, answer: Answer, now: float
@@ -199,14 +191,19 @@
 
     def serve_own_calls(self, now: float) -> None:
         """Serve the requests of this instance's own callers as the owner."""
-        for call in self.pending_calls.calls_to_send(
-            self.ownership.epoch, now
-        ):
+        epoch = self.ownership.epoch
+        for call in self.pending_calls.calls_to_send(epoch, now):
             call_id = CallId('', call.number)
-            self.serve(call_id, call.request, now)
-
-    def serve(self, call: CallId, request: CallerRequest, now: float) -> None:
-        """Serve a caller's request as the owner.
+            self.serve(call_id, call.request, call.received_at, now)
+
+    def serve(
+        self,
+        call: CallId,
+        request: CallerRequest,
+        begun_after: float | None,
+        now: float,
+    ) -> None:
+        """Serve a caller's request, which began then, as the owner.
 
         Queries are answered at once, the others by the engine in a later
         ``reconcile``.
@@ -215,17 +212,17 @@
         if engine is None:
             return
         if isinstance(request, SubmitRequest):
-            engine.submit(SubmitJob(call, request.job), now)
+            engine.submit(SubmitJob(call, request.job, begun_after), now)
         elif isinstance(request, CancelRequest):
             engine.cancel(CancelJob(call, request.queue, request.job), now)
         elif isinstance(request, StateRequest):
-            self.send_answer(SendAnswer(call, engine.find_state(request.job)))
+            answer = engine.find_state(request.job)
+            self.send_answer(SendAnswer(call, answer), now)
         elif isinstance(request, PendingRequest):
-            self.send_answer(
-                SendAnswer(call, engine.count_pending(request.queue))
-            )
+            answer = engine.count_pending(request.queue)
+            self.send_answer(SendAnswer(call, answer), now)
 
-    def send_answer(self, action: SendAnswer) -> None:
+    def send_answer(self, action: SendAnswer, now: float) -> None:
         """Send the owner's answer to a request to where it came from.
 
         That is a caller of this instance, or the peer that forwarded the
@@ -233,7 +230,7 @@
         """
         number = action.call.number
         if action.call.peer_identity:
-            reply = ForwardedReply(number, action.answer)
+            reply = create_reply(action, self.ownership.epoch, now)
             self.commands.append(ReplyToPeer(action.call.peer_identity, reply))
         elif self.pending_calls.remove(number):
             self.commands.append(AnswerCaller(number, action.answer))
@@ -251,15 +248,18 @@
         if isinstance(message, ForwardedRequest):
             if self.ownership.may_send_orders(now) and self.engine is not None:
                 call = CallId(sender, message.number)
-                self.serve(call, message.request, now)
+                for told in message.told:
+                    refused = CallId(sender, told.number)
+                    self.engine.refused_calls.confirm(refused, told.job, now)
+                begun_after = message.begun_after(self.ownership.epoch)
+                self.serve(call, message.request, begun_after, now)
                 return
             not_owner = NotOwner(message.number, self.ownership.owner)
             self.commands.append(ReplyToPeer(sender, not_owner))
         elif isinstance(message, ForwardedReply):
-            if self.pending_calls.remove(message.number):
-                self.commands.append(
-                    AnswerCaller(message.number, message.answer)
-                )
+            answer = self.pending_calls.handle_reply(message, now)
+            if answer is not None:
+                self.commands.append(AnswerCaller(message.number, answer))
         elif isinstance(message, NotOwner):
             self.pending_calls.record_decline(message.number)
             if message.owner is not None:
@@ -385,10 +385,16 @@
         )
 
     def handle_workers_listed(self, event: WorkersListed, now: float) -> None:
-        """Apply the list of workers and the zones to the engine."""
-        self.worker_list.record_listed(now)
+        """Apply the list of workers and the zones to the engine.
+
+        A list that was requested in an earlier epoch may be older than the
+        one that was read with the jobs.
+        """
         self.view.zones = self.view.zones.newest(event.zones)
         self.apply_view_to_engine(now)
+        if event.epoch != self.ownership.epoch:
+            return
+        self.worker_list.record_listed(now)
         if self.engine is not None:
             self.engine.apply_worker_entries(
                 self.view.decode_workers(event.items), now
@@ -398,6 +404,8 @@
         self, event: WorkerListFailed, now: float
     ) -> None:
         """Log the failure, and have the workers listed again soon."""
+        if event.epoch != self.ownership.epoch:
+            return
         log(Event.STORE_RETRIED, step='workers', problem=event.problem)
         self.worker_list.record_failure(now)
 
@@ -592,9 +600,9 @@
         ):
             return []
         if not self.ownership.may_send_orders(now):
-            if now < self.ownership.lease_expires_at + POLL_GRACE_S:
-                return engine.poll_only(now)
-            return []
+            return (
+                engine.poll_only(now) if self.ownership.may_poll(now) else []
+            )
         engine.state.wall_offset_s = self.wall_offset_s
         engine.outbox.store_health.unavailable_since = (
             self.view.store_unavailable_since
@@ -606,7 +614,7 @@
             return []
         has_operations = bool(engine.instance_list.operations)
         if self.worker_list.begin_if_due(has_operations, now):
-            self.commands.append(ListWorkers())
+            self.commands.append(ListWorkers(self.ownership.epoch))
         actions, batch = engine.reconcile(now)
         if batch is not None:
             ownership = self.ownership
@@ -616,7 +624,7 @@
         other_actions = list[Action]()
         for action in actions:
             if isinstance(action, SendAnswer):
-                self.send_answer(action)
+                self.send_answer(action, now)
             else:
                 other_actions.append(action)
         return other_actions
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -49,6 +49,7 @@
 from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
 from primroseledge.owner.outbox import Outbox
+from primroseledge.owner.refused_calls import RefusedCalls
 from primroseledge.scheduling.actions import Action
 from primroseledge.scheduling.actions import Answer
 from primroseledge.scheduling.actions import CancelJob
@@ -101,6 +102,7 @@
         self.state = state
         self.outbox = Outbox()
         self.instance_list = InstanceList()
+        self.refused_calls = RefusedCalls()
         self.wait_report = WaitReport()
         self.evacuation_progress = EvacuationProgress()
         self.is_fenced = False
@@ -125,16 +127,21 @@
 
         Idempotent: submitting a known job again only answers again. A job
         that was cancelled before it was submitted is answered with
-        ``NO_SUCH_JOB``.
+        ``NO_SUCH_JOB``. A submission that began before a refusal of the job
+        was told is refused too.
         """
         state = self.state
         job_id = event.job.id
         job = state.jobs.get(job_id)
         if job is None:
-            refusal = find_refusal(state, event.job)
+            refusal = self.refused_calls.find_refusal(event, now)
+            if refusal is None:
+                refusal = find_refusal(state, event.job)
             if refusal is not None:
                 log(Event.JOB_REFUSED, job=job_id, reason=refusal.reason)
-                state.actions.append(SendAnswer(event.call, refusal))
+                state.actions.append(
+                    self.refused_calls.refuse(event.call, job_id, refusal, now)
+                )
                 return
             job = Job(event.job, updated_ms=state.wall_ms(now))
             job.open_due_steps(state.wall_ms(now))
@@ -151,10 +158,6 @@
             state.mark_dirty(job, now)
             state.request_planning(job)
             record_arrival(state, job, now)
-        elif not job.accepted.spec.steps:
-            cancelled = Answer(Verdict.NO_SUCH_JOB, reason='cancelled before')
-            state.actions.append(SendAnswer(event.call, cancelled))
-            return
         self.answer_when_stored(event, job)
 
     def cancel(self, event: CancelJob, now: float) -> None:
@@ -201,11 +204,12 @@
         it was submitted is answered with ``NO_SUCH_JOB``.
         """
         state = self.state
-        verdict = Verdict.DONE
-        if not job.accepted.spec.steps:
-            verdict = Verdict.NO_SUCH_JOB
-        reply = SendAnswer(event.call, Answer(verdict))
         is_cancel = isinstance(event, CancelJob)
+        answer = Answer(Verdict.DONE)
+        if not job.accepted.spec.steps:
+            reason = '' if is_cancel else 'cancelled before'
+            answer = Answer(Verdict.NO_SUCH_JOB, reason=reason)
+        reply = SendAnswer(event.call, answer)
         is_state_stored = job.stored_state is job.state or not is_cancel
         if job.is_stored and is_state_stored:
             state.actions.append(reply)
@@ -316,7 +320,7 @@
         if self.handover_started_at is None:
             self.plan(now)
         throttle_workers(state, now)
-        self.outbox.refuse_unstored_jobs(state, now)
+        self.outbox.refuse_unstored_jobs(state, self.refused_calls, now)
         batch = self.outbox.next_batch(state, self.instance_list, now)
         poll_workers(state, now)
         actions = state.actions
