Start copies of slow tasks where their step allows it

3 in 100 tasks take 7 times as long as others of their kind, and their jobs wait for them. Steps say by `speculative` that two runs do no harm; it had no effect.

A task that has run for the 0.9 quantile and 1.5 medians of its kind gets a second run on another worker, with capacity that no step waits for, within the limit of its workspace and a tenth of the service's running tasks. The first run that ends as done counts, the other is stopped. A copy is a Task with the same key that its original holds; orders, polls and ends find the run by its number. Records name both runs in a field at the end. An end as done is acknowledged only when no start of the other run can be delivered any more. Events 743 to 747, metric copies_total, tasks{state="copy"}.

--- a/src/primroseledge/dispatch/ends.py
+++ b/src/primroseledge/dispatch/ends.py
@@ -50,7 +50,7 @@
             handle_run_end(state, worker, end, answer.received_at, now)
     listed_runs = {(run.task, run.run_number): run for run in answer.running}
     for (key, run_number), listed_run in listed_runs.items():
-        task = find_task(state, key)
+        task = find_task(state, key, run_number)
         run = task.run if task else None
         if run is None or run.number != run_number or run.worker != worker.id:
             stop_unknown_run(state, worker, key, run_number)
@@ -68,17 +68,22 @@
     return end.number
 
 
-def find_task(state: FleetState, key: TaskKey) -> Task | None:
-    """Return the task with this key, or None if there is no such task.
+def find_task(state: FleetState, key: TaskKey, run_number: int) -> Task | None:
+    """Return the task with this key, or its copy if that has the run.
 
-    There is none if its job is unknown, or if the tasks of its occurrence
-    were not created yet.
+    None is returned if there is no such task: its job is unknown, or the tasks
+    of its occurrence were not created yet. The returned task may have another
+    run or none.
     """
     job = state.jobs.get(key.job)
     step = job.steps.get((key.occurrence, key.step)) if job else None
     if step is None or not 0 <= key.number < len(step.tasks):
         return None
-    return step.tasks[key.number]
+    task = step.tasks[key.number]
+    for running in task.tasks_with_runs():
+        if running.run is not None and running.run.number == run_number:
+            return running
+    return task
 
 
 def stop_unknown_run(
@@ -187,13 +192,14 @@
     ``received_at`` is when the answer that lists the end arrived.
 
     The run's resources are released, and a task that is not done waits for
-    its next start. A run that ended as done completes its task, unless the
-    task is long-running; the last completed task completes the job. A failed
-    run counts as a failure of the worker and, unless the task is done, uses up
-    one of its attempts.
+    its next start or goes on with its other run. A run that ended as done
+    completes its task, unless the task is long-running, and its other run is
+    stopped; the last completed task completes the job. A failed run counts as
+    a failure of the worker and, unless the task is done, uses up one of its
+    attempts.
     The end of any run but the task's current one is ignored.
     """
-    task = find_task(state, end.task)
+    task = find_task(state, end.task, end.run_number)
     if task is None:
         return
     run = task.run
@@ -209,9 +215,17 @@
     )
     if end.checkpoint and task.spec.saves_checkpoints:
         task.checkpoint = end.checkpoint
+    rival = task.original if task.copy_of else task.copy
+    rival_run = rival.run if rival else None
+    if rival_run is not None and end.kind is EndKind.DONE:
+        state.request_stop(task.original)
+        state.hold_ends(task.original)
     state.finish_run(task, now)
     if job.is_final:
         return
+    if rival_run is not None:
+        log_end_beside(task, run, rival_run, end)
+    task = task.original
     if end.kind is EndKind.DONE:
         worker.quarantine.record_success()
         record_runtime(state, worker, task, run, received_at)
@@ -223,6 +237,29 @@
         record_failed_attempt(state, task, now)
 
 
+def log_end_beside(task: Task, run: Run, rival: Run, end: RunEnd) -> None:
+    """Log which of a task's two runs completes it, or goes on.
+
+    ``task`` is the one of the original and its copy whose ``run`` has ended,
+    ``rival`` the other run.
+    """
+    is_copy = task.copy_of is not None
+    event = Event.COPY_ENDED
+    if end.kind is EndKind.DONE and not task.original.is_done:
+        event = Event.COPY_WON if is_copy else Event.COPY_LOST
+    elif not is_copy:
+        return
+    log(
+        event,
+        task=task.key.name,
+        run=run.number,
+        worker=run.worker,
+        how=end.kind.value,
+        other_run=rival.number,
+        other_worker=rival.worker,
+    )
+
+
 def finish_task(state: FleetState, job: Job, task: Task, now: float) -> None:
     """Mark a task as done, and complete its job if it was the last one.
 
--- a/src/primroseledge/dispatch/orders.py
+++ b/src/primroseledge/dispatch/orders.py
@@ -128,7 +128,7 @@
     start was sent more than once, any answer leaves the run unresolved.
     """
     order = answer.order
-    task = find_task(state, order.task)
+    task = find_task(state, order.task, order.run_number)
     run = task.run if task else None
     if task is None or run is None or run.number != order.run_number:
         return
@@ -212,7 +212,7 @@
     elif worker is not None:
         worker.cooldown_until = now + START_COOLDOWN_S
     if result is OrderResult.INVALID:
-        record_failed_attempt(state, task, now)
+        record_failed_attempt(state, task.original, now)
 
 
 def send_requested_stops(
@@ -265,7 +265,7 @@
     The run keeps its resources until a later poll lists its end, or lists
     neither the run nor its end.
     """
-    task = find_task(state, answer.order.task)
+    task = find_task(state, answer.order.task, answer.order.run_number)
     run = task.run if task else None
     if run is None or run.number != answer.order.run_number:
         return
--- a/src/primroseledge/dispatch/throttling.py
+++ b/src/primroseledge/dispatch/throttling.py
@@ -124,7 +124,7 @@
     order that was meant for an earlier boot.
     """
     order = answer.order
-    task = find_task(state, order.task)
+    task = find_task(state, order.task, order.run_number)
     run = task.run if task else None
     if run is None or not isinstance(order, SendThrottle):
         return
--- a/src/primroseledge/jobs/job.py
+++ b/src/primroseledge/jobs/job.py
@@ -86,6 +86,11 @@
         for step in self.steps.values():
             yield from step.tasks
 
+    def tasks_with_runs(self) -> Iterator[Task]:
+        """Iterate over the tasks and copies that may be running."""
+        for task in self.tasks():
+            yield from task.tasks_with_runs()
+
     def open_due_steps(self, wall_ms: int) -> None:
         """Create the tasks of the occurrences that have become due."""
         spec = self.accepted.spec
--- a/src/primroseledge/jobs/progress.py
+++ b/src/primroseledge/jobs/progress.py
@@ -25,6 +25,14 @@
 )
 
 
+class RunRecord(Struct, frozen=True, array_like=True):
+    """A run that may be running on a worker in one of its boots."""
+
+    number: int
+    worker: WorkerId
+    boot: Boot
+
+
 class TaskRecord(Struct, frozen=True, array_like=True):
     """The stored state of a task for which a run was planned.
 
@@ -32,6 +40,9 @@
     ``may_run`` means that run ``last_run_number`` may be running on
     ``worker`` in ``boot``; without it these two are empty. A task with
     ``is_done`` never starts again. ``failures`` counts its failed attempts.
+    ``runs`` is empty where these fields tell all. Otherwise it has the runs
+    that may be running: that of the task, and that of its copy if there is
+    one. The fields before describe the newest of them then.
     """
 
     occurrence: int
@@ -44,6 +55,7 @@
     boot: Boot
     failures: int
     checkpoint: str
+    runs: tuple[RunRecord, ...] = ()
 
 
 class ProgressRecord(Struct, frozen=True, array_like=True):
--- a/src/primroseledge/jobs/spec.py
+++ b/src/primroseledge/jobs/spec.py
@@ -24,7 +24,8 @@
     stopped to empty its worker; 0 means no limit. Tasks of one ``image`` are
     expected to take about as long as their estimates, or to differ from them
     by the same factor; of steps without one that is expected only if they are
-    ``is_speculative``. The scheduler does not use ``is_speculative``.
+    ``is_speculative``. For the copies that such a step allows, see
+    ``allows_copies``.
     """
 
     count: int
@@ -44,6 +45,16 @@
     is_best_effort: bool = False
     max_unavailable: int = 0
 
+    @property
+    def allows_copies(self) -> bool:
+        """Return whether two runs of a task may be running at a time.
+
+        The tasks of gangs, long-running and best-effort ones get no copies.
+        """
+        return self.is_speculative and not (
+            self.is_gang or self.is_long_running or self.is_best_effort
+        )
+
     @property
     def counted_resources(self) -> Resources:
         """Return the part of a worker's capacity that one task uses.
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -1,5 +1,6 @@
 """Tasks and their runs in the memory of the fleet's owner."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
@@ -9,6 +10,7 @@
 from primroseledge.ids import Boot
 from primroseledge.ids import JobId
 from primroseledge.ids import WorkerId
+from primroseledge.jobs.progress import RunRecord
 from primroseledge.jobs.progress import TaskRecord
 from primroseledge.jobs.spec import StepSpec
 
@@ -101,10 +103,22 @@
             return True
         return self.listed_at is not None and self.send_count <= 1
 
+    @property
+    def may_still_start(self) -> bool:
+        """Return whether a start of the run may still be delivered.
+
+        It may not once the run is listed or a stop of it is acknowledged: the
+        worker refuses the run's number then if it has ended.
+        """
+        is_open = self.phase is RunPhase.SENT or (
+            self.phase is RunPhase.UNRESOLVED
+        )
+        return is_open and self.stop_answered_at is None
+
     def expect_in_boot(self, boot: Boot, now: float) -> None:
         """Expect the run in the next boot of its worker, if it runs at all.
 
-        If not all sends of its start were answered, a copy may still be
+        If not all sends of its start were answered, one may still be
         delivered: the run is then resolved as one without an answer.
         """
         self.boot = boot
@@ -123,11 +137,16 @@
 
 @dataclass(slots=True, eq=False)
 class Task:
-    """A task of a job; at most one run of it may be running.
+    """A task of a job, or a copy of one.
 
     ``run`` is the planned run or the one that may be running, None if there
     is none. ``failed_workers`` are the workers on which the task failed or
     stalled.
+
+    A copy is a second run of the task on another worker. It is a ``Task`` with
+    the same key, which ``copy`` of the original holds for as long as both have
+    a run; ``copy_of`` is the original. Of a copy only ``run``, ``checkpoint``
+    and ``failed_workers``, which both share, are used.
     """
 
     key: TaskKey
@@ -138,12 +157,38 @@
     failures: int = 0
     checkpoint: str = ''
     failed_workers: set[WorkerId] = field(default_factory=set)
+    copy: 'Task | None' = None
+    copy_of: 'Task | None' = field(default=None, repr=False)
 
     @property
     def is_waiting(self) -> bool:
         """Return whether the task has no run and is not done."""
         return self.run is None and not self.is_done
 
+    @property
+    def original(self) -> 'Task':
+        """Return the task that this is a copy of, or the task itself."""
+        return self.copy_of or self
+
+    def tasks_with_runs(self) -> Iterator['Task']:
+        """Iterate over the task and its copy, as far as they have a run."""
+        if self.run is not None:
+            yield self
+        if self.copy is not None and self.copy.run is not None:
+            yield self.copy
+
+    def add_copy(self, run: Run) -> 'Task':
+        """Add a copy of the task with a run, and return it."""
+        self.copy = Task(
+            self.key,
+            self.spec,
+            run,
+            checkpoint=self.checkpoint,
+            failed_workers=self.failed_workers,
+            copy_of=self,
+        )
+        return self.copy
+
     @property
     def is_serving(self) -> bool:
         """Return whether a long-running task reports that it serves."""
@@ -152,7 +197,11 @@
 
     def to_record(self) -> TaskRecord:
         """Return the record of the task that is to be stored."""
-        run = self.run
+        runs = [task.run for task in self.tasks_with_runs() if task.run]
+        run = runs[-1] if runs else None
+        is_told_by_fields = len(runs) <= 1 and (
+            run is None or run.number == self.last_run_number
+        )
         return TaskRecord(
             self.key.occurrence,
             self.key.step,
@@ -164,13 +213,17 @@
             run.boot if run else Boot(0),
             self.failures,
             self.checkpoint,
+            ()
+            if is_told_by_fields
+            else tuple(RunRecord(r.number, r.worker, r.boot) for r in runs),
         )
 
 
 def restore_task(key: TaskKey, step: StepSpec, record: TaskRecord) -> Task:
     """Return a task from the record that a previous owner stored.
 
-    A run that the record says may be running becomes ``UNRESOLVED``.
+    A run that the record says may be running becomes ``UNRESOLVED``. A second
+    one becomes that of the task's copy.
     """
     task = Task(
         key,
@@ -180,13 +233,24 @@
         failures=record.failures,
         checkpoint=record.checkpoint,
     )
-    if record.may_run:
-        task.run = Run(
-            record.last_run_number,
-            record.worker,
-            record.boot,
-            RunPhase.UNRESOLVED,
-            # The previous owner may have throttled it.
-            is_speed_confirmed=False,
-        )
+    runs = record.runs
+    if record.may_run and not runs:
+        number = record.last_run_number
+        runs = (RunRecord(number, record.worker, record.boot),)
+    if runs:
+        task.run = restore_run(runs[0])
+    for run_record in runs[1:]:
+        task.add_copy(restore_run(run_record))
     return task
+
+
+def restore_run(record: RunRecord) -> Run:
+    """Return a run from its record, as one that may be running."""
+    return Run(
+        record.number,
+        record.worker,
+        record.boot,
+        RunPhase.UNRESOLVED,
+        # The previous owner may have throttled it.
+        is_speed_confirmed=False,
+    )
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -7,6 +7,11 @@
 from enum import Enum
 from enum import unique
 
+from primroseledge.observability.copy_events import COPY_CONTINUES_INFO
+from primroseledge.observability.copy_events import COPY_ENDED_INFO
+from primroseledge.observability.copy_events import COPY_LOST_INFO
+from primroseledge.observability.copy_events import COPY_PLANNED_INFO
+from primroseledge.observability.copy_events import COPY_WON_INFO
 from primroseledge.observability.copy_events import RUNTIME_LEARNED_INFO
 from primroseledge.observability.event_info import error
 from primroseledge.observability.event_info import info
@@ -323,3 +328,8 @@
     CALL_FAILED = CALL_FAILED_INFO
     SERVER_PROBLEM = SERVER_PROBLEM_INFO
     RUNTIME_LEARNED = RUNTIME_LEARNED_INFO
+    COPY_PLANNED = COPY_PLANNED_INFO
+    COPY_WON = COPY_WON_INFO
+    COPY_LOST = COPY_LOST_INFO
+    COPY_CONTINUES = COPY_CONTINUES_INFO
+    COPY_ENDED = COPY_ENDED_INFO
--- a/src/primroseledge/observability/fleet_metrics.py
+++ b/src/primroseledge/observability/fleet_metrics.py
@@ -35,6 +35,10 @@
         self.runs = self.counter(
             'runs_ended_total', 'Runs of tasks that ended, by how.'
         )
+        self.copies = self.counter(
+            'copies_total',
+            'Copies of tasks, by what became of them; all are planned first.',
+        )
         self.calls = self.histogram(
             'call_seconds',
             "Callers' requests, by kind and verdict; a done submit is stored.",
@@ -155,6 +159,36 @@
     metrics.runs.inc({'how': str(fields['how'])})
 
 
+@observes(Event.COPY_PLANNED)
+def count_planned_copy(metrics: FleetMetrics, fields: Fields) -> None:
+    """Count a copy whose start was decided."""
+    metrics.copies.inc({'outcome': 'planned'})
+
+
+@observes(Event.COPY_WON)
+def count_won_copy(metrics: FleetMetrics, fields: Fields) -> None:
+    """Count a copy that completed its task."""
+    metrics.copies.inc({'outcome': 'won'})
+
+
+@observes(Event.COPY_LOST)
+def count_lost_copy(metrics: FleetMetrics, fields: Fields) -> None:
+    """Count a copy whose task was completed by its first run."""
+    metrics.copies.inc({'outcome': 'lost'})
+
+
+@observes(Event.COPY_CONTINUES)
+def count_continuing_copy(metrics: FleetMetrics, fields: Fields) -> None:
+    """Count a copy that became the only run of its task."""
+    metrics.copies.inc({'outcome': 'continues'})
+
+
+@observes(Event.COPY_ENDED)
+def count_ended_copy(metrics: FleetMetrics, fields: Fields) -> None:
+    """Count a copy that failed or was stopped while its task ran."""
+    metrics.copies.inc({'outcome': 'ended'})
+
+
 @observes(Event.JOB_ENDED)
 def time_job(metrics: FleetMetrics, fields: Fields) -> None:
     """Time a job until its final state."""
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -65,6 +65,7 @@
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.scheduling.fleet_state import Timing
 from primroseledge.scheduling.planning import plan_services
+from primroseledge.scheduling.speculation import plan_copies
 from primroseledge.scheduling.wait_report import WaitReport
 from primroseledge.workers.worker import WorkerEntry
 
@@ -327,7 +328,8 @@
             state.services_to_plan.update(state.configuration.services)
         if self.outbox.may_build_batch(state, now):
             # A start that is planned earlier waits for the same batch.
-            plan_services(state, now)
+            unplaced = plan_services(state, now)
+            plan_copies(state, unplaced, now)
         self.wait_report.report(state, now)
 
     def sweep(self, now: float) -> None:
--- a/src/primroseledge/owner/fleet_counts.py
+++ b/src/primroseledge/owner/fleet_counts.py
@@ -32,7 +32,8 @@
     """Count waiting and running tasks by workspace and service.
 
     A task is counted if its job is active and all steps that must precede
-    its own are done. It counts as running as soon as its run is planned.
+    its own are done. It counts as running as soon as its run is planned. Its
+    copy is counted in addition.
     """
     counts = Counter[TaskCountKey]()
     for job in state.active_jobs.values():
@@ -46,6 +47,8 @@
                     counts[workspace, service, 'waiting'] += 1
                 elif task.run is not None:
                     counts[workspace, service, 'running'] += 1
+                if task.copy is not None:
+                    counts[workspace, service, 'copy'] += 1
     return tuple(TaskCount(*key, total) for key, total in counts.items())
 
 
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -226,12 +226,13 @@
     """Return the last end of each worker's boot that is stored with a batch.
 
     To be called when the batch is built. An end is stored with it if neither
-    its own job nor that of an earlier end of the worker is left to store.
+    its own job nor that of an earlier end of the worker is left to store, and
+    if none of these jobs' ends are held.
     """
     stored = dict[tuple[WorkerId, Boot], int]()
     for worker_id, ends in list(state.unstored_ends.items()):
         worker = state.workers.get(worker_id)
-        while ends and ends[0].job not in state.dirty_jobs:
+        while ends and is_effect_final(state, ends[0].job):
             number = ends.popleft().number
             if worker is not None:
                 stored[worker_id, worker.entry.boot] = number
@@ -240,18 +241,27 @@
     return stored
 
 
+def is_effect_final(state: FleetState, job: JobId) -> bool:
+    """Return whether ends of a job may be acknowledged once it is stored.
+
+    They may not while the job's record is still to be put into a batch, or
+    while a start of a task that is done may be delivered.
+    """
+    return job not in state.dirty_jobs and not state.are_ends_held(job)
+
+
 def ack_all_ends(state: FleetState) -> None:
-    """Mark all handled run ends as stored, so that workers may discard them.
+    """Mark handled run ends as stored, so that workers may discard them.
 
     To be called when no record is changed and no batch in flight: all
-    effects of the ends are stored then, and some ends had none.
+    effects of the ends are stored then, and some ends had none. Only ends
+    that are held are left.
     """
-    for worker_id in state.unstored_ends:
+    for (worker_id, _), number in pop_stored_ends(state).items():
         worker = state.workers.get(worker_id)
         if worker is not None:
-            worker.stored_end_number = worker.handled_end_number
+            worker.stored_end_number = number
             state.workers_to_check.add(worker_id)
-    state.unstored_ends.clear()
 
 
 def refuse_job(state: FleetState, job: Job, now: float) -> None:
--- a/src/primroseledge/owner/recovery.py
+++ b/src/primroseledge/owner/recovery.py
@@ -57,18 +57,24 @@
     If its worker has restarted since the record was stored, the next boot may
     have carried out the start. The runs of an unresponsive worker count as
     running for at least ``unknown_lease_s``. Runs of a finished job are marked
-    to be stopped.
+    to be stopped, as is what still runs of a task that is done in a
+    step that allows copies.
     """
-    for task in job.tasks():
+    for task in list(job.tasks_with_runs()):
         run = task.run
         if run is None:
             continue
         run.confirmed_at = now
-        run.is_stop_requested = job.is_final
+        is_superseded = task.is_done and task.spec.allows_copies
+        run.is_stop_requested = job.is_final or is_superseded
         worker = find_or_add_worker(state, run)
         run.boot = max(run.boot, worker.entry.boot)
         state.add_run_usage(task, worker)
         worker.predecessor_runs_expire_at = now + state.timing.unknown_lease_s
+        if task.copy_of is None:
+            state.expect_copy(task, now)
+        if is_superseded:
+            state.hold_ends(task)
 
 
 def find_or_add_worker(state: FleetState, run: Run) -> Worker:
--- a/src/primroseledge/scheduling/fleet_state.py
+++ b/src/primroseledge/scheduling/fleet_state.py
@@ -17,6 +17,7 @@
 from primroseledge.jobs.resources import NO_RESOURCES
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.task import Run
+from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
 from primroseledge.jobs.task import TaskKey
 from primroseledge.observability.events import Event
@@ -27,6 +28,7 @@
 from primroseledge.scheduling.actions import target_of
 from primroseledge.scheduling.advice import AdviceCache
 from primroseledge.scheduling.arrival_rate import ArrivalRate
+from primroseledge.scheduling.copy_checks import CopyChecks
 from primroseledge.scheduling.runtimes import Runtimes
 from primroseledge.workers.worker import Worker
 
@@ -81,7 +83,9 @@
     maintenance or a move; the platform may still list these boots.
     ``took_over_at`` is when this instance became the owner, ``replanned_at``
     when all services were last planned. ``wall_offset_s`` is added to the
-    owner's clock to get the wall-clock time.
+    owner's clock to get the wall-clock time. ``copies`` are the copies of
+    tasks that are planned or may be running, ``held_tasks`` those that are
+    done and whose other run may still start, see ``hold_ends``.
     """
 
     configuration: Configuration
@@ -113,6 +117,9 @@
     advice: AdviceCache = field(default_factory=AdviceCache)
     arrival_rates: dict[ServiceId, ArrivalRate] = field(default_factory=dict)
     runtimes: Runtimes = field(default_factory=Runtimes)
+    copies: dict[TaskKey, Task] = field(default_factory=dict)
+    copy_checks: dict[ServiceId, CopyChecks] = field(default_factory=dict)
+    held_tasks: dict[JobId, list[Task]] = field(default_factory=dict)
 
     def wall_ms(self, now: float) -> int:
         """Return the wall-clock time at ``now``, in ms since 1970."""
@@ -183,14 +190,39 @@
         """
         task.last_run_number += 1
         task.run = Run(task.last_run_number, worker.id, worker.entry.boot)
+        self.add_planned_run(task, worker, now)
+        self.expect_copy(task, now)
+
+    def plan_copy(self, task: Task, worker: Worker, now: float) -> Task:
+        """Plan a second run of a task on another worker; return the copy.
+
+        As with ``plan_run``, its start is sent only after it is stored.
+        """
+        task.last_run_number += 1
+        run = Run(task.last_run_number, worker.id, worker.entry.boot)
+        copy = task.add_copy(run)
+        self.add_planned_run(copy, worker, now)
+        return copy
+
+    def add_planned_run(self, task: Task, worker: Worker, now: float) -> None:
+        """Count a planned run as used, and have its start stored and sent."""
         self.add_run_usage(task, worker)
         self.planned_tasks.append(task)
-        job = self.jobs[task.key.job]
-        self.mark_dirty(job, now)
+        self.mark_dirty(self.jobs[task.key.job], now)
+
+    def expect_copy(self, task: Task, now: float) -> None:
+        """Have it checked from now on whether a task is to get a copy."""
+        service = self.service_of(self.jobs[task.key.job])
+        if service is None or not task.spec.allows_copies:
+            return
+        checks = self.copy_checks.setdefault(service, CopyChecks())
+        checks.add(task, now)
 
     def add_run_usage(self, task: Task, worker: Worker) -> None:
         """Add the resources of a task's run to its worker and workspace."""
         worker.add_task(task)
+        if task.copy_of is not None:
+            self.copies[task.key] = task
         self.workers_to_check.add(worker.id)
         workspace = self.jobs[task.key.job].accepted.workspace
         self.usage[workspace] = self.workspace_usage(workspace).plus(
@@ -200,7 +232,8 @@
     def finish_run(self, task: Task, now: float) -> None:
         """Remove a task's run, which can no longer be running.
 
-        Its resources are released and the task may be planned again.
+        Its resources are released. The task may be planned again, or goes on
+        with the run of its copy if it has one.
         """
         run = task.run
         if run is None:
@@ -217,6 +250,38 @@
         )
         self.mark_dirty(job, now)
         self.request_planning(job)
+        if task.copy_of is not None:
+            task.copy_of.copy = None
+            del self.copies[task.key]
+            self.expect_copy(task.copy_of, now)
+        elif task.copy is not None:
+            self.continue_with_copy(task, task.copy, now)
+
+    def continue_with_copy(self, task: Task, copy: Task, now: float) -> None:
+        """Make the run of a task's copy that of the task, which has none.
+
+        A copy whose start was not sent yet is withdrawn instead.
+        """
+        run = copy.run
+        if run is None or run.phase is RunPhase.PLANNED:
+            self.finish_run(copy, now)
+            return
+        copy.run = None
+        task.copy = None
+        del self.copies[task.key]
+        task.run = run
+        task.checkpoint = task.checkpoint or copy.checkpoint
+        worker = self.workers.get(run.worker)
+        if worker is not None:
+            worker.tasks[task.key] = task
+        self.expect_copy(task, now)
+        if not run.is_stop_requested:
+            log(
+                Event.COPY_CONTINUES,
+                task=task.key.name,
+                run=run.number,
+                worker=run.worker,
+            )
 
     def give_up_run(self, task: Task, reason: str, now: float) -> None:
         """Remove and log a run whose worker never listed its end.
@@ -254,14 +319,31 @@
         )
         self.actions.append(SendStop(target_of(worker), task, run_number))
 
+    def hold_ends(self, task: Task) -> None:
+        """Have no ends of a job acknowledged while a done task may start.
+
+        To be called when a task is done while it has another run, whose start
+        may still be on its way.
+        """
+        self.held_tasks.setdefault(task.key.job, []).append(task)
+
+    def are_ends_held(self, job: JobId) -> bool:
+        """Return whether the ends of a job may not be acknowledged yet."""
+        tasks = self.held_tasks.pop(job, ())
+        held = [t for t in tasks if t.run and t.run.may_still_start]
+        if held:
+            self.held_tasks[job] = held
+        return bool(held)
+
     def request_stop(self, task: Task) -> None:
-        """Request the stop of a task's run, if it has one.
+        """Request the stop of a task's run and its copy's, if it has any.
 
         The stop is sent later; a run that is only planned is not started.
         """
-        if task.run is not None:
-            task.run.is_stop_requested = True
-            self.workers_to_check.add(task.run.worker)
+        for running in task.tasks_with_runs():
+            if running.run is not None:
+                running.run.is_stop_requested = True
+                self.workers_to_check.add(running.run.worker)
 
 
 def age_s(since: float | None, now: float) -> float | None:
--- a/src/primroseledge/scheduling/placement.py
+++ b/src/primroseledge/scheduling/placement.py
@@ -94,15 +94,20 @@
 ) -> StepPlacement:
     """Return how many of a step's tasks may run per worker and per rack.
 
+    Copies count as tasks.
     A run on a worker that is no longer known has no rack and is counted
     per worker only.
     """
     placement = StepPlacement()
-    for task in step.tasks:
-        if task.run is None:
-            continue
-        placement.per_worker[task.run.worker] += 1
-        worker = workers.get(task.run.worker)
+    runs = (
+        running.run
+        for task in step.tasks
+        for running in task.tasks_with_runs()
+        if running.run is not None
+    )
+    for run in runs:
+        placement.per_worker[run.worker] += 1
+        worker = workers.get(run.worker)
         if worker is not None:
             placement.per_rack[worker.rack] += 1
     return placement
--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -15,6 +15,7 @@
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.resources import Resources
+from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.task import Task
 from primroseledge.scheduling.advice import step_key
 from primroseledge.scheduling.capacity_shortage import CapacityShortage
@@ -40,9 +41,14 @@
 """
 
 
-def plan_services(state: FleetState, now: float) -> None:
+def plan_services(
+    state: FleetState, now: float
+) -> dict[ServiceId, list[StepSpec]]:
     """Plan the starts for all services marked in ``services_to_plan``.
 
+    Returns these services with the steps that found no capacity. A service is
+    missing in it if its pass ended early.
+
     Those with the fewest planned starts come first: a service with many tasks
     to start would otherwise reach ``MAX_PLANNED_STARTS`` in each pass.
     """
@@ -52,19 +58,27 @@
     )
     services = state.services_to_plan
     state.services_to_plan = set()
+    unplaced = dict[ServiceId, list[StepSpec]]()
     for service in sorted(services, key=lambda id: (planned[id], id)):
-        plan_service(state, service, now)
+        steps = plan_service(state, service, now)
+        if steps is not None:
+            unplaced[service] = steps
+    return unplaced
 
 
-def plan_service(state: FleetState, service: ServiceId, now: float) -> None:
+def plan_service(
+    state: FleetState, service: ServiceId, now: float
+) -> list[StepSpec] | None:
     """Plan the starts of one service's waiting tasks.
 
+    Returns the steps that found no capacity, or None if the pass ended early.
     The pass ends at ``MAX_PLANNED_STARTS``. A step is left out where
     ``CapacityShortage`` says so.
     """
     waiting = waiting_steps(state, service, now)
     if not waiting:
-        return
+        return []
+    unplaced = list[StepSpec]()
     pool = [w for w in state.workers.values() if w.entry.service == service]
     workers = [worker for worker in pool if worker.may_start_tasks(now)]
     quarantined = [worker for worker in pool if may_probe(worker, now)]
@@ -73,14 +87,16 @@
     for _, job, step in waiting:
         if len(state.planned_tasks) >= MAX_PLANNED_STARTS:
             state.services_to_plan.add(service)
-            return
+            return None
         if shortage.affects(step):
+            unplaced.append(step.spec)
             plan_probe(state, job, step, workers, quarantined, now)
             continue
         is_batch = not step.spec.is_long_running
         allowed = batch_workers if is_batch else workers
         outcome = plan_step(state, job, step, allowed, now)
         if outcome in (StepPlan.NO_CAPACITY, StepPlan.AVOIDING):
+            unplaced.append(step.spec)
             plan_probe(state, job, step, workers, quarantined, now)
         if outcome is StepPlan.AVOIDING:
             shortage.count(step)
@@ -94,6 +110,7 @@
             shortage.excluded += 1
             batch_workers = [w for w in batch_workers if w is not kept_free]
     shortage.end_pass(step for _, _, step in waiting)
+    return unplaced
 
 
 def plan_probe(
--- a/tests/test_fleet_metrics.py
+++ b/tests/test_fleet_metrics.py
@@ -38,7 +38,9 @@
         self.log(Event.JOB_STARTED, job='c', seconds=0.7)
         self.log(Event.JOBS_RESTORED, epoch=2, jobs=3, active=1, seconds=0.2)
         self.log(Event.RUN_ENDED, task='c-0', run=1, worker='w', how='done')
+        self.log(Event.COPY_CONTINUES, task='c-0', run=2, worker='w')
         self.check(
+            'copies_total{outcome="continues"} 1',
             'events_total{event="job_refused"} 2',
             'jobs_refused_total{reason="store"} 2',
             'job_seconds_bucket{le="3.0",state="completed"} 0.0',
