Play a load with stragglers with and without copies

No load showed what callers get by copies.

bench.jobs has a load "stragglers": the small fleet with steady demand, where 3 in 100 runs take 7 times as long, estimates are off by kind by a factor of up to 1.9, and 3 in 10 jobs allow copies; and a policy "no copies".

--- a/bench/job_fleet.py
+++ b/bench/job_fleet.py
@@ -25,6 +25,8 @@
 from bench.job_load import Outcome
 from bench.job_load import STANDBY
 from bench.job_load import Submission
+from bench.job_stragglers import add_images
+from bench.job_stragglers import run_factor
 from bench.job_workers import ONE_WAY_S
 from bench.job_workers import SimWorker
 from bench.job_workers import SimWorkers
@@ -37,6 +39,7 @@
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import AcceptedJob
+from primroseledge.jobs.task import TaskKey
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import InstancesListed
@@ -104,7 +107,9 @@
         self.instances: dict[InstanceId, SimInstance] = {}
         self.is_reconcile_due = False
         self.outcome = Outcome()
-        self.outcome.submissions = make_submissions(shape, seed)
+        self.outcome.submissions = add_images(
+            shape, make_submissions(shape, seed), seed
+        )
         self.long_running = make_long_running(shape)
         self.by_job: dict[JobId, Submission] = {
             s.job.id: s for s in self.outcome.submissions + self.long_running
@@ -211,9 +216,10 @@
         else:
             self.post(lambda: self.engine.handle_poll_failure(event, self.now))
 
-    def task_s(self, job: JobId) -> float:
-        """Return how long each task of a job runs, in seconds."""
-        return self.by_job[job].task_s
+    def run_s(self, task: TaskKey, run_number: int) -> float:
+        """Return how long a run of a task takes, in seconds."""
+        factor = run_factor(self.shape, task, run_number)
+        return self.by_job[task.job].task_s * factor
 
     def record_start(self, job: JobId) -> None:
         """Record when the first task of a job was started."""
@@ -275,6 +281,9 @@
 
     def execute(self, action: Action) -> None:
         if isinstance(action, SendStart):
+            copy = self.engine.state.copies.get(action.task)
+            if copy and copy.run and copy.run.number == action.run_number:
+                self.outcome.copies += 1
             self.after(ONE_WAY_S, lambda: self.workers.start(action))
         elif isinstance(action, SendStop):
             self.after(ONE_WAY_S, lambda: self.workers.stop(action))
--- a/bench/job_load.py
+++ b/bench/job_load.py
@@ -67,6 +67,9 @@
     ``peak`` and ``valley`` are the load in and between the turns, as
     multiples of the mean. ``store_s`` is how long the store takes to answer.
     ``store_outage`` is when it stops to answer, and when it answers again.
+    Where ``images`` is not 0, each workspace uses so many images,
+    ``copied_share`` of the jobs allow copies, and ``straggler_share`` of the
+    runs are stragglers; see ``job_stragglers``.
     """
 
     name: str
@@ -83,6 +86,9 @@
     length_s: float = 34.0
     store_s: float = 0.008
     store_outage: tuple[float, float] | None = None
+    images: int = 0
+    copied_share: float = 0.0
+    straggler_share: float = 0.0
 
 
 CALLER_DEADLINE_S: Final = 3.0
@@ -109,7 +115,7 @@
     objective. ``refused`` are the jobs whose callers gave up after a refusal,
     ``held_s`` how long each refusal took to be sent. ``pool_s`` are the
     seconds of instances in pools, ``engine_s`` the processor time of the
-    engine.
+    engine. ``copies`` counts the copies of tasks that were started.
     """
 
     submissions: list[Submission] = field(default_factory=list)
@@ -119,6 +125,7 @@
     started_after: list[float] = field(default_factory=list)
     pool_s: float = 0.0
     moves: int = 0
+    copies: int = 0
     engine_s: float = 0.0
     longest_reconcile_s: float = 0.0
 
@@ -157,17 +164,29 @@
         count = max(1, len(by_size) // 10)
         return self.share_in_time(by_size[-count:])
 
-    def failed_share(self) -> float:
-        """Return the share of jobs without an end within the late bound."""
-        if not self.submissions:
+    def copied_jobs(self) -> list[Submission]:
+        """Return the jobs that allow copies."""
+        return [s for s in self.submissions if allows_copies(s)]
+
+    def failed_share(
+        self, submissions: list[Submission] | None = None
+    ) -> float:
+        """Return the share of jobs without an end within the late bound.
+
+        It is that of all jobs if none are given.
+        """
+        if submissions is None:
+            submissions = self.submissions
+        if not submissions:
             return 0.0
         return fmean(
             self.job_ratios.get(s.job.id, LATE_FACTOR + 1) > LATE_FACTOR
-            for s in self.submissions
+            for s in submissions
         )
 
     def figures(self) -> dict[str, float]:
         """Return the measures of this outcome by name."""
+        copied = self.copied_jobs()
         waits = sorted(self.started_after) or [0.0]
         return {
             'jobs': len(self.submissions),
@@ -176,14 +195,22 @@
             'worst_workspaces': round(self.worst_workspaces(), 3),
             'largest_tenth': round(self.largest_jobs(), 3),
             'failed': round(self.failed_share(), 3),
+            'copied_in_time': round(self.share_in_time(copied), 3),
+            'copied_failed': round(self.failed_share(copied), 3),
             'first_start_p95_s': round(waits[int(len(waits) * 0.95)], 3),
             'pool_s': round(self.pool_s, 1),
             'moves': self.moves,
+            'copies': self.copies,
             'engine_s': round(self.engine_s, 2),
             'longest_reconcile_s': round(self.longest_reconcile_s, 3),
         }
 
 
+def allows_copies(submission: Submission) -> bool:
+    """Return whether all steps of a job allow copies."""
+    return all(step.allows_copies for step in submission.job.spec.steps)
+
+
 def size_of(submission: Submission) -> int:
     """Return a job's size, the processors of all its tasks together."""
     return sum(
--- a/bench/job_workers.py
+++ b/bench/job_workers.py
@@ -36,6 +36,7 @@
     task: TaskKey
     number: int
     started_at: float
+    lasts_s: float
 
 
 @dataclass(eq=False)
@@ -64,8 +65,8 @@
     ) -> None:
         """Pass an event of a worker to the engine."""
 
-    def task_s(self, job: JobId) -> float:
-        """Return how long each task of a job runs, in seconds."""
+    def run_s(self, task: TaskKey, run_number: int) -> float:
+        """Return how long a run of a task takes, in seconds."""
 
     def record_start(self, job: JobId) -> None:
         """Record that a task of a job was started."""
@@ -97,12 +98,12 @@
         result = OrderResult.UNANSWERED
         if worker is not None:
             result = OrderResult.DONE
-            run = SimRun(order.task, order.run_number, self.now)
+            run_s = self.surroundings.run_s(order.task, order.run_number)
+            run = SimRun(order.task, order.run_number, self.now, run_s)
             worker.runs[order.task] = run
-            task_s = self.surroundings.task_s(order.task.job)
-            if task_s != inf:
+            if run_s != inf:
                 self.surroundings.after(
-                    task_s, lambda: self.end_run(worker, run)
+                    run_s, lambda: self.end_run(worker, run)
                 )
             self.surroundings.record_start(order.task.job)
         self.answer(order, result)
@@ -193,7 +194,6 @@
     def progress_of(self, run: SimRun) -> int:
         """Return a run's progress, which always grows with its time."""
         ran_s = self.now - run.started_at
-        task_s = self.surroundings.task_s(run.task.job)
-        if task_s == inf:
+        if run.lasts_s == inf:
             return 100 if ran_s >= BOOT_PERCENT_S else 0
-        return int(100 * ran_s / task_s)
+        return int(100 * ran_s / run.lasts_s)
--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -21,6 +21,7 @@
 from bench.job_load import large_shape
 from bench.job_load import LoadShape
 from bench.job_load import small_shape
+from bench.job_stragglers import straggler_shape
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
@@ -30,7 +31,11 @@
 from primroseledge.scheduling.start_priority import StartPriority
 from primroseledge.workers.worker import Worker
 
-SEEDS: Final = {'small': (1, 2, 3, 4), 'large': (1,)}
+SEEDS: Final = {
+    'small': (1, 2, 3, 4),
+    'stragglers': (1, 2, 3, 4),
+    'large': (1,),
+}
 
 Policy = Callable[[], Iterator[None]]
 POLICIES: dict[str, Policy] = {}
@@ -68,6 +73,13 @@
         yield
 
 
+@register_policy('no copies')
+def no_copies() -> Iterator[None]:
+    """Start no copies of tasks."""
+    with mock.patch('primroseledge.owner.engine.plan_copies', autospec=True):
+        yield
+
+
 @register_policy('fixed pools')
 def fixed_pools() -> Iterator[None]:
     """Move no instance between pools."""
@@ -144,7 +156,7 @@
 def main() -> None:
     """Print the figures of all loads and policies as JSON."""
     logging.disable(logging.CRITICAL)
-    shapes = [small_shape()]
+    shapes = [small_shape(), straggler_shape()]
     if '--quick' not in sys.argv:
         shapes.append(large_shape())
     result = {
