--- a/bench/job_load.py
+++ b/bench/job_load.py
@@ -72,6 +72,9 @@
     multiples of the mean. ``store_s`` is how long the store takes to answer.
     ``store_outage`` is when it stops to answer, and when it answers again.
     ``weights`` are those of the first workspaces; the others have 1.
+    Where ``images`` is not 0, each workspace uses so many images,
+    ``copied_share`` of the jobs allow copies, and ``straggler_share`` of the
+    runs are stragglers; see ``job_stragglers``.
     """
 
     name: str
@@ -90,6 +93,9 @@
     store_outage: tuple[float, float] | None = None
     weights: tuple[float, ...] = ()
     flood: Flood | None = None
+    images: int = 0
+    copied_share: float = 0.0
+    straggler_share: float = 0.0
 
 
 CALLER_DEADLINE_S: Final = 3.0
--- a/bench/job_outcome.py
+++ b/bench/job_outcome.py
@@ -29,7 +29,7 @@
     objective. ``refused`` are the jobs whose callers gave up after a refusal,
     ``held_s`` how long each refusal took to be sent. ``pool_s`` are the
     seconds of instances in pools, ``engine_s`` the processor time of the
-    engine.
+    engine. ``copies`` counts the copies of tasks that were started.
     """
 
     submissions: list[Submission] = field(default_factory=list)
@@ -39,6 +39,7 @@
     started_after: list[float] = field(default_factory=list)
     pool_s: float = 0.0
     moves: int = 0
+    copies: int = 0
     engine_s: float = 0.0
     longest_reconcile_s: float = 0.0
 
@@ -109,17 +110,29 @@
             found.setdefault(submission.job.queue, []).append(is_served)
         return found
 
-    def failed_share(self) -> float:
-        """Return the share of jobs without an end within the late bound."""
-        if not self.submissions:
+    def copied_jobs(self) -> list[Submission]:
+        """Return the jobs that allow copies."""
+        return [s for s in self.submissions if allows_copies(s)]
+
+    def failed_share(
+        self, submissions: list[Submission] | None = None
+    ) -> float:
+        """Return the share of jobs without an end within the late bound.
+
+        It is that of all jobs if none are given.
+        """
+        if submissions is None:
+            submissions = self.submissions
+        if not submissions:
             return 0.0
         return fmean(
             self.job_ratios.get(s.job.id, LATE_FACTOR + 1) > LATE_FACTOR
-            for s in self.submissions
+            for s in submissions
         )
 
     def figures(self) -> dict[str, float]:
         """Return the measures of this outcome by name."""
+        copied = self.copied_jobs()
         waits = sorted(self.started_after) or [0.0]
         return {
             'jobs': len(self.submissions),
@@ -128,14 +141,22 @@
             'worst_workspaces': round(self.worst_workspaces(), 3),
             'largest_tenth': round(self.largest_jobs(), 3),
             'failed': round(self.failed_share(), 3),
+            'copied_in_time': round(self.share_in_time(copied), 3),
+            'copied_failed': round(self.failed_share(copied), 3),
             'first_start_p95_s': round(waits[int(len(waits) * 0.95)], 3),
             'pool_s': round(self.pool_s, 1),
             'moves': self.moves,
+            'copies': self.copies,
             'engine_s': round(self.engine_s, 2),
             'longest_reconcile_s': round(self.longest_reconcile_s, 3),
         }
 
 
+def allows_copies(submission: Submission) -> bool:
+    """Return whether all steps of a job allow copies."""
+    return all(step.allows_copies for step in submission.job.spec.steps)
+
+
 def size_of(submission: Submission) -> int:
     """Return a job's size, the processors of all its tasks together."""
     return sum(
--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -22,6 +22,7 @@
 from bench.job_load import large_shape
 from bench.job_load import LoadShape
 from bench.job_load import small_shape
+from bench.job_stragglers import straggler_shape
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
@@ -33,7 +34,12 @@
 from primroseledge.scheduling.start_priority import StartPriority
 from primroseledge.workers.worker import Worker
 
-SEEDS: Final = {'small': (1, 2, 3, 4), 'crowded': (1, 2, 3), 'large': (1,)}
+SEEDS: Final = {
+    'small': (1, 2, 3, 4),
+    'crowded': (1, 2, 3),
+    'stragglers': (1, 2, 3, 4),
+    'large': (1,),
+}
 
 Policy = Callable[[], Iterator[None]]
 POLICIES: dict[str, Policy] = {}
@@ -71,6 +77,13 @@
         yield
 
 
+@register_policy('no copies')
+def no_copies() -> Iterator[None]:
+    """Start no copies of tasks."""
+    with mock.patch('primroseledge.owner.engine.plan_copies', autospec=True):
+        yield
+
+
 @register_policy('fixed pools')
 def fixed_pools() -> Iterator[None]:
     """Move no instance between pools."""
@@ -164,7 +177,7 @@
 def main() -> None:
     """Print the figures of all loads and policies as JSON."""
     logging.disable(logging.CRITICAL)
-    shapes = [small_shape(), crowded_shape()]
+    shapes = [small_shape(), crowded_shape(), straggler_shape()]
     if '--quick' not in sys.argv:
         shapes.append(large_shape())
     result = {
--- a/src/primroseledge/observability/events.py
+++ b/src/primroseledge/observability/events.py
@@ -7,6 +7,11 @@
 from enum import Enum
 from enum import unique
 
+from primroseledge.observability.copy_events import COPY_CONTINUES_INFO
+from primroseledge.observability.copy_events import COPY_ENDED_INFO
+from primroseledge.observability.copy_events import COPY_LOST_INFO
+from primroseledge.observability.copy_events import COPY_PLANNED_INFO
+from primroseledge.observability.copy_events import COPY_WON_INFO
 from primroseledge.observability.copy_events import RUNTIME_LEARNED_INFO
 from primroseledge.observability.event_info import error
 from primroseledge.observability.event_info import info
@@ -335,3 +340,8 @@
     ZONE_UNKNOWN = ZONE_UNKNOWN_INFO
     SHARES_APPLIED = SHARES_APPLIED_INFO
     RUNTIME_LEARNED = RUNTIME_LEARNED_INFO
+    COPY_PLANNED = COPY_PLANNED_INFO
+    COPY_WON = COPY_WON_INFO
+    COPY_LOST = COPY_LOST_INFO
+    COPY_CONTINUES = COPY_CONTINUES_INFO
+    COPY_ENDED = COPY_ENDED_INFO
--- a/tests/test_silent_worker.py
+++ b/tests/test_silent_worker.py
@@ -14,7 +14,7 @@
 from primroseledge.scheduling.actions import PollFailed
 from primroseledge.scheduling.actions import SendPoll
 from primroseledge.scheduling.actions import SendStart
-from primroseledge.scheduling.fleet_state import Timing
+from primroseledge.scheduling.timing import Timing
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
