Withdraw kept starts when their zone is evacuated

While an owner's lease has run out it keeps its starts and sends them with the next reconcile. A start that was kept when the zone was evacuated was sent there afterwards, up to seconds later (found by review). Starts among the next actions that go to an evacuated zone are now withdrawn, and one that was sent before is stopped. Both tests of tests.test_zone_kept_starts failed before and pass.

--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -18,6 +18,7 @@
 from primroseledge.dispatch.polls import poll_workers
 from primroseledge.dispatch.throttling import handle_throttle_answer
 from primroseledge.dispatch.throttling import throttle_workers
+from primroseledge.dispatch.withdrawals import withdraw_kept_starts
 from primroseledge.ids import JobId
 from primroseledge.ids import QueueId
 from primroseledge.ids import WorkspaceId
@@ -122,6 +123,7 @@
     ) -> None:
         """Replace the set of zones in which nothing may be started."""
         apply_evacuated_zones(self.state, self.evacuation_progress, zones, now)
+        withdraw_kept_starts(self.state, now)
 
     def submit(self, event: SubmitJob, now: float) -> None:
         """Accept or refuse a submitted job, and answer the caller.
