--- a/tests/test_copy_load.py
+++ b/tests/test_copy_load.py
@@ -7,7 +7,7 @@
 import unittest
 
 from bench.job_fleet import JobFleet
-from bench.job_load import Outcome
+from bench.job_outcome import Outcome
 from bench.job_stragglers import straggler_shape
 from bench.jobs import POLICIES
 
