Mend what a review of zone evacuation found

- A revision of the store beyond 2^63, from a peer or from the store, disabled evacuations until a restart or ended the ownership at each query of a peer.
Such messages and answers are rejected now.
- The zones were read after all pages of the list of workers, so that a page that failed lost them too.
They are read first, and count if the list fails.
- The warning that all zones are evacuated came only once in an owner's life.
- A member of a long-running gang was stopped alone and never started again; members end together, so all are stopped, or none if their step's budget is smaller than the gang.
- A run carried into its worker's next boot kept the begin of the first one and gave a wrong runtime.
- A value that is not base64 was logged at each read.

Each but the last two has a test; those of the gang, the revisions, the list and the warning fail without their change. test_zone_knowledge and test_zone_evacuation pass.

--- a/src/primroseledge/cluster/commands.py
+++ b/src/primroseledge/cluster/commands.py
@@ -159,10 +159,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerListFailed:
-    """Result of ListWorkers: the store did not return the list."""
+    """Result of ListWorkers: the store did not return the list.
+
+    ``zones`` are those that it returned before that.
+    """
 
     problem: str
     epoch: Epoch
+    zones: EvacuatedZones = NO_ZONES
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -404,6 +404,8 @@
         self, event: WorkerListFailed, now: float
     ) -> None:
         """Log the failure, and have the workers listed again soon."""
+        self.view.zones = self.view.zones.newest(event.zones)
+        self.apply_view_to_engine(now)
         if event.epoch != self.ownership.epoch:
             return
         log(Event.STORE_RETRIED, step='workers', problem=event.problem)
--- a/src/primroseledge/cluster/messages.py
+++ b/src/primroseledge/cluster/messages.py
@@ -7,9 +7,11 @@
 
 from math import inf
 from math import nextafter
+from typing import Annotated
 from typing import Final
 
 from msgspec import DecodeError
+from msgspec import Meta
 from msgspec import msgpack
 from msgspec import Struct
 
@@ -24,6 +26,9 @@
 from primroseledge.scheduling.actions import Answer
 from primroseledge.scheduling.actions import SendAnswer
 
+MAX_REVISION: Final = 2**63 - 1
+"""Greatest revision of the store that messages and records hold."""
+
 NEVER: Final = -inf
 """An owner's time when none is known."""
 
@@ -163,7 +168,9 @@
     configuration_version: int
     compressed_configuration: bytes
     evacuated_zones: tuple[ZoneId, ...] = ()
-    zones_revision: Revision = Revision(0)
+    zones_revision: Annotated[Revision, Meta(ge=0, le=MAX_REVISION)] = (
+        Revision(0)
+    )
 
 
 Message = (
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -34,6 +34,7 @@
 from primroseledge.cluster.commands import StoreBatch
 from primroseledge.cluster.commands import WorkerListFailed
 from primroseledge.cluster.commands import WorkersListed
+from primroseledge.cluster.evacuated_zones import NO_ZONES
 from primroseledge.cluster.fleet_store import FleetStore
 from primroseledge.cluster.fleet_store import Put
 from primroseledge.cluster.fleet_store import Transaction
@@ -385,13 +386,15 @@
 def list_workers(
     thread: StoreThread, command: ListWorkers
 ) -> WorkersListed | WorkerListFailed:
-    """Read the list of workers and the evacuated zones, without retries.
+    """Read the evacuated zones and the list of workers, without retries.
 
-    So an owner learns of an evacuation also while its watch is interrupted.
+    So an owner learns of an evacuation also while its watch is interrupted,
+    or a page of a long list can't be read.
     """
+    zones = NO_ZONES
     try:
-        listed = thread.store.read_all(thread.keys.worker_prefix)
         zones = read_evacuated_zones(thread.store, thread.keys)
+        listed = thread.store.read_all(thread.keys.worker_prefix)
     except StoreError as error:
-        return WorkerListFailed(str(error), command.epoch)
+        return WorkerListFailed(str(error), command.epoch, zones)
     return WorkersListed(listed.items, command.epoch, zones)
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -122,6 +122,7 @@
         delivered: the run is then resolved as one without an answer.
         """
         self.boot = boot
+        self.begun_at = None
         self.speed_percent = FULL_SPEED_PERCENT
         self.is_speed_confirmed = False
         self.stop_sent_at = None
--- a/src/primroseledge/maintenance/evacuation.py
+++ b/src/primroseledge/maintenance/evacuation.py
@@ -36,6 +36,7 @@
             continue
         if may_be_unavailable(state, task, now):
             state.request_stop(task)
+            state.stop_other_members(task)
 
 
 def evacuate_leaving_workers(state: FleetState, now: float) -> None:
@@ -55,14 +56,17 @@
 def may_be_unavailable(state: FleetState, task: Task, now: float) -> bool:
     """Return whether a task may be stopped within its step's budget.
 
-    A step without a budget always allows it. Every other unavailable task of
-    the step counts against the budget, whatever the cause. The task itself
-    counts as one too, even if it was unavailable when it was last listed: it
-    may have become available since.
+    A step without a budget always allows it. The members of a gang end
+    together, so that all of them have to be within the budget. Every other
+    unavailable task of the step counts against the budget, whatever the cause.
+    The task itself counts as one too, even if it was unavailable when it was
+    last listed: it may have become available since.
     """
     budget = task.spec.max_unavailable
     if not budget:
         return True
+    if task.spec.is_gang:
+        return task.spec.count <= budget
     job = state.jobs[task.key.job]
     step = job.steps[task.key.occurrence, task.key.step]
     unavailable = sum(
--- a/src/primroseledge/maintenance/zone_evacuation.py
+++ b/src/primroseledge/maintenance/zone_evacuation.py
@@ -76,6 +76,8 @@
             ),
             runs=running[zone],
         )
+    if returned:
+        progress.are_all_evacuated = False
     for zone in sorted(returned):
         seconds = now - progress.begun_at.pop(zone, now)
         progress.empty_zones.discard(zone)
--- a/src/primroseledge/platform/store.py
+++ b/src/primroseledge/platform/store.py
@@ -238,10 +238,12 @@
         try:
             items.append(to_item(wire_item))
         except StoreError as error:
-            log(Event.INPUT_SKIPPED, subject=wire_item.key, problem=str(error))
             if wire_item.key.startswith(EVACUATION_PREFIX):
+                # The view logs it, once for each revision of the key.
                 revision = Revision(wire_item.revision)
                 items.append(Item(wire_item.key, b'', revision))
+                continue
+            log(Event.INPUT_SKIPPED, subject=wire_item.key, problem=str(error))
     return items
 
 
--- a/src/primroseledge/platform/wire.py
+++ b/src/primroseledge/platform/wire.py
@@ -16,7 +16,7 @@
 MAX_NUMBER: Final = 2**63 - 1
 """Greatest number from outside that records and log lines hold.
 
-The store's own revisions and leases are passed back to it as they came.
+Leases are passed back to the store as they came.
 """
 
 Number = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
@@ -216,7 +216,7 @@
     """An item of the store, or its deletion as a watch reports it."""
 
     key: str
-    revision: int
+    revision: Number
     # Encoded in base64.
     value: str = ''
     created: int = 0
@@ -228,7 +228,7 @@
     """A page of items, read at the store revision ``at``."""
 
     items: list[WireItem]
-    at: int
+    at: Number
     has_more: bool = False
 
 
@@ -236,7 +236,7 @@
     """The answer to a watch; the next watch starts after ``at``."""
 
     events: list[WireItem]
-    at: int
+    at: Number
 
 
 class WireWriteResponse(Struct):
--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -41,6 +41,31 @@
     bench.reconcile()
 
 
+class GangTest(unittest.TestCase):
+    def stopped_members(self, budget: int) -> int:
+        bench = EngineBench(NORTHERN, SOUTHERN)
+        step = make_step(
+            2,
+            16_000,
+            is_gang=True,
+            is_long_running=True,
+            max_unavailable=budget,
+        )
+        starts = bench.run_job(make_job('g', step))
+        for start in starts:
+            worker = start.target.worker
+            bench.answer_poll(worker, (make_listed_run(start),))
+        evacuate(bench, NORTH)
+        bench.reconcile(0.02)
+        return len(bench.pop_stops())
+
+    def test_a_gang_moves_as_a_whole_or_not_at_all(self) -> None:
+        """A member that is stopped alone would never start again."""
+        self.assertEqual(2, self.stopped_members(budget=0))
+        self.assertEqual(0, self.stopped_members(budget=1))
+        self.assertEqual(2, self.stopped_members(budget=2))
+
+
 class StartTest(unittest.TestCase):
     def test_nothing_starts_until_the_zone_is_returned(self) -> None:
         bench = EngineBench(NORTHERN, SOUTHERN)
@@ -178,7 +203,7 @@
 
 
 class ProgressTest(unittest.TestCase):
-    def test_begin_completion_and_warnings_are_logged_once(self) -> None:
+    def test_begin_completion_and_warnings_are_logged_once_each(self) -> None:
         bench = EngineBench(NORTHERN, SOUTHERN)
         with self.assertLogs(LOGGER) as logs:
             evacuate(bench, NORTH, ZoneId('nowhere'))
@@ -186,12 +211,14 @@
             for _ in range(30):
                 bench.reconcile(0.3)
             evacuate(bench)
+            evacuate(bench, NORTH, SOUTH)
+            bench.reconcile(0.3)
         texts = '\n'.join(logs.output)
         for part, count in (
-            ('zone north is evacuated', 1),
-            ('zone south is evacuated', 1),
-            ('nothing runs in the evacuated zone north', 1),
-            ('all zones are evacuated: north, south', 1),
+            ('zone north is evacuated', 2),
+            ('zone south is evacuated', 2),
+            ('nothing runs in the evacuated zone north', 2),
+            ('all zones are evacuated: north, south', 2),
             ('nowhere is named by no worker', 1),
             ('zone north is used again', 1),
         ):
--- a/tests/test_zone_knowledge.py
+++ b/tests/test_zone_knowledge.py
@@ -28,16 +28,21 @@
 from primroseledge.cluster.messages import PeerStateQuery
 from primroseledge.cluster.messages import PeerStateReply
 from primroseledge.cluster.store_thread import HANDLERS
+from primroseledge.errors import MessageError
+from primroseledge.errors import StoreError
 from primroseledge.errors import StoreUnavailableError
+from primroseledge.http_client import HttpAnswer
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
 from primroseledge.ids import WorkerId
 from primroseledge.ids import ZoneId
+from primroseledge.platform.store import decode_response
 from primroseledge.platform.store import to_items
 from primroseledge.platform.store_keys import evacuation_key
 from primroseledge.platform.store_keys import StoreKeys
 from primroseledge.platform.wire import WireItem
+from primroseledge.platform.wire import WireItemPage
 from standins.storage_core import SimStorage
 from tests.fleet_storage import SimStoreClient
 from tests.fleet_world import SimStoreThread
@@ -93,6 +98,14 @@
         reply = PeerStateReply(None, 1, b'', (NORTH,), Revision(9))
         self.assertEqual(old[1:], encode(reply)[1 : len(old)])
 
+    def test_a_revision_that_no_message_holds_is_rejected(self) -> None:
+        reply = PeerStateReply(None, 1, b'', (), Revision(2**64 - 1))
+        with self.assertRaises(MessageError):
+            decode(encode(reply))
+        answer = HttpAnswer(200, b'{"items": [], "at": %d}' % 2**64)
+        with self.assertRaises(StoreError):
+            decode_response(answer, WireItemPage)
+
     def test_the_key_counts_whatever_its_value(self) -> None:
         (item,) = to_items([WireItem(KEY, 7, '%%'), WireItem('op/x', 8, '%')])
         found = NO_ZONES.after_changes(
@@ -131,7 +144,7 @@
         self.bench.apply_keys(item, *items)
 
     def list_workers(self, zones: EvacuatedZones) -> None:
-        listed = WorkersListed((ENTRY,), zones)
+        listed = WorkersListed((ENTRY,), Epoch(1), zones)
         self.node.handle_workers_listed(listed, self.bench.now)
 
     def hear_peer(self, revision: int, *zones: ZoneId) -> None:
@@ -186,7 +199,7 @@
         store = SimStoreClient(storage, Random(1), lambda *_: None)
         thread: Any = SimStoreThread(store, EntryId('entry-1'), 'a:1')
         thread.keys = KEYS
-        for command in (RestoreJobs(Epoch(1)), ListWorkers()):
+        for command in (RestoreJobs(Epoch(1)), ListWorkers(Epoch(1))):
             result = HANDLERS[type(command)](thread, command)
             self.assertEqual(make_zones(100, NORTH), result.zones)
         read_all = store.read_all
@@ -196,9 +209,18 @@
                 raise StoreUnavailableError('connection reset')
             return read_all(prefix)
 
+        def fail_workers(prefix: str) -> Any:
+            if prefix == KEYS.worker_prefix:
+                raise StoreUnavailableError('connection reset')
+            return read_all(prefix)
+
         thread.store.read_all = fail_zones
-        result = HANDLERS[ListWorkers](thread, ListWorkers())
+        result = HANDLERS[ListWorkers](thread, ListWorkers(Epoch(1)))
+        self.assertIsInstance(result, WorkerListFailed)
+        thread.store.read_all = fail_workers
+        result = HANDLERS[ListWorkers](thread, ListWorkers(Epoch(1)))
         self.assertIsInstance(result, WorkerListFailed)
+        self.assertEqual(make_zones(100, NORTH), result.zones)
 
 
 if __name__ == '__main__':
