--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -385,10 +385,9 @@
         )
 
     def handle_workers_listed(self, event: WorkersListed, now: float) -> None:
-        """Apply the list of workers and the zones to the engine.
+        """Apply the zones, and the list of workers if it is of this epoch.
 
-        A list that was requested in an earlier epoch may be older than the
-        one that was read with the jobs.
+        Another list may be older than the one that was read with the jobs.
         """
         self.view.zones = self.view.zones.newest(event.zones)
         self.apply_view_to_engine(now)
@@ -602,9 +601,8 @@
         ):
             return []
         if not self.ownership.may_send_orders(now):
-            return (
-                engine.poll_only(now) if self.ownership.may_poll(now) else []
-            )
+            may_poll = self.ownership.may_poll(now)
+            return engine.poll_only(now) if may_poll else []
         engine.state.wall_offset_s = self.wall_offset_s
         engine.outbox.store_health.unavailable_since = (
             self.view.store_unavailable_since
