Move an instance only once the ends of its runs are stored

Cause: an owner that the store turned away went on to release idle workers. Their last ends were handled but not stored, so the next owner found the runs in the records, on workers that were gone, and waited 7 s for their leases.

Change: a worker may leave for a move or a maintenance only if nothing runs on it and the effects of all its ends are stored.

--- a/src/primroseledge/workers/worker.py
+++ b/src/primroseledge/workers/worker.py
@@ -212,6 +212,18 @@
             return self.used_capacity
         return self.used_capacity.plus(self.unexpected_capacity)
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the worker may end without losing work or results.
+
+        Nothing may be running on it, and the effects of all ends that it has
+        listed must be stored: a new owner learns of them from nobody else.
+        """
+        return (
+            not self.tasks
+            and self.handled_end_number <= self.stored_end_number
+        )
+
     def has_capacity_for(self, resources: Resources) -> bool:
         """Return whether resources fit in the free capacity."""
         capacity = self.entry.capacity
