Wait for the store no longer than it usually takes

Cause: a store that loses answers of writes cost 1.0 s for each, for batches, leases and claims alike. Owners lost their leases, and all jobs were refused while the store answered reads in 4 ms.

Change: a write waits by the answer times seen so far (RFC 6298), longer after each call without an answer. Then a read of the ledger shows whether the write is stored; if not, the same transaction is sent again on another connection. Renewals follow each other without a pause, a claim and a release are tried four times, and a member record is written under a condition, for the lease that it was meant for.

--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -1,12 +1,13 @@
 """Thread that reads and writes the store for the node.
 
 One call is in flight at a time. A write without an answer is sent again
-unchanged: the compare-and-swap on the ledger's revision lets it happen at
-most once, and the write number in the ledger shows whether it happened.
+unchanged unless the ledger shows that it has happened; see
+``settled_commit``.
 """
 
 from collections.abc import Callable
 from contextlib import ExitStack
+from functools import partial
 from queue import SimpleQueue
 from threading import Event as ThreadEvent
 from threading import Thread
@@ -53,12 +54,13 @@
 from primroseledge.cluster.messages import OwnerView
 from primroseledge.cluster.platform_keys import PlatformKeys
 from primroseledge.cluster.platform_keys import read_evacuated_zones
+from primroseledge.cluster.settled_commit import try_ledger_write
+from primroseledge.cluster.settled_commit import write_ledger
 from primroseledge.cluster.store_failures import fail_command
 from primroseledge.cluster.store_failures import StoreCommand
 from primroseledge.errors import ConflictError
 from primroseledge.errors import DocumentError
 from primroseledge.errors import StoreError
-from primroseledge.errors import StoreOutcomeUnknownError
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
@@ -72,6 +74,8 @@
 from primroseledge.send_check import send_only_if
 
 STORE_RETRY_S: Final = 0.12
+"""Least time between the beginnings of two tries of a call, in seconds."""
+
 RELEASE_WRITE_NUMBER: Final = -1
 """Write number in the ledger record that releases the ownership.
 
@@ -145,9 +149,14 @@
             log_call_failure(self.thread.name, error)
             return fail_command(command, error)
 
-    def wait_before_retry(self) -> bool:
-        """Wait before a retry; return False if the thread was stopped."""
-        return not self.is_stopped.wait(STORE_RETRY_S)
+    def wait_before_retry(self, began_at: float) -> bool:
+        """Wait until ``STORE_RETRY_S`` after a try began.
+
+        Returns False if the thread was stopped. ``began_at`` is on the boot
+        clock, in seconds.
+        """
+        pause_s = max(0.0, began_at + STORE_RETRY_S - boot_time())
+        return not self.is_stopped.wait(pause_s)
 
 
 Handler = Callable[[StoreThread, Any], Any]
@@ -190,32 +199,22 @@
         ),
     )
     try:
-        return ClaimWon(owner, store.commit(transaction), is_idle)
-    except StoreOutcomeUnknownError:
-        return check_claim(store, owner, is_idle)
-    except StoreError as error:
+        won_at = write_ledger(
+            store, transaction, lambda _ledger: is_stored_owner(store, owner)
+        )
+    except (StoreError, DocumentError) as error:
         return ClaimLost(str(error))
+    return ClaimWon(owner, won_at, is_idle)
 
 
-def check_claim(
-    store: FleetStore, owner: OwnerView, is_predecessor_idle: bool
-) -> ClaimWon | ClaimLost:
-    """Read the store to find out the result of a claim without an answer.
+def is_stored_owner(store: FleetStore, owner: OwnerView) -> bool:
+    """Return whether the store holds this owner record.
 
-    The claim succeeded if the store holds its owner record.
+    Raises StoreError if it does not answer, and DocumentError if the record
+    is malformed.
     """
-    try:
-        owner_item = store.read(OWNER_KEY)
-        ledger = store.read(LEDGER_KEY)
-        if (
-            owner_item is None
-            or ledger is None
-            or decode_owner(owner_item) != owner
-        ):
-            return ClaimLost('no answer arrived, and no claim is stored')
-    except (StoreError, DocumentError) as error:
-        return ClaimLost(str(error))
-    return ClaimWon(owner, ledger.revision, is_predecessor_idle)
+    item = store.read(OWNER_KEY)
+    return item is not None and decode_owner(item) == owner
 
 
 @register_handler(RestoreJobs)
@@ -229,13 +228,14 @@
     stopped before all was read.
     """
     while True:
+        began_at = boot_time()
         try:
             records = thread.store.read_all(RECORD_PREFIX).items
             workers = thread.store.read_all(thread.keys.worker_prefix).items
             zones = read_evacuated_zones(thread.store, thread.keys)
         except StoreError as error:
             log(Event.STORE_RETRIED, step='restore', problem=str(error))
-            if not thread.wait_before_retry():
+            if not thread.wait_before_retry(began_at):
                 return OwnershipLost(command.epoch)
             continue
         return JobsRestored(
@@ -265,46 +265,44 @@
             *batch_puts(command.batch, thread.keys),
         ),
     )
+    number = command.batch.number
     failures = 0
     while True:
+        began_at = boot_time()
         try:
-            with send_only_if(lambda: thread.may_write(command.epoch)):
-                revision = thread.store.commit(transaction)
-            return BatchStored(command.epoch, command.batch.number, revision)
-        except ConflictError:
-            result = find_batch(thread, command)
-            if result is not None:
-                return result
-        except StoreError as error:
-            if not failures:
-                log(Event.STORE_RETRIED, step='batch', problem=str(error))
-            failures += 1
+            revision = try_ledger_write(
+                thread.store,
+                transaction,
+                partial(commit_as_owner, thread, command.epoch),
+                lambda item: decode_ledger(item) == ledger,
+            )
+            if revision is not None:
+                return BatchStored(command.epoch, number, revision)
+            problem = 'no answer, and nothing is stored yet'
+        except ConflictError as error:
+            log(Event.STORE_RETRIED, step='ledger', problem=str(error))
+            return OwnershipLost(command.epoch)
+        except (StoreError, DocumentError) as error:
+            problem = str(error)
+        if not failures:
+            log(Event.STORE_RETRIED, step='batch', problem=problem)
+        failures += 1
         if (
-            not thread.wait_before_retry()
+            not thread.wait_before_retry(began_at)
             or thread.current_epoch != command.epoch
         ):
             return OwnershipLost(command.epoch)
 
 
-def find_batch(
-    thread: StoreThread, command: StoreBatch
-) -> BatchStored | OwnershipLost | None:
-    """Read the ledger to find out whether a batch has been stored.
+def commit_as_owner(
+    thread: StoreThread, epoch: Epoch, transaction: Transaction
+) -> Revision:
+    """Send a transaction only while the right to write in an epoch lasts.
 
-    Returns BatchStored if the last write is that batch, OwnershipLost if it
-    is another one, and None if the ledger could not be read.
+    Raises the errors of ``FleetStore.commit``.
     """
-    try:
-        item = thread.store.read(LEDGER_KEY)
-        ledger = decode_ledger(item) if item else None
-    except (StoreError, DocumentError) as error:
-        log(Event.STORE_RETRIED, step='ledger', problem=str(error))
-        return None
-    if item is None or ledger is None or ledger.epoch != command.epoch:
-        return OwnershipLost(command.epoch)
-    if ledger.number != command.batch.number:
-        return OwnershipLost(command.epoch)
-    return BatchStored(command.epoch, command.batch.number, item.revision)
+    with send_only_if(lambda: thread.may_write(epoch)):
+        return thread.store.commit(transaction)
 
 
 def batch_puts(batch: Batch, keys: PlatformKeys) -> list[Put]:
@@ -336,12 +334,14 @@
         last_write = LedgerRecord(
             command.epoch, RELEASE_WRITE_NUMBER, command.has_no_calls_in_flight
         )
-        thread.store.commit(
+        write_ledger(
+            thread.store,
             Transaction(
                 {LEDGER_KEY: revision},
                 (Put(LEDGER_KEY, encode_value(last_write)),),
                 removals=(OWNER_KEY,),
-            )
+            ),
+            lambda item: decode_ledger(item) == last_write,
         )
     except (StoreError, DocumentError) as error:
         log(Event.STORE_RETRIED, step='release', problem=str(error))
--- a/src/primroseledge/cluster/watch_threads.py
+++ b/src/primroseledge/cluster/watch_threads.py
@@ -33,6 +33,8 @@
 
 LEASE_RENEW_INTERVAL_S: Final = 0.5
 LEASE_RETRY_S: Final = 0.1
+"""Time from the beginning of a failed renewal to the next, in seconds."""
+
 MAX_LEASE_RETRY_FACTOR: Final = 4
 """Greatest delay between failed renewals, in units of LEASE_RETRY_S."""
 
@@ -53,7 +55,12 @@
 
 
 class LeaseThread:
-    """Keeps a lease, with this instance's member record bound to it."""
+    """Keeps a lease, with this instance's member record bound to it.
+
+    ``lease`` was requested at ``granted_at`` on the boot clock; the record is
+    bound to it once ``is_registered``. ``failures`` counts the calls that
+    failed since the last success.
+    """
 
     def __init__(
         self, inbox: Inbox, store: FleetStore, member: MemberRecord
@@ -61,6 +68,10 @@
         self.inbox = inbox
         self.store = store
         self.member = member
+        self.lease: Lease | None = None
+        self.granted_at = 0.0
+        self.is_registered = False
+        self.failures = 0
         self.is_stopped = ThreadEvent()
         self.thread = Thread(target=self.run, name='lease', daemon=True)
 
@@ -73,43 +84,56 @@
         self.is_stopped.set()
 
     def run(self) -> None:
-        """Acquire a lease and renew it until stopped.
+        """Acquire a lease and renew it until stopped."""
+        while not self.is_stopped.is_set():
+            self.is_stopped.wait(self.advance())
+
+    def advance(self) -> float:
+        """Make the next call; return how long to wait after it, in seconds.
 
-        A lease that has expired is replaced by a new one.
+        A lease that has expired is replaced by a new one. The member record
+        is written until the answer shows that it is stored under the lease.
+        """
+        began_at = boot_time()
+        try:
+            if self.lease is None:
+                self.lease = self.store.grant_lease(LEASE_TTL_S)
+                self.granted_at = began_at
+            if not self.is_registered:
+                self.register(self.lease)
+            else:
+                self.renew(self.lease)
+        except LeaseEndedError:
+            self.lease = None
+            self.is_registered = False
+            self.inbox.post(LeaseLost())
+            return 0.0
+        except Exception as error:
+            if not isinstance(error, StoreError):
+                log_call_failure(self.thread.name, error)
+            elif not self.failures:
+                log(Event.STORE_RETRIED, step='lease', problem=str(error))
+            self.failures += 1
+            pause_s = LEASE_RETRY_S * min(
+                self.failures, MAX_LEASE_RETRY_FACTOR
+            )
+            return max(0.0, began_at + pause_s - boot_time())
+        self.failures = 0
+        return LEASE_RENEW_INTERVAL_S
+
+    def register(self, lease: Lease) -> None:
+        """Store the member record under a new lease, and post the lease.
+
+        The write depends on the present record: a copy of it that the store
+        carries out late must not bind the record to a lease that has ended.
         """
-        lease: Lease | None = None
-        failures = 0
-        while not self.is_stopped.is_set():
-            try:
-                if lease is None:
-                    lease = self.acquire()
-                else:
-                    self.renew(lease)
-            except LeaseEndedError:
-                lease = None
-                self.inbox.post(LeaseLost())
-                continue
-            except Exception as error:
-                if not isinstance(error, StoreError):
-                    log_call_failure(self.thread.name, error)
-                elif not failures:
-                    log(Event.STORE_RETRIED, step='lease', problem=str(error))
-                failures += 1
-                pause_s = LEASE_RETRY_S * min(failures, MAX_LEASE_RETRY_FACTOR)
-                self.is_stopped.wait(pause_s)
-                continue
-            failures = 0
-            self.is_stopped.wait(LEASE_RENEW_INTERVAL_S)
-
-    def acquire(self) -> Lease:
-        """Return a new lease, with the member record stored under it."""
-        sent_at = boot_time()
-        lease = self.store.grant_lease(LEASE_TTL_S)
         key = f'{MEMBER_PREFIX}{self.member.entry}'
+        item = self.store.read(key)
+        revision = item.revision if item else Revision(0)
         put = Put(key, encode_value(self.member), lease.id)
-        self.store.commit(Transaction(puts=(put,)))
-        self.inbox.post(LeaseRenewed(lease.id, sent_at, lease.ttl_s))
-        return lease
+        self.store.commit(Transaction({key: revision}, (put,)))
+        self.is_registered = True
+        self.inbox.post(LeaseRenewed(lease.id, self.granted_at, lease.ttl_s))
 
     def renew(self, lease: Lease) -> None:
         """Renew the lease and post its new time to live."""
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -20,6 +20,7 @@
 from typing import Final
 
 from primroseledge.clock import boot_time
+from primroseledge.cluster.answer_times import AnswerTimes
 from primroseledge.cluster.call_thread import CallThread
 from primroseledge.cluster.commands import InstanceReported
 from primroseledge.cluster.fleet_node import FleetNode
@@ -221,10 +222,11 @@
     )
     # A separate thread reads the list of workers, so that a write that
     # is retried does not delay it.
+    answer_times = AnswerTimes()
     store, reader = (
         StoreThread(
             loop,
-            open_store(settings, resources),
+            open_store(settings, answer_times, resources),
             keys,
             member.entry,
             member.address,
@@ -232,9 +234,13 @@
         )
         for _ in range(2)
     )
-    lease = LeaseThread(loop, open_store(settings, resources), member)
+    lease = LeaseThread(
+        loop, open_store(settings, answer_times, resources), member
+    )
     watch = WatchThread(
-        loop, open_store(settings, resources), keys.watched_prefix
+        loop,
+        open_store(settings, answer_times, resources),
+        keys.watched_prefix,
     )
     for thread in (store, reader, lease, watch):
         resources.callback(thread.stop)
@@ -299,10 +305,12 @@
 
 
 def open_store(
-    settings: PlatformSettings, resources: ExitStack
+    settings: PlatformSettings,
+    answer_times: AnswerTimes,
+    resources: ExitStack,
 ) -> PlatformStore:
     """Open a store client that ``resources`` closes."""
-    store = PlatformStore(settings.store_address)
+    store = PlatformStore(settings.store_address, answer_times)
     resources.callback(store.close)
     return store
 
--- a/src/primroseledge/platform/store.py
+++ b/src/primroseledge/platform/store.py
@@ -7,6 +7,7 @@
 from base64 import b64decode
 from base64 import b64encode
 from binascii import Error as Base64Error
+from time import monotonic
 from typing import Any
 from typing import Final
 from typing import TypeVar
@@ -14,6 +15,7 @@
 
 from msgspec import json
 
+from primroseledge.cluster.answer_times import AnswerTimes
 from primroseledge.cluster.fleet_store import HistoryLostError
 from primroseledge.cluster.fleet_store import Item
 from primroseledge.cluster.fleet_store import ItemList
@@ -39,8 +41,12 @@
 from primroseledge.platform.wire import WireWatchResponse
 from primroseledge.platform.wire import WireWriteResponse
 
-CALL_TIMEOUT_S: Final = 1.0
-"""In seconds; the store answers in 4 ms, and in 0.3 s when it is slow."""
+READ_TIMEOUT_S: Final = 1.0
+"""How long a read waits for its answer, in seconds.
+
+It is longer than the wait of a write: the answer to a read shows whether the
+store is slow or loses the answers of writes.
+"""
 
 OK: Final = 200
 NOT_FOUND: Final = 404
@@ -52,10 +58,17 @@
 
 
 class PlatformStore:
-    """Client of the store with a connection of its own."""
+    """Client of the store with a connection of its own.
+
+    ``answer_times`` may be shared by the clients of an instance: each learns
+    from the calls of all how long the store takes.
+    """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, answer_times: AnswerTimes | None = None
+    ) -> None:
         self.client = HttpClient(address)
+        self.answer_times = answer_times or AnswerTimes()
 
     def close(self) -> None:
         """Close the connection to the store."""
@@ -176,28 +189,35 @@
         nothing.
         """
         target = f'{path}?{urlencode(query)}'
+        began_at = monotonic()
         try:
             answer = self.client.call(
-                'GET', target, None, CALL_TIMEOUT_S + wait_s
+                'GET', target, None, READ_TIMEOUT_S + wait_s
             )
         except (NotSentError, NoAnswerError) as error:
             raise StoreUnavailableError(str(error)) from error
+        if not wait_s:
+            self.answer_times.record_answer(monotonic() - began_at)
         return check_status(answer)
 
     def post(self, path: str, body: dict[str, Any]) -> HttpAnswer:
         """Make a call that may change the store, and check its status.
 
         Raises StoreOutcomeUnknownError if the call was sent and no answer
-        came.
+        came within the time in which this store usually answers.
         """
+        data = json.encode(body)
+        wait_s = self.answer_times.wait_s(len(data))
+        began_at = monotonic()
         try:
-            answer = self.client.call(
-                'POST', path, json.encode(body), CALL_TIMEOUT_S
-            )
+            answer = self.client.call('POST', path, data, wait_s)
         except NotSentError as error:
             raise StoreUnavailableError(str(error)) from error
         except NoAnswerError as error:
+            if not error.was_closed:
+                self.answer_times.record_unanswered()
             raise StoreOutcomeUnknownError(str(error)) from error
+        self.answer_times.record_answer(monotonic() - began_at)
         return check_status(answer)
 
 
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -98,7 +98,7 @@
     keys: SimPlatformKeys = field(default_factory=SimPlatformKeys)
     current_epoch: Epoch = Epoch(0)
 
-    def wait_before_retry(self) -> bool:
+    def wait_before_retry(self, _began_at: float) -> bool:
         raise RetryLater
 
 
--- a/tests/test_call_threads.py
+++ b/tests/test_call_threads.py
@@ -20,6 +20,7 @@
 from primroseledge.cluster.commands import WatchedKeysRead
 from primroseledge.cluster.commands import WorkerListFailed
 from primroseledge.cluster.commands import WorkerReport
+from primroseledge.cluster.fleet_store import Item
 from primroseledge.cluster.fleet_store import ItemList
 from primroseledge.cluster.fleet_store import Lease
 from primroseledge.cluster.fleet_store import LeaseId
@@ -187,6 +188,10 @@
             self.failures -= 1
             raise OverflowError('defect')
 
+    def read(self, key: str) -> Item | None:
+        self.fail()
+        return None
+
     def read_all(self, prefix: str) -> ItemList:
         self.fail()
         return ItemList((), Revision(1))
