Count a new owner's pause from the end of its predecessor

Cause: a new owner moved no instance for 1.0 s after it had restored the jobs.

Change: the pause counts from when the fleet was found without an owner, unless another owner came and went unnoticed; a process that has restarted releases its record as one without calls in flight, since its earlier process ended before it began.

--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -40,6 +40,8 @@
 from primroseledge.cluster.commands import WorkerListFailed
 from primroseledge.cluster.commands import WorkerReport
 from primroseledge.cluster.commands import WorkersListed
+from primroseledge.cluster.fleet_ownership import ABANDONABLE_STATES
+from primroseledge.cluster.fleet_ownership import ENGINE_STATES
 from primroseledge.cluster.fleet_ownership import FleetOwnership
 from primroseledge.cluster.fleet_ownership import FleetOwnershipState
 from primroseledge.cluster.fleet_store import LeaseId
@@ -58,6 +60,7 @@
 from primroseledge.cluster.pending_calls import log_unanswered_call
 from primroseledge.cluster.pending_calls import PendingCall
 from primroseledge.cluster.pending_calls import PendingCalls
+from primroseledge.cluster.vacancy import Vacancy
 from primroseledge.cluster.worker_list_timing import WorkerListTiming
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
@@ -98,10 +101,11 @@
 FIRST_EPOCH: Final = Epoch(1)
 
 TAKEOVER_PAUSE_S: Final = 1.0
-"""Time before a new owner takes instances out of service, in seconds.
+"""Time without calls that take instances out of service, in seconds.
 
-The predecessor stopped when its lease expired, but it may have had such calls
-in flight. They carry the older epoch and end within this time.
+It follows the end of the predecessor, which stopped when its lease expired or
+when it released the ownership, but may have had such calls in flight. They
+carry the older epoch and end within this time.
 """
 
 
@@ -111,7 +115,9 @@
 
     ``engine`` is set only while this instance is the owner. ``commands``
     collects the commands that the next ``reconcile`` returns.
-    ``wall_offset_s`` is the wall-clock time minus the boot clock's.
+    ``wall_offset_s`` is the wall-clock time minus the boot clock's. The
+    predecessor of this instance's last ownership had stopped acting by
+    ``predecessor_ended_at``.
     """
 
     view: FleetView
@@ -123,7 +129,8 @@
     is_leaving: bool = False
     worker_list: WorkerListTiming = field(default_factory=WorkerListTiming)
     release_sent_at: float = 0.0
-    vacant_since: float | None = None
+    vacancy: Vacancy = field(default_factory=Vacancy)
+    predecessor_ended_at: float = 0.0
     has_sent_leave: bool = False
     is_predecessor_idle: bool = False
     commands: list[Command] = field(default_factory=list)
@@ -309,21 +316,22 @@
         The members before it in the claim order have then had time to
         claim since this instance found the fleet without an owner.
         """
-        if self.vacant_since is None:
-            self.vacant_since = now
         wait_s = claim_wait_s(self.view.members, self.entry)
-        return now >= self.vacant_since + wait_s
+        since = self.vacancy.since
+        return since is not None and now >= since + wait_s
 
     def handle_claim_won(self, event: ClaimWon, now: float) -> None:
         """Become the owner, and request the stored jobs.
 
         The result is ignored if this instance is no longer claiming.
         """
+        ended_at = self.vacancy.predecessor_end(event.owner.epoch, now)
         self.ownership.handle_claim_won(
             event.owner, event.ledger_revision, now
         )
         if self.ownership.state is FleetOwnershipState.RESTORING:
             self.is_predecessor_idle = event.is_predecessor_idle
+            self.predecessor_ended_at = ended_at
             log(Event.OWNER_TAKEN, cell='fleet', epoch=event.owner.epoch)
             self.commands.append(RestoreJobs(event.owner.epoch))
 
@@ -355,7 +363,7 @@
         engine.apply_evacuated_zones(self.view.evacuated_zones, now)
         if event.epoch > FIRST_EPOCH and not self.is_predecessor_idle:
             engine.instance_list.may_change_instances_from = (
-                now + TAKEOVER_PAUSE_S
+                self.predecessor_ended_at + TAKEOVER_PAUSE_S
             )
         self.engine = engine
         self.worker_list.record_listed(now)
@@ -464,8 +472,7 @@
         leaving or a stronger one should be the owner.
         """
         state = self.ownership.state
-        if not self.ownership.is_vacant:
-            self.vacant_since = None
+        self.vacancy.update(self.ownership, now)
         if self.engine is not None and state not in ENGINE_STATES:
             log(
                 Event.OWNER_LOST,
@@ -495,13 +502,16 @@
     def release_orphaned_record(self, now: float) -> None:
         """Remove this instance's owner record, on which no process acts.
 
-        The removal is requested at most once per ``RELEASE_RETRY_S``.
+        The removal is requested at most once per ``RELEASE_RETRY_S``. Calls
+        may be in flight only if this process was the owner in that epoch: an
+        earlier process ended before this one started.
         """
         owner = self.ownership.owner
         if owner is None or now < self.release_sent_at + RELEASE_RETRY_S:
             return
         self.release_sent_at = now
-        self.commands.append(ReleaseOwner(owner.epoch, None))
+        has_no_calls = owner.epoch != self.ownership.epoch
+        self.commands.append(ReleaseOwner(owner.epoch, None, has_no_calls))
 
     def leave(self, now: float) -> None:
         """Remove the member record, and release the ownership if held.
@@ -620,13 +630,3 @@
             and self.configuration is not None
             and self.ownership.owner is not None
         )
-
-
-ABANDONABLE_STATES: Final = frozenset(
-    (FleetOwnershipState.RESTORING, FleetOwnershipState.OWNING)
-)
-"""States in which an owner record is stored that must be removed."""
-
-ENGINE_STATES: Final = frozenset(
-    (FleetOwnershipState.OWNING, FleetOwnershipState.RELEASING)
-)
--- a/src/primroseledge/cluster/fleet_ownership.py
+++ b/src/primroseledge/cluster/fleet_ownership.py
@@ -60,7 +60,8 @@
 
     ``epoch`` is the last epoch in which this instance was the owner.
     ``owner`` is the newest known owner record, from the store or a peer;
-    ``is_vacant`` is set when the store reported that there is none. Times
+    ``is_vacant`` is set when the store reported that there is none.
+    ``newest_epoch`` is the newest epoch of any owner that it knew of. Times
     are those of the boot clock, in seconds.
     """
 
@@ -70,6 +71,7 @@
     owner: OwnerView | None = None
     owner_revision: Revision = Revision(0)
     is_vacant: bool = False
+    newest_epoch: Epoch = Epoch(0)
     lease_expires_at: float = 0.0
     claimed_at: float = 0.0
     owned_since: float = 0.0
@@ -119,6 +121,7 @@
             return
         self.is_vacant = False
         self.owner = owner
+        self.newest_epoch = max(self.newest_epoch, owner.epoch)
         if owner.epoch > self.epoch:
             self.lose_ownership()
 
@@ -142,6 +145,7 @@
             return
         self.advance('won')
         self.epoch = owner.epoch
+        self.newest_epoch = max(self.newest_epoch, owner.epoch)
         self.owner = owner
         self.is_vacant = False
         self.ledger_revision = ledger_revision
@@ -152,6 +156,7 @@
         """Apply the owner that a peer knows of if its epoch is newer."""
         if self.owner is None or owner.epoch > self.owner.epoch:
             self.owner = owner
+            self.newest_epoch = max(self.newest_epoch, owner.epoch)
             if owner.epoch > self.epoch:
                 self.lose_ownership()
 
@@ -193,3 +198,13 @@
         FleetOwnershipState.OWNING,
     )
 )
+
+ABANDONABLE_STATES: Final = frozenset(
+    (FleetOwnershipState.RESTORING, FleetOwnershipState.OWNING)
+)
+"""States in which an owner record is stored that must be removed."""
+
+ENGINE_STATES: Final = frozenset(
+    (FleetOwnershipState.OWNING, FleetOwnershipState.RELEASING)
+)
+"""States in which an instance may have an engine."""
