Forecast demand for as long as a move takes

Cause: pools were sized for the jobs of the next 0.5 s, but a worker that is ordered now helps after some 1.7 s. At the begin of a turn the wanted size rose from 5 to 13 within 2 s, each time too late.

Change: the forecast covers the time that moves were seen to take (smoothed, 1.5 s before the first), bounded by the rate of arrivals as before.

--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
+from typing import Final
 
 from primroseledge.ids import Boot
 from primroseledge.ids import InstanceId
@@ -17,10 +18,15 @@
 from primroseledge.maintenance.wave import WaveNumber
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.scheduling.actions import PollAnswered
+from primroseledge.scheduling.demand import DEFAULT_LOOKAHEAD_S
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.workers.worker import Worker
 
 
+MOVE_TIME_WEIGHT: Final = 0.1
+"""Weight of the last move in the smoothed time that moves take."""
+
+
 class OperationState(Enum):
     """The state of an instance's maintenance or move.
 
@@ -78,6 +84,7 @@
     ``desired_size_history`` holds times and desired sizes, in workers.
     ``demand_peaks`` are the largest of them. ``below_reserve_since`` is since
     when a pool that meets its demand has been below its reserve.
+    ``move_s`` is how long a move to another pool took lately, in seconds.
     ``shortfalls`` is how many instances each pool still lacks, because none
     was free. ``refused_moves`` are not tried again.
     Times are on the monotonic clock.
@@ -100,6 +107,7 @@
     )
     demand_peaks: dict[ServiceId, DemandPeak] = field(default_factory=dict)
     below_reserve_since: dict[ServiceId, float] = field(default_factory=dict)
+    move_s: float = DEFAULT_LOOKAHEAD_S
     shortfalls: dict[ServiceId, int] = field(default_factory=dict)
     refused_moves: set[tuple[InstanceId, ServiceId]] = field(
         default_factory=set
@@ -141,6 +149,11 @@
         self.listed_at = listed.sent_at
         self.rows = {row.id: row for row in listed.rows}
 
+    def record_move(self, operation: Operation) -> None:
+        """Record how long a move took that the rows show to be over."""
+        took_s = self.listed_at - operation.answered_at
+        self.move_s += MOVE_TIME_WEIGHT * (took_s - self.move_s)
+
     def has_returned(
         self, operation: Operation, configuration: Configuration
     ) -> bool:
@@ -212,6 +225,8 @@
             continue
         remove_ended_worker(state, operation)
         if instances.has_returned(operation, state.configuration):
+            if operation.target_pool is not None:
+                instances.record_move(operation)
             del instances.operations[operation.instance]
 
 
--- a/src/primroseledge/maintenance/pools.py
+++ b/src/primroseledge/maintenance/pools.py
@@ -217,7 +217,7 @@
     """
     arrivals = state.arrival_rates.get(service.id)
     desired_cores = demand.desired_cores(
-        arrivals.measure(now) if arrivals else Rate()
+        arrivals.measure(now) if arrivals else Rate(), instances.move_s
     )
     per_worker = worker_cores(state, service.id)
     desired_size = ceil(desired_cores * (1 + SPARE_CORES_SHARE) / per_worker)
--- a/src/primroseledge/scheduling/demand.py
+++ b/src/primroseledge/scheduling/demand.py
@@ -22,11 +22,8 @@
 CATCH_UP_S: Final = 1.2
 """Time in s within which the work that waits now is to be completed."""
 
-LOOKAHEAD_S: Final = 0.5
-"""Time in s for which demand is forecast.
-
-Jobs are expected to arrive at the rate of the last second until then.
-"""
+DEFAULT_LOOKAHEAD_S: Final = 1.5
+"""Time in s for which demand is forecast while no move has been measured."""
 
 
 @dataclass(slots=True)
@@ -42,17 +39,19 @@
     long_running_cores: float = 0.0
     waiting_core_s: float = 0.0
 
-    def desired_cores(self, rate: Rate) -> float:
+    def desired_cores(self, rate: Rate, lookahead_s: float) -> float:
         """Return how many processors the service needs now and soon.
 
         ``rate`` is the rate at which work arrives at it. The jobs expected
-        within ``LOOKAHEAD_S`` are included up to ``rate.cores``, as work that
-        arrives at this rate cannot keep more processors busy for long.
+        within ``lookahead_s`` are included, as an instance that is moved now
+        helps only after that time. They are included up to ``rate.cores``, as
+        work that arrives at this rate cannot keep more processors busy for
+        long.
         """
         current_cores = self.used_cores - self.long_running_cores
         current_cores += self.waiting_core_s / CATCH_UP_S
         forecast_cores = min(
-            current_cores + rate.recent_initial_cores * LOOKAHEAD_S, rate.cores
+            current_cores + rate.recent_initial_cores * lookahead_s, rate.cores
         )
         return self.long_running_cores + max(current_cores, forecast_cores)
 
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -69,18 +69,24 @@
         demand = Demand(
             used_cores=30.0, long_running_cores=6.0, waiting_core_s=0.0
         )
-        self.assertAlmostEqual(30.0, demand.desired_cores(Rate()))
+        self.assertAlmostEqual(30.0, demand.desired_cores(Rate(), 0.5))
 
     def test_demand_includes_waiting_work(self) -> None:
         demand = Demand(
             used_cores=30.0, long_running_cores=6.0, waiting_core_s=12.0
         )
-        self.assertAlmostEqual(40.0, demand.desired_cores(Rate()))
+        self.assertAlmostEqual(40.0, demand.desired_cores(Rate(), 0.5))
 
     def test_forecast_is_limited_by_the_arrival_rate(self) -> None:
         demand = Demand(used_cores=30.0, long_running_cores=6.0)
-        self.assertAlmostEqual(40.0, demand.desired_cores(Rate(100.0, 20.0)))
-        self.assertAlmostEqual(37.0, demand.desired_cores(Rate(31.0, 20.0)))
+        fast, slow = Rate(100.0, 20.0), Rate(31.0, 20.0)
+        self.assertAlmostEqual(40.0, demand.desired_cores(fast, 0.5))
+        self.assertAlmostEqual(37.0, demand.desired_cores(slow, 0.5))
+
+    def test_jobs_that_come_before_a_move_ends_count(self) -> None:
+        demand = Demand(used_cores=30.0)
+        rate = Rate(100.0, 20.0)
+        self.assertAlmostEqual(60.0, demand.desired_cores(rate, 1.5))
 
     def test_initial_cores_count_only_the_first_steps(self) -> None:
         job = make_job('a', make_step(6, 880), make_step(6, 880, after=(0,)))
