--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -22,7 +22,6 @@
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.workers.worker import Worker
 
-
 MOVE_TIME_WEIGHT: Final = 0.1
 """Weight of the last move in the smoothed time that moves take."""
 
--- a/tests/test_move_times.py
+++ b/tests/test_move_times.py
@@ -5,8 +5,8 @@
 
 import unittest
 
-from tests.maintenance_bench import make_row
 from tests.maintenance_bench import MaintenanceBench
+from tests.maintenance_bench import make_row
 from tests.maintenance_bench import WORKERS
 
 SLOW_MOVE_S = 4.0
