Test hangups whatever a test run was started with

Shown by running the test file with nohup (failed) and without (passed), once each. Change: the command under test begins with the default action.

--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -7,10 +7,13 @@
 RAISE_WHILE_LOADED = """
 from os import getpid, kill
 from runpy import run_module
-from signal import SIGHUP
+from signal import SIG_DFL, SIGHUP, signal
 import sys
 from types import ModuleType
 
+# A test run that was started with nohup has its children ignore it.
+signal(SIGHUP, SIG_DFL)
+
 
 class Cli(ModuleType):
     def main(self):
