Take no claim of an earlier process for this one's

Cause, found by reading: a claim whose first try met a conflict was counted as won if the owner record named this instance. An earlier process of it may have written that, by a call that the store carried out late, under a lease that nobody renews; the record would vanish under an owner that acts. Change: a conflict counts as an own write only after a try without an answer of the same command. The new test fails before.

--- a/src/primroseledge/cluster/settled_commit.py
+++ b/src/primroseledge/cluster/settled_commit.py
@@ -28,13 +28,15 @@
     transaction: Transaction,
     commit: Commit,
     is_own_write: IsOwnWrite,
+    is_repeated: bool = True,
 ) -> Revision | None:
     """Try once to make a transaction that writes the ledger.
 
     ``commit`` sends it; ``is_own_write`` tells from a changed ledger whether
-    an earlier try changed it. Returns the ledger's new revision, or None if
-    the answer was lost and the ledger is unchanged, so that the transaction
-    may be sent again. Raises ConflictError if another instance has written
+    this or an earlier try changed it. Unless the try ``is_repeated``, a
+    conflict shows that another instance did. Returns the ledger's new
+    revision, or None if the answer was lost and the ledger is unchanged, so
+    that the transaction may be sent again. Raises ConflictError if another instance has written
     what the transaction depends on, other errors of the store if it could not
     be reached or read, and DocumentError if a record is malformed.
     """
@@ -42,6 +44,8 @@
     try:
         return commit(transaction)
     except ConflictError:
+        if not is_repeated:
+            raise
         has_conflict = True
     except StoreOutcomeUnknownError:
         pass
@@ -64,9 +68,9 @@
     StoreOutcomeUnknownError is raised. Other errors are those of
     ``try_ledger_write``.
     """
-    for _ in range(MAX_TRIES):
+    for earlier_tries in range(MAX_TRIES):
         revision = try_ledger_write(
-            store, transaction, store.commit, is_own_write
+            store, transaction, store.commit, is_own_write, earlier_tries > 0
         )
         if revision is not None:
             return revision
--- a/tests/test_lost_store_answers.py
+++ b/tests/test_lost_store_answers.py
@@ -138,6 +138,27 @@
         self.assertIsInstance(self.claim(), ClaimLost)
         self.assertEqual(1, self.client.commits)
 
+    def test_a_claim_of_an_earlier_process_is_not_taken_for_this_one(
+        self,
+    ) -> None:
+        self.assertIsInstance(self.claim(LATE, LATE, LATE, LATE), ClaimLost)
+        earlier = self.client
+
+        class Successor(ForgetfulClient):
+            """Its ledger changes between its read and its commit."""
+
+            def commit(self, transaction: Transaction) -> Revision:
+                earlier.carry_out_late()
+                return super().commit(transaction)
+
+        thread = self.open()
+        client = Successor(self.storage)
+        client.last_lease_number += 1000
+        thread.store = client
+        lease = client.grant_lease(LEASE_TTL_S).id
+        result = claim_owner(thread, ClaimOwner(lease))
+        self.assertIsInstance(result, ClaimLost)
+
     def test_a_release_that_is_not_stored_yet_is_made_again(self) -> None:
         won = self.claim()
         assert isinstance(won, ClaimWon)
