--- a/src/primroseledge/cluster/settled_commit.py
+++ b/src/primroseledge/cluster/settled_commit.py
@@ -36,9 +36,10 @@
     this or an earlier try changed it. Unless the try ``is_repeated``, a
     conflict shows that another instance did. Returns the ledger's new
     revision, or None if the answer was lost and the ledger is unchanged, so
-    that the transaction may be sent again. Raises ConflictError if another instance has written
-    what the transaction depends on, other errors of the store if it could not
-    be reached or read, and DocumentError if a record is malformed.
+    that the transaction may be sent again. Raises ConflictError if another
+    instance has written what the transaction depends on, other errors of the
+    store if it could not be reached or read, and DocumentError if a record is
+    malformed.
     """
     has_conflict = False
     try:
