Call the store's timeout a timeout, and keep the reasons of constants

AnswerTimes and settled_commit are names of this project only; the wait for an answer and the timeout were one concept with two names, as were the time of a move and the default forecast; the speed of the store and the rate that the forecast uses were dropped from docstrings; Worker.is_empty said less than it does. Change: adaptive_timeout.AdaptiveTimeout, ledger_write, INITIAL_MOVE_S beside InstanceList.move_s, Worker.is_removable; the reasons stand again.

--- a/src/primroseledge/cluster/answer_times.py
+++ b/src/primroseledge/cluster/adaptive_timeout.py
@@ -1,4 +1,4 @@
-"""When a call to the store counts as unanswered, by its usual answer times.
+"""Timeout of calls to the store, by how long its answers usually take.
 
 It answers the load on a store that carries writes out and loses their
 answers. Waiting for such an answer delays all that depends on the write, so
@@ -10,43 +10,47 @@
 from threading import Lock
 from typing import Final
 
-INITIAL_WAIT_S: Final = 0.3
-"""Wait in s before the first answer is known."""
+INITIAL_TIMEOUT_S: Final = 0.3
+"""Timeout in s before the first answer is known."""
 
-MIN_WAIT_S: Final = 0.1
-"""Least wait in s.
+MIN_TIMEOUT_S: Final = 0.1
+"""Least timeout in s.
 
 Operating systems hand out limited processor time in slices of this length,
 so a process may notice an answer that much later.
 """
 
-MAX_WAIT_S: Final = 1.0
-"""Longest wait in s, also for the first byte of an answer to a large call."""
+MAX_TIMEOUT_S: Final = 1.0
+"""Longest timeout in s.
+
+A store that is slow answers in 0.3 s, a fast one in 4 ms.
+"""
 
 TIME_WEIGHT: Final = 1 / 8
 VARIATION_WEIGHT: Final = 1 / 4
 VARIATION_FACTOR: Final = 4
 """Constants of RFC 6298."""
 
-BACK_OFF_FACTOR: Final = 1.5
-"""Growth of the wait after each call without an answer.
+BACKOFF_FACTOR: Final = 1.5
+"""Growth of the timeout after each call without an answer.
 
 It is less than TCP's, so that several tries fit into the life of a lease.
 """
 
-MAX_BACK_OFFS: Final = 10
-"""Number of calls without an answer from which on the wait is the longest."""
+MAX_BACKOFFS: Final = 10
+"""Number of calls without an answer after which the timeout is longest."""
 
 UPLOAD_BYTES_PER_S: Final = 500_000
 """Speed of the slowest link to the store; a body takes this much longer."""
 
 
-class AnswerTimes:
-    """The answer times of an instance's calls to the store, in seconds.
+class AdaptiveTimeout:
+    """The timeout of an instance's calls to the store, in seconds.
 
-    Several threads may use it. ``smoothed_s`` is None until the first answer.
-    ``unanswered_count`` counts the calls without an answer since the last one
-    that had one.
+    Several threads may use it. ``smoothed_s`` and ``variation_s`` are the
+    smoothed time that answers take and its mean deviation; ``smoothed_s`` is
+    None until the first answer. ``unanswered_count`` counts the calls without
+    an answer since the last one that had one.
     """
 
     def __init__(self) -> None:
@@ -58,14 +62,14 @@
     def record_answer(self, took_s: float) -> None:
         """Record a call that was answered after ``took_s`` seconds.
 
-        An answer that took longer than the usual wait shows that the store
+        An answer that took longer than the usual timeout shows that the store
         has become slow, and the estimate begins anew.
         """
-        took_s = min(took_s, MAX_WAIT_S)
+        took_s = min(took_s, MAX_TIMEOUT_S)
         with self.lock:
             self.unanswered_count = 0
             smoothed_s = self.smoothed_s
-            if smoothed_s is None or took_s > self.usual_wait_s():
+            if smoothed_s is None or took_s > self.usual_timeout_s():
                 self.smoothed_s = took_s
                 self.variation_s = took_s / 2
                 return
@@ -80,20 +84,20 @@
         with self.lock:
             self.unanswered_count += 1
 
-    def wait_s(self, body_bytes: int = 0) -> float:
+    def timeout_s(self, body_bytes: int = 0) -> float:
         """Return how long to wait for an answer, in seconds.
 
         ``body_bytes`` is the size of the call's body.
         """
         with self.lock:
             upload_s = body_bytes / UPLOAD_BYTES_PER_S
-            back_offs = min(self.unanswered_count, MAX_BACK_OFFS)
-            wait_s = self.usual_wait_s() + upload_s
-            return min(wait_s * BACK_OFF_FACTOR**back_offs, MAX_WAIT_S)
+            backoffs = min(self.unanswered_count, MAX_BACKOFFS)
+            timeout_s = self.usual_timeout_s() + upload_s
+            return min(timeout_s * BACKOFF_FACTOR**backoffs, MAX_TIMEOUT_S)
 
-    def usual_wait_s(self) -> float:
-        """Return the wait for a small call after an answered one."""
+    def usual_timeout_s(self) -> float:
+        """Return the timeout of a small call after an answered one."""
         if self.smoothed_s is None:
-            return INITIAL_WAIT_S
+            return INITIAL_TIMEOUT_S
         margin_s = max(self.smoothed_s, VARIATION_FACTOR * self.variation_s)
-        return max(MIN_WAIT_S, self.smoothed_s + margin_s)
+        return max(MIN_TIMEOUT_S, self.smoothed_s + margin_s)
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -2,7 +2,7 @@
 
 One call is in flight at a time. A write without an answer is sent again
 unchanged unless the ledger shows that it has happened; see
-``settled_commit``.
+``ledger_write``.
 """
 
 from collections.abc import Callable
@@ -51,11 +51,11 @@
 from primroseledge.cluster.keys import PROGRESS_PREFIX
 from primroseledge.cluster.keys import RECORD_PREFIX
 from primroseledge.cluster.keys import WAVE_PREFIX
+from primroseledge.cluster.ledger_write import try_ledger_write
+from primroseledge.cluster.ledger_write import write_ledger
 from primroseledge.cluster.messages import OwnerView
 from primroseledge.cluster.platform_keys import PlatformKeys
 from primroseledge.cluster.platform_keys import read_evacuated_zones
-from primroseledge.cluster.settled_commit import try_ledger_write
-from primroseledge.cluster.settled_commit import write_ledger
 from primroseledge.cluster.store_failures import fail_command
 from primroseledge.cluster.store_failures import StoreCommand
 from primroseledge.errors import ConflictError
--- a/src/primroseledge/cluster/vacancy.py
+++ b/src/primroseledge/cluster/vacancy.py
@@ -33,7 +33,8 @@
     def predecessor_end(self, epoch: Epoch, now: float) -> float:
         """Return when the owner before ``epoch`` had stopped acting.
 
-        That is now if another owner came and went unnoticed since.
+        It stopped before the fleet was found without an owner, unless that was
+        another owner than the last one noticed; then now is returned.
         """
         if self.since is None or epoch != self.last_epoch + 1:
             return now
--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -18,10 +18,12 @@
 from primroseledge.maintenance.wave import WaveNumber
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.scheduling.actions import PollAnswered
-from primroseledge.scheduling.demand import DEFAULT_LOOKAHEAD_S
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.workers.worker import Worker
 
+INITIAL_MOVE_S: Final = 1.5
+"""Time in s that a move is taken to need before one was measured."""
+
 MOVE_TIME_WEIGHT: Final = 0.1
 """Weight of the last move in the smoothed time that moves take."""
 
@@ -83,7 +85,8 @@
     ``desired_size_history`` holds times and desired sizes, in workers.
     ``demand_peaks`` are the largest of them. ``below_reserve_since`` is since
     when a pool that meets its demand has been below its reserve.
-    ``move_s`` is how long a move to another pool took lately, in seconds.
+    ``move_s`` is how long moves to another pool lately took, in seconds, from
+    the answer to the call until the list showed their end.
     ``shortfalls`` is how many instances each pool still lacks, because none
     was free. ``refused_moves`` are not tried again.
     Times are on the monotonic clock.
@@ -106,7 +109,7 @@
     )
     demand_peaks: dict[ServiceId, DemandPeak] = field(default_factory=dict)
     below_reserve_since: dict[ServiceId, float] = field(default_factory=dict)
-    move_s: float = DEFAULT_LOOKAHEAD_S
+    move_s: float = INITIAL_MOVE_S
     shortfalls: dict[ServiceId, int] = field(default_factory=dict)
     refused_moves: set[tuple[InstanceId, ServiceId]] = field(
         default_factory=set
@@ -149,7 +152,10 @@
         self.rows = {row.id: row for row in listed.rows}
 
     def record_move(self, operation: Operation) -> None:
-        """Record how long a move took that the rows show to be over."""
+        """Record how long a move took; the rows show that it is over.
+
+        It counts from the answer to its call to the request of the list.
+        """
         took_s = self.listed_at - operation.answered_at
         self.move_s += MOVE_TIME_WEIGHT * (took_s - self.move_s)
 
--- a/src/primroseledge/maintenance/pool_moves.py
+++ b/src/primroseledge/maintenance/pool_moves.py
@@ -317,7 +317,7 @@
     worker = state.workers.get(operation.worker) if operation.worker else None
     if worker is not None:
         worker.is_drained_by_owner = True
-        if not worker.is_empty:
+        if not worker.is_removable:
             return
     if (
         operation.state is OperationState.CALL_SENT
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -279,7 +279,7 @@
     worker = find_worker(state, operation)
     if operation.state is OperationState.DRAINING and worker is not None:
         worker.is_drained_by_owner = True
-        if not worker.is_empty:
+        if not worker.is_removable:
             evacuate(state, worker, now)
             if now > operation.started_at + DRAIN_TIMEOUT_S:
                 cancel_maintenance(state, instances, operation)
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -20,7 +20,7 @@
 from typing import Final
 
 from primroseledge.clock import boot_time
-from primroseledge.cluster.answer_times import AnswerTimes
+from primroseledge.cluster.adaptive_timeout import AdaptiveTimeout
 from primroseledge.cluster.call_thread import CallThread
 from primroseledge.cluster.commands import InstanceReported
 from primroseledge.cluster.fleet_node import FleetNode
@@ -222,11 +222,11 @@
     )
     # A separate thread reads the list of workers, so that a write that
     # is retried does not delay it.
-    answer_times = AnswerTimes()
+    adaptive_timeout = AdaptiveTimeout()
     store, reader = (
         StoreThread(
             loop,
-            open_store(settings, answer_times, resources),
+            open_store(settings, adaptive_timeout, resources),
             keys,
             member.entry,
             member.address,
@@ -235,11 +235,11 @@
         for _ in range(2)
     )
     lease = LeaseThread(
-        loop, open_store(settings, answer_times, resources), member
+        loop, open_store(settings, adaptive_timeout, resources), member
     )
     watch = WatchThread(
         loop,
-        open_store(settings, answer_times, resources),
+        open_store(settings, adaptive_timeout, resources),
         keys.watched_prefix,
     )
     for thread in (store, reader, lease, watch):
@@ -306,11 +306,11 @@
 
 def open_store(
     settings: PlatformSettings,
-    answer_times: AnswerTimes,
+    adaptive_timeout: AdaptiveTimeout,
     resources: ExitStack,
 ) -> PlatformStore:
     """Open a store client that ``resources`` closes."""
-    store = PlatformStore(settings.store_address, answer_times)
+    store = PlatformStore(settings.store_address, adaptive_timeout)
     resources.callback(store.close)
     return store
 
--- a/src/primroseledge/platform/store.py
+++ b/src/primroseledge/platform/store.py
@@ -15,7 +15,7 @@
 
 from msgspec import json
 
-from primroseledge.cluster.answer_times import AnswerTimes
+from primroseledge.cluster.adaptive_timeout import AdaptiveTimeout
 from primroseledge.cluster.fleet_store import HistoryLostError
 from primroseledge.cluster.fleet_store import Item
 from primroseledge.cluster.fleet_store import ItemList
@@ -60,15 +60,15 @@
 class PlatformStore:
     """Client of the store with a connection of its own.
 
-    ``answer_times`` may be shared by the clients of an instance: each learns
-    from the calls of all how long the store takes.
+    ``adaptive_timeout`` may be shared by the clients of an instance: each
+    learns from the calls of all how long the store takes.
     """
 
     def __init__(
-        self, address: str, answer_times: AnswerTimes | None = None
+        self, address: str, adaptive_timeout: AdaptiveTimeout | None = None
     ) -> None:
         self.client = HttpClient(address)
-        self.answer_times = answer_times or AnswerTimes()
+        self.adaptive_timeout = adaptive_timeout or AdaptiveTimeout()
 
     def close(self) -> None:
         """Close the connection to the store."""
@@ -197,7 +197,7 @@
         except (NotSentError, NoAnswerError) as error:
             raise StoreUnavailableError(str(error)) from error
         if not wait_s:
-            self.answer_times.record_answer(monotonic() - began_at)
+            self.adaptive_timeout.record_answer(monotonic() - began_at)
         return check_status(answer)
 
     def post(self, path: str, body: dict[str, Any]) -> HttpAnswer:
@@ -207,17 +207,17 @@
         came within the time in which this store usually answers.
         """
         data = json.encode(body)
-        wait_s = self.answer_times.wait_s(len(data))
+        timeout_s = self.adaptive_timeout.timeout_s(len(data))
         began_at = monotonic()
         try:
-            answer = self.client.call('POST', path, data, wait_s)
+            answer = self.client.call('POST', path, data, timeout_s)
         except NotSentError as error:
             raise StoreUnavailableError(str(error)) from error
         except NoAnswerError as error:
             if not error.was_closed:
-                self.answer_times.record_unanswered()
+                self.adaptive_timeout.record_unanswered()
             raise StoreOutcomeUnknownError(str(error)) from error
-        self.answer_times.record_answer(monotonic() - began_at)
+        self.adaptive_timeout.record_answer(monotonic() - began_at)
         return check_status(answer)
 
 
--- a/src/primroseledge/scheduling/demand.py
+++ b/src/primroseledge/scheduling/demand.py
@@ -22,9 +22,6 @@
 CATCH_UP_S: Final = 1.2
 """Time in s within which the work that waits now is to be completed."""
 
-DEFAULT_LOOKAHEAD_S: Final = 1.5
-"""Time in s for which demand is forecast while no move has been measured."""
-
 
 @dataclass(slots=True)
 class Demand:
@@ -44,7 +41,8 @@
 
         ``rate`` is the rate at which work arrives at it. The jobs expected
         within ``lookahead_s`` are included, as an instance that is moved now
-        helps only after that time. They are included up to ``rate.cores``, as
+        helps only after that time; they are expected at the rate of the last
+        second. They are included up to ``rate.cores``, as
         work that arrives at this rate cannot keep more processors busy for
         long.
         """
--- a/src/primroseledge/workers/worker.py
+++ b/src/primroseledge/workers/worker.py
@@ -213,7 +213,7 @@
         return self.used_capacity.plus(self.unexpected_capacity)
 
     @property
-    def is_empty(self) -> bool:
+    def is_removable(self) -> bool:
         """Return whether the worker may end without losing work or results.
 
         Nothing may be running on it, and the effects of all ends that it has
--- a/tests/test_lost_store_answers.py
+++ b/tests/test_lost_store_answers.py
@@ -9,9 +9,9 @@
 from typing import Any
 import unittest
 
-from primroseledge.cluster.answer_times import AnswerTimes
-from primroseledge.cluster.answer_times import MAX_WAIT_S
-from primroseledge.cluster.answer_times import MIN_WAIT_S
+from primroseledge.cluster.adaptive_timeout import AdaptiveTimeout
+from primroseledge.cluster.adaptive_timeout import MAX_TIMEOUT_S
+from primroseledge.cluster.adaptive_timeout import MIN_TIMEOUT_S
 from primroseledge.cluster.commands import BatchStored
 from primroseledge.cluster.commands import ClaimLost
 from primroseledge.cluster.commands import ClaimOwner
@@ -198,39 +198,39 @@
         """No test needs it."""
 
 
-class AnswerTimesTest(unittest.TestCase):
+class AdaptiveTimeoutTest(unittest.TestCase):
     def test_a_lost_answer_is_not_waited_for_much_longer_than_others(
         self,
     ) -> None:
-        times = AnswerTimes()
+        times = AdaptiveTimeout()
         for _ in range(10):
             times.record_answer(0.004)
-        self.assertEqual(MIN_WAIT_S, times.wait_s())
+        self.assertEqual(MIN_TIMEOUT_S, times.timeout_s())
 
     def test_a_store_that_is_slow_is_waited_for(self) -> None:
-        times = AnswerTimes()
+        times = AdaptiveTimeout()
         times.record_answer(0.004)
         for _ in range(20):
             times.record_answer(0.3)
-            self.assertGreaterEqual(times.wait_s(), 0.6)
+            self.assertGreaterEqual(times.timeout_s(), 0.6)
 
     def test_a_slow_answer_after_a_fast_one_is_waited_for(self) -> None:
-        times = AnswerTimes()
+        times = AdaptiveTimeout()
         for took_s in (0.004, 0.3, 0.004, 0.3):
             times.record_answer(took_s)
-        self.assertGreater(times.wait_s(), 0.35)
+        self.assertGreater(times.timeout_s(), 0.35)
 
     def test_a_store_that_is_down_gets_few_calls(self) -> None:
-        times = AnswerTimes()
+        times = AdaptiveTimeout()
         times.record_answer(0.004)
         for _ in range(1000):
             times.record_unanswered()
-        self.assertEqual(MAX_WAIT_S, times.wait_s())
+        self.assertEqual(MAX_TIMEOUT_S, times.timeout_s())
 
     def test_the_wait_covers_a_large_body_on_a_slow_link(self) -> None:
-        times = AnswerTimes()
+        times = AdaptiveTimeout()
         times.record_answer(0.004)
-        self.assertGreater(times.wait_s(100_000), 0.2)
+        self.assertGreater(times.timeout_s(100_000), 0.2)
 
 
 if __name__ == '__main__':
