Store the records of changed jobs as one value, a pack

Callers: while the store is slow, a transaction carries 30 records, two for each new job; jobs wait for a place beside empty workers and many fail.

Cause: each record was an entry of its own, and the store takes 32 entries in one transaction. The store is slow, not small: values may have 1 MB.

Change: a batch's job records are one value under a key of their own. The newest pack with a record of a job holds the valid one. Packs without valid records are removed with a later transaction; when replaced records prevail, the valid ones of the oldest pack are stored again. Records of earlier versions are read, and count as packs of one record. Since no planned start is left over after a batch now, services take turns by when their last start was planned. The simulated store of the tests gave the removals of a transaction revisions of their own, unlike the platform's; it gives one to all of it now.

--- a/src/primroseledge/cluster/commands.py
+++ b/src/primroseledge/cluster/commands.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import Final
 
 from primroseledge.cluster.evacuated_zones import EvacuatedZones
@@ -21,6 +22,7 @@
 from primroseledge.maintenance.actions import InstanceReport
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.owner.batch import Batch
+from primroseledge.owner.record_packs import RecordPacks
 from primroseledge.scheduling.actions import Answer
 from primroseledge.scheduling.actions import OrderEnded
 from primroseledge.scheduling.actions import PollAnswered
@@ -66,7 +68,10 @@
 
 @dataclass(frozen=True, slots=True)
 class JobsRestored:
-    """Result of RestoreJobs: records, list of workers, evacuated zones."""
+    """Result of RestoreJobs: records, list of workers, evacuated zones.
+
+    ``packs`` are the stored items with the records of jobs.
+    """
 
     epoch: Epoch
     accepted: tuple[AcceptedJob, ...]
@@ -74,6 +79,7 @@
     waves: tuple[WaveRecord, ...]
     workers: tuple[Item, ...]
     zones: EvacuatedZones = NO_ZONES
+    packs: RecordPacks = field(default_factory=RecordPacks)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -95,7 +95,6 @@
 none is in flight, its successor needs no ``TAKEOVER_PAUSE_S``.
 """
 
-
 Command = Any
 
 FIRST_EPOCH: Final = Epoch(1)
@@ -358,6 +357,7 @@
             now,
             ownership.owned_since,
         )
+        engine.outbox.packs = event.packs
         engine.instance_list.waves = dict(self.view.waves)
         self.view.zones = self.view.zones.newest(event.zones)
         engine.apply_evacuated_zones(self.view.evacuated_zones, now)
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -41,15 +41,11 @@
 from primroseledge.cluster.fleet_store import Transaction
 from primroseledge.cluster.keys import decode_ledger
 from primroseledge.cluster.keys import decode_owner
-from primroseledge.cluster.keys import decode_records
 from primroseledge.cluster.keys import encode_value
-from primroseledge.cluster.keys import JOB_PREFIX
 from primroseledge.cluster.keys import LEDGER_KEY
 from primroseledge.cluster.keys import LedgerRecord
 from primroseledge.cluster.keys import MEMBER_PREFIX
 from primroseledge.cluster.keys import OWNER_KEY
-from primroseledge.cluster.keys import PROGRESS_PREFIX
-from primroseledge.cluster.keys import RECORD_PREFIX
 from primroseledge.cluster.keys import WAVE_PREFIX
 from primroseledge.cluster.ledger_write import try_ledger_write
 from primroseledge.cluster.ledger_write import write_ledger
@@ -58,15 +54,13 @@
 from primroseledge.cluster.platform_keys import read_evacuated_zones
 from primroseledge.cluster.store_failures import fail_command
 from primroseledge.cluster.store_failures import StoreCommand
+from primroseledge.cluster.stored_records import read_stored_records
 from primroseledge.errors import ConflictError
 from primroseledge.errors import DocumentError
 from primroseledge.errors import StoreError
 from primroseledge.ids import EntryId
 from primroseledge.ids import Epoch
 from primroseledge.ids import Revision
-from primroseledge.jobs.progress import ProgressRecord
-from primroseledge.jobs.spec import AcceptedJob
-from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.observability.events import Event
 from primroseledge.observability.fleet_metrics import FleetMetrics
 from primroseledge.observability.logs import log
@@ -230,7 +224,7 @@
     while True:
         began_at = boot_time()
         try:
-            records = thread.store.read_all(RECORD_PREFIX).items
+            records = read_stored_records(thread.store, command.epoch)
             workers = thread.store.read_all(thread.keys.worker_prefix).items
             zones = read_evacuated_zones(thread.store, thread.keys)
         except StoreError as error:
@@ -240,11 +234,12 @@
             continue
         return JobsRestored(
             command.epoch,
-            tuple(decode_records(records, JOB_PREFIX, AcceptedJob)),
-            tuple(decode_records(records, PROGRESS_PREFIX, ProgressRecord)),
-            tuple(decode_records(records, WAVE_PREFIX, WaveRecord)),
+            tuple(records.accepted.values()),
+            tuple(records.progress.values()),
+            tuple(records.waves),
             workers,
             zones,
+            records.packs,
         )
 
 
@@ -264,6 +259,7 @@
             Put(LEDGER_KEY, encode_value(ledger)),
             *batch_puts(command.batch, thread.keys),
         ),
+        removals=command.batch.replaced_packs,
     )
     number = command.batch.number
     failures = 0
@@ -307,14 +303,9 @@
 
 def batch_puts(batch: Batch, keys: PlatformKeys) -> list[Put]:
     """Return the writes that store the records of a batch."""
-    puts = [
-        Put(f'{JOB_PREFIX}{job.id}', msgpack.encode(job))
-        for job in batch.accepted
-    ]
-    puts += [
-        Put(f'{PROGRESS_PREFIX}{record.id}', msgpack.encode(record))
-        for record in batch.progress
-    ]
+    puts = list[Put]()
+    if batch.progress:
+        puts.append(Put(batch.pack_key, batch.pack.encode()))
     for wave in batch.waves:
         puts.append(Put(f'{WAVE_PREFIX}{wave.number}', msgpack.encode(wave)))
         puts.append(keys.encode_wave_status(wave))
--- a/src/primroseledge/ids.py
+++ b/src/primroseledge/ids.py
@@ -31,6 +31,9 @@
 Revision = NewType('Revision', int)
 """The store's counter of changes; every change raises it."""
 
+PackKey = NewType('PackKey', str)
+"""The store's key of an item with records of jobs."""
+
 Epoch = NewType('Epoch', int)
 """Counts the owners of one right; a later owner has a larger epoch."""
 
--- a/src/primroseledge/operators/cli_running.py
+++ b/src/primroseledge/operators/cli_running.py
@@ -23,11 +23,10 @@
 from primroseledge.cluster.keys import decode_ledger
 from primroseledge.cluster.keys import decode_owner
 from primroseledge.cluster.keys import decode_records
-from primroseledge.cluster.keys import JOB_PREFIX
 from primroseledge.cluster.keys import LEDGER_KEY
 from primroseledge.cluster.keys import OWNER_KEY
-from primroseledge.cluster.keys import PROGRESS_PREFIX
 from primroseledge.cluster.keys import WAVE_PREFIX
+from primroseledge.cluster.stored_records import read_stored_records
 from primroseledge.errors import PrimroseledgeError
 from primroseledge.errors import StoreError
 from primroseledge.exit_codes import code_of
@@ -119,18 +118,11 @@
 def jobs(source: Source, has_ended: bool) -> None:
     """Show the jobs that have not ended, and where their tasks run."""
     with source.open() as store:
-        accepted = decode_records(
-            store.read_all(JOB_PREFIX).items, JOB_PREFIX, AcceptedJob
+        records = read_stored_records(store)
+        rows = (
+            describe_job(job, records.progress.get(job.id))
+            for job in records.accepted.values()
         )
-        progress = {
-            record.id: record
-            for record in decode_records(
-                store.read_all(PROGRESS_PREFIX).items,
-                PROGRESS_PREFIX,
-                ProgressRecord,
-            )
-        }
-        rows = (describe_job(job, progress.get(job.id)) for job in accepted)
         final = {state.value for state in FINAL_STATES}
         source.show(r for r in rows if has_ended or r['state'] not in final)
 
@@ -158,12 +150,11 @@
 def suspects(source: Source) -> None:
     """Show the tasks under which workers have crashed, one crash a row."""
     with source.open() as store:
-        records = decode_records(
-            store.read_all(PROGRESS_PREFIX).items,
-            PROGRESS_PREFIX,
-            ProgressRecord,
+        source.show(
+            row
+            for record in read_stored_records(store).progress.values()
+            for row in find_crashes(record)
         )
-        source.show(row for record in records for row in find_crashes(record))
 
 
 def find_crashes(record: ProgressRecord) -> Iterator[Row]:
@@ -227,16 +218,11 @@
                 echo(f'{entry_item.key}: {error}', err=True)
                 continue
             capacity = capacity.plus(entry.capacity)
+        records = read_stored_records(store)
         rows = find_workspace_shares(
             configuration,
-            decode_records(
-                store.read_all(JOB_PREFIX).items, JOB_PREFIX, AcceptedJob
-            ),
-            decode_records(
-                store.read_all(PROGRESS_PREFIX).items,
-                PROGRESS_PREFIX,
-                ProgressRecord,
-            ),
+            list(records.accepted.values()),
+            list(records.progress.values()),
             capacity,
         )
         source.show(
@@ -285,11 +271,7 @@
     workers = collections.Counter(zone_of.values())
     tasks = collections.Counter(
         zone_of.get(task.worker, ZoneId(''))
-        for record in decode_records(
-            store.read_all(PROGRESS_PREFIX).items,
-            PROGRESS_PREFIX,
-            ProgressRecord,
-        )
+        for record in read_stored_records(store).progress.values()
         for task in record.tasks
         if task.may_run
     )
--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -4,7 +4,8 @@
 on are stored.
 """
 
-from collections import deque
+import collections
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Final
@@ -21,6 +22,9 @@
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.owner.batch import Batch
+from primroseledge.owner.record_packs import RecordId
+from primroseledge.owner.record_packs import RecordKind
+from primroseledge.owner.record_packs import RecordPacks
 from primroseledge.owner.refused_calls import RefusedCalls
 from primroseledge.owner.store_health import RETRY_AFTER_S
 from primroseledge.owner.store_health import StoreHealth
@@ -28,14 +32,24 @@
 from primroseledge.scheduling.actions import Verdict
 from primroseledge.scheduling.fleet_state import FleetState
 
-MAX_RECORDS_PER_BATCH: Final = 30
-"""Most job and wave records per transaction, besides the owner's ledger.
+MAX_PACK_BYTES: Final = 150_000
+"""Size of a batch's job records from which on no more are added, in bytes.
 
-The store accepts 32 entries in one transaction, the ledger among them.
+A link of 10 Mbit/s carries them in 0.2 s. One more job may be added below it;
+the largest has 0.7 MB, and the store accepts values of 1 MB.
 """
 
+MAX_REWRITTEN_BYTES: Final = MAX_PACK_BYTES // 4
+"""Size of a batch's job records up to which unchanged ones are added."""
+
 MAX_WAVES_PER_BATCH: Final = 5
-"""Most waves per transaction, so that jobs find a place beside them."""
+"""Most waves per transaction; each takes two entries."""
+
+MAX_REMOVALS_PER_BATCH: Final = 20
+"""Most packs that a transaction removes.
+
+The store accepts 32 entries in one; the ledger, a pack and waves take 12.
+"""
 
 URGENT_JOBS_IN_A_ROW: Final = 3
 """Number of urgent jobs in a batch before one that is not urgent."""
@@ -53,10 +67,12 @@
 
     ``number`` is that of the last batch built. ``batch_in_flight`` is the
     batch that is being stored and is not confirmed yet. ``is_store_slow``
-    says that the last batch took ``SLOW_BATCH_S`` or longer.
+    says that the last batch took ``SLOW_BATCH_S`` or longer. ``packs`` are
+    the stored records.
     """
 
     number: int = 0
+    packs: RecordPacks = field(default_factory=RecordPacks)
     batch_in_flight: Batch | None = None
     store_health: StoreHealth = field(default_factory=StoreHealth)
     is_store_slow: bool = False
@@ -96,28 +112,25 @@
     ) -> Batch:
         """Build a batch of changed waves and as many changed jobs as fit in.
 
-        A wave takes two records, as does a job that is not stored yet. A
-        planned start goes into the batch of its job. Workers may discard a
+        A planned start goes into the batch of its job. Workers may discard a
         run end once the batch with its job, and those of the ends before it,
         are stored.
         """
         self.number += 1
-        batch = Batch(self.number, built_at=now)
+        key = self.packs.key_of(self.number)
+        batch = Batch(self.number, key, built_at=now)
         for number in list(instances.dirty_waves)[:MAX_WAVES_PER_BATCH]:
             batch.waves.append(instances.wave_records[number])
             del instances.dirty_waves[number]
-        free_records = MAX_RECORDS_PER_BATCH - 2 * len(batch.waves)
+        rewritten = dict.fromkeys(self.packs.find_jobs_to_rewrite())
         for job_id in order_changed_jobs(state):
-            job = state.jobs[job_id]
-            record_count = 1 if job.is_stored else 2
-            if record_count > free_records:
+            if batch.pack.size >= MAX_PACK_BYTES:
                 break
-            free_records -= record_count
             del state.dirty_jobs[job_id]
-            if not job.is_stored:
-                batch.accepted.append(job.accepted)
-            batch.progress.append(job.to_record())
+            self.add_job(batch, state.jobs[job_id], job_id in rewritten)
             batch.answers.extend(state.pending_answers.pop(job_id, ()))
+        self.rewrite_jobs(batch, state, rewritten)
+        batch.replaced_packs = self.packs.take_replaced(MAX_REMOVALS_PER_BATCH)
         included = {record.id for record in batch.progress}
         batch.starts = [
             t for t in state.planned_tasks if t.key.job in included
@@ -130,6 +143,33 @@
         batch.end_numbers = pop_stored_ends(state)
         return batch
 
+    def add_job(self, batch: Batch, job: Job, is_rewritten: bool) -> None:
+        """Add a job to a batch, with its acceptance where that is needed.
+
+        It is if it isn't stored yet, or only in the pack to be replaced.
+        """
+        job_id = job.accepted.id
+        is_moved = is_rewritten and self.packs.is_accepted_in_oldest(job_id)
+        batch.add_job(job, not job.is_stored or is_moved)
+
+    def rewrite_jobs(
+        self, batch: Batch, state: FleetState, jobs: Iterable[JobId]
+    ) -> None:
+        """Add stored jobs to a batch as they are, if there is room for them.
+
+        A job that is not restored from its records leaves the packs.
+        """
+        included = {record.id for record in batch.progress}
+        for job_id in jobs:
+            if batch.pack.size >= MAX_REWRITTEN_BYTES:
+                return
+            job = state.jobs.get(job_id)
+            if job is None:
+                for kind in RecordKind:
+                    self.packs.drop(RecordId(kind, job_id))
+            elif job_id not in included and job_id not in state.dirty_jobs:
+                self.add_job(batch, job, True)
+
     def complete_batch(self, state: FleetState, now: float) -> None:
         """Carry out the effects of the batch that is now stored.
 
@@ -142,6 +182,8 @@
             return
         self.batch_in_flight = None
         self.store_health.stored_batch_sent_at = batch.built_at
+        if batch.progress:
+            self.packs.add(batch.pack_key, batch.pack.sizes)
         self.log_slow_store(state, now - batch.built_at)
         for record in batch.progress:
             job = state.jobs.get(record.id)
@@ -208,7 +250,7 @@
     """
     with_starts = {task.key.job for task in state.planned_tasks}
     urgent = list[JobId]()
-    others = deque[JobId]()
+    others = collections.deque[JobId]()
     for job_id in state.dirty_jobs:
         job = state.jobs[job_id]
         is_urgent = (
--- a/src/primroseledge/scheduling/fleet_state.py
+++ b/src/primroseledge/scheduling/fleet_state.py
@@ -66,13 +66,15 @@
     maintenance or a move; the platform may still list these boots.
     ``fair_shares`` has the usage, the shares and the credits of workspaces.
     ``took_over_at`` is when this instance became the owner, ``replanned_at``
-    when all services were last planned. ``wall_offset_s`` is added to the
-    owner's clock to get the wall-clock time. Nothing starts on workers of the
-    ``evacuated_zones``. ``copies`` are the copies of tasks that are planned or
-    may be running, ``held_tasks`` those that are done and whose other run may
-    still start, see ``hold_ends``. ``jobs_to_isolate`` are the jobs with a
-    task that may only run on a worker of its own. ``silent_losses`` are those
-    of silent workers, by the worker's address.
+    when all services were last planned, and ``last_start_planned_at`` when a
+    service last got a start.
+    ``wall_offset_s`` is added to the owner's clock to get the wall-clock time.
+    Nothing starts on workers of the ``evacuated_zones``. ``copies`` are the
+    copies of tasks that are planned or may be running, ``held_tasks`` those
+    that are done and whose other run may still start, see ``hold_ends``.
+    ``jobs_to_isolate`` are the jobs with a task that may only run on a worker
+    of its own. ``silent_losses`` are those of silent workers, by the worker's
+    address.
     """
 
     configuration: Configuration
@@ -101,6 +103,7 @@
     actions: list[Action] = field(default_factory=list)
     dirty_since: float | None = None
     replanned_at: float = 0.0
+    last_start_planned_at: dict[ServiceId, float] = field(default_factory=dict)
     evacuated_zones: frozenset[ZoneId] = frozenset()
     ended_boots: dict[WorkerId, Boot] = field(default_factory=dict)
     advice: AdviceCache = field(default_factory=AdviceCache)
--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -8,7 +8,8 @@
 long-running task.
 """
 
-from collections import Counter
+from collections.abc import Callable
+from math import inf
 from typing import Final
 
 from primroseledge.ids import ServiceId
@@ -49,23 +50,31 @@
     Returns these services with the steps that found no capacity. A service is
     missing in it if its pass ended early.
 
-    Those with the fewest planned starts come first: a service with many tasks
-    to start would otherwise reach ``MAX_PLANNED_STARTS`` in each pass.
+    Services take turns, as one with many tasks to start may reach
+    ``MAX_PLANNED_STARTS`` in each pass: that whose last start was planned
+    before those of the others comes first.
     """
-    planned = Counter(
-        state.service_of(state.jobs[task.key.job])
-        for task in state.planned_tasks
-    )
     services = state.services_to_plan
     state.services_to_plan = set()
     unplaced = dict[ServiceId, list[StepSpec]]()
-    for service in sorted(services, key=lambda id: (planned[id], id)):
+    for service in sorted(services, key=turn_of(state)):
+        planned_before = len(state.planned_tasks)
         steps = plan_service(state, service, now)
+        if len(state.planned_tasks) > planned_before:
+            state.last_start_planned_at[service] = now
         if steps is not None:
             unplaced[service] = steps
     return unplaced
 
 
+def turn_of(
+    state: FleetState,
+) -> Callable[[ServiceId], tuple[float, ServiceId]]:
+    """Return the sort key of services in the order of their turns."""
+    planned_at = state.last_start_planned_at
+    return lambda service: (planned_at.get(service, -inf), service)
+
+
 def plan_service(
     state: FleetState, service: ServiceId, now: float
 ) -> list[StepSpec] | None:
--- a/standins/storage_core.py
+++ b/standins/storage_core.py
@@ -62,12 +62,16 @@
         self.notify(self.items[key])
 
     def remove(self, key: str) -> None:
-        """Remove a key."""
+        """Remove a key, as a change of its own."""
+        if key in self.items:
+            self.revision += 1
+        self.drop(key)
+
+    def drop(self, key: str) -> None:
+        """Remove a key at the present revision."""
         self.lease_of.pop(key, None)
-        if self.items.pop(key, None) is None:
-            return
-        self.revision += 1
-        self.notify(Item(key, None, Revision(self.revision)))
+        if self.items.pop(key, None) is not None:
+            self.notify(Item(key, None, Revision(self.revision)))
 
     def notify(self, item: Item) -> None:
         """Tell those who watch."""
@@ -88,5 +92,5 @@
         for put in transaction.puts:
             self.put(put.key, put.value, put.lease)
         for key in transaction.removals:
-            self.remove(key)
+            self.drop(key)
         return Revision(self.revision)
--- a/tests/engine_bench.py
+++ b/tests/engine_bench.py
@@ -149,6 +149,8 @@
         while self.engine.outbox.batch_in_flight is not None:
             self.engine.handle_batch_stored(self.now)
             self.reconcile(0.02)
+            if self.engine.state.dirty_jobs:
+                self.reconcile(0.02)
 
     def pop_actions(
         self, kind: type, matches: Callable[[Action], bool]
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -8,11 +8,11 @@
 
 from dataclasses import replace
 import unittest
+from unittest import mock
 
 from bench.job_fleet import JobFleet
 from bench.job_load import small_shape
 from primroseledge.dispatch.polls import UNSTORED_POLL_INTERVAL_S
-from primroseledge.owner.outbox import MAX_RECORDS_PER_BATCH
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
@@ -21,12 +21,16 @@
 from tests.engine_bench import make_worker_entry
 
 WORKERS = [make_worker_entry(f'worker-{number}') for number in range(8)]
-JOB_COUNT = MAX_RECORDS_PER_BATCH + 10
+JOB_COUNT = 40
+PACK_BYTES = 1_000
 
 
 class SlowStoreTest(unittest.TestCase):
     def start_jobs(self, bench: EngineBench) -> None:
         """Start more jobs of two tasks each than fit in a batch."""
+        self.enterContext(
+            mock.patch('primroseledge.owner.outbox.MAX_PACK_BYTES', PACK_BYTES)
+        )
         self.starts = [
             start
             for number in range(JOB_COUNT)
