Plan more starts in a pass the longer the store took

Callers: while the store is slow, tasks wait beside empty workers although their records have room in a batch.

Cause: a pass ends at 64 planned starts, and there is one for each batch. With a store that takes 0.375 s for one, 170 tasks start a second.

Change: the limit grows with the time since the last pass, 3,200 starts a second, up to 1,000; at least 64 as before.

--- a/src/primroseledge/scheduling/fleet_state.py
+++ b/src/primroseledge/scheduling/fleet_state.py
@@ -66,8 +66,9 @@
     maintenance or a move; the platform may still list these boots.
     ``fair_shares`` has the usage, the shares and the credits of workspaces.
     ``took_over_at`` is when this instance became the owner, ``replanned_at``
-    when all services were last planned, and ``last_start_planned_at`` when a
-    service last got a start.
+    when all services were last planned. The last planning pass was at
+    ``planned_at`` and ended at ``planning_limit`` planned starts;
+    ``last_start_planned_at`` is when a service last got a start.
     ``wall_offset_s`` is added to the owner's clock to get the wall-clock time.
     Nothing starts on workers of the ``evacuated_zones``. ``copies`` are the
     copies of tasks that are planned or may be running, ``held_tasks`` those
@@ -103,6 +104,8 @@
     actions: list[Action] = field(default_factory=list)
     dirty_since: float | None = None
     replanned_at: float = 0.0
+    planned_at: float = -inf
+    planning_limit: int = 0
     last_start_planned_at: dict[ServiceId, float] = field(default_factory=dict)
     evacuated_zones: frozenset[ZoneId] = frozenset()
     ended_boots: dict[WorkerId, Boot] = field(default_factory=dict)
--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -33,15 +33,31 @@
 from primroseledge.scheduling.step_planning import StepPlan
 from primroseledge.workers.worker import Worker
 
-MAX_PLANNED_STARTS: Final = 64
-"""Number of planned starts at which a planning pass ends.
+MIN_PLANNED_STARTS: Final = 64
+"""Least number of planned starts at which a planning pass ends."""
 
-A planned start of any service counts until its job's record is in a batch for
-the store. The number is checked before each step, so a pass may exceed it by
-the tasks of one step. The service is planned again in the next pass.
+MAX_PLANNED_STARTS: Final = 1_000
+"""Largest number of planned starts at which a planning pass ends."""
+
+PLANNED_STARTS_PER_S: Final = 3_200
+"""Starts that a pass may plan for each second since the pass before it.
+
+Passes wait for the store: the slower it is, the more starts each has to plan.
 """
 
 
+def find_planning_limit(elapsed_s: float) -> int:
+    """Return the number of planned starts at which a planning pass ends.
+
+    ``elapsed_s`` is the time since the last pass, in seconds. A planned start
+    of any service counts until its job's record is in a batch for the store.
+    The number is checked before each step, so a pass may exceed it by the
+    tasks of one step. The service is planned again in the next pass.
+    """
+    starts = min(MAX_PLANNED_STARTS, elapsed_s * PLANNED_STARTS_PER_S)
+    return max(MIN_PLANNED_STARTS, int(starts))
+
+
 def plan_services(
     state: FleetState, now: float
 ) -> dict[ServiceId, list[StepSpec]]:
@@ -51,9 +67,11 @@
     missing in it if its pass ended early.
 
     Services take turns, as one with many tasks to start may reach
-    ``MAX_PLANNED_STARTS`` in each pass: that whose last start was planned
-    before those of the others comes first.
+    ``planning_limit`` in each pass: that whose last start was planned before
+    those of the others comes first.
     """
+    state.planning_limit = find_planning_limit(now - state.planned_at)
+    state.planned_at = now
     services = state.services_to_plan
     state.services_to_plan = set()
     unplaced = dict[ServiceId, list[StepSpec]]()
@@ -81,7 +99,7 @@
     """Plan the starts of one service's waiting tasks.
 
     Returns the steps that found no capacity, or None if the pass ended early.
-    The pass ends at ``MAX_PLANNED_STARTS``. A step is left out where
+    The pass ends at ``planning_limit``. A step is left out where
     ``CapacityShortage`` says so.
     """
     waiting = waiting_steps(state, service, now)
@@ -97,7 +115,7 @@
     batch_workers = workers
     shortage = CapacityShortage(workers)
     for _, job, step in order_by_shares(isolation.rows, state, workers, now):
-        if len(state.planned_tasks) >= MAX_PLANNED_STARTS:
+        if len(state.planned_tasks) >= state.planning_limit:
             state.services_to_plan.add(service)
             return None
         if shortage.affects(step):
--- a/src/primroseledge/scheduling/speculation.py
+++ b/src/primroseledge/scheduling/speculation.py
@@ -26,7 +26,6 @@
 from primroseledge.scheduling.placement import is_allowed
 from primroseledge.scheduling.placement import rank_batch
 from primroseledge.scheduling.placement import StepPlacement
-from primroseledge.scheduling.planning import MAX_PLANNED_STARTS
 from primroseledge.scheduling.probing import could_any_take
 from primroseledge.scheduling.runtimes import corrected_ms
 from primroseledge.scheduling.runtimes import Runtimes
@@ -155,7 +154,7 @@
     for due in due_copies:
         if copies >= max_copies:
             return
-        if len(state.planned_tasks) >= MAX_PLANNED_STARTS:
+        if len(state.planned_tasks) >= state.planning_limit:
             return
         worker = find_copy_worker(state, due.task, workers, now)
         if worker is None:
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -23,6 +23,7 @@
 WORKERS = [make_worker_entry(f'worker-{number}') for number in range(8)]
 JOB_COUNT = 40
 PACK_BYTES = 1_000
+STORE_S = 0.4
 
 
 class SlowStoreTest(unittest.TestCase):
@@ -119,6 +120,18 @@
         bench.answer_poll(WORKERS[0].id)
         self.assertEqual({}, bench.engine.state.unstored_ends)
 
+    def test_a_slow_store_holds_back_no_starts(self) -> None:
+        bench = EngineBench(*WORKERS)
+        bench.submit(make_job('first', make_step(1)))
+        bench.reconcile(0.02)
+        for number in range(JOB_COUNT):
+            bench.submit(make_job(f'job-{number}', make_step(12, 200)))
+        bench.now += STORE_S
+        bench.engine.handle_batch_stored(bench.now)
+        bench.reconcile()
+        bench.reconcile(0.02)
+        self.assertEqual(12 * JOB_COUNT, len(bench.batches[-1].starts))
+
     def test_other_ends_are_polled_for_while_the_store_is_slow(self) -> None:
         bench = EngineBench(*WORKERS[:1])
         first, _ = bench.run_job(make_job('a', make_step(2)))
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -35,7 +35,7 @@
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.scheduling.placement import choose_worker
 from primroseledge.scheduling.placement import count_placement
-from primroseledge.scheduling.planning import MAX_PLANNED_STARTS
+from primroseledge.scheduling.planning import MIN_PLANNED_STARTS
 from primroseledge.scheduling.worker_choice import WorkerChooser
 from primroseledge.workers.worker import Worker
 from primroseledge.workers.worker import WorkerEntry
@@ -219,7 +219,7 @@
             queue = QueueId(f'queue of {service}')
             config.queues[queue] = Queue(queue, 'host', '/', service)
         jobs = [
-            (f'{number:03}', busy) for number in range(10 * MAX_PLANNED_STARTS)
+            (f'{number:03}', busy) for number in range(10 * MIN_PLANNED_STARTS)
         ]
         for name, service in [*jobs, ('other', other)]:
             job = make_job(name, make_step(1, 10))
