Split the departure of an instance from its node, and the fuzz's load

The encoding of batches stands beside the decoding of records. The simulated entry instance and the load of the randomized tests have modules of their own.

--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -18,7 +18,6 @@
 from typing import Final
 
 from primroseledge.cluster.claim_order import claim_wait_s
-from primroseledge.cluster.claim_order import is_weak
 from primroseledge.cluster.commands import AnswerCaller
 from primroseledge.cluster.commands import BatchStored
 from primroseledge.cluster.commands import ClaimLost
@@ -27,7 +26,6 @@
 from primroseledge.cluster.commands import InstanceReported
 from primroseledge.cluster.commands import JobsRestored
 from primroseledge.cluster.commands import LeaseRenewed
-from primroseledge.cluster.commands import LeaveMembers
 from primroseledge.cluster.commands import ListWorkers
 from primroseledge.cluster.commands import OwnerReleased
 from primroseledge.cluster.commands import OwnershipLost
@@ -40,6 +38,7 @@
 from primroseledge.cluster.commands import WorkerListFailed
 from primroseledge.cluster.commands import WorkerReport
 from primroseledge.cluster.commands import WorkersListed
+from primroseledge.cluster.departure import Departure
 from primroseledge.cluster.fleet_ownership import ABANDONABLE_STATES
 from primroseledge.cluster.fleet_ownership import ENGINE_STATES
 from primroseledge.cluster.fleet_ownership import FleetOwnership
@@ -81,21 +80,6 @@
 from primroseledge.scheduling.advice import AdviceAnswered
 from primroseledge.scheduling.advice import AdviceFailed
 
-RELEASE_RETRY_S: Final = 0.5
-
-MIN_OWNERSHIP_S: Final = 10.0
-"""Shortest time for which a weak instance stays the owner, in seconds.
-
-Then it hands the ownership to a stronger one; ``claim_order`` defines weak.
-"""
-
-MAX_HANDOVER_WAIT_S: Final = 1.0
-"""Longest time for which an owner delays its handover, in seconds.
-
-It waits for the answers to its calls that take instances out of service. If
-none is in flight, its successor needs no ``TAKEOVER_PAUSE_S``.
-"""
-
 Command = Any
 
 FIRST_EPOCH: Final = Epoch(1)
@@ -126,14 +110,16 @@
     pending_calls: PendingCalls = field(default_factory=PendingCalls)
     lease: LeaseId | None = None
     engine: Engine | None = None
-    is_leaving: bool = False
     worker_list: WorkerListTiming = field(default_factory=WorkerListTiming)
-    release_sent_at: float = 0.0
     vacancy: Vacancy = field(default_factory=Vacancy)
     predecessor_ended_at: float = 0.0
-    has_sent_leave: bool = False
     is_predecessor_idle: bool = False
     commands: list[Command] = field(default_factory=list)
+    departure: Departure = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Have the departure act on the same view and ownership."""
+        self.departure = Departure(self.view, self.ownership)
 
     @property
     def entry(self) -> EntryId:
@@ -300,7 +286,7 @@
         An instance that is leaving, or has no lease or configuration, does
         not claim.
         """
-        if self.is_leaving or self.lease is None:
+        if self.departure.is_leaving or self.lease is None:
             return
         if self.configuration is None or not self.ownership.may_claim(now):
             return
@@ -468,9 +454,7 @@
     def check_ownership(self, now: float) -> None:
         """Clean up after a lost ownership, or release one that must end.
 
-        If the ownership was lost, the engine is dropped. An orphaned owner
-        record is removed. The ownership is released if this instance is
-        leaving or a stronger one should be the owner.
+        If the ownership was lost, the engine is dropped.
         """
         state = self.ownership.state
         self.vacancy.update(self.ownership, now)
@@ -481,78 +465,7 @@
                 reason=f'epoch {self.ownership.epoch} has ended',
             )
             self.engine = None
-        if self.ownership.has_orphaned_record(self.entry):
-            self.release_orphaned_record(now)
-        if self.is_leaving:
-            self.leave(now)
-        elif self.needs_handover(now):
-            self.release(now)
-
-    def needs_handover(self, now: float) -> bool:
-        """Return whether to hand the ownership to a stronger instance.
-
-        A weak instance may have become the owner while the stronger ones
-        were down.
-        """
-        if self.ownership.state is not FleetOwnershipState.OWNING:
-            return False
-        if now < self.ownership.owned_since + MIN_OWNERSHIP_S:
-            return False
-        return is_weak(self.view.members, self.entry)
-
-    def release_orphaned_record(self, now: float) -> None:
-        """Remove this instance's owner record, on which no process acts.
-
-        The removal is requested at most once per ``RELEASE_RETRY_S``. Calls
-        may be in flight only if this process was the owner in that epoch: an
-        earlier process ended before this one started.
-        """
-        owner = self.ownership.owner
-        if owner is None or now < self.release_sent_at + RELEASE_RETRY_S:
-            return
-        self.release_sent_at = now
-        has_no_calls = owner.epoch != self.ownership.epoch
-        self.commands.append(ReleaseOwner(owner.epoch, None, has_no_calls))
-
-    def leave(self, now: float) -> None:
-        """Remove the member record, and release the ownership if held.
-
-        Once it is not the owner, this instance retires: it never claims
-        again.
-        """
-        if not self.has_sent_leave:
-            self.has_sent_leave = True
-            self.commands.append(LeaveMembers())
-        self.release(now)
-        if self.ownership.state in (
-            FleetOwnershipState.FOLLOWING,
-            FleetOwnershipState.CLAIMING,
-        ):
-            self.ownership.advance('retire')
-
-    def release(self, now: float) -> None:
-        """Release the ownership as soon as it is safe.
-
-        It is delayed while batches are in flight. Calls in flight that take
-        instances out of service delay it by up to ``MAX_HANDOVER_WAIT_S``.
-        """
-        ownership = self.ownership
-        engine = self.engine
-        if ownership.state is not FleetOwnershipState.OWNING or engine is None:
-            return
-        if engine.handover_started_at is None:
-            engine.handover_started_at = now
-        has_no_calls = not engine.instance_list.calls_in_flight
-        is_overdue = now >= engine.handover_started_at + MAX_HANDOVER_WAIT_S
-        if not engine.outbox.in_flight and (has_no_calls or is_overdue):
-            ownership.advance('release')
-            self.commands.append(
-                ReleaseOwner(
-                    ownership.epoch,
-                    ownership.ledger_revisions.get(FIRST_LANE),
-                    has_no_calls,
-                )
-            )
+        self.commands.extend(self.departure.advance(self.engine, now))
 
     def abandon_ownership(self) -> None:
         """Release the ownership at once and discard the engine.
@@ -581,7 +494,9 @@
         if self.ownership.state is not FleetOwnershipState.RELEASING:
             return
         self.ownership.owner = None
-        self.ownership.advance('retire' if self.is_leaving else 'released')
+        self.ownership.advance(
+            'retire' if self.departure.is_leaving else 'released'
+        )
 
     def run_engine(self, now: float) -> list[Action]:
         """Run the engine as the owner; return the actions to carry out.
@@ -627,7 +542,7 @@
     def is_ready(self, now: float) -> bool:
         """Return whether this instance is ready to serve new callers."""
         return (
-            not self.is_leaving
+            not self.departure.is_leaving
             and self.configuration is not None
             and self.ownership.owner is not None
         )
--- a/src/primroseledge/cluster/node_loop.py
+++ b/src/primroseledge/cluster/node_loop.py
@@ -271,9 +271,9 @@
         now = boot_time()
         node = self.node
         node.wall_offset_s = time() - now
-        if self.is_leaving and not node.is_leaving:
+        if self.is_leaving and not node.departure.is_leaving:
             log(Event.STOPPING, running=len(self.answer_queues), queued=0)
-        node.is_leaving = self.is_leaving
+        node.departure.is_leaving = self.is_leaving
         commands, actions = node.reconcile(now)
         self.is_ready = node.is_ready(now)
         if self.store_lanes is not None:
--- a/src/primroseledge/cluster/store_thread.py
+++ b/src/primroseledge/cluster/store_thread.py
@@ -14,8 +14,6 @@
 from typing import Any
 from typing import Final
 
-from msgspec import msgpack
-
 from primroseledge.clock import boot_time
 from primroseledge.cluster.call_thread import Inbox
 from primroseledge.cluster.call_thread import log_call_failure
@@ -47,7 +45,6 @@
 from primroseledge.cluster.keys import LedgerRecord
 from primroseledge.cluster.keys import MEMBER_PREFIX
 from primroseledge.cluster.keys import OWNER_KEY
-from primroseledge.cluster.keys import WAVE_PREFIX
 from primroseledge.cluster.ledger_write import try_ledger_write
 from primroseledge.cluster.ledger_write import write_ledger
 from primroseledge.cluster.messages import OwnerView
@@ -55,6 +52,7 @@
 from primroseledge.cluster.platform_keys import read_evacuated_zones
 from primroseledge.cluster.store_failures import fail_command
 from primroseledge.cluster.store_failures import StoreCommand
+from primroseledge.cluster.stored_records import encode_batch
 from primroseledge.cluster.stored_records import read_stored_records
 from primroseledge.errors import ConflictError
 from primroseledge.errors import DocumentError
@@ -66,7 +64,6 @@
 from primroseledge.observability.events import Event
 from primroseledge.observability.fleet_metrics import FleetMetrics
 from primroseledge.observability.logs import log
-from primroseledge.owner.batch import Batch
 from primroseledge.owner.batch import LANE_COUNT
 from primroseledge.send_check import send_only_if
 
@@ -266,7 +263,7 @@
         {key: command.ledger_revision},
         (
             Put(key, encode_value(ledger)),
-            *batch_puts(command.batch, thread.keys),
+            *encode_batch(command.batch, thread.keys),
         ),
         removals=command.batch.replaced_packs,
     )
@@ -311,17 +308,6 @@
         return thread.store.commit(transaction)
 
 
-def batch_puts(batch: Batch, keys: PlatformKeys) -> list[Put]:
-    """Return the writes that store the records of a batch."""
-    puts = list[Put]()
-    if batch.progress:
-        puts.append(Put(batch.pack_key, batch.pack.encode()))
-    for wave in batch.waves:
-        puts.append(Put(f'{WAVE_PREFIX}{wave.number}', msgpack.encode(wave)))
-        puts.append(keys.encode_wave_status(wave))
-    return puts
-
-
 @register_handler(ReleaseOwner)
 def release_owner(thread: StoreThread, command: ReleaseOwner) -> OwnerReleased:
     """Remove this instance's owner record.
--- a/src/primroseledge/cluster/stored_records.py
+++ b/src/primroseledge/cluster/stored_records.py
@@ -1,4 +1,4 @@
-"""Decode the records of jobs and waves that the store holds.
+"""Encode and decode the records of jobs and waves in the store.
 
 Records of jobs are in packs. Earlier versions stored each record under a key
 of its own; such an item counts as a pack of one record. The latest pack with
@@ -18,11 +18,13 @@
 
 from primroseledge.cluster.fleet_store import FleetStore
 from primroseledge.cluster.fleet_store import Item
+from primroseledge.cluster.fleet_store import Put
 from primroseledge.cluster.keys import decode_records
 from primroseledge.cluster.keys import JOB_PREFIX
 from primroseledge.cluster.keys import PROGRESS_PREFIX
 from primroseledge.cluster.keys import RECORD_PREFIX
 from primroseledge.cluster.keys import WAVE_PREFIX
+from primroseledge.cluster.platform_keys import PlatformKeys
 from primroseledge.ids import Epoch
 from primroseledge.ids import JobId
 from primroseledge.ids import PackKey
@@ -31,6 +33,7 @@
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.owner.batch import Batch
 from primroseledge.owner.record_packs import age_order
 from primroseledge.owner.record_packs import PACK_PREFIX
 from primroseledge.owner.record_packs import PackValue
@@ -128,3 +131,14 @@
 ) -> StoredRecords:
     """Read the records; raises StoreError if a page is missing."""
     return decode_stored_records(store.read_all(RECORD_PREFIX).items, epoch)
+
+
+def encode_batch(batch: Batch, keys: PlatformKeys) -> list[Put]:
+    """Return the writes that store the records of a batch."""
+    puts = list[Put]()
+    if batch.progress:
+        puts.append(Put(batch.pack_key, batch.pack.encode()))
+    for wave in batch.waves:
+        puts.append(Put(f'{WAVE_PREFIX}{wave.number}', msgpack.encode(wave)))
+        puts.append(keys.encode_wave_status(wave))
+    return puts
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -24,8 +24,8 @@
 from primroseledge.scheduling.actions import SendStart
 from standins.worker_core import SimWorker
 from tests.fleet_rule_checker import FleetRuleChecker
-from tests.fleet_world import SimNode
 from tests.restart_world import RestartWorld
+from tests.sim_node import SimNode
 
 DEADLY_DELAYS_S = (0.005, 0.01, 0.05, 0.4)
 """Times in s after its start at which a task crashes its worker."""
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -6,10 +6,7 @@
 restarts processes. All randomness comes from one seed.
 """
 
-import collections
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from functools import partial
 from heapq import heappop
 from heapq import heappush
@@ -18,21 +15,15 @@
 from typing import Any
 
 from primroseledge.cluster.commands import AnswerCaller
-from primroseledge.cluster.commands import BatchStored
-from primroseledge.cluster.commands import ClaimLost
 from primroseledge.cluster.commands import ClaimWon
-from primroseledge.cluster.commands import JobsRestored
 from primroseledge.cluster.commands import LeaseRenewed
-from primroseledge.cluster.commands import OwnerReleased
 from primroseledge.cluster.commands import OwnershipLost
 from primroseledge.cluster.commands import ReplyToPeer
 from primroseledge.cluster.commands import SendToPeer
 from primroseledge.cluster.commands import StoreBatch
 from primroseledge.cluster.commands import StoreUnavailable
 from primroseledge.cluster.commands import WatchedKeysRead
-from primroseledge.cluster.commands import WorkerListFailed
 from primroseledge.cluster.commands import WorkerReport
-from primroseledge.cluster.commands import WorkersListed
 from primroseledge.cluster.fleet_node import FleetNode
 from primroseledge.cluster.fleet_store import Item
 from primroseledge.cluster.fleet_store import Put
@@ -76,6 +67,9 @@
 from tests.fleet_platform_keys import WORKER_PREFIX
 from tests.fleet_rule_checker import FleetRuleChecker
 from tests.fleet_storage import SimStoreClient
+from tests.sim_node import RetryLater
+from tests.sim_node import SimNode
+from tests.sim_node import SimStoreThread
 
 TICK_S = 0.05
 STORE_DELAY_S = 0.01
@@ -85,47 +79,6 @@
 MAX_TRIES = 5
 
 
-class RetryLater(Exception):
-    """Raised where the store thread would wait before it retries a call."""
-
-
-@dataclass(eq=False)
-class SimStoreThread:
-    """The state of a store thread, passed to the handlers of its commands.
-
-    ``wait_before_retry`` raises ``RetryLater`` instead of waiting; the world
-    then schedules the retry in simulated time.
-    """
-
-    store: SimStoreClient
-    entry: EntryId
-    address: str
-    keys: SimPlatformKeys = field(default_factory=SimPlatformKeys)
-    current_epoch: Epoch = Epoch(0)
-
-    def wait_before_retry(self, _began_at: float) -> bool:
-        raise RetryLater
-
-
-@dataclass(eq=False)
-class SimNode:
-    """A simulated entry instance's process, from one start to its end."""
-
-    node: FleetNode
-    thread: SimStoreThread
-    incarnation: int = 0
-    started_at: float = 0.0
-    is_alive: bool = True
-    frozen_until: float = 0.0
-    unreachable_workers: set[WorkerId] = field(default_factory=set)
-    queued_commands: dict[LaneId, list[Any]] = field(
-        default_factory=lambda: collections.defaultdict(list)
-    )
-    lanes_in_flight: set[LaneId] = field(default_factory=set)
-    lease: Any = None
-    next_order_at: dict[WorkerId, float] = field(default_factory=dict)
-
-
 class World:
     """A simulated fleet that runs scheduled events in order of time.
 
@@ -241,10 +194,10 @@
         ``restart_s`` more.
         """
         sim = self.nodes[entry]
-        if not sim.is_alive or sim.node.is_leaving:
+        if not sim.is_alive or sim.node.departure.is_leaving:
             return
         self.record_trace(f'stop {entry}')
-        sim.node.is_leaving = True
+        sim.node.departure.is_leaving = True
         self.schedule_after(
             STOP_DURATION_S, lambda: self.end_stopped(sim, restart_s)
         )
@@ -379,24 +332,10 @@
         self.start_next_command(sim, lane)
 
     def handle_result(self, sim: SimNode, result: Any) -> None:
-        node = sim.node
         if isinstance(result, ClaimWon):
-            self.record_trace(f'{node.entry} owns epoch {result.owner.epoch}')
-            node.handle_claim_won(result, self.now)
-        elif isinstance(result, ClaimLost):
-            node.handle_claim_lost(result)
-        elif isinstance(result, JobsRestored):
-            node.handle_jobs_restored(result, self.now)
-        elif isinstance(result, BatchStored):
-            node.handle_batch_stored(result, self.now)
-        elif isinstance(result, OwnershipLost):
-            node.handle_ownership_lost(result)
-        elif isinstance(result, OwnerReleased):
-            node.handle_owner_released(result)
-        elif isinstance(result, WorkersListed):
-            node.handle_workers_listed(result, self.now)
-        elif isinstance(result, WorkerListFailed):
-            node.handle_worker_list_failed(result, self.now)
+            entry = sim.node.entry
+            self.record_trace(f'{entry} owns epoch {result.owner.epoch}')
+        sim.handle_store_result(result, self.now)
 
     def register_member(self, sim: SimNode) -> None:
         """Write the instance's member record to the store under its lease."""
--- a/tests/restart_world.py
+++ b/tests/restart_world.py
@@ -6,8 +6,8 @@
 from primroseledge.scheduling.actions import PollAnswered
 from primroseledge.scheduling.actions import PollFailed
 from primroseledge.scheduling.actions import SendPoll
-from tests.fleet_world import SimNode
 from tests.fleet_world import World
+from tests.sim_node import SimNode
 
 
 class RestartWorld(World):
--- a/tests/test_copy_fuzz.py
+++ b/tests/test_copy_fuzz.py
@@ -14,7 +14,7 @@
 from primroseledge.jobs.task import TaskKey
 from primroseledge.scheduling.actions import EndKind
 from tests.fleet_rule_checker import FleetRuleChecker
-from tests.test_fleet_fuzz import make_job
+from tests.fuzz_load import make_job
 from tests.test_worker_restart_fuzz import WorkerRestartScenario
 
 SEEDS = range(500, 506)
--- a/tests/test_crash_fuzz.py
+++ b/tests/test_crash_fuzz.py
@@ -18,8 +18,8 @@
 from tests.crash_world import CrashWorld
 from tests.crash_world import DEADLY_DELAYS_S
 from tests.crash_world import UNGUARDED_SERVICE
+from tests.fuzz_load import make_configuration
 from tests.test_fleet_fuzz import FaultScenario
-from tests.test_fleet_fuzz import make_configuration
 
 SEEDS = range(700, 710)
 DEADLY_SHARE = 0.05
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -31,9 +31,9 @@
 from primroseledge.cluster.commands import WorkerReport
 from primroseledge.cluster.compression import compress_data
 from primroseledge.cluster.compression import MAX_DECOMPRESSED_BYTES
+from primroseledge.cluster.departure import MAX_HANDOVER_WAIT_S
+from primroseledge.cluster.departure import MIN_OWNERSHIP_S
 from primroseledge.cluster.fleet_node import FleetNode
-from primroseledge.cluster.fleet_node import MAX_HANDOVER_WAIT_S
-from primroseledge.cluster.fleet_node import MIN_OWNERSHIP_S
 from primroseledge.cluster.fleet_ownership import FleetOwnershipState
 from primroseledge.cluster.fleet_store import Item
 from primroseledge.cluster.fleet_store import LeaseId
@@ -227,7 +227,7 @@
     def test_a_leaving_owner_hands_over(self) -> None:
         bench = NodeBench()
         bench.become_owner()
-        bench.node.is_leaving = True
+        bench.node.departure.is_leaving = True
         bench.reconcile()
         self.assertEqual(
             [
@@ -241,7 +241,7 @@
     def test_a_leaving_instance_removes_its_member_record_once(self) -> None:
         bench = NodeBench()
         bench.renew_lease()
-        bench.node.is_leaving = True
+        bench.node.departure.is_leaving = True
         bench.reconcile()
         self.assertEqual([LeaveMembers()], bench.commands_of(LeaveMembers))
         bench.reconcile()
@@ -252,7 +252,7 @@
         bench.become_owner()
         assert bench.node.engine is not None
         bench.node.engine.instance_list.calls_in_flight = 1
-        bench.node.is_leaving = True
+        bench.node.departure.is_leaving = True
         bench.reconcile()
         bench.reconcile(MAX_HANDOVER_WAIT_S / 2)
         self.assertEqual([], bench.commands_of(ReleaseOwner))
@@ -266,7 +266,7 @@
         bench.become_owner()
         assert bench.node.engine is not None
         bench.node.engine.instance_list.calls_in_flight = 1
-        bench.node.is_leaving = True
+        bench.node.departure.is_leaving = True
         bench.reconcile()
         bench.reconcile(MAX_HANDOVER_WAIT_S)
         [release] = bench.commands_of(ReleaseOwner)
--- a/tests/test_zone_knowledge.py
+++ b/tests/test_zone_knowledge.py
@@ -45,7 +45,7 @@
 from primroseledge.platform.wire import WireItemPage
 from standins.storage_core import SimStorage
 from tests.fleet_storage import SimStoreClient
-from tests.fleet_world import SimStoreThread
+from tests.sim_node import SimStoreThread
 from tests.test_fleet_node import CONFIGURATION
 from tests.test_fleet_node import NodeBench
 from tests.test_fleet_node import OWN_ENTRY
--- a/tools/module_names.py
+++ b/tools/module_names.py
@@ -15,13 +15,12 @@
 
 LARGE_MODULES: Final = {
     'bench/policy.py': 472,
-    'src/primroseledge/cluster/fleet_node.py': 632,
+    'src/primroseledge/cluster/fleet_node.py': 550,
     'src/primroseledge/cluster/node_loop.py': 477,
     'src/primroseledge/gateway/node.py': 435,
     'tests/agreement_node.py': 429,
-    'tests/fleet_world.py': 728,
+    'tests/fleet_world.py': 680,
     'tests/specification.py': 405,
-    'tests/test_fleet_fuzz.py': 421,
     'tests/test_fleet_node.py': 582,
     'tests/test_maintenance.py': 435,
 }
