Read settings files in a module of their own

settings and settings_checks imported each other. The checks import the settings now, and settings_file decodes and checks a file. No behaviour is changed; tests of the settings and of the command line pass.

--- a/src/primroseledge/cli.py
+++ b/src/primroseledge/cli.py
@@ -32,8 +32,8 @@
 from primroseledge.operators.cli_wave import wave
 from primroseledge.operators.cli_zone import zone
 from primroseledge.operators.console import exit_on_error
-from primroseledge.settings.settings import load
 from primroseledge.settings.settings import Settings
+from primroseledge.settings.settings_file import load
 from primroseledge.storage.documents import decode_document
 from primroseledge.storage.documents import document_key
 from primroseledge.storage.documents import KINDS
--- a/src/primroseledge/settings/settings_checks.py
+++ b/src/primroseledge/settings/settings_checks.py
@@ -1,22 +1,17 @@
 """Checks of settings that the types cannot say."""
 
-from __future__ import annotations
-
 from collections.abc import Callable
 from collections.abc import Iterator
 from ipaddress import ip_address
 from typing import Final
-from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
+from primroseledge.settings.settings import Settings
 from primroseledge.settings.settings_errors import HIDDEN
 
-if TYPE_CHECKING:
-    from primroseledge.settings.settings import Settings
-
 ANY_PORT: Final = 0
 
-Check = Callable[['Settings'], Iterator[str]]
+Check = Callable[[Settings], Iterator[str]]
 CHECKS: Final[list[Check]] = []
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,8 +7,8 @@
 
 from primroseledge.errors import SettingsError
 from primroseledge.settings.settings import add_credentials
-from primroseledge.settings.settings import parse
 from primroseledge.settings.settings import Settings
+from primroseledge.settings.settings_file import parse
 
 GOOD: dict[str, Any] = {
     'entry_id': 'entry-1',
