Play a load with a slow store, beside earlier ways to store it

make bench-jobs has the load and rows for one batch at a time, small batches and no forecast of pools.

--- a/bench/job_load.py
+++ b/bench/job_load.py
@@ -307,6 +307,11 @@
     )
 
 
+def slow_store_shape(name: str = 'slow store') -> LoadShape:
+    """Return the large fleet with a store that is some 60 times slower."""
+    return replace(large_shape(name), store_s=0.24, length_s=14.0)
+
+
 def large_shape(name: str = 'large') -> LoadShape:
     """Return a fleet of 270 workers whose turns ask for more than a pool."""
     return LoadShape(
--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -21,16 +21,21 @@
 from bench.job_load import crowded_shape
 from bench.job_load import large_shape
 from bench.job_load import LoadShape
+from bench.job_load import slow_store_shape
 from bench.job_load import small_shape
 from bench.job_stragglers import straggler_shape
 from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.spec import StepSpec
+from primroseledge.scheduling.arrival_rate import Rate
+from primroseledge.scheduling.demand import CATCH_UP_S
+from primroseledge.scheduling.demand import Demand
 from primroseledge.scheduling.fair_shares import Row
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.scheduling.placement import Rank
 from primroseledge.scheduling.placement import StepPlacement
+from primroseledge.scheduling.planning import MIN_PLANNED_STARTS
 from primroseledge.scheduling.start_priority import StartPriority
 from primroseledge.workers.worker import Worker
 
@@ -39,6 +44,7 @@
     'crowded': (1, 2, 3),
     'stragglers': (1, 2, 3, 4),
     'large': (1,),
+    'slow store': (1, 2),
 }
 
 Policy = Callable[[], Iterator[None]]
@@ -84,6 +90,40 @@
         yield
 
 
+@register_policy('no forecast')
+def no_forecast() -> Iterator[None]:
+    """Size pools by what runs and waits now."""
+    with mock.patch(
+        'primroseledge.scheduling.demand.Demand.desired_cores',
+        present_cores,
+    ):
+        yield
+
+
+@register_policy('one batch at a time')
+def one_batch_at_a_time() -> Iterator[None]:
+    """Store each batch only once the one before it is stored."""
+    with mock.patch('primroseledge.owner.outbox.LANE_COUNT', 1):
+        yield
+
+
+@register_policy('small batches, one at a time')
+def small_batches() -> Iterator[None]:
+    """Store some 30 records at a time, and plan 64 starts for each batch."""
+    with ExitStack() as stack:
+        stack.enter_context(contextmanager(one_batch_at_a_time)())
+        stack.enter_context(
+            mock.patch('primroseledge.owner.outbox.MAX_PACK_BYTES', 10_000)
+        )
+        stack.enter_context(
+            mock.patch(
+                'primroseledge.scheduling.planning.MAX_PLANNED_STARTS',
+                MIN_PLANNED_STARTS,
+            )
+        )
+        yield
+
+
 @register_policy('fixed pools')
 def fixed_pools() -> Iterator[None]:
     """Move no instance between pools."""
@@ -133,6 +173,13 @@
     return rows
 
 
+def present_cores(demand: Demand, _rate: Rate, _lookahead_s: float) -> float:
+    """Return the processors that a service needs now."""
+    batch_cores = demand.used_cores - demand.long_running_cores
+    batch_cores += demand.waiting_core_s / CATCH_UP_S
+    return demand.long_running_cores + batch_cores
+
+
 def acceptance_order(
     job: Job,
     step: StepOccurrence,
@@ -179,7 +226,7 @@
     logging.disable(logging.CRITICAL)
     shapes = [small_shape(), crowded_shape(), straggler_shape()]
     if '--quick' not in sys.argv:
-        shapes.append(large_shape())
+        shapes += [large_shape(), slow_store_shape()]
     result = {
         shape.name: {
             name: measure(shape, policy) for name, policy in POLICIES.items()
