--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -45,6 +45,12 @@
 the largest has 0.7 MB, and the store accepts values of 1 MB.
 """
 
+MAX_BYTES_IN_FLIGHT: Final = 2 * MAX_PACK_BYTES
+"""Size of the job records in flight from which on no batch is built.
+
+Transactions that share a link delay each other, and none may take 1 s.
+"""
+
 MAX_REWRITTEN_BYTES: Final = MAX_PACK_BYTES // 4
 """Size of the unchanged records from which on no more are added, in bytes."""
 
@@ -116,12 +122,16 @@
     def may_build_batch(self, state: FleetState, now: float) -> bool:
         """Return whether changed records may go into a batch now.
 
-        They may not while a batch is in flight in each lane, and until the
-        first change has waited for ``BATCH_LINGER_S``. Batches are spread over
-        the time that the store takes for one.
+        They may not while a batch is in flight in each lane or
+        ``MAX_BYTES_IN_FLIGHT`` are, and until the first change has waited for
+        ``BATCH_LINGER_S``. Batches are spread over the time that the store
+        takes for one.
         """
         if len(self.in_flight) >= LANE_COUNT:
             return False
+        sizes = (batch.pack.size for batch in self.in_flight.values())
+        if sum(sizes) >= MAX_BYTES_IN_FLIGHT:
+            return False
         if self.in_flight:
             oldest_s = now - next(iter(self.in_flight.values())).built_at
             spacing_s = max(self.store_s, oldest_s) / LANE_COUNT
@@ -155,9 +165,11 @@
             for number in list(instances.dirty_waves)[:MAX_WAVES_PER_BATCH]:
                 batch.waves.append(instances.wave_records[number])
                 del instances.dirty_waves[number]
-        rewritten = list[RecordId]()
+        rewritten = dict[RecordId, None]()
         if not any(other.has_rewritten_jobs for other in others):
-            rewritten = self.packs.find_records_to_rewrite(MAX_REWRITTEN_BYTES)
+            rewritten = dict.fromkeys(
+                self.packs.find_records_to_rewrite(MAX_REWRITTEN_BYTES)
+            )
         for job_id in order_changed_jobs(state):
             if batch.pack.size >= MAX_PACK_BYTES:
                 break
--- a/tests/test_batches_in_flight.py
+++ b/tests/test_batches_in_flight.py
@@ -111,6 +111,11 @@
         names = [f'job-{number}' for number in range(3 * LANE_COUNT)]
         self.assertEqual(LANE_COUNT, len(self.batches_for(*names)))
 
+    def test_large_batches_are_not_sent_side_by_side(self) -> None:
+        """They would share the link, and none would be answered in time."""
+        with mock.patch('primroseledge.owner.outbox.MAX_BYTES_IN_FLIGHT', 100):
+            self.assertEqual(1, len(self.batches_for('b', 'c', 'd')))
+
     def test_changes_for_which_nothing_waits_wait_for_a_batch(self) -> None:
         bench = self.bench
         self.batches_for('b')
