Let jobs without a run probe a quarantined worker first

Cause: a worker in quarantine gets one task a second, and both went to the job with the earlier deadline, whose first probe still ran. Ruled out: the store, a shortage of workers, isolation (the log names the quarantine and 8 free cores).

Change: probes are planned at the end of a pass, for jobs without a run first.

The test fails before ('second' does not start within 2.5 s) and passes now.

--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -26,6 +26,7 @@
 from primroseledge.scheduling.placement import StepPlacement
 from primroseledge.scheduling.probing import find_probe_tasks
 from primroseledge.scheduling.probing import find_probed_workers
+from primroseledge.scheduling.probing import has_runs
 from primroseledge.scheduling.start_checks import find_ready_workers
 from primroseledge.scheduling.start_priority import start_priority_of
 from primroseledge.scheduling.start_priority import StartPriority
@@ -112,22 +113,24 @@
     workers = isolation.workers
     unplaced += isolation.unplaced
     quarantined = find_probed_workers(state, service, pool, now)
+    to_probe = list[tuple[Job, StepOccurrence]]()
     batch_workers = workers
     shortage = CapacityShortage(workers)
     for _, job, step in order_by_shares(isolation.rows, state, workers, now):
         if len(state.planned_tasks) >= state.planning_limit:
             state.services_to_plan.add(service)
+            plan_probes(state, to_probe, workers, quarantined, now)
             return None
         if shortage.affects(step):
             unplaced.append(step.spec)
-            plan_probe(state, job, step, workers, quarantined, now)
+            to_probe.append((job, step))
             continue
         is_batch = not step.spec.is_long_running
         allowed = batch_workers if is_batch else workers
         outcome = plan_step(state, job, step, allowed, now)
         if outcome in (StepPlan.NO_CAPACITY, StepPlan.AVOIDING):
             unplaced.append(step.spec)
-            plan_probe(state, job, step, workers, quarantined, now)
+            to_probe.append((job, step))
         if outcome is StepPlan.AVOIDING:
             shortage.count(step)
         if outcome is not StepPlan.NO_CAPACITY:
@@ -139,10 +142,28 @@
         if kept_free is not None:
             shortage.excluded += 1
             batch_workers = [w for w in batch_workers if w is not kept_free]
+    plan_probes(state, to_probe, workers, quarantined, now)
     shortage.end_pass(step for _, _, step in waiting)
     return unplaced
 
 
+def plan_probes(
+    state: FleetState,
+    rows: list[tuple[Job, StepOccurrence]],
+    workers: list[Worker],
+    quarantined: list[Worker],
+    now: float,
+) -> None:
+    """Plan probes for the steps that found no capacity, in their order.
+
+    Jobs that have no run come first: those may wait for nothing else.
+    """
+    if not quarantined:
+        return
+    for job, step in sorted(rows, key=lambda row: has_runs(row[0])):
+        plan_probe(state, job, step, workers, quarantined, now)
+
+
 def plan_probe(
     state: FleetState,
     job: Job,
--- a/tests/test_quarantine_room.py
+++ b/tests/test_quarantine_room.py
@@ -103,6 +103,27 @@
         for start in again:
             self.assertNotEqual(failed_on[start.task.job], start.target.worker)
 
+    def test_job_that_probes_does_not_keep_another_waiting(self) -> None:
+        """Only one worker, which is in quarantine, has the label."""
+        bench = self.bench
+        label = {'required_label': 'rack-1'}
+        for name in ('faulty-1', 'faulty-2'):
+            job = make_job(name, make_step(1, **label))
+            [start] = bench.run_job(job)
+            self.end_as_failed(start)
+            bench.cancel(job)
+            bench.store_changes()
+            bench.actions.clear()
+        bench.submit(make_job('first', make_step(6, **label)))
+        bench.submit(make_job('second', make_step(1, **label)))
+        began_at = bench.now
+        started = set[str]()
+        while bench.now < began_at + MAX_WAIT_S:
+            bench.reconcile(STEP_S)
+            bench.store_changes()
+            started |= {start.task.job for start in bench.pop_starts()}
+        self.assertEqual({'first', 'second'}, started)
+
     def test_job_starts_at_once_without_a_quarantine(self) -> None:
         self.fill_others()
         self.fail_job('faulty-1')
