Revert "Take the longest lease of workers from the platform's settings"

What remains, by reading only: where workers grant leases of 10 s, the next boot under an id that carries out a start meant for the last one, and is cut off before it was seen, may run for 10.2 s while its runs are given up after 7 s.

--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -64,7 +64,6 @@
 from primroseledge.platform.wsgi_applications import MetricsApplication
 from primroseledge.platform.wsgi_applications import ReadinessApplication
 from primroseledge.scheduling.advice import AdviceFailed
-from primroseledge.scheduling.timing import Timing
 from primroseledge.send_check import send_only_if
 from primroseledge.workers.worker import WorkerEntry
 
@@ -192,8 +191,7 @@
         ),
         settings.seed_addresses,
     )
-    timing = Timing(longest_lease_s=settings.longest_lease_ms / 1000)
-    node = FleetNode(view, timing=timing)
+    node = FleetNode(view)
     return NodeLoop(node, transport, wake_fd, metrics)
 
 
