Refuse no new jobs once the store answers one of several batches

Callers: after a silent spell of the store, new jobs are refused until every batch in flight was sent again and stored.

Cause: the age of the oldest batch in flight was the sign that the store fails; with several in flight, another may have been stored just now.

Change: the time since the last answer counts.

The test fails before (the job is refused) and passes now.

--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -227,6 +227,7 @@
         health.stored_batch_sent_at = max(
             health.stored_batch_sent_at, batch.built_at
         )
+        health.last_stored_at = now
         if batch.progress:
             self.packs.add(batch.pack_key, batch.pack.sizes)
         self.store_s = now - batch.built_at
--- a/src/primroseledge/owner/store_health.py
+++ b/src/primroseledge/owner/store_health.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass
+from math import inf
 from typing import Final
 
 MAX_STORE_WAIT_S: Final = 1.0
@@ -32,24 +33,26 @@
 
     ``unavailable_since`` is since when this instance's watch of the store has
     failed, or None. ``stored_batch_sent_at`` is when the last batch that was
-    stored had been sent. Times are on the owner's monotonic clock.
+    stored had been sent, and ``last_stored_at`` when the store answered one.
+    Times are on the owner's monotonic clock.
     """
 
     unavailable_since: float | None = None
     stored_batch_sent_at: float = 0.0
+    last_stored_at: float = -inf
 
     def is_failing(self, batch_built_at: float | None, now: float) -> bool:
         """Return whether a job that arrives now can't be stored in time.
 
-        ``batch_built_at`` is the time of the batch in flight, or None. A
-        batch that was sent since the watch failed, and stored, shows that only
-        the watch is cut off.
+        ``batch_built_at`` is the time of the oldest batch in flight, or None.
+        The store answers if it stored another one recently. A batch that was
+        sent since the watch failed, and stored, shows that only the watch is
+        cut off.
         """
-        if (
-            batch_built_at is not None
-            and now >= batch_built_at + MAX_STORE_WAIT_S
-        ):
-            return True
+        if batch_built_at is not None:
+            waits_since = max(batch_built_at, self.last_stored_at)
+            if now >= waits_since + MAX_STORE_WAIT_S:
+                return True
         since = self.unavailable_since
         if since is None or self.stored_batch_sent_at >= since:
             return False
--- a/tests/test_store_health.py
+++ b/tests/test_store_health.py
@@ -85,6 +85,24 @@
         bench.reconcile(MAX_STORE_WAIT_S)
         self.assertEqual([], bench.pop_answers())
 
+    def test_a_batch_that_is_stored_ends_the_refusals(self) -> None:
+        """The others are sent again only when their timeouts have passed."""
+        bench = EngineBench(WORKER)
+        for name in ('a', 'b'):
+            bench.submit(make_job(name, make_step(1)))
+            bench.reconcile(0.05)
+            bench.reconcile(0.05)
+        self.assertEqual(2, len(bench.engine.outbox.in_flight))
+        newest = bench.batch_in_flight
+        assert newest is not None
+        bench.reconcile(MAX_STORE_WAIT_S)
+        bench.engine.handle_batch_stored(newest.number, bench.now)
+        bench.reconcile()
+        bench.pop_answers()
+        bench.submit(make_job('c', make_step(1)))
+        bench.reconcile()
+        self.assertEqual([], bench.pop_answers())
+
     def test_a_slow_store_is_logged_once(self) -> None:
         bench = EngineBench(WORKER)
         with self.assertLogs('primroseledge', 'WARNING') as logged:
