Throttle by an index of the workers with best-effort tasks

The owner looked at all workers for each event. Played load of some 2,200 workers and 290 jobs a second: processor time of the engine 18.4 -> 15.1 s, the same decisions. At 300 instances the owner's processor binds.

--- a/src/primroseledge/dispatch/throttling.py
+++ b/src/primroseledge/dispatch/throttling.py
@@ -44,12 +44,15 @@
 
 
 def throttle_workers(state: FleetState, now: float) -> None:
-    """Adjust the speed of best-effort tasks on all workers.
+    """Adjust the speed of best-effort tasks on all workers that have some.
 
     Workers that don't answer polls are left out.
     """
-    for worker in state.workers.values():
-        if worker.best_effort_count and not worker.poll_failures:
+    for worker_id in list(state.best_effort_workers):
+        worker = state.workers.get(worker_id)
+        if worker is None or not worker.best_effort_count:
+            del state.best_effort_workers[worker_id]
+        elif not worker.poll_failures:
             throttle_worker(state, worker, now)
 
 
--- a/src/primroseledge/scheduling/fleet_state.py
+++ b/src/primroseledge/scheduling/fleet_state.py
@@ -75,7 +75,7 @@
     that are done and whose other run may still start, see ``hold_ends``.
     ``jobs_to_isolate`` are the jobs with a task that may only run on a worker
     of its own. ``silent_losses`` are those of silent workers, by the worker's
-    address.
+    address. ``best_effort_workers`` includes all with best-effort tasks.
     """
 
     configuration: Configuration
@@ -118,6 +118,7 @@
     held_tasks: dict[JobId, list[Task]] = field(default_factory=dict)
     jobs_to_isolate: set[JobId] = field(default_factory=set)
     silent_losses: dict[str, SilentLoss] = field(default_factory=dict)
+    best_effort_workers: dict[WorkerId, None] = field(default_factory=dict)
 
     def wall_ms(self, now: float) -> int:
         """Return the wall-clock time at ``now``, in ms since 1970."""
@@ -219,6 +220,8 @@
     def add_run_usage(self, task: Task, worker: Worker) -> None:
         """Add the resources of a task's run to its worker and workspace."""
         worker.add_task(task)
+        if task.spec.is_best_effort:
+            self.best_effort_workers[worker.id] = None
         if task.copy_of is not None:
             self.copies[task.key] = task
         self.workers_to_check.add(worker.id)
