Store planned starts at once if others wait for them

Callers: on a large fleet tasks wait for seconds beside free workers.

Cause: a planning pass ends at a number of planned starts, and the next one waits until they are in a batch.

Change: a batch after a pass that ended early does not linger.

The test fails before.

--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -137,6 +137,9 @@
             spacing_s = max(self.store_s, oldest_s) / LANE_COUNT
             if now < self.last_built_at + spacing_s:
                 return False
+        if state.is_planning_cut:
+            # Other starts wait until those that are planned are in a batch.
+            return True
         since = state.dirty_since
         return since is None or now >= since + BATCH_LINGER_S
 
--- a/src/primroseledge/scheduling/fleet_state.py
+++ b/src/primroseledge/scheduling/fleet_state.py
@@ -67,7 +67,8 @@
     ``fair_shares`` has the usage, the shares and the credits of workspaces.
     ``took_over_at`` is when this instance became the owner, ``replanned_at``
     when all services were last planned. The last planning pass was at
-    ``planned_at`` and ended at ``planning_limit`` planned starts;
+    ``planned_at`` and was to end at ``planning_limit`` planned starts, which
+    ``is_planning_cut`` says it did;
     ``last_start_planned_at`` is when a service last got a start.
     ``wall_offset_s`` is added to the owner's clock to get the wall-clock time.
     Nothing starts on workers of the ``evacuated_zones``. ``copies`` are the
@@ -106,6 +107,7 @@
     replanned_at: float = 0.0
     planned_at: float = -inf
     planning_limit: int = 0
+    is_planning_cut: bool = False
     last_start_planned_at: dict[ServiceId, float] = field(default_factory=dict)
     evacuated_zones: frozenset[ZoneId] = frozenset()
     ended_boots: dict[WorkerId, Boot] = field(default_factory=dict)
--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -73,6 +73,7 @@
     """
     state.planning_limit = find_planning_limit(now - state.planned_at)
     state.planned_at = now
+    state.is_planning_cut = False
     services = state.services_to_plan
     state.services_to_plan = set()
     unplaced = dict[ServiceId, list[StepSpec]]()
@@ -119,6 +120,7 @@
     for _, job, step in order_by_shares(isolation.rows, state, workers, now):
         if len(state.planned_tasks) >= state.planning_limit:
             state.services_to_plan.add(service)
+            state.is_planning_cut = True
             plan_probes(state, to_probe, workers, quarantined, now)
             return None
         if shortage.affects(step):
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -13,6 +13,7 @@
 from bench.job_fleet import JobFleet
 from bench.job_load import small_shape
 from primroseledge.dispatch.polls import UNSTORED_POLL_INTERVAL_S
+from primroseledge.scheduling.planning import MIN_PLANNED_STARTS
 from tests.engine_bench import EngineBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_listed_run
@@ -132,6 +133,19 @@
         bench.reconcile(0.02)
         self.assertEqual(12 * JOB_COUNT, len(bench.batches[-1].starts))
 
+    def test_starts_that_wait_for_a_pass_wait_for_no_more_changes(
+        self,
+    ) -> None:
+        bench = EngineBench(*WORKERS)
+        for number in range(4):
+            step = make_step(MIN_PLANNED_STARTS, 100)
+            bench.submit(make_job(f'job-{number}', step))
+        bench.reconcile(0.02)
+        self.assertIsNotNone(bench.batch_in_flight)
+        bench.store_batch()
+        bench.reconcile(0.001)
+        self.assertIsNotNone(bench.batch_in_flight)
+
     def test_other_ends_are_polled_for_while_the_store_is_slow(self) -> None:
         bench = EngineBench(*WORKERS[:1])
         first, _ = bench.run_job(make_job('a', make_step(2)))
