End a planning pass at 200 starts at most

The owner's loop does nothing else during a pass. By reading: with 3,000 workers a pass of 1,000 starts ranks workers for some 125 steps, which takes over half a second of a weak core. 200 are what a store of 0.24 s needs for each of four lanes.

--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -37,8 +37,11 @@
 MIN_PLANNED_STARTS: Final = 64
 """Least number of planned starts at which a planning pass ends."""
 
-MAX_PLANNED_STARTS: Final = 1_000
-"""Largest number of planned starts at which a planning pass ends."""
+MAX_PLANNED_STARTS: Final = 200
+"""Largest number of planned starts at which a planning pass ends.
+
+Nothing else is done meanwhile: polls and answers wait for the end of a pass.
+"""
 
 PLANNED_STARTS_PER_S: Final = 3_200
 """Starts that a pass may plan for each second since the pass before it.
