--- a/src/primroseledge/owner/outbox.py
+++ b/src/primroseledge/owner/outbox.py
@@ -315,7 +315,10 @@
 
 
 def is_awaited(state: FleetState, job_id: JobId) -> bool:
-    """Return whether a caller waits for a job's record to be stored."""
+    """Return whether a job's record is to be stored for a caller.
+
+    One waits for an answer, or may be told the job's final state after that.
+    """
     job = state.jobs[job_id]
     return job_id in state.pending_answers or (
         job.is_final and job.stored_state is not job.state
--- a/src/primroseledge/owner/record_packs.py
+++ b/src/primroseledge/owner/record_packs.py
@@ -30,7 +30,8 @@
 MIN_PACK_COST_BYTES: Final = 2_000
 """Least cost of a stored pack, in bytes.
 
-A new owner reads pages of 500 items or 1 MB.
+A new owner reads pages of 500 items or 1 MB, so that an item takes at least a
+500th of a page.
 """
 
 MAX_COST_RATIO: Final = 2
