--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -335,6 +335,7 @@
     path = Path(script).resolve().parent / 'record.txt'
     path.write_text('')
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     return asyncio.run(play(case, path, has_trouble, limit_s))
 
 
