--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
-"""A work item fails for the last time while its route is away."""
+"""A rack falls silent just before jobs for its machines are handed in."""
 
 import asyncio
-from typing import Any
 
 from standins.fleet import CannotRunError
 from standins.fleet import create_config
@@ -9,69 +8,78 @@
 from standins.fleet import main
 
 SERVICE = 'scan-desk'
-MAX_ATTEMPTS = 2
-WORK_MS = 1500
-JOB = '5c0e7a21d94b36f8'
-AWAY_S = 4.0
+KINDS = ['b'] * 4 + ['a'] * 4
+JOBS = 8
+DARK_S = 7.0
+COUNTED_AFTER_S = 5.3
+"""Time from the last acceptance to the counts; the rule says 5 s."""
 
-
-def create_changing_config(has_route: bool) -> dict[str, Any]:
-    """Return a config with the queue of the job, or without it."""
-    config = create_config(SERVICE, MAX_ATTEMPTS)
-    route = config['routes'][0]
-    other = {**route, 'name': 'digests', 'prefix': '/digests/'}
-    config['routes'] = [other, route] if has_route else [other]
-    return config
+WARM_UP = '000000000000000f'
+STEP = {
+    'cpu': 1000,
+    'memory_request_mb': 256,
+    'estimated_duration_ms': 500,
+    'requirements': 'b',
+}
+SPEC = {'ms': 500}
 
 
 async def play(fleet: Fleet) -> str:
-    """Remove the route during the last attempt, and add it again later."""
-    record = fleet.record
+    """Hand jobs in as the rack falls silent; count them 5 s later."""
     await fleet.start_platform()
-    fleet.configure(create_changing_config(has_route=True))
-    await fleet.start_workers(SERVICE, ['a'] * 8)
+    fleet.configure(create_config(SERVICE, max_attempts=2))
+    await fleet.start_workers(SERVICE, KINDS)
     fleet.start_entries()
     await fleet.wait_until_ready()
     await asyncio.sleep(1.0)
-    step = {
-        'count': 1,
-        'cpu': 1000,
-        'memory_request_mb': 256,
-        'estimated_duration_ms': WORK_MS,
-    }
-    spec = {'ms': WORK_MS, 'failing_runs': 20}
-    if not await fleet.submit(JOB, [step], spec):
-        raise CannotRunError('the job was not taken')
-
-    async def runs_last_attempt() -> bool:
-        return len(list(record.find('run-starts'))) == MAX_ATTEMPTS
-
-    await fleet.wait_for(runs_last_attempt, 10.0)
-    await asyncio.sleep(0.3)
+    await hand_in(fleet, WARM_UP, 8, 0)
+    await asyncio.sleep(2.0)
+    rack = [w for w in fleet.workers.values() if 'b' in w.labels]
     if fleet.has_trouble:
-        fleet.configure(create_changing_config(has_route=False))
-    await asyncio.sleep(AWAY_S)
+        for worker in rack:
+            worker.crash_dark()
+    went_dark_at = fleet.now
+    for number in range(JOBS):
+        await hand_in(fleet, f'{number:016x}', 1, number % 3)
+    await asyncio.sleep(COUNTED_AFTER_S)
+    counts = await count_pending(fleet)
+    unbegun = JOBS - count_begun(fleet)
+    await asyncio.sleep(max(0.0, went_dark_at + DARK_S - fleet.now))
     if fleet.has_trouble:
-        fleet.configure(create_changing_config(has_route=True))
-    await asyncio.sleep(6.0)
-    await fleet.ask('GET', JOB)
-    return judge(fleet)
+        for worker in rack:
+            worker.begin_again()
+    await asyncio.sleep(8.0)
+    for number in range(JOBS):
+        await fleet.ask('GET', f'{number:016x}', entry=number % 3)
+    if any(2 * count < unbegun for count in counts):
+        return (
+            f'MIXED: {unbegun} jobs accepted over 5 s before have not '
+            f'begun, and the nodes give {counts} as pending'
+        )
+    return ''
 
 
-def judge(fleet: Fleet) -> str:
-    """Return how BUDGET was broken, or ''."""
-    task = f'{JOB}.0.0.0'
-    noted = [
-        at for at, _ in fleet.record.find('end-noted', task=task, how='failed')
-    ]
-    for at, start in fleet.record.find('run-starts', task=task):
-        failed = sum(noted_at < at for noted_at in noted)
-        if failed >= MAX_ATTEMPTS:
-            return (
-                f'BUDGET: run {start["run"]} started after {failed} ends '
-                f'failed were taken note of; max_attempts is {MAX_ATTEMPTS}'
-            )
-    return ''
+async def hand_in(fleet: Fleet, job: str, count: int, entry: int) -> None:
+    """Hand a job with some work items in; it must be taken."""
+    if not await fleet.submit(job, [{**STEP, 'count': count}], SPEC, entry):
+        raise CannotRunError('a job was not taken')
+
+
+async def count_pending(fleet: Fleet) -> list[int]:
+    """Return the count of pending jobs that each node gives."""
+    counts = []
+    for entry in range(len(fleet.addresses)):
+        status, fields = await fleet.ask('GET', '', entry=entry)
+        if status == 200:
+            counts.append(fields['pending'])
+    return counts
+
+
+def count_begun(fleet: Fleet) -> int:
+    """Return how many of the counted jobs a worker has begun."""
+    jobs = {f'{number:016x}' for number in range(JOBS)}
+    starts = fleet.record.find('run-starts')
+    return len(jobs & {fields['task'].split('.')[0] for _, fields in starts})
 
 
 if __name__ == '__main__':
