Wait for the longest lease that a deployment's workers grant

Cause: the time after which a lease with an unknown deadline has ended was a constant, 7 s, for leases of 6 s. Deployments set the longest lease (max_hold_ms), some 10 s, and the settings did not pass it on. A start or poll that was meant for the last boot of a worker gives the next one, whose clock began anew, the longest lease.

Change: longest_lease_ms is a setting, from the platform's bounds. A run that a poll of its boot has listed after one send can't be in another boot; its record says so now (is_bound, stored once the run has been listed for 2 s), and a new owner waits 6.9 s for it. Only for other runs does it wait for the longest lease, also once a poll has shown them. A start that waited behind others without an answer is waited for from when it left.

Records: one field at the end of two arrays. Earlier versions ignore it; their records lack it, which only makes a new owner wait longer.

--- a/src/primroseledge/cluster/fleet_node.py
+++ b/src/primroseledge/cluster/fleet_node.py
@@ -79,6 +79,7 @@
 from primroseledge.scheduling.actions import SubmitJob
 from primroseledge.scheduling.advice import AdviceAnswered
 from primroseledge.scheduling.advice import AdviceFailed
+from primroseledge.scheduling.timing import Timing
 
 Command = Any
 
@@ -115,6 +116,7 @@
     predecessor_ended_at: float = 0.0
     is_predecessor_idle: bool = False
     commands: list[Command] = field(default_factory=list)
+    timing: Timing = Timing()
     departure: Departure = field(init=False)
 
     def __post_init__(self) -> None:
@@ -334,7 +336,9 @@
             return
         if event.epoch != ownership.epoch or configuration is None:
             return
-        engine = create_engine(configuration, now, self.wall_offset_s)
+        engine = create_engine(
+            configuration, now, self.wall_offset_s, self.timing
+        )
         restore_engine(
             engine,
             event.accepted,
--- a/src/primroseledge/cluster/fleet_ownership.py
+++ b/src/primroseledge/cluster/fleet_ownership.py
@@ -23,6 +23,7 @@
 from primroseledge.ids import LaneId
 from primroseledge.ids import Revision
 from primroseledge.owner.batch import LANE_COUNT
+from primroseledge.scheduling.timing import POLL_GRACE_S
 
 CHART: Final = load_chart('tenure')
 
@@ -34,14 +35,6 @@
 
 CLAIM_RETRY_S: Final = 0.15
 
-POLL_GRACE_S: Final = 1.5
-"""Time after its lease expired in which an owner polls workers, in seconds.
-
-While the store does not answer, these polls renew the leases of runs. A
-successor relies on this bound for workers that it cannot reach; a worker that
-it has reached refuses polls of the older epoch.
-"""
-
 
 class FleetOwnershipState(Enum):
     """Whether this instance is the owner, becomes it or ceases to be it.
--- a/src/primroseledge/dispatch/ends.py
+++ b/src/primroseledge/dispatch/ends.py
@@ -71,6 +71,9 @@
             apply_listed_run(task, run, listed_run, answer.received_at)
             if run.is_proven:
                 clear_crashes(state, worker, task, run, now)
+            if now >= worker.lease_unknown_until and run.is_binding_new(now):
+                run.is_known_bound = True
+                state.mark_dirty(state.jobs[key.job], now)
             stop_if_stalled(worker, task, run, answer.received_at)
     worker.unexpected_capacity = unexpected
     if len(answer.ends) < MAX_LISTED_ENDS:
--- a/src/primroseledge/dispatch/orders.py
+++ b/src/primroseledge/dispatch/orders.py
@@ -161,6 +161,8 @@
         run.phase = RunPhase.RUNNING
         run.confirmed_at = answer.received_at
     elif answer.result is OrderResult.UNANSWERED:
+        # It may have waited behind other orders before it was sent.
+        run.sent_at = max(answer.sent_at, run.sent_at or 0.0)
         handle_unanswered_start(state, task, run, order.target, now)
     elif answer.result is OrderResult.OLD_RUN:
         # The worker knew the run already: it has ended or was stopped. The
--- a/src/primroseledge/dispatch/polls.py
+++ b/src/primroseledge/dispatch/polls.py
@@ -187,12 +187,16 @@
     """Return until when a boot that was never seen may run a task, or 0.
 
     A start that no poll has listed may have been carried out by a boot that
-    the owner does not know, under the longest lease that a worker grants.
+    the owner does not know, under the longest lease that a worker grants. So
+    may one that a previous owner sent, in a boot that has been seen since.
     """
     run = task.run
-    if run is None or run.is_bound_to_boot or run.sent_at is None:
+    if run is None:
         return 0.0
-    return run.sent_at + state.timing.unknown_lease_s
+    if run.is_bound_to_boot or run.sent_at is None:
+        return run.lease_unknown_until
+    ends_at = run.sent_at + state.timing.unknown_lease_s
+    return max(ends_at, run.lease_unknown_until)
 
 
 def is_poll_due(state: FleetState, worker: Worker, now: float) -> bool:
--- a/src/primroseledge/jobs/progress.py
+++ b/src/primroseledge/jobs/progress.py
@@ -27,11 +27,16 @@
 
 
 class RunRecord(Struct, frozen=True, array_like=True):
-    """A run that may be running on a worker in one of its boots."""
+    """A run that may be running on a worker in one of its boots.
+
+    ``is_bound`` means that no other boot can have it. Records of earlier
+    versions lack that, which only lets a new owner wait longer.
+    """
 
     number: int
     worker: WorkerId
     boot: Boot
+    is_bound: bool = False
 
 
 class TaskRecord(Struct, frozen=True, array_like=True):
@@ -44,7 +49,8 @@
     ``runs`` is empty where these fields tell all. Otherwise it has the runs
     that may be running: that of the task, and that of its copy if there is
     one. The fields before describe the newest of them then. ``crashes`` are
-    those of its workers that are held against it.
+    those of its workers that are held against it. ``is_bound`` is that of the
+    run which the fields describe, see ``RunRecord``.
     """
 
     occurrence: int
@@ -59,6 +65,7 @@
     checkpoint: str
     runs: tuple[RunRecord, ...] = ()
     crashes: tuple[Crash, ...] = ()
+    is_bound: bool = False
 
 
 class ProgressRecord(Struct, frozen=True, array_like=True):
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -25,6 +25,10 @@
 """Progress in percent from which on a long-running task serves requests."""
 
 
+MIN_STORED_BINDING_S: Final = 2.0
+"""Time in s that a run lasts before it is stored that its worker lists it."""
+
+
 class TaskKey(NamedTuple):
     """The key of one task within one occurrence of a job."""
 
@@ -73,7 +77,10 @@
     its processor time that a best-effort task may use; it was last ordered at
     ``throttled_at``, and ``is_speed_confirmed`` once the worker acknowledged
     that. ``crash`` is the crash of its worker, if that has crashed soon after
-    it had started the run.
+    it had started the run. ``is_known_bound`` is set once the run is known to
+    be bound to its boot under a lease that its owner gave; a record stores it.
+    Until ``lease_unknown_until`` the run may hold a longer lease than that,
+    whatever polls show.
     """
 
     number: int
@@ -96,6 +103,8 @@
     is_speed_confirmed: bool = True
     throttled_at: float = 0.0
     crash: Crash | None = None
+    is_known_bound: bool = False
+    lease_unknown_until: float = 0.0
 
     @property
     def running_since(self) -> float | None:
@@ -129,7 +138,29 @@
         """
         if self.phase is RunPhase.PLANNED:
             return True
-        return self.listed_at is not None and self.send_count <= 1
+        return self.is_listed_once_sent
+
+    @property
+    def is_listed_once_sent(self) -> bool:
+        """Return whether a poll has listed the run, whose start left once."""
+        is_listed = self.listed_at is not None or self.is_known_bound
+        return is_listed and self.send_count <= 1
+
+    def is_binding_new(self, now: float) -> bool:
+        """Return whether ``is_known_bound`` is to be set, and to be stored.
+
+        A new owner can then start the task again sooner if the worker is
+        lost. Short runs have ended before that matters.
+        """
+        since = self.running_since
+        return (
+            not self.is_known_bound
+            and self.is_listed_once_sent
+            and now >= self.lease_unknown_until
+            and since is not None
+            and self.listed_at is not None
+            and self.listed_at >= since + MIN_STORED_BINDING_S
+        )
 
     @property
     def may_still_start(self) -> bool:
@@ -269,10 +300,9 @@
             run.boot if run else Boot(0),
             self.failures,
             self.checkpoint,
-            ()
-            if is_told_by_fields
-            else tuple(RunRecord(r.number, r.worker, r.boot) for r in runs),
+            () if is_told_by_fields else tuple(map(to_run_record, runs)),
             tuple(self.crashes),
+            run is not None and run.is_known_bound,
         )
 
 
@@ -294,7 +324,9 @@
     runs = record.runs
     if record.may_run and not runs:
         number = record.last_run_number
-        runs = (RunRecord(number, record.worker, record.boot),)
+        runs = (
+            RunRecord(number, record.worker, record.boot, record.is_bound),
+        )
     if runs:
         task.run = restore_run(runs[0])
     for run_record in runs[1:]:
@@ -302,6 +334,11 @@
     return task
 
 
+def to_run_record(run: Run) -> RunRecord:
+    """Return the record of a run that is to be stored."""
+    return RunRecord(run.number, run.worker, run.boot, run.is_known_bound)
+
+
 def restore_run(record: RunRecord) -> Run:
     """Return a run from its record, as one that may be running."""
     return Run(
@@ -311,4 +348,5 @@
         RunPhase.UNRESOLVED,
         # The previous owner may have throttled it.
         is_speed_confirmed=False,
+        is_known_bound=record.is_bound,
     )
--- a/src/primroseledge/owner/recovery.py
+++ b/src/primroseledge/owner/recovery.py
@@ -61,21 +61,26 @@
 
     If its worker has restarted since the record was stored, the next boot may
     have carried out the start. The runs of an unresponsive worker count as
-    running for at least ``unknown_lease_s``. Runs of a finished job are marked
-    to be stopped, as is what still runs of a task that is done in a
-    step that allows copies.
+    running until the leases that the predecessor gave have ended, and those
+    that are not known to be bound to one boot as long as the longest lease of
+    workers. Runs of a finished job are marked to be stopped, as is what still
+    runs of a task that is done in a step that allows copies.
     """
     for task in list(job.tasks_with_runs()):
         run = task.run
         if run is None:
             continue
         run.confirmed_at = now
+        if not run.is_known_bound:
+            wait_s = state.timing.unknown_predecessor_lease_s
+            run.lease_unknown_until = now + wait_s
         is_superseded = task.is_done and task.spec.allows_copies
         run.is_stop_requested = job.is_final or is_superseded
         worker = find_or_add_worker(state, run)
         run.boot = max(run.boot, worker.entry.boot)
         state.add_run_usage(task, worker)
-        worker.predecessor_runs_expire_at = now + state.timing.unknown_lease_s
+        wait_s = state.timing.predecessor_lease_s
+        worker.predecessor_runs_expire_at = now + wait_s
         if task.copy_of is None:
             state.expect_copy(task, now)
         if is_superseded:
--- a/src/primroseledge/platform/daemon.py
+++ b/src/primroseledge/platform/daemon.py
@@ -64,6 +64,7 @@
 from primroseledge.platform.wsgi_applications import MetricsApplication
 from primroseledge.platform.wsgi_applications import ReadinessApplication
 from primroseledge.scheduling.advice import AdviceFailed
+from primroseledge.scheduling.timing import Timing
 from primroseledge.send_check import send_only_if
 from primroseledge.workers.worker import WorkerEntry
 
@@ -191,7 +192,8 @@
         ),
         settings.seed_addresses,
     )
-    node = FleetNode(view)
+    timing = Timing(longest_lease_s=settings.longest_lease_ms / 1000)
+    node = FleetNode(view, timing=timing)
     return NodeLoop(node, transport, wake_fd, metrics)
 
 
--- a/src/primroseledge/platform/settings.py
+++ b/src/primroseledge/platform/settings.py
@@ -92,6 +92,13 @@
             gt=0, description='Time from SIGTERM until the process is killed.'
         ),
     ] = 6.0
+    longest_lease_ms: Annotated[
+        int,
+        Meta(
+            gt=0,
+            description='Longest lease of runs that workers grant, in ms.',
+        ),
+    ] = 10_000
     server_threads: Annotated[
         int,
         Meta(ge=1, le=256, description='Threads that serve callers.'),
--- a/standins/job_soak_fleet.py
+++ b/standins/job_soak_fleet.py
@@ -37,6 +37,7 @@
 from standins.job_soak_site import STANDBY_POOL
 from standins.job_soak_site import UNGUARDED_POOL
 from standins.processes import stop
+from standins.worker_core import MAX_LEASE_MS
 
 READY_S: Final = 20.0
 CONTROL_TIMEOUT_S: Final = 3.0
@@ -293,6 +294,7 @@
             'store_address': proxy.address,
             'fleet_address': self.instances_address,
             'grace_period_s': GRACE_PERIOD_S,
+            'longest_lease_ms': MAX_LEASE_MS,
         }
         self.entries.add(name, settings)
 
--- a/standins/worker_core.py
+++ b/standins/worker_core.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Final
 from typing import Protocol
 
 from primroseledge.ids import Boot
@@ -59,7 +60,9 @@
         """Note that the owner took note of an end."""
 
 
-MAX_LEASE_MS = 6000
+MAX_LEASE_MS: Final = 6000
+"""Longest lease in ms that a simulated worker grants."""
+
 STARTUP_S = 0.3
 
 
--- a/tests/engine_bench.py
+++ b/tests/engine_bench.py
@@ -34,6 +34,7 @@
 from primroseledge.scheduling.actions import SendStart
 from primroseledge.scheduling.actions import SendStop
 from primroseledge.scheduling.actions import SubmitJob
+from primroseledge.scheduling.timing import Timing
 from primroseledge.workers.worker import WorkerEntry
 from primroseledge.workers.worker import WorkerState
 
@@ -43,6 +44,10 @@
 WORKSPACE = WorkspaceId('sales')
 
 
+SHORT_LEASES = Timing(longest_lease_s=6.0)
+"""Of a deployment whose workers grant leases of 6 s at most."""
+
+
 def make_configuration(limit: Resources | None = None) -> Configuration:
     """Return a configuration: one queue, its pool and a standby pool."""
     return Configuration(
@@ -122,10 +127,15 @@
     """
 
     def __init__(
-        self, *workers: WorkerEntry, limit: Resources | None = None
+        self,
+        *workers: WorkerEntry,
+        limit: Resources | None = None,
+        timing: Timing = SHORT_LEASES,
     ) -> None:
         self.now = 100.0
-        self.engine = create_engine(make_configuration(limit), self.now, 0.0)
+        self.engine = create_engine(
+            make_configuration(limit), self.now, 0.0, timing
+        )
         self.entries = list(workers)
         self.actions: list[Action] = []
         self.batches: list[Batch] = []
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -60,8 +60,10 @@
 from primroseledge.scheduling.actions import SendStop
 from primroseledge.scheduling.actions import SendThrottle
 from primroseledge.scheduling.actions import Verdict
+from primroseledge.scheduling.timing import Timing
 from primroseledge.workers.worker import WorkerEntry
 from standins.storage_core import SimStorage
+from standins.worker_core import MAX_LEASE_MS
 from standins.worker_core import SimWorker
 from tests.fleet_platform_keys import SimPlatformKeys
 from tests.fleet_platform_keys import WORKER_PREFIX
@@ -151,7 +153,8 @@
         view = FleetView(
             entry, f'{entry}:{incarnation}', decoders, random=self.random
         )
-        node = FleetNode(view)
+        timing = Timing(longest_lease_s=MAX_LEASE_MS / 1000)
+        node = FleetNode(view, timing=timing)
         client = SimStoreClient(self.storage, self.random, self.schedule_after)
         thread = SimStoreThread(client, entry, node.address)
         sim = SimNode(node, thread, incarnation, self.now)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -305,7 +305,9 @@
 class RecoveryTest(unittest.TestCase):
     def make_record(self, state: JobState, worker: str) -> ProgressRecord:
         entry = make_worker_entry(worker)
-        task = TaskRecord(0, 0, 0, 3, False, True, entry.id, entry.boot, 0, '')
+        task = TaskRecord(
+            0, 0, 0, 3, False, True, entry.id, entry.boot, 0, '', is_bound=True
+        )
         return ProgressRecord(make_job('a').id, state, (task,))
 
     def create_restored_bench(
