Start work elsewhere if the rack that it prefers has no room

Cause: placement.is_allowed() took the preference for a rule. Once a task of a step ran, the others could start in that rack alone; only gangs had a way out, and only if no rack could ever hold them. Evidence: on the engine alone nothing starts for as long as the test waits, with a whole rack free; and a step too large for a rack starts four of five tasks without any fault.

Change: rack_spread.may_leave_rack() lets a task that finds no room leave its rack: at once if no worker there could take it without its batch tasks, else after 1.5 s if it is long-running or less than half of the pool is in use. A busy pool is waited for, as the work would take longer elsewhere.

--- a/src/primroseledge/jobs/job.py
+++ b/src/primroseledge/jobs/job.py
@@ -26,7 +26,8 @@
     ``due_at_ms`` is when the occurrence is due, in ms since 1970, or 0 if it
     may start immediately. ``done_count`` is the number of tasks that are done.
     ``had_turn`` is set while the step waits for others to be tried, see
-    ``capacity_shortage``.
+    ``capacity_shortage``. ``rack_wait_began_at`` is since when it has found
+    no room in a rack, see ``rack_spread``.
     """
 
     occurrence: int
@@ -36,6 +37,7 @@
     due_at_ms: int = 0
     done_count: int = 0
     had_turn: bool = False
+    rack_wait_began_at: float | None = None
 
     @property
     def is_done(self) -> bool:
--- a/src/primroseledge/scheduling/gang_placement.py
+++ b/src/primroseledge/scheduling/gang_placement.py
@@ -1,18 +1,21 @@
 """Choose the workers on which the tasks of a gang start together.
 
-A gang for a single rack starts in a rack that has room for all its tasks. Only
-if no rack could ever hold it, it is spread over several: its tasks then take
-longer, but it would wait for ever otherwise.
+A gang for a single rack starts in a rack that has room for all its tasks. If
+no rack could ever hold it, or none has room for long beside idle workers, it
+is spread over several (see ``rack_spread``).
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 
-from msgspec import structs
-
+from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.scheduling.placement import choose_worker
 from primroseledge.scheduling.placement import could_take
 from primroseledge.scheduling.placement import StepPlacement
+from primroseledge.scheduling.rack_spread import has_waited_for_rack
+from primroseledge.scheduling.rack_spread import is_pool_idle
+from primroseledge.scheduling.rack_spread import without_rack_rule
 from primroseledge.workers.worker import Worker
 
 
@@ -31,19 +34,23 @@
 
 
 def spread_gang(
-    step: StepSpec, workers: list[Worker], pool: Iterable[Worker]
+    step: StepOccurrence,
+    workers: list[Worker],
+    pool: Sequence[Worker],
+    now: float,
 ) -> list[Worker] | None:
-    """Return workers in several racks for a gang that no rack can hold.
+    """Return workers in several racks for a gang that found no room in one.
 
     ``pool`` are all workers of the service, also those that can't be given
-    tasks now. None is returned if one of their racks could hold the gang, or
-    if one of its tasks has no worker.
+    tasks now. None is returned if the gang is to wait for one of their racks,
+    or if one of its tasks has no worker.
     """
-    if any(could_hold(step, members) for members in group_by_rack(pool)):
-        return None
-    return place_together(
-        structs.replace(step, needs_single_rack=False), workers
-    )
+    spec = step.spec
+    if any(could_hold(spec, members) for members in group_by_rack(pool)):
+        has_waited = has_waited_for_rack(step, now)
+        if not has_waited or not is_pool_idle(pool):
+            return None
+    return place_together(without_rack_rule(spec), workers)
 
 
 def group_by_rack(workers: Iterable[Worker]) -> list[list[Worker]]:
--- a/src/primroseledge/scheduling/placement.py
+++ b/src/primroseledge/scheduling/placement.py
@@ -141,7 +141,8 @@
     """Return whether the rules of a step allow a task on a worker.
 
     The rules are the required label, the limit of tasks per worker, and
-    that all tasks run in a single rack. Free capacity is not checked.
+    that all tasks run in the racks where the step runs, if it prefers a single
+    one (see ``rack_spread``). Free capacity is not checked.
     """
     if step.required_label and step.required_label not in worker.entry.labels:
         return False
--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -27,6 +27,7 @@
 from primroseledge.scheduling.probing import find_probe_tasks
 from primroseledge.scheduling.probing import find_probed_workers
 from primroseledge.scheduling.probing import has_runs
+from primroseledge.scheduling.rack_spread import without_rack_rule
 from primroseledge.scheduling.start_checks import find_ready_workers
 from primroseledge.scheduling.start_priority import start_priority_of
 from primroseledge.scheduling.start_priority import StartPriority
@@ -233,7 +234,12 @@
     tasks don't keep the step from starting.
     """
     placement = count_placement(step, state.workers)
-    for worker in sorted(workers, key=StepPlacement().used_share):
-        if could_take(step.spec, worker, placement):
-            return worker
+    emptiest_first = sorted(workers, key=StepPlacement().used_share)
+    specs = [step.spec]
+    if step.spec.needs_single_rack:
+        specs.append(without_rack_rule(step.spec))
+    for spec in specs:
+        for worker in emptiest_first:
+            if could_take(spec, worker, placement):
+                return worker
     return None
--- a/src/primroseledge/scheduling/step_planning.py
+++ b/src/primroseledge/scheduling/step_planning.py
@@ -11,6 +11,8 @@
 from primroseledge.scheduling.gang_placement import place_gang
 from primroseledge.scheduling.gang_placement import spread_gang
 from primroseledge.scheduling.placement import count_placement
+from primroseledge.scheduling.rack_spread import may_leave_rack
+from primroseledge.scheduling.rack_spread import without_rack_rule
 from primroseledge.scheduling.worker_choice import WorkerChooser
 from primroseledge.workers.worker import Worker
 
@@ -65,6 +67,11 @@
         if not is_within_limit(state, job, step.spec.resources):
             return StepPlan.NOT_ALLOWED
         worker = chooser.choose(task)
+        if worker is None and step.spec.needs_single_rack:
+            pool = pool_of(state, job)
+            worker = choose_beyond_rack(
+                step, task, workers, pool, chooser, now
+            )
         if worker is None and task.failed_workers:
             outcome = StepPlan.AVOIDING
             continue
@@ -76,9 +83,30 @@
         placement.per_worker[worker.id] += 1
         placement.per_rack[worker.rack] += 1
         chooser.record_placement(worker)
+    step.rack_wait_began_at = None
     return outcome
 
 
+def choose_beyond_rack(
+    step: StepOccurrence,
+    task: Task,
+    workers: list[Worker],
+    pool: list[Worker],
+    chooser: WorkerChooser,
+    now: float,
+) -> Worker | None:
+    """Return a worker outside of the step's rack, which has no room.
+
+    None is returned if the task is to wait for the rack, or if no worker has
+    room. ``chooser`` is that of the step.
+    """
+    placement = chooser.placement
+    if not may_leave_rack(step, pool, placement, now):
+        return None
+    spec = without_rack_rule(step.spec)
+    return WorkerChooser(spec, workers, placement).choose(task)
+
+
 def advised_workers(
     state: FleetState,
     job: Job,
@@ -129,17 +157,10 @@
         return StepPlan.NOT_ALLOWED
     chosen = place_gang(step.spec, workers)
     if chosen is None and step.spec.needs_single_rack:
-        service = state.service_of(job)
-        pool = [
-            worker
-            for worker in state.workers.values()
-            if worker.entry.service == service
-            and worker.is_listed
-            and not worker.is_zone_evacuated
-        ]
-        chosen = spread_gang(step.spec, workers, pool)
+        chosen = spread_gang(step, workers, pool_of(state, job), now)
     if chosen is None:
         return no_worker
+    step.rack_wait_began_at = None
     # All tasks of a gang get the same run number and start from the same
     # checkpoint.
     last_run = max(task.last_run_number for task in step.tasks)
@@ -151,6 +172,18 @@
     return StepPlan.PLACED
 
 
+def pool_of(state: FleetState, job: Job) -> list[Worker]:
+    """Return the workers of a job's service that are not to be emptied."""
+    service = state.service_of(job)
+    return [
+        worker
+        for worker in state.workers.values()
+        if worker.entry.service == service
+        and worker.is_listed
+        and not worker.is_zone_evacuated
+    ]
+
+
 def is_within_limit(state: FleetState, job: Job, added: Resources) -> bool:
     """Return whether a job's workspace may use more resources.
 
