Count a job as pending until a worker has begun one of its tasks

Cause: Job.has_started was set as a start was sent; a refused, unanswered or given-up start did not take that back, and a new owner took any planned run for a start.

Change: a job has started once a worker acknowledges a start, or lists a run or an end of it, also one that the owner had given up. The stored progress says so in a field at its end. Earlier versions ignore it; from their records a new owner goes by ends, checkpoints and listed runs, and by the next polls. That counts a job as pending again if its only run was lost with its worker and the owner, and an earlier version stored it.

--- a/src/primroseledge/dispatch/ends.py
+++ b/src/primroseledge/dispatch/ends.py
@@ -9,6 +9,7 @@
 
 from primroseledge.dispatch.job_ends import finish_task
 from primroseledge.dispatch.job_ends import record_failed_attempt
+from primroseledge.dispatch.run_durations import record_job_begin
 from primroseledge.dispatch.run_durations import record_runtime
 from primroseledge.dispatch.run_losses import clear_crashes
 from primroseledge.dispatch.run_losses import lose_run
@@ -62,6 +63,9 @@
     listed_runs = {(run.task, run.run_number): run for run in answer.running}
     unexpected = NO_RESOURCES
     for (key, run_number), listed_run in listed_runs.items():
+        job = state.jobs.get(key.job)
+        if job is not None:
+            record_job_begin(state, job, now)
         task = find_task(state, key, run_number)
         run = task.run if task else None
         if run is None or run.number != run_number or run.worker != worker.id:
@@ -239,6 +243,7 @@
     task = find_task(state, end.task, end.run_number)
     if task is None:
         return
+    record_job_begin(state, state.jobs[task.key.job], now)
     run = task.run
     if run is None or run.number != end.run_number or run.worker != worker.id:
         return
--- a/src/primroseledge/dispatch/orders.py
+++ b/src/primroseledge/dispatch/orders.py
@@ -9,11 +9,13 @@
 from primroseledge.dispatch.ends import find_task
 from primroseledge.dispatch.job_ends import record_failed_attempt
 from primroseledge.dispatch.run_durations import record_begin
+from primroseledge.dispatch.run_durations import record_job_begin
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import RunPhase
 from primroseledge.jobs.task import Task
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
+from primroseledge.scheduling.actions import Order
 from primroseledge.scheduling.actions import OrderEnded
 from primroseledge.scheduling.actions import OrderResult
 from primroseledge.scheduling.actions import SendStart
@@ -71,13 +73,6 @@
     run.phase = RunPhase.SENT
     run.send_count += 1
     run.sent_at = now
-    if not job.has_started:
-        job.has_started = True
-        log(
-            Event.JOB_STARTED,
-            job=task.key.job,
-            seconds=(state.wall_ms(now) - job.accepted.accepted_ms) / 1000,
-        )
     log(
         Event.RUN_ORDERED,
         task=task.key.name,
@@ -135,11 +130,12 @@
     start was sent more than once, any answer leaves the run unresolved.
     """
     order = answer.order
-    task = find_task(state, order.task, order.run_number)
+    job = state.jobs.get(order.task.job)
+    if job is not None and answer.result is OrderResult.DONE:
+        record_job_begin(state, job, now)
+    task = find_ordered_task(state, order)
     run = task.run if task else None
-    if task is None or run is None or run.number != order.run_number:
-        return
-    if run.worker != order.target.worker:
+    if task is None or run is None:
         return
     record_begin(run, answer)
     if run.phase is not RunPhase.SENT:
@@ -176,6 +172,18 @@
         handle_refused_start(state, task, worker, answer.result, now)
 
 
+def find_ordered_task(state: FleetState, order: Order) -> Task | None:
+    """Return the task, or the copy, whose present run an order is for.
+
+    None is returned if it has another run by now, or none.
+    """
+    task = find_task(state, order.task, order.run_number)
+    run = task.run if task else None
+    if run is None or run.number != order.run_number:
+        return None
+    return task if run.worker == order.target.worker else None
+
+
 def handle_unanswered_start(
     state: FleetState,
     task: Task,
--- a/src/primroseledge/dispatch/run_durations.py
+++ b/src/primroseledge/dispatch/run_durations.py
@@ -1,5 +1,6 @@
-"""Measure how long runs took, as far as begin and end are known."""
+"""Record when runs and jobs began, and how long runs took."""
 
+from primroseledge.jobs.job import Job
 from primroseledge.jobs.task import Run
 from primroseledge.jobs.task import Task
 from primroseledge.observability.events import Event
@@ -12,6 +13,22 @@
 from primroseledge.workers.worker import Worker
 
 
+def record_job_begin(state: FleetState, job: Job, now: float) -> None:
+    """Record that a worker has begun a task of a job, if it is the first.
+
+    A start that was sent does not show that: the worker may have refused it,
+    or never got it.
+    """
+    if job.has_started:
+        return
+    job.has_started = True
+    log(
+        Event.JOB_STARTED,
+        job=job.accepted.id,
+        seconds=(state.wall_ms(now) - job.accepted.accepted_ms) / 1000,
+    )
+
+
 def record_begin(run: Run, answer: OrderEnded) -> None:
     """Record when a run began, if the answer to its start shows that.
 
--- a/src/primroseledge/jobs/job.py
+++ b/src/primroseledge/jobs/job.py
@@ -9,6 +9,7 @@
 from primroseledge.jobs.progress import FINAL_STATES
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.progress import ProgressRecord
+from primroseledge.jobs.progress import TaskRecord
 from primroseledge.jobs.spec import AcceptedJob
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.task import restore_task
@@ -54,7 +55,7 @@
     ``steps`` is keyed by occurrence and number of the step. ``stored_state``
     is the state in the newest record that the store has acknowledged, which
     was in the owner's batch ``stored_batch``, or 0 for an earlier owner's.
-    ``has_started`` is set with the first start of a task, ``is_stored`` once
+    ``has_started`` is set once a worker has begun a task, ``is_stored`` once
     the job's acceptance is stored. ``failure_reason`` says why it failed.
     """
 
@@ -200,9 +201,23 @@
             tasks,
             self.updated_ms,
             self.failure_reason,
+            self.has_started,
         )
 
 
+def shows_begin(record: TaskRecord) -> bool:
+    """Return whether a stored task shows that a worker has begun it.
+
+    Records of earlier versions don't say whether their job has started.
+    """
+    return bool(
+        record.is_done
+        or record.failures
+        or record.checkpoint
+        or record.is_bound
+    )
+
+
 def restore_job(
     accepted: AcceptedJob, progress: ProgressRecord | None, wall_ms: int
 ) -> Job:
@@ -220,7 +235,9 @@
     job.stored_state = progress.state
     job.updated_ms = progress.updated_ms
     job.failure_reason = progress.failure_reason
-    job.has_started = bool(progress.tasks)
+    job.has_started = progress.has_started or any(
+        map(shows_begin, progress.tasks)
+    )
     for occurrence in sorted({task.occurrence for task in progress.tasks}):
         job.open_occurrence(occurrence)
     for record in progress.tasks:
--- a/src/primroseledge/jobs/progress.py
+++ b/src/primroseledge/jobs/progress.py
@@ -73,7 +73,8 @@
 
     It is stored again when the job or a task changes. Once ``state`` is final
     it holds only the tasks that may still be running. ``updated_ms`` is in ms
-    since 1970. ``failure_reason`` says why a job failed.
+    since 1970. ``failure_reason`` says why a job failed. ``has_started`` means
+    that a worker has begun one of its tasks.
     """
 
     id: JobId
@@ -81,3 +82,4 @@
     tasks: tuple[TaskRecord, ...] = ()
     updated_ms: int = 0
     failure_reason: str = ''
+    has_started: bool = False
--- a/src/primroseledge/observability/job_events.py
+++ b/src/primroseledge/observability/job_events.py
@@ -102,7 +102,7 @@
 JOB_STARTED_INFO = info(
     714,
     'job {job} begins after {seconds} s',
-    'The first start of a job is being sent.',
+    'A worker has begun a task of the job, the first one.',
     'For a long wait, look at the size of the pool and its workers (707).',
 )
 
