Look at a task's attempts again before each start

Cause: the limit was looked at only as a failure was taken note of. The route was away at that moment, so its limit was not known, and the check returned without a decision; planning went by whether a task waits. Evidence: on the engine alone the third start follows the return of the queue.

Change: planning asks before each start (jobs/attempts.py), and the job of a task without attempts fails. So it is, too, for gangs, which share attempts, for a change that lowers the number while a run is under way that is then lost, and for tasks that a new owner restores.

--- a/src/primroseledge/dispatch/job_ends.py
+++ b/src/primroseledge/dispatch/job_ends.py
@@ -1,5 +1,7 @@
 """End tasks and jobs: completed, failed or given up."""
 
+from primroseledge.jobs.attempts import count_failed_attempts
+from primroseledge.jobs.attempts import has_attempts_left
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.progress import JobState
 from primroseledge.jobs.task import Task
@@ -43,23 +45,29 @@
 ) -> None:
     """Fail a job if the given task has no attempt left.
 
-    The members of a gang share the attempts. Long-running tasks are started
-    again any number of times.
+    While the job's queue is not configured, nobody knows how many it has. The
+    planning of its next start decides then; see ``fail_exhausted_jobs``.
     """
-    if task.spec.is_long_running:
-        return
     queue = state.queue_of(job)
     if queue is None:
         return
     step = job.steps[task.key.occurrence, task.key.step]
-    failures = task.failures
-    if task.spec.is_gang:
-        failures = sum(member.failures for member in step.tasks)
-    if failures >= queue.max_attempts:
+    if not has_attempts_left(step, task, queue.max_attempts):
+        failures = count_failed_attempts(step, task)
         reason = f'task {task.key.name}: {failures} attempts failed'
         end_job(state, job, JobState.FAILED, now, reason)
 
 
+def fail_exhausted_jobs(state: FleetState, now: float) -> None:
+    """Fail the jobs of which planning found a task without an attempt."""
+    exhausted = state.exhausted_tasks
+    state.exhausted_tasks = []
+    for task in exhausted:
+        job = state.jobs[task.key.job]
+        if not job.is_final:
+            fail_job_without_attempts(state, job, task, now)
+
+
 def end_job(
     state: FleetState,
     job: Job,
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from primroseledge.dispatch.job_ends import end_job
+from primroseledge.dispatch.job_ends import fail_exhausted_jobs
 from primroseledge.dispatch.orders import handle_start_answer
 from primroseledge.dispatch.orders import handle_stop_answer
 from primroseledge.dispatch.polls import handle_poll_answer
@@ -330,6 +331,7 @@
         if self.outbox.may_build_batch(state, now):
             # A start that is planned earlier waits for the same batch.
             unplaced = plan_services(state, now)
+            fail_exhausted_jobs(state, now)
             plan_copies(state, unplaced, now)
         self.wait_report.report(state, now)
 
--- a/src/primroseledge/scheduling/fleet_state.py
+++ b/src/primroseledge/scheduling/fleet_state.py
@@ -75,8 +75,10 @@
     copies of tasks that are planned or may be running, ``held_tasks`` those
     that are done and whose other run may still start, see ``hold_ends``.
     ``jobs_to_isolate`` are the jobs with a task that may only run on a worker
-    of its own. ``silent_losses`` are those of silent workers, by the worker's
-    address. ``best_effort_workers`` includes all with best-effort tasks.
+    of its own. ``exhausted_tasks`` were found without an attempt left as their
+    start was planned; their jobs have failed. ``silent_losses`` are those of
+    silent workers, by the worker's address. ``best_effort_workers`` includes
+    all with best-effort tasks.
     """
 
     configuration: Configuration
@@ -119,6 +121,7 @@
     copy_checks: dict[ServiceId, CopyChecks] = field(default_factory=dict)
     held_tasks: dict[JobId, list[Task]] = field(default_factory=dict)
     jobs_to_isolate: set[JobId] = field(default_factory=set)
+    exhausted_tasks: list[Task] = field(default_factory=list)
     silent_losses: dict[str, SilentLoss] = field(default_factory=dict)
     best_effort_workers: dict[WorkerId, None] = field(default_factory=dict)
 
--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -9,13 +9,17 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from math import inf
 from typing import Final
 
 from primroseledge.ids import ServiceId
+from primroseledge.jobs.attempts import find_exhausted_task
+from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.spec import StepSpec
+from primroseledge.jobs.task import Task
 from primroseledge.scheduling.capacity_shortage import CapacityShortage
 from primroseledge.scheduling.fair_shares import order_by_shares
 from primroseledge.scheduling.fair_shares import Row
@@ -211,6 +215,11 @@
         if queue is None or queue.service != service or not steps:
             del waiting_jobs[job.accepted.id]
             continue
+        exhausted = find_exhausted(steps, queue)
+        if exhausted is not None:
+            # It failed while its queue was away, or had more attempts.
+            state.exhausted_tasks.append(exhausted)
+            continue
         estimates_ms = state.runtimes.estimates_ms(job.accepted, now)
         for step in steps:
             key = start_priority_of(job, step, queue, wall_ms, estimates_ms)
@@ -219,6 +228,14 @@
     return found
 
 
+def find_exhausted(
+    steps: Iterable[StepOccurrence], queue: Queue
+) -> Task | None:
+    """Return a task of a job's waiting steps that may not start again."""
+    found = (find_exhausted_task(step, queue.max_attempts) for step in steps)
+    return next((task for task in found if task is not None), None)
+
+
 def sort_key(row: Row) -> StartPriority:
     """Return the sort key of a row of ``waiting_steps``, its priority."""
     return row[0]
