--- a/src/primroseledge/dispatch/worker_list.py
+++ b/src/primroseledge/dispatch/worker_list.py
@@ -83,11 +83,9 @@
     entry may be known yet. The list may then still have an earlier one: while
     the worker has tasks, another answer is to show who is there.
     """
-    if entry.boot == worker.last_boot:
-        return False
-    if entry.revision < worker.entry.revision:
-        return False
-    return not (worker.is_boot_unlisted and worker.tasks)
+    if not worker.is_boot_unlisted:
+        return entry.revision >= worker.entry.revision
+    return entry.boot != worker.last_boot and not worker.tasks
 
 
 def log_worker(entry: WorkerEntry) -> None:
