--- a/standins/job_life.py
+++ b/standins/job_life.py
@@ -82,6 +82,7 @@
     rate: float
     store: str
     unguarded_pool: str = ''
+    does_clock_jump: bool = True
 
 
 class LifeLedger:
--- a/standins/job_soak.py
+++ b/standins/job_soak.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from contextlib import ExitStack
+from contextlib import nullcontext
 from pathlib import Path
 from shutil import copytree
 from signal import signal
@@ -21,6 +22,7 @@
 from msgspec import DecodeError
 from msgspec import json
 
+from standins.job_soak_builds import BuildReplacer
 from standins.job_soak_disturber import Disturber
 from standins.job_soak_events import FAULTS
 from standins.job_soak_fleet import JobFleet
@@ -42,6 +44,11 @@
 @click.option('--seed', default=1, show_default=True)
 @click.option('--only', default='', help='Names of faults, with commas.')
 @click.option('--scale', type=click.Choice(sorted(SCALES)), default='small')
+@click.option(
+    '--builds',
+    default='',
+    help='Revisions, or present, that the entry instances run in turn.',
+)
 @click.option('--rate', default=0.0, help='Jobs a second; 0 for the scale.')
 @click.option('--keep', type=Path, help='Folder for what a failure leaves.')
 @click.option('--keep-passed', is_flag=True, help='Keep that of others too.')
@@ -50,6 +57,7 @@
     seed: int,
     only: str,
     scale: str,
+    builds: str,
     rate: float,
     keep: Path | None,
     keep_passed: bool,
@@ -63,14 +71,22 @@
     with TemporaryDirectory() as path:
         folder = Path(path)
         with ExitStack() as resources:
-            fleet = JobFleet(resources, folder, SCALES[scale])
+            # Builds up to d53be72 lose track of workers whose clocks jump.
+            fleet = JobFleet(
+                resources, folder, SCALES[scale], do_clocks_jump=not builds
+            )
             disturber = Disturber(fleet, seed, names)
-            soak(fleet, disturber, seconds, rate)
+            replacer: BuildReplacer | None = None
+            if builds:
+                replacer = BuildReplacer(fleet, builds.split(','), seconds)
+                replacer.prepare()
+            soak(fleet, disturber, seconds, rate, replacer)
         history = read_history(folder)
         verdicts = judge(history)
         problems = fleet.entries.ended + find_errors(folder)
         print('\n'.join([*render(verdicts), *problems]))
         counts = summarize(history, verdicts, disturber, folder)
+        counts['replaced'] = replacer.replaced if replacer else {}
         print(json.encode(counts | {'problems': problems}).decode())
         has_failed = bool(problems or counts['broken'])
         if keep and (has_failed or keep_passed):
@@ -79,9 +95,16 @@
 
 
 def soak(
-    fleet: JobFleet, disturber: Disturber, seconds: float, rate: float
+    fleet: JobFleet,
+    disturber: Disturber,
+    seconds: float,
+    rate: float,
+    replacer: BuildReplacer | None = None,
 ) -> None:
-    """Load and disturb a fleet, and let its jobs end."""
+    """Load and disturb a fleet, and let its jobs end.
+
+    ``replacer`` replaces the builds of its entry instances meanwhile.
+    """
     fleet.start()
     load = JobLoad(
         fleet.entries.callers(),
@@ -92,7 +115,8 @@
     )
     with load:
         load.start()
-        disturber.run(seconds)
+        with replacer or nullcontext():
+            disturber.run(seconds)
     fleet.entries.stop_all()
 
 
