--- a/src/primroseledge/dispatch/ends.py
+++ b/src/primroseledge/dispatch/ends.py
@@ -75,9 +75,7 @@
             apply_listed_run(task, run, listed_run, answer.received_at)
             if run.is_proven:
                 clear_crashes(state, worker, task, run, now)
-            if now >= worker.lease_unknown_until and run.is_binding_new(now):
-                run.is_known_bound = True
-                state.mark_dirty(state.jobs[key.job], now)
+            record_binding(state, worker, task, run, answer, now)
             stop_if_stalled(worker, task, run, answer.received_at)
     worker.unexpected_capacity = unexpected
     if len(answer.ends) < MAX_LISTED_ENDS:
@@ -86,6 +84,35 @@
         )
 
 
+def record_binding(
+    state: FleetState,
+    worker: Worker,
+    task: Task,
+    run: Run,
+    answer: PollAnswered,
+    now: float,
+) -> None:
+    """Record, and store, that a listed run is bound to its worker's boot.
+
+    That is done once its lease is known: it is the one that its owners gave.
+    """
+    if run.is_in_recorded_boot and is_settled_boot(state, answer):
+        run.lease_unknown_until = 0.0
+    if now >= worker.lease_unknown_until and run.is_binding_new(now):
+        run.is_known_bound = True
+        state.mark_dirty(state.jobs[task.key.job], now)
+
+
+def is_settled_boot(state: FleetState, answer: PollAnswered) -> bool:
+    """Return whether leases in a boot can't be longer than its owners gave.
+
+    Only calls that were meant for the last boot extend them, soon after the
+    boot began. A worker's clock begins anew with each boot.
+    """
+    age_s = answer.clock_ms / 1000
+    return age_s >= state.timing.unknown_predecessor_lease_s
+
+
 def end_sort_key(end: RunEnd) -> int:
     """Return the sort key of an end, which is its number."""
     return end.number
--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -80,7 +80,8 @@
     it had started the run. ``is_known_bound`` is set once the run is known to
     be bound to its boot under a lease that its owner gave; a record stores it.
     Until ``lease_unknown_until`` the run may hold a longer lease than that,
-    whatever polls show.
+    whatever polls show; ``is_in_recorded_boot`` says that a previous owner had
+    ordered it in the boot that its worker was in at the takeover.
     """
 
     number: int
@@ -105,6 +106,7 @@
     crash: Crash | None = None
     is_known_bound: bool = False
     lease_unknown_until: float = 0.0
+    is_in_recorded_boot: bool = False
 
     @property
     def running_since(self) -> float | None:
@@ -181,6 +183,7 @@
         delivered: the run is then resolved as one without an answer.
         """
         self.boot = boot
+        self.is_in_recorded_boot = False
         self.begun_at = None
         self.speed_percent = FULL_SPEED_PERCENT
         self.is_speed_confirmed = False
--- a/src/primroseledge/owner/recovery.py
+++ b/src/primroseledge/owner/recovery.py
@@ -74,7 +74,8 @@
         is_superseded = task.is_done and task.spec.allows_copies
         run.is_stop_requested = job.is_final or is_superseded
         worker = find_or_add_worker(state, run)
-        if run.boot != worker.entry.boot:
+        run.is_in_recorded_boot = run.boot == worker.entry.boot
+        if not run.is_in_recorded_boot:
             # The list may lag behind the record, and have an earlier boot.
             run.boot = worker.entry.boot
             run.is_known_bound = False
--- a/tests/test_longest_lease.py
+++ b/tests/test_longest_lease.py
@@ -188,18 +188,32 @@
         self.assertGreater(waited_s, GRACE_S + GIVEN_S)
         self.assertLess(waited_s, GRACE_S + GIVEN_S + RECOVERY_S)
 
-    # The same if a poll shows the run before its worker is cut off.
-    def test_a_restored_run_that_is_listed_may_hold_it_too(self) -> None:
+    def wait_after_listing(self, boot_age_s: float) -> float:
+        """Return how long a restored run is waited for that a poll listed."""
         self.restore(self.make_record())
         bench = self.bench
+        booted_at = bench.now - boot_age_s
+        bench.clock_ms = lambda: int((bench.now - booted_at) * 1000)  # type: ignore[method-assign]
         bench.list_workers(WORKER_1, WORKER_2)
         task = next(bench.engine.state.jobs[make_job('a').id].tasks())
         row = ListedRun(task.key, 1, '', 50, 0)
         bench.answer_poll(WORKER_1.id, running=(row,))
-        waited_s = self.find_restart(WORKER_1.id)
+        # The next poll renews the lease, and is not answered any more.
+        bench.reconcile(0.1)
+        return self.find_restart(WORKER_1.id)
+
+    # The same if a poll shows the run before its worker is cut off.
+    def test_a_listed_run_in_a_young_boot_may_hold_it_too(self) -> None:
+        waited_s = self.wait_after_listing(1.0)
         self.assertGreater(waited_s, GRACE_S + LONGEST_S)
         self.assertLess(waited_s, GRACE_S + LONGEST_S + RECOVERY_S)
 
+    # A call that was meant for the boot before would have come long ago.
+    def test_a_listed_run_in_an_old_boot_has_its_own_lease(self) -> None:
+        waited_s = self.wait_after_listing(60.0)
+        self.assertGreater(waited_s, GIVEN_S)
+        self.assertLess(waited_s, GIVEN_S + RECOVERY_S)
+
     def last_task_record(self) -> TaskRecord:
         """Return the newest stored record of the job's task."""
         [task] = self.bench.batches[-1].progress[-1].tasks
