--- a/src/primroseledge/jobs/task.py
+++ b/src/primroseledge/jobs/task.py
@@ -144,7 +144,10 @@
 
     @property
     def is_listed_once_sent(self) -> bool:
-        """Return whether a poll has listed the run, whose start left once."""
+        """Return whether a poll has listed the run after a single send.
+
+        No later copy of its start can then reach the next boot.
+        """
         is_listed = self.listed_at is not None or self.is_known_bound
         return is_listed and self.send_count <= 1
 
--- a/src/primroseledge/scheduling/timing.py
+++ b/src/primroseledge/scheduling/timing.py
@@ -41,22 +41,26 @@
 
     @property
     def predecessor_lease_s(self) -> float:
-        """Return when leases that a previous owner gave have ended.
+        """Return the time after a takeover when the last owner's leases end.
 
-        That counts from the takeover. The predecessor may have gone on to
-        poll. A worker's clock may be slow, and its timer late.
+        The last owner may have gone on to poll for ``POLL_GRACE_S``. A
+        worker's clock may be slow, and its timer late.
         """
         lease_s = self.lease_s / (1 - MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_S
         return POLL_GRACE_S + lease_s
 
     @property
     def unknown_predecessor_lease_s(self) -> float:
-        """Return ``unknown_lease_s`` for the calls of a previous owner."""
+        """Return the time after a takeover when an unknown lease has ended.
+
+        It is ``unknown_lease_s``, counted from the last poll that the last
+        owner may have sent.
+        """
         return POLL_GRACE_S + self.unknown_lease_s
 
     @property
     def unknown_lease_s(self) -> float:
-        """Return when a lease with an unknown deadline has certainly ended.
+        """Return the time after a call when a lease it may have given ends.
 
         A call that was meant for the last boot of a worker may extend a lease
         in the next one, whose clock began anew, up to the longest lease.
--- a/src/primroseledge/workers/worker.py
+++ b/src/primroseledge/workers/worker.py
@@ -158,8 +158,8 @@
     set by ``FleetState.update_zone_flag``; the worker itself may be ready.
     ``removal_sent_at`` is when a call that ends this boot was last sent.
     ``last_boot`` is the boot before this one, None if it is not known.
-    ``is_boot_unlisted`` means that an answer has shown this boot, and that the
-    list of workers did not have it since.
+    ``is_boot_unlisted`` means that this boot is known from an answer to a poll
+    alone: the list of workers has not shown it yet.
     """
 
     entry: WorkerEntry
