--- a/review/10/case.py
+++ b/review/10/case.py
@@ -20,7 +20,7 @@
 from review.standins_2.site import route
 from review.standins_2.site import Site
 
-MACHINES = {'m-1': 'w-1', 'm-2': 'w-2', 'm-3': 'w-3', 'm-4': 'w-4'}
+MACHINES = {f'm-{number}': f'w-{number}' for number in range(1, 9)}
 UPKEEP_S = 2.0
 REST_S = 5.0
 WAVE_S = 25.0
