--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,7 +16,7 @@
 
 from standins.builds import PRESENT
 
-LAST_LANDING: Final = 'd53be72'
+LAST_LANDING: Final = '92d12e6'
 """The revision that runs as an upgrade to this build begins."""
 
 SECONDS: Final = '20'
