Complete a wave only by a list that was read since its instances were missed

Cause: advance_wave took an instance that is not in the rows for one that is gone, whatever the age of the list. Without a standby pool the list is read only while a wave or an operation is under way. Evidence: on the engine alone the record is completed in the step that learns of the wave, before a list is asked for; with a list, and nothing else, the same wave begins its maintenance. The same inference followed from a list asked for before the wave, from an instance that joins between two readings, and from a refused call, which takes the instance out of the rows.

Change: absence is noticed with its time, and has the list read at once; only a list that was asked for after that shows that an instance is gone. A wave whose instances have all begun waits for no list.

--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
+from math import inf
 from typing import Final
 
 from primroseledge.ids import Boot
@@ -70,6 +71,18 @@
     answered_at: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Absence:
+    """Instances of a wave that the list does not show, and since when.
+
+    ``noticed_at`` is a time on the monotonic clock. The list that was known
+    then may be older than the wave, so that it proves nothing.
+    """
+
+    instances: frozenset[InstanceId]
+    noticed_at: float
+
+
 @dataclass(slots=True)
 class InstanceList:
     """The owner's copy of the platform's list, with its operations and waves.
@@ -77,10 +90,12 @@
     This is the state of the fleet's owner about all instances, not the task
     service's answer (``storage.task_service_client.InstanceList``).
 
-    ``listed_at`` is when the call that read ``rows`` was sent. Before
+    ``listed_at`` is when the call that read ``rows`` was sent. While that is
+    not after ``newer_list_needed_since``, a list is needed soon. Before
     ``may_change_instances_from`` no instance may be moved or taken down.
     ``calls_in_flight`` counts maintenance and move calls. ``dirty_waves`` are
-    those whose record is to be stored. ``pools_observed_since`` is when pools
+    those whose record is to be stored, and ``wave_absences`` has the instances
+    of waves that the list lacks. ``pools_observed_since`` is when pools
     were first sized, and ``pools_sized_at`` when they last were; 0 if never.
     ``desired_size_history`` holds times and desired sizes, in workers.
     ``demand_peaks`` are the largest of them. ``below_reserve_since`` is since
@@ -97,7 +112,9 @@
     waves: dict[WaveNumber, Wave] = field(default_factory=dict)
     wave_records: dict[WaveNumber, WaveRecord] = field(default_factory=dict)
     dirty_waves: dict[WaveNumber, None] = field(default_factory=dict)
+    wave_absences: dict[WaveNumber, Absence] = field(default_factory=dict)
     listed_at: float = 0.0
+    newer_list_needed_since: float = -inf
     is_list_in_flight: bool = False
     list_requested_at: float = 0.0
     may_change_instances_from: float = 0.0
@@ -126,6 +143,24 @@
             and self.listed_at >= self.may_change_instances_from
         )
 
+    def are_gone(
+        self, wave: Wave, absent: frozenset[InstanceId], now: float
+    ) -> bool:
+        """Return whether a wave's ``absent`` instances are gone for certain.
+
+        They are if a list that was requested after their absence was noticed
+        does not show them either. The first call with them notices it and has
+        the list read again. ``absent`` is by the present rows.
+        """
+        if not absent:
+            return True
+        absence = self.wave_absences.get(wave.number)
+        if absence is None or absence.instances != absent:
+            self.wave_absences[wave.number] = Absence(absent, now)
+            self.newer_list_needed_since = now
+            return False
+        return self.listed_at > absence.noticed_at
+
     def count_in_maintenance(self, wave: Wave) -> int:
         """Count a wave's instances that are in maintenance or about to be.
 
--- a/src/primroseledge/maintenance/list_refresh.py
+++ b/src/primroseledge/maintenance/list_refresh.py
@@ -17,14 +17,15 @@
     """Request the list of instances if it is needed and due.
 
     It is read every ``BUSY_LIST_INTERVAL_S`` while an operation is in
-    progress, no instance is known, or a new owner needs a list from after the
-    time at which it may act. Otherwise it is read every
-    ``IDLE_LIST_INTERVAL_S``.
+    progress, no instance is known, a new owner needs a list from after the
+    time at which it may act, or a wave needs one that shows whether instances
+    are gone. Otherwise it is read every ``IDLE_LIST_INTERVAL_S``.
     """
     if instances.is_list_in_flight or not needs_list(state, instances):
         return
     is_outdated = (
         instances.listed_at < instances.may_change_instances_from <= now
+        or instances.listed_at <= instances.newer_list_needed_since
     )
     is_busy = bool(instances.operations) or not instances.rows or is_outdated
     interval_s = BUSY_LIST_INTERVAL_S if is_busy else IDLE_LIST_INTERVAL_S
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -91,13 +91,15 @@
 ) -> None:
     """Continue a wave's maintenance and start more, or complete the wave.
 
-    It is complete when every listed instance of it has started maintenance.
+    It is complete when each instance of it has started maintenance or is
+    certainly gone, which takes a list that was requested since.
     """
     done = set(record.started_instances)
-    remaining = [
-        i for i in wave.instances if i not in done and i in instances.rows
-    ]
+    missing = [i for i in wave.instances if i not in done]
+    remaining = [i for i in missing if i in instances.rows]
     if not remaining:
+        if not instances.are_gone(wave, frozenset(missing), now):
+            return
         completed = WaveRecord(
             wave.number,
             WaveState.COMPLETED,
@@ -109,9 +111,10 @@
             Event.WAVE_CHANGED,
             wave=wave.number,
             state='completed',
-            reason=f'{len(done)} instances',
+            reason=f'{len(done)} instances, {len(missing)} gone',
         )
         return
+    instances.wave_absences.pop(wave.number, None)
     operations = [
         operation
         for operation in instances.operations.values()
