Ask for advice only about workers on which a task could start

Cause: advised_workers counted each worker with a ticket and room as enough for a waiting task, and begin_request named the workers with most room.

Change: tasks are placed on workers with tickets first; only for those that are left a request is made, and it names only workers that could take one now. A gang asks about the workers on which it would start, and about none if it has no room. Workers that the service has disallowed are no part of a step's rack.

--- a/src/primroseledge/scheduling/advice.py
+++ b/src/primroseledge/scheduling/advice.py
@@ -1,12 +1,12 @@
 """Ask the advisory service which workers may run the tasks of a step.
 
 The service handles one request at a time and takes longer with each worker
-named in it. A request therefore names few workers, those with the most free
-capacity first, and the answers are cached: whether a worker is allowed does
-not change within one of its boots; only its tickets expire.
+named in it. A request therefore names few workers (``advice_requests`` chooses
+them), and the answers are cached: whether a worker is allowed does not change
+within one of its boots; only its tickets expire.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Final
@@ -19,16 +19,6 @@
 from primroseledge.scheduling.actions import Action
 from primroseledge.workers.worker import Worker
 
-MAX_WORKERS_PER_REQUEST: Final = 12
-"""Largest number of workers that one request names."""
-
-EXTRA_WORKERS_PER_REQUEST: Final = 2
-"""Workers named in a request beyond the number of waiting tasks.
-
-The service may disallow some of the workers; without extra ones the tasks
-would need another request.
-"""
-
 ADVICE_RETRY_S: Final = 0.5
 """Time in s after a failed request before it is retried."""
 
@@ -130,43 +120,42 @@
             return None
         return ticket.text
 
-    def begin_request(
-        self,
-        step: StepOccurrence,
-        key: StepKey,
-        workers: Sequence[Worker],
-        now: float,
-    ) -> RequestAdvice | None:
-        """Return the request to send for a step's waiting tasks, or None.
-
-        The request is recorded as being in flight. ``workers`` are those that
-        may get new tasks; the request names the ones that have free capacity
-        for a task, have no valid ticket and are not known to be disallowed.
-        None is returned if there is no such worker, while another request is
-        in flight, and for ``ADVICE_RETRY_S`` after a failed one.
-        """
-        if self.request_in_flight is not None:
-            return None
-        advice = self.steps.setdefault(key, StepAdvice())
-        if now < advice.retry_at:
-            return None
-        waiting_count = sum(1 for task in step.tasks if task.is_waiting)
-        candidates = [
-            worker
-            for worker in workers
-            if (worker.id, worker.entry.boot) not in advice.disallowed_workers
-            and self.ticket_for(key, worker, now) is None
-            and step.spec.counted_resources.fits_in(worker.free_capacity)
-        ]
-        candidates.sort(key=lambda worker: -worker.free_capacity.cpu_millis)
-        named_count = min(
-            MAX_WORKERS_PER_REQUEST, waiting_count + EXTRA_WORKERS_PER_REQUEST
+    def is_disallowed(self, step: StepKey, worker: Worker) -> bool:
+        """Return whether the service has disallowed a step on a worker."""
+        advice = self.steps.get(step)
+        boot = (worker.id, worker.entry.boot)
+        return advice is not None and boot in advice.disallowed_workers
+
+    def was_allowed(self, step: StepKey, worker: Worker) -> bool:
+        """Return whether a worker had a ticket, which may have expired."""
+        advice = self.steps.get(step)
+        ticket = advice.tickets.get(worker.id) if advice else None
+        return ticket is not None and ticket.boot == worker.entry.boot
+
+    def lacks_answer(self, step: StepKey, worker: Worker, now: float) -> bool:
+        """Return whether a worker has no valid ticket but may get one."""
+        return (
+            not self.is_disallowed(step, worker)
+            and self.ticket_for(step, worker, now) is None
         )
-        if not candidates:
-            return None
-        named = candidates[:named_count]
+
+    def may_request(self, step: StepKey, now: float) -> bool:
+        """Return whether a request about a step may be sent now.
+
+        None may while another request is in flight, and for
+        ``ADVICE_RETRY_S`` after a failed one about the step.
+        """
+        advice = self.steps.get(step)
+        is_retry_due = advice is None or now >= advice.retry_at
+        return self.request_in_flight is None and is_retry_due
+
+    def begin_request(
+        self, step: StepKey, workers: Iterable[Worker]
+    ) -> RequestAdvice:
+        """Return the request to send, and record it as being in flight."""
+        named = list(workers)
         self.request_in_flight = RequestAdvice(
-            key,
+            step,
             tuple(worker.id for worker in named),
             tuple(worker.entry.boot for worker in named),
         )
--- /dev/null
+++ b/src/primroseledge/scheduling/advice_requests.py
@@ -0,0 +1,183 @@
+"""Choose the workers about which the advisory service is asked.
+
+A request names only workers on which the rules of the step, its free tasks and
+the free capacity would let a task start now. A ticket for any other worker
+would not lead to a start: it would expire and be requested again, while the
+service is never asked about the workers that matter.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import Final
+
+from primroseledge.jobs.job import Job
+from primroseledge.jobs.job import StepOccurrence
+from primroseledge.jobs.task import Task
+from primroseledge.scheduling.advice import step_key
+from primroseledge.scheduling.advice import StepKey
+from primroseledge.scheduling.fleet_state import FleetState
+from primroseledge.scheduling.gang_placement import place_gang
+from primroseledge.scheduling.gang_placement import spread_gang
+from primroseledge.scheduling.placement import count_placement
+from primroseledge.scheduling.placement import is_allowed
+from primroseledge.scheduling.placement import StepPlacement
+from primroseledge.scheduling.rack_spread import may_leave_rack
+from primroseledge.scheduling.rack_spread import without_rack_rule
+from primroseledge.workers.worker import Worker
+
+MAX_WORKERS_PER_REQUEST: Final = 12
+"""Largest number of workers that one request names."""
+
+EXTRA_WORKERS_PER_REQUEST: Final = 2
+"""Workers named in a request beyond those that are needed.
+
+The service may disallow some of the workers; without extra ones the tasks
+would need another request.
+"""
+
+
+def ticketed_workers(
+    state: FleetState,
+    job: Job,
+    step: StepOccurrence,
+    workers: Sequence[Worker],
+    now: float,
+) -> list[Worker]:
+    """Return the workers for which a step holds a valid ticket."""
+    key = step_key(job.accepted.id, step)
+    advice = state.advice
+    return [
+        worker
+        for worker in workers
+        if advice.ticket_for(key, worker, now) is not None
+    ]
+
+
+def allowable_workers(
+    state: FleetState,
+    job: Job,
+    step: StepOccurrence,
+    workers: Iterable[Worker],
+) -> list[Worker]:
+    """Return the workers that the service has not disallowed for a step."""
+    key = step_key(job.accepted.id, step)
+    advice = state.advice
+    return [
+        worker for worker in workers if not advice.is_disallowed(key, worker)
+    ]
+
+
+def step_pool(
+    state: FleetState, job: Job, step: StepOccurrence
+) -> list[Worker]:
+    """Return the workers of a job's service that may run a step in time.
+
+    Those that can't be given tasks now are among them, but not those that are
+    to be emptied or that the advisory service has disallowed.
+    """
+    service = state.service_of(job)
+    members = (
+        worker
+        for worker in state.workers.values()
+        if worker.entry.service == service
+        and worker.is_listed
+        and not worker.is_zone_evacuated
+    )
+    return allowable_workers(state, job, step, members)
+
+
+def request_advice(
+    state: FleetState,
+    job: Job,
+    step: StepOccurrence,
+    workers: Sequence[Worker],
+    missing: Sequence[Task],
+    now: float,
+) -> None:
+    """Add a request about workers that could take one of a step's tasks.
+
+    ``missing`` are the tasks that found no worker with a ticket, ``workers``
+    those that may get new tasks. Workers on which all of the tasks failed come
+    last, and of the others those that were allowed before come first.
+    """
+    advice = state.advice
+    key = step_key(job.accepted.id, step)
+    if not advice.may_request(key, now):
+        return
+    spec = step.spec
+    placement = count_placement(step, state.workers)
+    if spec.needs_single_rack and may_leave_rack(
+        step, step_pool(state, job, step), placement, now
+    ):
+        spec = without_rack_rule(spec)
+
+    def rank(worker: Worker) -> tuple[bool, bool, int]:
+        have_failed = all(worker.id in task.failed_workers for task in missing)
+        was_allowed = advice.was_allowed(key, worker)
+        # A task starts again on a worker where it failed only under
+        # conditions: the others without an answer are not to wait for it.
+        is_later = was_allowed if have_failed else not was_allowed
+        return (have_failed, is_later, -worker.free_capacity.cpu_millis)
+
+    candidates = [
+        worker
+        for worker in workers
+        if advice.lacks_answer(key, worker, now)
+        and worker.has_capacity_for(spec.counted_resources)
+        and is_allowed(spec, worker, placement)
+    ]
+    named_count = len(missing) + EXTRA_WORKERS_PER_REQUEST
+    send_request(state, key, sorted(candidates, key=rank)[:named_count])
+
+
+def request_gang_advice(
+    state: FleetState,
+    job: Job,
+    step: StepOccurrence,
+    workers: Sequence[Worker],
+    now: float,
+) -> None:
+    """Add a request about workers that could take a gang together.
+
+    None is added if the gang would find no room even if each worker were
+    allowed that is not known not to be. Others of the same racks are extra.
+    """
+    advice = state.advice
+    key = step_key(job.accepted.id, step)
+    if not advice.may_request(key, now):
+        return
+    spec = step.spec
+    possible = allowable_workers(state, job, step, workers)
+    chosen = place_gang(spec, possible)
+    if chosen is None and spec.needs_single_rack:
+        pool = step_pool(state, job, step)
+        chosen = spread_gang(step, possible, pool, now)
+    if chosen is None:
+        return
+    needed = {worker.id: worker for worker in chosen}
+    racks = {worker.rack for worker in chosen}
+    nowhere = StepPlacement()
+    extra = [
+        worker
+        for worker in possible
+        if worker.rack in racks
+        and worker.id not in needed
+        and worker.has_capacity_for(spec.counted_resources)
+        and is_allowed(spec, worker, nowhere)
+    ]
+    named, others = (
+        [worker for worker in group if advice.lacks_answer(key, worker, now)]
+        for group in (needed.values(), extra)
+    )
+    if named:
+        named += others[:EXTRA_WORKERS_PER_REQUEST]
+    send_request(state, key, named)
+
+
+def send_request(
+    state: FleetState, key: StepKey, workers: Sequence[Worker]
+) -> None:
+    """Add a request about some of the workers, if there are any."""
+    if workers:
+        named = workers[:MAX_WORKERS_PER_REQUEST]
+        state.actions.append(state.advice.begin_request(key, named))
--- a/src/primroseledge/scheduling/step_planning.py
+++ b/src/primroseledge/scheduling/step_planning.py
@@ -6,7 +6,10 @@
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.task import Task
-from primroseledge.scheduling.advice import step_key
+from primroseledge.scheduling.advice_requests import request_advice
+from primroseledge.scheduling.advice_requests import request_gang_advice
+from primroseledge.scheduling.advice_requests import step_pool
+from primroseledge.scheduling.advice_requests import ticketed_workers
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.scheduling.gang_placement import place_gang
 from primroseledge.scheduling.gang_placement import spread_gang
@@ -46,29 +49,49 @@
     If a task cannot be placed, the tasks before it stay planned; of a gang,
     no task is planned then. Tasks that avoid workers don't keep the others of
     their step from starting there. Without ``tasks``, those that may only run
-    alone are left out.
+    alone are left out. Where the advisory service decides, tasks start on
+    workers with a ticket alone, and it is asked about others for the rest.
     """
+    if tasks is None:
+        tasks = [task for task in step.tasks if not task.needs_isolation]
     queue = state.queue_of(job)
-    no_worker = StepPlan.NO_CAPACITY
-    if queue is not None and queue.advice is not None:
-        count = step.spec.count if step.spec.is_gang else 1
-        if not is_within_limit(state, job, step.spec.resources.times(count)):
-            return StepPlan.NOT_ALLOWED
-        workers = advised_workers(state, job, step, workers, now)
-        no_worker = StepPlan.NOT_ALLOWED
+    if queue is None or queue.advice is None:
+        return place_step(state, job, step, tasks, workers, now)
+    allowed = ticketed_workers(state, job, step, workers, now)
+    outcome = place_step(state, job, step, tasks, allowed, now)
+    if outcome not in (StepPlan.NO_CAPACITY, StepPlan.AVOIDING):
+        return outcome
     if step.spec.is_gang:
-        return plan_gang(state, job, step, workers, no_worker, now)
+        request_gang_advice(state, job, step, workers, now)
+    else:
+        missing = [task for task in tasks if task.is_waiting]
+        request_advice(state, job, step, workers, missing, now)
+    is_avoiding = outcome is StepPlan.AVOIDING
+    return outcome if is_avoiding else StepPlan.NOT_ALLOWED
+
+
+def place_step(
+    state: FleetState,
+    job: Job,
+    step: StepOccurrence,
+    tasks: list[Task],
+    workers: list[Worker],
+    now: float,
+) -> StepPlan:
+    """Plan the starts of a step's waiting tasks on the given workers."""
+    if step.spec.is_gang:
+        return plan_gang(state, job, step, workers, now)
     placement = count_placement(step, state.workers)
     chooser = WorkerChooser(step.spec, workers, placement)
     outcome = StepPlan.PLACED
-    for task in step.tasks if tasks is None else tasks:
-        if not task.is_waiting or (tasks is None and task.needs_isolation):
+    for task in tasks:
+        if not task.is_waiting:
             continue
         if not is_within_limit(state, job, step.spec.resources):
             return StepPlan.NOT_ALLOWED
         worker = chooser.choose(task)
         if worker is None and step.spec.needs_single_rack:
-            pool = pool_of(state, job)
+            pool = step_pool(state, job, step)
             worker = choose_beyond_rack(
                 step, task, workers, pool, chooser, now
             )
@@ -76,7 +99,7 @@
             outcome = StepPlan.AVOIDING
             continue
         if worker is None:
-            return no_worker
+            return StepPlan.NO_CAPACITY
         # plan_run() adds the run's resources to the worker, so only the
         # counts of the placement are updated here.
         state.plan_run(task, worker, now)
@@ -107,48 +130,17 @@
     return WorkerChooser(spec, workers, placement).choose(task)
 
 
-def advised_workers(
-    state: FleetState,
-    job: Job,
-    step: StepOccurrence,
-    workers: list[Worker],
-    now: float,
-) -> list[Worker]:
-    """Return the workers for which a step holds a valid ticket.
-
-    If fewer of them have capacity for a task than tasks are waiting, a
-    request to the advisory service about other workers is added to the
-    actions.
-    """
-    key = step_key(job.accepted.id, step)
-    advice = state.advice
-    allowed = [
-        w for w in workers if advice.ticket_for(key, w, now) is not None
-    ]
-    waiting_count = sum(1 for task in step.tasks if task.is_waiting)
-    free_count = sum(
-        1 for w in allowed if w.has_capacity_for(step.spec.counted_resources)
-    )
-    if free_count < waiting_count:
-        request = advice.begin_request(step, key, workers, now)
-        if request is not None:
-            state.actions.append(request)
-    return allowed
-
-
 def plan_gang(
     state: FleetState,
     job: Job,
     step: StepOccurrence,
     workers: list[Worker],
-    no_worker: StepPlan,
     now: float,
 ) -> StepPlan:
     """Plan the starts of all tasks of a gang, or of none.
 
-    Returns ``no_worker`` if there is none for one of them. If one of the
-    tasks has a run or is done, nothing is planned and the gang counts as
-    placed.
+    If one of the tasks has a run or is done, nothing is planned and the gang
+    counts as placed.
     """
     if not all(task.is_waiting for task in step.tasks):
         return StepPlan.PLACED
@@ -157,9 +149,9 @@
         return StepPlan.NOT_ALLOWED
     chosen = place_gang(step.spec, workers)
     if chosen is None and step.spec.needs_single_rack:
-        chosen = spread_gang(step, workers, pool_of(state, job), now)
+        chosen = spread_gang(step, workers, step_pool(state, job, step), now)
     if chosen is None:
-        return no_worker
+        return StepPlan.NO_CAPACITY
     step.rack_wait_began_at = None
     # All tasks of a gang get the same run number and start from the same
     # checkpoint.
@@ -172,18 +164,6 @@
     return StepPlan.PLACED
 
 
-def pool_of(state: FleetState, job: Job) -> list[Worker]:
-    """Return the workers of a job's service that are not to be emptied."""
-    service = state.service_of(job)
-    return [
-        worker
-        for worker in state.workers.values()
-        if worker.entry.service == service
-        and worker.is_listed
-        and not worker.is_zone_evacuated
-    ]
-
-
 def is_within_limit(state: FleetState, job: Job, added: Resources) -> bool:
     """Return whether a job's workspace may use more resources.
 
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -9,60 +9,20 @@
 
 from msgspec import structs
 
-from primroseledge.ids import WorkerId
 from primroseledge.ids import WorkspaceId
-from primroseledge.jobs.configuration import AdviceConfig
-from primroseledge.jobs.configuration import Queue
 from primroseledge.jobs.configuration import Workspace
 from primroseledge.jobs.resources import Resources
 from primroseledge.scheduling.actions import OrderResult
-from primroseledge.scheduling.advice import AdviceAnswered
 from primroseledge.scheduling.advice import AdviceFailed
-from primroseledge.scheduling.advice import RequestAdvice
-from primroseledge.workers.worker import WorkerEntry
-from tests.engine_bench import EngineBench
-from tests.engine_bench import make_configuration
+from tests.advice_bench import AdviceBench
 from tests.engine_bench import make_job
 from tests.engine_bench import make_step
 from tests.engine_bench import make_worker_entry
-from tests.engine_bench import QUEUE
-from tests.engine_bench import SERVICE
 from tests.engine_bench import WORKSPACE
 
 WORKERS = [make_worker_entry(f'worker-{number}') for number in range(3)]
 
 
-class AdviceBench(EngineBench):
-    """An engine bench with a queue whose workers the service chooses."""
-
-    def __init__(self, *workers: WorkerEntry) -> None:
-        super().__init__(*workers)
-        queue = Queue(
-            QUEUE,
-            'host',
-            '/sheets/',
-            SERVICE,
-            max_attempts=2,
-            advice=AdviceConfig(0.05, 0.01, 3.0),
-        )
-        configuration = make_configuration()
-        configuration.queues[QUEUE] = queue
-        self.engine.apply_configuration(configuration)
-
-    def pop_advice_requests(self) -> list[RequestAdvice]:
-        actions = self.pop_actions(RequestAdvice, lambda _: True)
-        return [
-            action for action in actions if isinstance(action, RequestAdvice)
-        ]
-
-    def answer_advice(self, request: RequestAdvice, *allowed: str) -> None:
-        tickets = {WorkerId(name): f'ticket {name}' for name in allowed}
-        answer = AdviceAnswered(request, tickets, 3.0, self.now)
-        self.engine.handle_advice_answer(answer, self.now)
-        self.reconcile()
-        self.store_changes()
-
-
 class AdviceTest(unittest.TestCase):
     def test_starts_carry_the_ticket_of_an_allowed_worker(self) -> None:
         bench = AdviceBench(*WORKERS)
