Probe a quarantined worker for a step that no other worker is allowed to run

What callers would see: a task of an advised queue waits for the end of a quarantine, 12 s at most, although the one worker that the service allows is sound again and idle.

Cause: a step without a worker that the service allows was planned as one that waits for the service, and only steps without capacity probe. The workers that the service had disallowed also counted as ones that could take it later.

Change: a step that has nobody left to ask about is NOT_ADVISED and may probe; disallowed workers don't hold a probe back.

--- a/src/primroseledge/scheduling/advice_requests.py
+++ b/src/primroseledge/scheduling/advice_requests.py
@@ -14,7 +14,6 @@
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.task import Task
 from primroseledge.scheduling.advice import step_key
-from primroseledge.scheduling.advice import StepKey
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.scheduling.gang_placement import place_gang
 from primroseledge.scheduling.gang_placement import spread_gang
@@ -86,15 +85,15 @@
     return allowable_workers(state, job, step, members)
 
 
-def request_advice(
+def workers_for_tasks(
     state: FleetState,
     job: Job,
     step: StepOccurrence,
     workers: Sequence[Worker],
     missing: Sequence[Task],
     now: float,
-) -> None:
-    """Add a request about workers that could take one of a step's tasks.
+) -> list[Worker]:
+    """Return the workers to ask about that could take one of some tasks.
 
     ``missing`` are the tasks that found no worker with a ticket, ``workers``
     those that may get new tasks. Workers on which all of the tasks failed come
@@ -102,8 +101,6 @@
     """
     advice = state.advice
     key = step_key(job.accepted.id, step)
-    if not advice.may_request(key, now):
-        return
     spec = step.spec
     placement = count_placement(step, state.workers)
     if spec.needs_single_rack and may_leave_rack(
@@ -127,25 +124,23 @@
         and is_allowed(spec, worker, placement)
     ]
     named_count = len(missing) + EXTRA_WORKERS_PER_REQUEST
-    send_request(state, key, sorted(candidates, key=rank)[:named_count])
+    return sorted(candidates, key=rank)[:named_count]
 
 
-def request_gang_advice(
+def workers_for_gang(
     state: FleetState,
     job: Job,
     step: StepOccurrence,
     workers: Sequence[Worker],
     now: float,
-) -> None:
-    """Add a request about workers that could take a gang together.
+) -> list[Worker]:
+    """Return the workers to ask about that could take a gang together.
 
-    None is added if the gang would find no room even if each worker were
+    There are none if the gang would find no room even if each worker were
     allowed that is not known not to be. Others of the same racks are extra.
     """
     advice = state.advice
     key = step_key(job.accepted.id, step)
-    if not advice.may_request(key, now):
-        return
     spec = step.spec
     possible = allowable_workers(state, job, step, workers)
     chosen = place_gang(spec, possible)
@@ -153,7 +148,7 @@
         pool = step_pool(state, job, step)
         chosen = spread_gang(step, possible, pool, now)
     if chosen is None:
-        return
+        return []
     needed = {worker.id: worker for worker in chosen}
     racks = {worker.rack for worker in chosen}
     nowhere = StepPlacement()
@@ -171,13 +166,18 @@
     )
     if named:
         named += others[:EXTRA_WORKERS_PER_REQUEST]
-    send_request(state, key, named)
+    return named
 
 
-def send_request(
-    state: FleetState, key: StepKey, workers: Sequence[Worker]
+def request_advice(
+    state: FleetState,
+    job: Job,
+    step: StepOccurrence,
+    workers: Sequence[Worker],
+    now: float,
 ) -> None:
-    """Add a request about some of the workers, if there are any."""
-    if workers:
+    """Add a request about the first of some workers, if one may be sent."""
+    key = step_key(job.accepted.id, step)
+    if workers and state.advice.may_request(key, now):
         named = workers[:MAX_WORKERS_PER_REQUEST]
         state.actions.append(state.advice.begin_request(key, named))
--- a/src/primroseledge/scheduling/isolation.py
+++ b/src/primroseledge/scheduling/isolation.py
@@ -131,7 +131,7 @@
         outcome = plan_step(state, job, step, clear, now, tasks)
         plan.take(log_isolated_starts(tasks, clear))
     missing = [task for task in tasks if task.is_waiting]
-    if not missing or outcome is StepPlan.NOT_ALLOWED:
+    if not missing or outcome in (StepPlan.NOT_ALLOWED, StepPlan.NOT_ADVISED):
         return
     plan.unplaced.append(step.spec)
     count = len(missing) if step.spec.is_gang else 1
--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -20,6 +20,7 @@
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.jobs.task import Task
+from primroseledge.scheduling.advice_requests import allowable_workers
 from primroseledge.scheduling.capacity_shortage import CapacityShortage
 from primroseledge.scheduling.fair_shares import order_by_shares
 from primroseledge.scheduling.fair_shares import Row
@@ -54,6 +55,10 @@
 Passes wait for the store: the slower it is, the more starts each has to plan.
 """
 
+WITHOUT_CAPACITY: Final = (StepPlan.NO_CAPACITY, StepPlan.AVOIDING)
+WITHOUT_WORKER: Final = (*WITHOUT_CAPACITY, StepPlan.NOT_ADVISED)
+"""Outcomes after which a step may probe a worker in quarantine."""
+
 
 def find_planning_limit(elapsed_s: float) -> int:
     """Return the number of planned starts at which a planning pass ends.
@@ -138,12 +143,13 @@
         is_batch = not step.spec.is_long_running
         allowed = batch_workers if is_batch else workers
         outcome = plan_step(state, job, step, allowed, now)
-        if outcome in (StepPlan.NO_CAPACITY, StepPlan.AVOIDING):
-            unplaced.append(step.spec)
+        if outcome in WITHOUT_WORKER:
             to_probe.append((job, step))
+        if outcome not in WITHOUT_CAPACITY:
+            continue
+        unplaced.append(step.spec)
         if outcome is StepPlan.AVOIDING:
             shortage.count(step)
-        if outcome is not StepPlan.NO_CAPACITY:
             continue
         shortage.record(step)
         if is_batch or shortage.excluded >= shortage.max_excluded:
@@ -187,7 +193,12 @@
     ``quarantined`` are the workers that may be probed; those that get a task
     are removed from it.
     """
-    probed = find_probe_tasks(job, step, workers, quarantined)
+    probed = find_probe_tasks(
+        job,
+        step,
+        allowable_workers(state, job, step, workers),
+        allowable_workers(state, job, step, quarantined),
+    )
     if not probed:
         return
     plan_step(state, job, step, quarantined, now, probed)
--- a/src/primroseledge/scheduling/step_planning.py
+++ b/src/primroseledge/scheduling/step_planning.py
@@ -7,9 +7,10 @@
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.task import Task
 from primroseledge.scheduling.advice_requests import request_advice
-from primroseledge.scheduling.advice_requests import request_gang_advice
 from primroseledge.scheduling.advice_requests import step_pool
 from primroseledge.scheduling.advice_requests import ticketed_workers
+from primroseledge.scheduling.advice_requests import workers_for_gang
+from primroseledge.scheduling.advice_requests import workers_for_tasks
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.scheduling.gang_placement import place_gang
 from primroseledge.scheduling.gang_placement import spread_gang
@@ -28,12 +29,15 @@
     ``NO_CAPACITY``: no worker could take one of them. ``AVOIDING``: only
     workers on which one of them failed could take it. ``NOT_ALLOWED``: it
     waits for its workspace's limit or for the advisory service.
+    ``NOT_ADVISED``: no worker that the service allows could take one of them,
+    and there is none to ask about.
     """
 
     PLACED = 'placed'
     NO_CAPACITY = 'no capacity'
     AVOIDING = 'avoiding'
     NOT_ALLOWED = 'not allowed'
+    NOT_ADVISED = 'not advised'
 
 
 def plan_step(
@@ -62,12 +66,14 @@
     if outcome not in (StepPlan.NO_CAPACITY, StepPlan.AVOIDING):
         return outcome
     if step.spec.is_gang:
-        request_gang_advice(state, job, step, workers, now)
+        named = workers_for_gang(state, job, step, workers, now)
     else:
         missing = [task for task in tasks if task.is_waiting]
-        request_advice(state, job, step, workers, missing, now)
-    is_avoiding = outcome is StepPlan.AVOIDING
-    return outcome if is_avoiding else StepPlan.NOT_ALLOWED
+        named = workers_for_tasks(state, job, step, workers, missing, now)
+    request_advice(state, job, step, named, now)
+    if outcome is StepPlan.AVOIDING:
+        return outcome
+    return StepPlan.NOT_ALLOWED if named else StepPlan.NOT_ADVISED
 
 
 def place_step(
--- a/tests/test_advice_workers.py
+++ b/tests/test_advice_workers.py
@@ -11,6 +11,7 @@
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.spec import StepSpec
 from primroseledge.scheduling.actions import EndKind
+from primroseledge.scheduling.actions import SendStart
 from primroseledge.scheduling.rack_spread import MAX_RACK_WAIT_S
 from primroseledge.workers.worker import WorkerEntry
 from tests.advice_bench import AdviceBench
@@ -34,6 +35,62 @@
     return make_step(1, 2000, is_long_running=True, **fields)
 
 
+class AdvisedProbeTest(unittest.TestCase):
+    """Only workers in quarantine may take the work of an advised queue.
+
+    Guards against work that waits for the end of a quarantine, of 12 s at
+    most, as for the advisory service.
+    """
+
+    def start_quarantine(self, *others: WorkerEntry) -> AdviceBench:
+        """Return a bench where a-0 is in quarantine from now on."""
+        worker = make_entry('a-0')
+        bench = AdviceBench(worker)
+        starts = list[SendStart]()
+        for name in 'ab':
+            bench.submit(make_job(name, make_step(1)))
+            bench.store_changes()
+            bench.answer_all_advice('a-0')
+            starts += bench.pop_starts()
+            bench.answer_start(starts[-1])
+        ends = tuple(
+            make_run_end(start, EndKind.FAILED, number)
+            for number, start in enumerate(starts, 1)
+        )
+        bench.answer_poll(worker.id, ends=ends)
+        for start in starts:
+            bench.cancel(bench.engine.state.jobs[start.task.job].accepted)
+        bench.list_workers(worker, *others)
+        for other in others:
+            bench.answer_poll(other.id)
+        bench.store_changes()
+        bench.pop_starts()
+        return bench
+
+    def first_start(self, bench: AdviceBench, allowed: str) -> SendStart:
+        """Submit a job, and return its first start within 1.5 s."""
+        bench.submit(make_job('c', make_step(1)))
+        for _ in range(15):
+            bench.reconcile(0.08)
+            bench.store_changes()
+            bench.answer_all_advice(allowed)
+            for start in bench.pop_starts():
+                return start
+        raise AssertionError('nothing has started')
+
+    def test_the_only_worker_is_probed(self) -> None:
+        bench = self.start_quarantine()
+        self.assertEqual('a-0', self.first_start(bench, 'a-0').target.worker)
+
+    def test_the_only_allowed_worker_is_probed(self) -> None:
+        bench = self.start_quarantine(make_entry('b-0'), make_entry('b-1'))
+        self.assertEqual('a-0', self.first_start(bench, 'a-0').target.worker)
+
+    def test_no_worker_is_probed_while_another_is_asked_about(self) -> None:
+        bench = self.start_quarantine(make_entry('b-0'))
+        self.assertEqual('b-0', self.first_start(bench, 'b-0').target.worker)
+
+
 class AdviceWorkersTest(unittest.TestCase):
     def start_bench(self, *entries: WorkerEntry) -> None:
         self.bench = AdviceBench(*entries)
