Ask about other workers before a failed task runs again where it failed

What callers would see: a job is shown as failed after all its attempts on one worker that fails everything, beside idle workers.

Cause: a task that failed avoids a worker only if another one has capacity, and of the others only those with a ticket counted. The one with a ticket was enough, so nobody was asked about the others.

Change: while a worker that has no answer yet could take the task, it waits for that answer. If none is allowed, it runs where it failed, as before.

Measured: the first of the two new tests of tests/test_advice_workers.py fails without the change; both pass with it, as do 82 of advice, quarantine, planning, attempts, racks and the engine.

--- a/src/primroseledge/scheduling/advice_requests.py
+++ b/src/primroseledge/scheduling/advice_requests.py
@@ -35,21 +35,28 @@
 """
 
 
-def ticketed_workers(
+def divide_by_tickets(
     state: FleetState,
     job: Job,
     step: StepOccurrence,
     workers: Sequence[Worker],
     now: float,
-) -> list[Worker]:
-    """Return the workers for which a step holds a valid ticket."""
+) -> tuple[list[Worker], list[Worker]]:
+    """Return the workers for which a step holds a ticket, and unasked ones.
+
+    Tickets that expired don't count: their workers are to be asked about
+    again. Workers that the service has disallowed are in neither list.
+    """
     key = step_key(job.accepted.id, step)
     advice = state.advice
-    return [
-        worker
-        for worker in workers
-        if advice.ticket_for(key, worker, now) is not None
-    ]
+    ticketed = list[Worker]()
+    unasked = list[Worker]()
+    for worker in workers:
+        if advice.ticket_for(key, worker, now) is not None:
+            ticketed.append(worker)
+        elif not advice.is_disallowed(key, worker):
+            unasked.append(worker)
+    return ticketed, unasked
 
 
 def allowable_workers(
--- a/src/primroseledge/scheduling/step_planning.py
+++ b/src/primroseledge/scheduling/step_planning.py
@@ -1,14 +1,15 @@
 """Plan the starts of one step's waiting tasks."""
 
+from collections.abc import Sequence
 from enum import Enum
 
 from primroseledge.jobs.job import Job
 from primroseledge.jobs.job import StepOccurrence
 from primroseledge.jobs.resources import Resources
 from primroseledge.jobs.task import Task
+from primroseledge.scheduling.advice_requests import divide_by_tickets
 from primroseledge.scheduling.advice_requests import request_advice
 from primroseledge.scheduling.advice_requests import step_pool
-from primroseledge.scheduling.advice_requests import ticketed_workers
 from primroseledge.scheduling.advice_requests import workers_for_gang
 from primroseledge.scheduling.advice_requests import workers_for_tasks
 from primroseledge.scheduling.fleet_state import FleetState
@@ -61,8 +62,8 @@
     queue = state.queue_of(job)
     if queue is None or queue.advice is None:
         return place_step(state, job, step, tasks, workers, now)
-    allowed = ticketed_workers(state, job, step, workers, now)
-    outcome = place_step(state, job, step, tasks, allowed, now)
+    allowed, unasked = divide_by_tickets(state, job, step, workers, now)
+    outcome = place_step(state, job, step, tasks, allowed, now, unasked)
     if outcome not in (StepPlan.NO_CAPACITY, StepPlan.AVOIDING):
         return outcome
     if step.spec.is_gang:
@@ -83,12 +84,16 @@
     tasks: list[Task],
     workers: list[Worker],
     now: float,
+    unasked_workers: Sequence[Worker] = (),
 ) -> StepPlan:
-    """Plan the starts of a step's waiting tasks on the given workers."""
+    """Plan the starts of a step's waiting tasks on the given workers.
+
+    ``unasked_workers`` may be allowed too; see ``WorkerChooser``.
+    """
     if step.spec.is_gang:
         return plan_gang(state, job, step, workers, now)
     placement = count_placement(step, state.workers)
-    chooser = WorkerChooser(step.spec, workers, placement)
+    chooser = WorkerChooser(step.spec, workers, placement, unasked_workers)
     outcome = StepPlan.PLACED
     for task in tasks:
         if not task.is_waiting:
--- a/src/primroseledge/scheduling/worker_choice.py
+++ b/src/primroseledge/scheduling/worker_choice.py
@@ -1,6 +1,7 @@
 """Choose the workers on which the waiting tasks of one step start."""
 
 import collections
+from collections.abc import Sequence
 from operator import itemgetter
 
 from primroseledge.ids import JobId
@@ -20,6 +21,8 @@
 
     Where the rank of a worker depends only on itself, all workers are ranked
     once for the step; otherwise they are compared for each task.
+    ``unasked_workers`` may be able to take a task too, but the advisory
+    service has yet to say so.
     """
 
     def __init__(
@@ -27,10 +30,12 @@
         step: StepSpec,
         workers: list[Worker],
         placement: StepPlacement,
+        unasked_workers: Sequence[Worker] = (),
     ) -> None:
         self.step = step
         self.workers = workers
         self.placement = placement
+        self.unasked_workers = unasked_workers
         self.queue: BatchWorkerQueue | None = None
         self.unplaced_after: list[set[WorkerId]] = []
 
@@ -69,10 +74,11 @@
     def choose_again(self, task: Task) -> Worker | None:
         """Return the best worker for a task that has failed, or None.
 
-        A worker on which it failed is chosen only if no other has capacity.
-        Besides, a task must have succeeded there since, unless the rules and
-        the size of the step leave no other, or the task is long-running and
-        may fail any number of times.
+        A worker on which it failed is chosen only if no other has capacity,
+        nor one that the advisory service has yet to be asked about. Besides, a
+        task must have succeeded there since, unless the rules and the size of
+        the step leave no other, or the task is long-running and may fail any
+        number of times.
         """
         if task.failed_workers in self.unplaced_after:
             return None
@@ -83,6 +89,13 @@
         ):
             job = task.key.job
             failed = [w for w in failed if not w.quarantine.is_suspect(job)]
+        unasked = [
+            worker
+            for worker in self.unasked_workers
+            if worker.id not in task.failed_workers
+        ]
+        if choose_worker(self.step, unasked, self.placement) is not None:
+            failed = []
         for workers in (others, failed):
             worker = choose_worker(self.step, workers, self.placement)
             if worker is not None:
--- a/tests/test_advice_workers.py
+++ b/tests/test_advice_workers.py
@@ -208,6 +208,38 @@
         self.assertEqual({'d-2'}, self.bench.answer_all_advice('d-2'))
         self.assertEqual({'d-2'}, self.started_on())
 
+    def test_a_failed_task_asks_about_others_before_it_runs_there_again(
+        self,
+    ) -> None:
+        # Its attempts would be used up on one worker that fails all tasks.
+        self.start_bench(make_entry('a-0'))
+        self.submit('once', make_step(1))
+        self.bench.answer_all_advice('a-0')
+        [start] = self.bench.pop_starts()
+        self.bench.answer_start(start)
+        self.bench.entries.append(make_entry('a-1'))
+        self.bench.list_workers(*self.bench.entries)
+        self.bench.answer_poll(self.bench.entries[1].id)
+        end = make_run_end(start, EndKind.FAILED)
+        self.bench.answer_poll(start.target.worker, ends=(end,))
+        self.bench.store_changes()
+        self.bench.answer_all_advice('a-0', 'a-1')
+        self.assertEqual({'a-1'}, self.started_on())
+
+    def test_a_failed_task_runs_there_again_if_no_other_is_allowed(
+        self,
+    ) -> None:
+        self.start_bench(make_entry('a-0'), make_entry('a-1'))
+        self.submit('lasting', make_lasting_step())
+        self.bench.answer_all_advice('a-0')
+        [start] = self.bench.pop_starts()
+        self.bench.answer_start(start)
+        end = make_run_end(start, EndKind.FAILED)
+        self.bench.answer_poll(start.target.worker, ends=(end,))
+        self.bench.store_changes()
+        self.bench.answer_all_advice('a-0')
+        self.assertEqual({'a-0'}, self.started_on())
+
     def test_a_worker_whose_ticket_expired_is_asked_about_first(self) -> None:
         # It is certain to be allowed; larger ones that joined are not.
         small = make_entry('a-0')
