Cancel the maintenance of an instance that has left the list

What operators would see: after a wave whose last instance left while it was drained, the list of instances is read four times a second for good.

Cause: a wave was completed before its maintenances were looked at, and none is continued after that, so the drain stayed, and the worker's mark with it.

Change: maintenances are continued first, and one whose instance is not listed any more is cancelled.

--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -94,6 +94,13 @@
     It is complete when each instance of it has started maintenance or is
     certainly gone, which takes a list that was requested since.
     """
+    operations = [
+        operation
+        for operation in instances.operations.values()
+        if operation.wave_number == wave.number
+    ]
+    for operation in operations:
+        advance_maintenance(state, instances, operation, now)
     done = set(record.started_instances)
     missing = [i for i in wave.instances if i not in done]
     remaining = [i for i in missing if i in instances.rows]
@@ -115,13 +122,6 @@
         )
         return
     instances.wave_absences.pop(wave.number, None)
-    operations = [
-        operation
-        for operation in instances.operations.values()
-        if operation.wave_number == wave.number
-    ]
-    for operation in operations:
-        advance_maintenance(state, instances, operation, now)
     limit = wave.max_in_maintenance - instances.count_in_maintenance(wave)
     if limit > 0 and instances.may_change_instances(now):
         is_urgent = is_time_short(
@@ -269,8 +269,8 @@
 
     A call that has not succeeded is sent again every
     ``MAINTENANCE_RETRY_INTERVAL_S``. The maintenance is cancelled if the
-    drain or the start takes too long; ``advance_wave`` may start it again
-    later.
+    instance is not listed any more, or if the drain or the start takes too
+    long; ``advance_wave`` may start it again later.
     """
     if (
         operation.state is OperationState.AWAITING_RETURN
@@ -278,6 +278,9 @@
         or operation.wave_number is None
     ):
         return
+    if operation.instance not in instances.rows:
+        cancel_maintenance(state, instances, operation)
+        return
     switch_to_new_worker(instances, operation, now)
     worker = find_worker(state, operation)
     if operation.state is OperationState.DRAINING and worker is not None:
--- a/tests/test_wave_completion.py
+++ b/tests/test_wave_completion.py
@@ -15,6 +15,8 @@
 from primroseledge.maintenance.actions import ListInstances
 from primroseledge.maintenance.list_refresh import BUSY_LIST_INTERVAL_S
 from primroseledge.maintenance.wave import WaveState
+from tests.engine_bench import make_job
+from tests.engine_bench import make_step
 from tests.maintenance_bench import MaintenanceBench
 from tests.maintenance_bench import make_row
 from tests.maintenance_bench import WORKERS
@@ -123,6 +125,25 @@
         self.bench.list_instances()
         self.assertIs(WaveState.COMPLETED, self.bench.wave_state)
 
+    def test_the_drain_of_an_instance_that_leaves_is_cancelled(self) -> None:
+        # It would be continued by no wave, while the list is read every
+        # BUSY_LIST_INTERVAL_S for it.
+        self.bench.run_job(make_job('a', make_step(6, 16_000)))
+        self.bench.request_wave(0)
+        self.bench.reconcile(OWNER_TICK_S)
+        self.bench.list_instances()
+        instances = self.bench.engine.instance_list
+        self.assertEqual(1, len(instances.operations))
+        del self.bench.rows['i-0']
+        self.bench.reconcile(BUSY_LIST_INTERVAL_S)
+        self.bench.list_instances()
+        self.bench.reconcile(BUSY_LIST_INTERVAL_S)
+        self.bench.list_instances()
+        self.assertIs(WaveState.COMPLETED, self.bench.wave_state)
+        self.assertEqual({}, instances.operations)
+        worker = self.bench.engine.state.workers[WORKERS[0].id]
+        self.assertFalse(worker.is_drained_by_owner)
+
     def test_no_list_is_awaited_once_all_instances_have_begun(self) -> None:
         self.bench.request_wave(0)
         self.bench.reconcile(OWNER_TICK_S)
