Maintain an instance only by a list that is as new as its drain

What callers would see: tasks end with an upkeep although their worker was never drained.

Cause: the row of an instance says which worker it runs. Without a standby pool the row may be as old as the last wave; the worker that it names is then unknown, which counts as an instance without tasks, and the call is sent at once.

Change: the call waits for a list that was requested at most one busy interval (0.25 s) before the drain began; the list is read at once for it.

CallInFlightTest expected a repeated call by a list of 15 s before; it now expects none before a new list, and one after it.

--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -22,6 +22,9 @@
 from primroseledge.scheduling.fleet_state import FleetState
 from primroseledge.workers.worker import Worker
 
+BUSY_LIST_INTERVAL_S: Final = 0.25
+"""Time in s between two readings of the list while an operation goes on."""
+
 INITIAL_MOVE_S: Final = 1.5
 """Time in s that a move is taken to need before one was measured."""
 
@@ -143,6 +146,14 @@
             and self.listed_at >= self.may_change_instances_from
         )
 
+    def shows_drained_worker(self, operation: Operation) -> bool:
+        """Return whether the rows are recent enough to end what they show.
+
+        A list from long before the drain may show a worker that has been
+        replaced by another one since. That one is not drained.
+        """
+        return self.listed_at > operation.started_at - BUSY_LIST_INTERVAL_S
+
     def are_gone(
         self, wave: Wave, absent: frozenset[InstanceId], now: float
     ) -> bool:
--- a/tests/test_ended_worker.py
+++ b/tests/test_ended_worker.py
@@ -169,6 +169,9 @@
         bench.answer(call, InstanceResult.UNANSWERED)
         bench.store_changes()
         bench.reconcile(1.0)
+        # The drain has begun again, and the list is from before that.
+        self.assertEqual([], bench.maintenance_starts())
+        bench.list_instances()
         self.assertEqual([call], bench.maintenance_starts())
 
     def test_worker_gets_no_task_while_its_move_is_not_answered(self) -> None:
--- a/tests/test_wave_completion.py
+++ b/tests/test_wave_completion.py
@@ -10,13 +10,16 @@
 
 from primroseledge.cluster.node_loop import OWNER_TICK_S
 from primroseledge.ids import InstanceId
+from primroseledge.ids import WorkerId
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import InstancesListed
 from primroseledge.maintenance.actions import ListInstances
-from primroseledge.maintenance.list_refresh import BUSY_LIST_INTERVAL_S
+from primroseledge.maintenance.instance_list import BUSY_LIST_INTERVAL_S
 from primroseledge.maintenance.wave import WaveState
 from tests.engine_bench import make_job
+from tests.engine_bench import make_run_end
 from tests.engine_bench import make_step
+from tests.engine_bench import make_worker_entry
 from tests.maintenance_bench import MaintenanceBench
 from tests.maintenance_bench import make_row
 from tests.maintenance_bench import WORKERS
@@ -153,5 +156,39 @@
         self.assertIs(WaveState.COMPLETED, self.bench.wave_state)
 
 
+class OldListTest(unittest.TestCase):
+    """The list shows a worker that another one has replaced since.
+
+    Guards against a maintenance that ends the tasks of the new worker, which
+    was not drained.
+    """
+
+    def test_the_worker_that_a_new_list_shows_is_drained(self) -> None:
+        bench = MaintenanceBench(WORKERS[0])
+        bench.disable_pool_sizing()
+        bench.list_instances()
+        bench.reconcile(STANDING_S)
+        bench.list_workers(make_worker_entry('new-0'))
+        bench.answer_poll(WorkerId('new-0'))
+        [start] = bench.run_job(make_job('a', make_step(1)))
+        self.assertEqual('new-0', start.target.worker)
+        bench.rows['i-0'] = make_row(0, worker='new-0')
+        bench.request_wave(0)
+        self.assertEqual([], bench.maintenance_starts())
+        bench.list_instances()
+        bench.reconcile(OWNER_TICK_S)
+        self.assertEqual([], bench.maintenance_starts())
+        bench.answer_poll(start.target.worker, ends=(make_run_end(start),))
+        bench.store_changes()
+        self.assertEqual(1, len(bench.maintenance_starts()))
+
+    def test_no_newer_list_is_awaited_if_one_was_just_read(self) -> None:
+        bench = MaintenanceBench(WORKERS[0])
+        bench.disable_pool_sizing()
+        bench.list_instances()
+        bench.request_wave(0)
+        self.assertEqual(1, len(bench.maintenance_starts()))
+
+
 if __name__ == '__main__':
     unittest.main()
