List an instance whose state isn't known, as it is not gone

What operators would see: a wave is completed before the upkeep of an instance that the platform lists in a state that the pages don't name.

Cause: such a row was logged and left out of the list, and a wave takes an instance that is not listed for one that is gone.

Change: it is listed as UNKNOWN, which nothing moves, maintains or counts as up.

--- a/src/primroseledge/maintenance/wave.py
+++ b/src/primroseledge/maintenance/wave.py
@@ -15,12 +15,16 @@
 
 
 class InstanceState(Enum):
-    """The state of an instance, as the platform lists it."""
+    """The state of an instance, as the platform lists it.
+
+    ``UNKNOWN`` stands for any other: the instance exists, and is not used.
+    """
 
     UP = 'up'
     MOVING = 'moving'
     IN_MAINTENANCE = 'in_upkeep'
     DOWN = 'down'
+    UNKNOWN = 'unknown'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primroseledge/platform/instance_client.py
+++ b/src/primroseledge/platform/instance_client.py
@@ -88,8 +88,7 @@
     def list_instances(self) -> InstancesListed | ListFailed:
         """Read all pages of the list of instances.
 
-        Return ListFailed if any page cannot be read or decoded. Rows with
-        an unknown state are logged and left out.
+        Return ListFailed if any page cannot be read or decoded.
         """
         sent_at = boot_time()
         rows = list[InstanceRow]()
@@ -171,18 +170,18 @@
 def decode_instances(wire_instances: list[WireInstance]) -> list[InstanceRow]:
     """Convert the instances of one page of the list.
 
-    An instance with an unknown state is logged and left out.
+    An unknown state is logged. Its instance is listed nevertheless, as one
+    that is not would count as gone.
     """
     rows = list[InstanceRow]()
     for instance in wire_instances:
-        state = INSTANCE_STATES.get(instance.state)
-        if state is None:
+        state = INSTANCE_STATES.get(instance.state, InstanceState.UNKNOWN)
+        if state is InstanceState.UNKNOWN:
             log(
                 Event.INPUT_SKIPPED,
                 subject=instance.machine,
                 problem=f'unknown instance state: {instance.state!r}',
             )
-            continue
         rows.append(
             InstanceRow(
                 InstanceId(instance.machine),
