--- a/standins/job_life.py
+++ b/standins/job_life.py
@@ -82,7 +82,6 @@
     rate: float
     store: str
     unguarded_pool: str = ''
-    does_clock_jump: bool = True
 
 
 class LifeLedger:
--- a/standins/job_soak.py
+++ b/standins/job_soak.py
@@ -71,10 +71,7 @@
     with TemporaryDirectory() as path:
         folder = Path(path)
         with ExitStack() as resources:
-            # Builds up to d53be72 lose track of workers whose clocks jump.
-            fleet = JobFleet(
-                resources, folder, SCALES[scale], do_clocks_jump=not builds
-            )
+            fleet = JobFleet(resources, folder, SCALES[scale])
             disturber = Disturber(fleet, seed, names)
             replacer: BuildReplacer | None = None
             if builds:
--- a/standins/job_soak_fleet.py
+++ b/standins/job_soak_fleet.py
@@ -69,13 +69,10 @@
         resources: ExitStack,
         folder: Path,
         scale: Scale,
-        *,
-        do_clocks_jump: bool = True,
     ) -> None:
         self.resources = resources
         self.folder = folder
         self.scale = scale
-        self.do_clocks_jump = do_clocks_jump
         self.faults = EvidenceFile(folder / 'faults.jsonl')
         self.lives = EvidenceFile(folder / 'workers-killed.jsonl')
         self.workers: dict[str, WorkerProcess] = {}
@@ -198,7 +195,6 @@
         """Run a worker's process."""
         more = [f'--id={worker}', f'--pool={pool}']
         more += [] if is_up else ['--asleep']
-        more += [] if self.do_clocks_jump else ['--exact-clock']
         process, _ = self.start_standin(
             'standins.job_worker', *arguments, *more
         )
--- a/standins/job_worker.py
+++ b/standins/job_worker.py
@@ -89,8 +89,6 @@
     def next_boot(self) -> int:
         """Return the time of day of a start; the clock may have been set."""
         boot = int(time() * 1000)
-        if not self.options.does_clock_jump:
-            return max(boot, self.boot + 1)
         boot += self.random.randint(-MAX_CLOCK_ERROR_MS, MAX_CLOCK_ERROR_MS)
         return boot + 1 if boot == self.boot else boot
 
@@ -247,7 +245,6 @@
 @click.option('--store', required=True)
 @click.option('--evidence', type=Path, required=True)
 @click.option('--unguarded', default='', help='Pool that checks no room.')
-@click.option('--exact-clock', is_flag=True, help='Its time never jumps.')
 @click.option('--asleep', is_flag=True, help='Begin without a life.')
 def main(worker: str, pool: str, evidence: Path, **others: Any) -> None:
     """Serve until stopped."""
@@ -261,7 +258,6 @@
         others['rate'],
         others['store'],
         others['unguarded'],
-        not others['exact_clock'],
     )
     process = JobWorker(options, worker, pool, evidence)
     if not others['asleep']:
