--- a/src/primroseledge/maintenance/pool_moves.py
+++ b/src/primroseledge/maintenance/pool_moves.py
@@ -11,11 +11,11 @@
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import MoveInstance
+from primroseledge.maintenance.drained_workers import record_call
+from primroseledge.maintenance.drained_workers import release_worker
 from primroseledge.maintenance.instance_list import InstanceList
 from primroseledge.maintenance.instance_list import Operation
 from primroseledge.maintenance.instance_list import OperationState
-from primroseledge.maintenance.instance_list import record_call
-from primroseledge.maintenance.instance_list import release_worker
 from primroseledge.maintenance.pool_release import find_required_labels
 from primroseledge.maintenance.pool_release import is_last_with_label
 from primroseledge.maintenance.pool_release import release_rank
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -8,24 +8,23 @@
 from typing import Final
 
 from primroseledge.ids import InstanceId
-from primroseledge.ids import ServiceId
 from primroseledge.maintenance.actions import InstanceAnswered
 from primroseledge.maintenance.actions import InstanceResult
 from primroseledge.maintenance.actions import StartMaintenance
+from primroseledge.maintenance.drained_workers import find_drained_worker
+from primroseledge.maintenance.drained_workers import record_call
+from primroseledge.maintenance.drained_workers import release_worker
 from primroseledge.maintenance.evacuation import evacuate
 from primroseledge.maintenance.instance_list import InstanceList
 from primroseledge.maintenance.instance_list import Operation
 from primroseledge.maintenance.instance_list import OperationState
-from primroseledge.maintenance.instance_list import record_call
-from primroseledge.maintenance.instance_list import release_worker
-from primroseledge.maintenance.wave import InstanceState
 from primroseledge.maintenance.wave import Wave
 from primroseledge.maintenance.wave import WaveRecord
 from primroseledge.maintenance.wave import WaveState
+from primroseledge.maintenance.wave_choice import choose_instances
 from primroseledge.observability.events import Event
 from primroseledge.observability.logs import log
 from primroseledge.scheduling.fleet_state import FleetState
-from primroseledge.workers.worker import Worker
 
 MAINTENANCE_ROUND_S: Final = 5.0
 """Expected time of one instance's drain, maintenance and return."""
@@ -50,12 +49,6 @@
 taken down doesn't keep the wave from taking another one.
 """
 
-MAX_UNAVAILABLE_SHARE: Final = 0.4
-"""Share of a pool that may be drained or down at once; at least one instance.
-
-It does not apply to the standby pool, nor to a wave that is short of time.
-"""
-
 
 def advance_waves(
     state: FleetState, instances: InstanceList, now: float
@@ -148,103 +141,6 @@
     )
 
 
-def choose_instances(
-    state: FleetState,
-    instances: InstanceList,
-    remaining: list[InstanceId],
-    limit: int,
-    is_urgent: bool,
-) -> list[InstanceId]:
-    """Return up to ``limit`` instances whose maintenance may start now.
-
-    Those of evacuated zones come first, then those with the least load. An
-    instance is left out while its pool has a backlog or too many instances
-    that are drained or down. This does not apply to the standby pool, to
-    evacuated zones, which serve nothing, nor if the wave is urgent.
-    """
-    backlog = services_with_backlog(state)
-    chosen = list[InstanceId]()
-    evacuated = {
-        row.id
-        for row in instances.rows.values()
-        if row.zone in state.evacuated_zones
-    }
-    unavailable = count_unavailable(instances, evacuated)
-
-    def rank(instance: InstanceId) -> tuple[bool, tuple[int, int]]:
-        tasks = count_tasks_by_kind(state, instances, instance)
-        return (instance not in evacuated, tasks)
-
-    for instance in sorted(remaining, key=rank):
-        row = instances.rows[instance]
-        if (
-            instance in instances.operations
-            or row.state is not InstanceState.UP
-        ):
-            continue
-        service = state.configuration.services.get(row.pool)
-        is_standby = service is not None and service.is_standby
-        size = sum(
-            other.pool == row.pool and other.id not in evacuated
-            for other in instances.rows.values()
-        )
-        max_unavailable = max(1, int(size * MAX_UNAVAILABLE_SHARE))
-        is_blocked = (
-            unavailable.get(row.pool, 0) >= max_unavailable
-            or row.pool in backlog
-        )
-        is_in_use = not is_standby and instance not in evacuated
-        if is_blocked and is_in_use and not is_urgent:
-            continue
-        if instance not in evacuated:
-            unavailable[row.pool] = unavailable.get(row.pool, 0) + 1
-        chosen.append(instance)
-        if len(chosen) >= limit:
-            break
-    return chosen
-
-
-def services_with_backlog(state: FleetState) -> set[ServiceId]:
-    """Return the services with tasks that wait for free capacity."""
-    services = set[ServiceId]()
-    for job in state.active_jobs.values():
-        service = state.service_of(job)
-        if service is None or service in services:
-            continue
-        for step in job.ready_steps():
-            if any(task.is_waiting for task in step.tasks):
-                services.add(service)
-                break
-    return services
-
-
-def count_unavailable(
-    instances: InstanceList, evacuated: set[InstanceId]
-) -> dict[ServiceId, int]:
-    """Return how many instances of each pool have an operation in progress.
-
-    The ``evacuated`` ones are left out: they are not in use anyway.
-    """
-    unavailable = dict[ServiceId, int]()
-    for operation in instances.operations.values():
-        row = instances.rows.get(operation.instance)
-        if row is not None and row.id not in evacuated:
-            unavailable[row.pool] = unavailable.get(row.pool, 0) + 1
-    return unavailable
-
-
-def count_tasks_by_kind(
-    state: FleetState, instances: InstanceList, instance: InstanceId
-) -> tuple[int, int]:
-    """Return the numbers of long-running and of other tasks on an instance."""
-    worker = instances.find_worker(state, instance)
-    if worker is None:
-        return (0, 0)
-    tasks = worker.tasks.values()
-    long_running = sum(1 for task in tasks if task.spec.is_long_running)
-    return (long_running, len(tasks) - long_running)
-
-
 def start_drain(
     state: FleetState,
     instances: InstanceList,
@@ -282,7 +178,7 @@
         cancel_maintenance(state, instances, operation)
         return
     switch_to_new_worker(instances, operation, now)
-    worker = find_worker(state, operation)
+    worker = find_drained_worker(state, operation)
     if operation.state is OperationState.DRAINING and worker is not None:
         worker.is_drained_by_owner = True
         if not worker.is_removable:
@@ -305,13 +201,6 @@
     )
 
 
-def find_worker(state: FleetState, operation: Operation) -> Worker | None:
-    """Return the worker that an operation drains, if it is known."""
-    if operation.worker is None:
-        return None
-    return state.workers.get(operation.worker)
-
-
 def switch_to_new_worker(
     instances: InstanceList, operation: Operation, now: float
 ) -> None:
--- a/src/primroseledge/owner/engine.py
+++ b/src/primroseledge/owner/engine.py
@@ -32,10 +32,10 @@
 from primroseledge.maintenance.actions import ListFailed
 from primroseledge.maintenance.actions import MoveInstance
 from primroseledge.maintenance.actions import StartMaintenance
+from primroseledge.maintenance.drained_workers import apply_instance_list
+from primroseledge.maintenance.drained_workers import keep_living_worker
 from primroseledge.maintenance.evacuation import evacuate_leaving_workers
-from primroseledge.maintenance.instance_list import apply_instance_list
 from primroseledge.maintenance.instance_list import InstanceList
-from primroseledge.maintenance.instance_list import keep_living_worker
 from primroseledge.maintenance.list_refresh import refresh_list
 from primroseledge.maintenance.pool_moves import handle_move_answer
 from primroseledge.maintenance.pools import size_pools
