--- a/src/primroseledge/scheduling/advice_requests.py
+++ b/src/primroseledge/scheduling/advice_requests.py
@@ -1,12 +1,11 @@
 """Choose the workers about which the advisory service is asked.
 
-A request names only workers on which the rules of the step, its free tasks and
-the free capacity would let a task start now. A ticket for any other worker
-would not lead to a start: it would expire and be requested again, while the
-service is never asked about the workers that matter.
+A request names only workers on which the rules of the step and the free
+capacity would let a task start now. A ticket for any other worker would not
+lead to a start: it would expire and be requested again, while the service is
+never asked about the workers that matter.
 """
 
-from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import Final
 
@@ -63,11 +62,13 @@
     state: FleetState,
     job: Job,
     step: StepOccurrence,
-    workers: Iterable[Worker],
-) -> list[Worker]:
+    workers: Sequence[Worker],
+) -> Sequence[Worker]:
     """Return the workers that the service has not disallowed for a step."""
     key = step_key(job.accepted.id, step)
     advice = state.advice
+    if key not in advice.steps:
+        return workers
     return [
         worker for worker in workers if not advice.is_disallowed(key, worker)
     ]
@@ -75,20 +76,20 @@
 
 def step_pool(
     state: FleetState, job: Job, step: StepOccurrence
-) -> list[Worker]:
-    """Return the workers of a job's service that may run a step in time.
+) -> Sequence[Worker]:
+    """Return the workers of a job's service that may run a step at some time.
 
     Those that can't be given tasks now are among them, but not those that are
     to be emptied or that the advisory service has disallowed.
     """
     service = state.service_of(job)
-    members = (
+    members = [
         worker
         for worker in state.workers.values()
         if worker.entry.service == service
         and worker.is_listed
         and not worker.is_zone_evacuated
-    )
+    ]
     return allowable_workers(state, job, step, members)
 
 
@@ -104,7 +105,8 @@
 
     ``missing`` are the tasks that found no worker with a ticket, ``workers``
     those that may get new tasks. Workers on which all of the tasks failed come
-    last, and of the others those that were allowed before come first.
+    last. Of the others, those that were allowed before come first: they are
+    certain, and a task starts there once the ticket is renewed.
     """
     advice = state.advice
     key = step_key(job.accepted.id, step)
--- a/src/primroseledge/scheduling/gang_placement.py
+++ b/src/primroseledge/scheduling/gang_placement.py
@@ -19,7 +19,9 @@
 from primroseledge.workers.worker import Worker
 
 
-def place_gang(step: StepSpec, workers: list[Worker]) -> list[Worker] | None:
+def place_gang(
+    step: StepSpec, workers: Sequence[Worker]
+) -> list[Worker] | None:
     """Return a worker for each task of a gang, or None if one has none."""
     if not step.needs_single_rack:
         return place_together(step, workers)
@@ -35,7 +37,7 @@
 
 def spread_gang(
     step: StepOccurrence,
-    workers: list[Worker],
+    workers: Sequence[Worker],
     pool: Sequence[Worker],
     now: float,
 ) -> list[Worker] | None:
@@ -72,7 +74,7 @@
 
 
 def place_together(
-    step: StepSpec, workers: list[Worker]
+    step: StepSpec, workers: Sequence[Worker]
 ) -> list[Worker] | None:
     """Return a worker for each task of a gang, or None if one has none."""
     placement = StepPlacement()
--- a/src/primroseledge/scheduling/probing.py
+++ b/src/primroseledge/scheduling/probing.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 from primroseledge.ids import ServiceId
 from primroseledge.jobs.job import Job
@@ -43,8 +44,8 @@
 def find_probe_tasks(
     job: Job,
     step: StepOccurrence,
-    workers: list[Worker],
-    quarantined: list[Worker],
+    workers: Sequence[Worker],
+    quarantined: Sequence[Worker],
 ) -> list[Task]:
     """Return the tasks of a step that may probe a quarantined worker.
 
@@ -71,7 +72,7 @@
     return waiting[:1]
 
 
-def could_any_take(step: StepSpec, workers: list[Worker]) -> bool:
+def could_any_take(step: StepSpec, workers: Sequence[Worker]) -> bool:
     """Return whether a worker could take a task without its batch tasks."""
     nowhere = StepPlacement()
     return any(could_take(step, worker, nowhere) for worker in workers)
--- a/src/primroseledge/scheduling/step_planning.py
+++ b/src/primroseledge/scheduling/step_planning.py
@@ -125,7 +125,7 @@
     step: StepOccurrence,
     task: Task,
     workers: list[Worker],
-    pool: list[Worker],
+    pool: Sequence[Worker],
     chooser: WorkerChooser,
     now: float,
 ) -> Worker | None:
