--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -153,14 +153,15 @@
         """
         return self.listed_at > operation.started_at - BUSY_LIST_INTERVAL_S
 
-    def are_gone(
+    def confirm_gone(
         self, wave: Wave, absent: frozenset[InstanceId], now: float
     ) -> bool:
-        """Return whether a wave's ``absent`` instances are gone for certain.
+        """Return whether the instances that a wave lacks are certainly gone.
 
-        They are if a list that was requested after their absence was noticed
-        does not show them either. The first call with them notices it and has
-        the list read again. ``absent`` is by the present rows.
+        ``absent`` are those that the present rows do not show. They are gone
+        if a list that was requested after their absence was noticed does not
+        show them either. The first call with them notices it, and has the list
+        read again.
         """
         if not absent:
             return True
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -98,7 +98,7 @@
     missing = [i for i in wave.instances if i not in done]
     remaining = [i for i in missing if i in instances.rows]
     if not remaining:
-        if not instances.are_gone(wave, frozenset(missing), now):
+        if not instances.confirm_gone(wave, frozenset(missing), now):
             return
         completed = WaveRecord(
             wave.number,
