--- a/src/primroseledge/maintenance/instance_list.py
+++ b/src/primroseledge/maintenance/instance_list.py
@@ -22,9 +22,10 @@
 from primroseledge.workers.worker import Worker
 
 MAX_LIST_AGE_S: Final = 3.0
-"""Age in s of the list from which on no drain may end the worker it shows.
+"""Largest age in s of the list at the begin of a drain whose call is sent.
 
-Without operations the list is read every 2 s where it is needed at all.
+A list that is needed is read at least every ``IDLE_LIST_INTERVAL_S``, 2 s, and
+a reading takes up to a second.
 """
 
 INITIAL_MOVE_S: Final = 1.5
@@ -148,11 +149,11 @@
             and self.listed_at >= self.may_change_instances_from
         )
 
-    def shows_drained_worker(self, operation: Operation) -> bool:
-        """Return whether the rows are recent enough to end what they show.
+    def was_list_recent(self, operation: Operation) -> bool:
+        """Return whether the rows were recent as an operation's drain began.
 
-        A list from long before the drain may show a worker that has been
-        replaced by another one since. That one is not drained.
+        An older list may show a worker that another one has replaced since.
+        That one is not drained, and the operation's call would end its tasks.
         """
         return self.listed_at > operation.started_at - MAX_LIST_AGE_S
 
--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -192,7 +192,7 @@
     if (
         now < operation.call_sent_at + MAINTENANCE_RETRY_INTERVAL_S
         or not instances.may_change_instances(now)
-        or not instances.shows_drained_worker(operation)
+        or not instances.was_list_recent(operation)
     ):
         return
     record_call(state, operation, now)
--- a/src/primroseledge/scheduling/advice.py
+++ b/src/primroseledge/scheduling/advice.py
@@ -132,8 +132,12 @@
         ticket = advice.tickets.get(worker.id) if advice else None
         return ticket is not None and ticket.boot == worker.entry.boot
 
-    def lacks_answer(self, step: StepKey, worker: Worker, now: float) -> bool:
-        """Return whether a worker has no valid ticket but may get one."""
+    def is_unasked(self, step: StepKey, worker: Worker, now: float) -> bool:
+        """Return whether it is open if a worker may run a step.
+
+        It has no valid ticket, and is not disallowed. One whose ticket has
+        expired counts as unasked again.
+        """
         return (
             not self.is_disallowed(step, worker)
             and self.ticket_for(step, worker, now) is None
--- a/src/primroseledge/scheduling/advice_requests.py
+++ b/src/primroseledge/scheduling/advice_requests.py
@@ -128,7 +128,7 @@
     candidates = [
         worker
         for worker in workers
-        if advice.lacks_answer(key, worker, now)
+        if advice.is_unasked(key, worker, now)
         and worker.has_capacity_for(spec.counted_resources)
         and is_allowed(spec, worker, placement)
     ]
@@ -170,7 +170,7 @@
         and is_allowed(spec, worker, nowhere)
     ]
     named, others = (
-        [worker for worker in group if advice.lacks_answer(key, worker, now)]
+        [worker for worker in group if advice.is_unasked(key, worker, now)]
         for group in (needed.values(), extra)
     )
     if named:
--- a/src/primroseledge/scheduling/planning.py
+++ b/src/primroseledge/scheduling/planning.py
@@ -56,6 +56,8 @@
 """
 
 WITHOUT_CAPACITY: Final = (StepPlan.NO_CAPACITY, StepPlan.AVOIDING)
+"""Outcomes after which a step waits for capacity."""
+
 WITHOUT_WORKER: Final = (*WITHOUT_CAPACITY, StepPlan.NOT_ADVISED)
 """Outcomes after which a step may probe a worker in quarantine."""
 
