End a wave although the platform lists no instance any more

What operators would see: a wave whose instances have all left stays running for good if they were the last ones, and the list is read four times a second.

Cause: waves waited while there were no rows, which was meant for an owner that has not read the list yet.

Change: waves wait until a list has been read. An empty one is confirmed by a newer one, as any absence is.

--- a/src/primroseledge/maintenance/rolling_maintenance.py
+++ b/src/primroseledge/maintenance/rolling_maintenance.py
@@ -55,7 +55,8 @@
 ) -> None:
     """Start requested waves, and continue the ones that are running.
 
-    A running wave waits while no list of instances is known.
+    A running wave waits until a list of instances has been read, which may be
+    empty.
     """
     for number, wave in instances.waves.items():
         record = instances.wave_records.get(number)
@@ -64,7 +65,7 @@
                 number, WaveState.RUNNING, started_ms=state.wall_ms(now)
             )
             record_wave(instances, record)
-        if record.state is WaveState.COMPLETED or not instances.rows:
+        if record.state is WaveState.COMPLETED or not instances.listed_at:
             continue
         advance_wave(state, instances, wave, record, now)
 
--- a/tests/test_wave_completion.py
+++ b/tests/test_wave_completion.py
@@ -147,6 +147,22 @@
         worker = self.bench.engine.state.workers[WORKERS[0].id]
         self.assertFalse(worker.is_drained_by_owner)
 
+    def test_a_wave_ends_though_no_instance_is_left(self) -> None:
+        # An empty list was taken for one that has not been read yet.
+        self.bench.request_wave(0)
+        self.bench.rows.clear()
+        for _ in range(3):
+            self.bench.reconcile(BUSY_LIST_INTERVAL_S)
+            self.bench.list_instances()
+        self.assertIs(WaveState.COMPLETED, self.bench.wave_state)
+        self.assertEqual({}, self.bench.engine.instance_list.operations)
+
+    def test_no_wave_ends_before_the_first_list(self) -> None:
+        bench = MaintenanceBench(*WORKERS)
+        bench.request_wave(0)
+        bench.reconcile(STANDING_S)
+        self.assertIs(WaveState.RUNNING, bench.wave_state)
+
     def test_no_list_is_awaited_once_all_instances_have_begun(self) -> None:
         self.bench.request_wave(0)
         self.bench.reconcile(OWNER_TICK_S)
